--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Every target works on a fresh machine with Python 3.11 and make.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: install demo test bench lint format types trial slopes ci
+
+install: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+demo: install
+	$(BIN)/python -m bench.demo
+
+test: install
+	$(BIN)/nose2 --config unittest.cfg
+
+bench: install
+	$(BIN)/python -m bench
+
+trial: install
+	$(BIN)/rattanstile trial all --deployment vedlott
+
+slopes: install
+	$(BIN)/python -m bench.slopes
+
+lint: install
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/ruff check src tests bench
+	$(BIN)/flake8 src bench
+
+format: install
+	$(BIN)/ruff check --fix --quiet src tests bench
+	$(BIN)/ruff format src tests bench
+
+types: install
+	$(BIN)/mypy
+
+ci:
+	bash .ci/run
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic benches and live trials."""
--- /dev/null
+++ b/src/rattanstile/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one connection."""
--- /dev/null
+++ b/src/rattanstile/process/messages.py
@@ -0,0 +1,218 @@
+"""Messages into and out of the entry and the serving state machines."""
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from rattanstile.request.envelope import Call, Cancel, Header, Reply
+from rattanstile.request.ids import (
+    CallId,
+    KeyDigest,
+    NodeId,
+    OrganisationId,
+    ServiceName,
+)
+from rattanstile.version.declaration import Route
+
+
+@unique
+class TargetFailure(Enum):
+    """How a target failed to answer a call."""
+
+    NOT_SENT = 'not-sent'
+    """No byte of the call reached the target."""
+    RESET = 'reset'
+    TIMEOUT = 'timeout'
+    ANSWER_CUT = 'answer-cut'
+    CANCELLED = 'cancelled'
+
+
+# Into the serving machine
+
+
+@dataclass(frozen=True, slots=True)
+class CallArrived:
+    """An attempt reached the serving node; `sender` gets the reply."""
+
+    call: Call
+    sender: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class TargetAnswered:
+    """The target gave its whole answer.
+
+    Attributes:
+        boot_id: The target's own boot id; empty where it gives none.
+        refused_unrun: Whether the target itself said that it did not run it.
+    """
+
+    call_id: CallId
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    boot_id: str = ''
+    refused_unrun: bool = False
+    tries_unspent: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetFailed:
+    """The target gave no whole answer."""
+
+    call_id: CallId
+    failure: TargetFailure
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRestarted:
+    """A sign that the target began a cold start (refused or reset, boot id)."""
+
+    boot_id: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class CancelArrived:
+    """A caller gave an attempt up."""
+
+    cancel: Cancel
+    sender: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time went by."""
+
+
+@dataclass(frozen=True, slots=True)
+class DrainBegan:
+    """The node takes no new work from now on."""
+
+
+ServingInput = (
+    CallArrived
+    | TargetAnswered
+    | TargetFailed
+    | TargetRestarted
+    | CancelArrived
+    | Ticked
+    | DrainBegan
+)
+
+
+# Out of the serving machine
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Run this call on the target now."""
+
+    call: Call
+    remaining_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendReply:
+    """Give the reply of an attempt to the node that sent the attempt."""
+
+    reply: Reply
+    receiver: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class CancelDispatch:
+    """Tell the target that nobody waits for this call any more."""
+
+    call_id: CallId
+
+
+ServingOutput = Dispatch | SendReply | CancelDispatch
+
+
+# Into the entry machine
+
+
+@dataclass(frozen=True, slots=True)
+class CallRequested:
+    """A caller's request that passed key and route checks.
+
+    Attributes:
+        request_id: Chosen by the shell; names the request in `Finished`.
+        call_id: Set when the caller library issued one, else empty.
+        attempt: The caller's own attempt number, from 1.
+        tries_left: Retry budget of the whole tree below this call.
+    """
+
+    request_id: int
+    call_id: CallId
+    attempt: int
+    organisation: OrganisationId
+    key_digest: KeyDigest
+    service: ServiceName
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    route: Route
+    remaining_ms: int
+    tries_left: int
+    hops: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyArrived:
+    """A serving node ended an attempt."""
+
+    reply: Reply
+    sender: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLost:
+    """The connection to a node is gone or silent.
+
+    Attributes:
+        connected: False when the connection was refused: nothing was sent.
+    """
+
+    node_id: NodeId
+    connected: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class RequestAbandoned:
+    """The caller went away."""
+
+    request_id: int
+
+
+EntryInput = CallRequested | ReplyArrived | PeerLost | RequestAbandoned | Ticked
+
+
+# Out of the entry machine
+
+
+@dataclass(frozen=True, slots=True)
+class SendCall:
+    """Send an attempt to a node, this node itself included."""
+
+    call: Call
+    receiver: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class SendCancel:
+    """Tell a node that an attempt is given up."""
+
+    cancel: Cancel
+    receiver: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """The request ended."""
+
+    request_id: int
+    reply: Reply
+
+
+EntryOutput = SendCall | SendCancel | Finished
--- /dev/null
+++ b/src/rattanstile/request/outcome.py
@@ -0,0 +1,84 @@
+"""How a call ends, and why a call was refused."""
+
+from enum import Enum, unique
+
+
+@unique
+class Outcome(Enum):
+    """The one field that tells a caller what to do next.
+
+    The idea of a reply whose first digit alone decides a client's next step
+    is taken from RFC 2821, section 4.2.1.
+    """
+
+    WHOLE = 'whole'
+    NOT_RUN = 'not-run'
+    FAILED = 'failed'
+    UNKNOWN = 'unknown'
+
+
+@unique
+class Reason(Enum):
+    """Why a call did not end with a whole answer."""
+
+    MALFORMED = 'malformed'
+    KEY_REFUSED = 'key-refused'
+    NO_SUCH_SERVICE = 'no-such-service'
+    TOO_LARGE = 'too-large'
+    OVER_RATE = 'over-rate'
+    SHED = 'shed'
+    DEADLINE = 'deadline'
+    DRAINING = 'draining'
+    OUT_OF_SERVICE = 'out-of-service'
+    NO_TARGET = 'no-target'
+    LOG_NEEDED = 'log-needed'
+    NOT_VERIFIED = 'not-verified'
+    HOP_LIMIT = 'hop-limit'
+    CANCELLED = 'cancelled'
+    TARGET_REFUSED = 'target-refused'
+    TARGET_FAILED = 'target-failed'
+    ANSWER_CUT = 'answer-cut'
+    CONNECTION_LOST = 'connection-lost'
+    HOME_GONE = 'home-gone'
+    EXPIRED = 'expired'
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status that a refusal with this reason carries."""
+        return _STATUS[self]
+
+    @property
+    def is_overload(self) -> bool:
+        """Tell whether the hop above must not retry."""
+        return self in _OVERLOAD
+
+
+_STATUS = {
+    Reason.MALFORMED: 400,
+    Reason.KEY_REFUSED: 401,
+    Reason.NO_SUCH_SERVICE: 404,
+    Reason.TOO_LARGE: 413,
+    Reason.OVER_RATE: 429,
+    Reason.SHED: 503,
+    Reason.DEADLINE: 504,
+    Reason.DRAINING: 503,
+    Reason.OUT_OF_SERVICE: 503,
+    Reason.NO_TARGET: 503,
+    Reason.LOG_NEEDED: 503,
+    Reason.NOT_VERIFIED: 503,
+    Reason.HOP_LIMIT: 503,
+    Reason.CANCELLED: 503,
+    Reason.TARGET_REFUSED: 503,
+    Reason.TARGET_FAILED: 502,
+    Reason.ANSWER_CUT: 502,
+    Reason.CONNECTION_LOST: 504,
+    Reason.HOME_GONE: 504,
+    Reason.EXPIRED: 504,
+}
+_OVERLOAD = frozenset(
+    (
+        Reason.OVER_RATE,
+        Reason.SHED,
+        Reason.DEADLINE,
+    ),
+)
--- /dev/null
+++ b/src/rattanstile/request/priority.py
@@ -0,0 +1,32 @@
+"""Priority of a request under overload."""
+
+from enum import IntEnum, unique
+
+
+@unique
+class Priority(IntEnum):
+    """Order in which requests are shed: the lowest value goes first."""
+
+    BACKGROUND = 0
+    LOOKUP = 1
+    TRANSACTION = 2
+
+
+NOTHING_SHED = Priority.BACKGROUND
+"""Shed level of a node that admits every priority."""
+
+
+@unique
+class RequestKind(IntEnum):
+    """What a route does, as a declaration names it."""
+
+    BACKGROUND = 0
+    LOOKUP = 1
+    CLAIM = 2
+    PAYMENT = 3
+    BOOKING = 4
+
+    @property
+    def priority(self) -> Priority:
+        """Return the priority of this kind of request."""
+        return Priority(min(self.value, Priority.TRANSACTION.value))
