--- /dev/null
+++ b/src/rattanstile/process/admission.py
@@ -0,0 +1,168 @@
+"""Short queue in front of one target.
+
+Priority comes first. Within a priority, organisations take turns by deficit
+round robin (Shreedhar and Varghese, 1995), where a call costs what its
+organisation's calls have cost lately. A call that can no longer meet its
+deadline leaves unrun.
+"""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+from rattanstile.request.envelope import Call
+from rattanstile.request.ids import CallId, NodeId, OrganisationId
+from rattanstile.request.outcome import Reason
+from rattanstile.request.priority import Priority
+
+QUANTUM = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """A call that waits.
+
+    Attributes:
+        sender: The node that gets the reply.
+        deadline_s: Monotonic seconds by which the answer must be out.
+        cost: Slot time of the call relative to the mean of all calls.
+    """
+
+    call: Call
+    sender: NodeId
+    deadline_s: float
+    arrived_s: float
+    cost: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Dropped:
+    """A call that left the queue unrun."""
+
+    queued: Queued
+    reason: Reason
+
+
+@dataclass(slots=True)
+class _Lane:
+    """Calls of one organisation within one priority."""
+
+    calls: deque[Queued] = field(default_factory=deque)
+    deficit: float = 0.0
+
+
+class _Level:
+    """Calls of one priority, fair by organisation."""
+
+    def __init__(self) -> None:
+        self.length = 0
+        self._lanes: OrderedDict[OrganisationId, _Lane] = OrderedDict()
+
+    def push(self, queued: Queued) -> None:
+        organisation = queued.call.organisation
+        lane = self._lanes.setdefault(organisation, _Lane())
+        lane.calls.append(queued)
+        self.length += 1
+
+    def pop(self) -> Queued:
+        while True:
+            organisation, lane = next(iter(self._lanes.items()))
+            cost = lane.calls[0].cost
+            if lane.deficit >= cost:
+                lane.deficit -= cost
+                return self._take(organisation, lane.calls.popleft())
+            lane.deficit += QUANTUM
+            if lane.deficit < cost:
+                self._lanes.move_to_end(organisation)
+
+    def waiting(self, organisation: OrganisationId) -> int:
+        lane = self._lanes.get(organisation)
+        return len(lane.calls) if lane else 0
+
+    def longest(self) -> OrganisationId:
+        return max(self._lanes, key=self.waiting)
+
+    def pop_newest(self, organisation: OrganisationId) -> Queued:
+        return self._take(organisation, self._lanes[organisation].calls.pop())
+
+    def remove(self, queued: Queued) -> None:
+        organisation = queued.call.organisation
+        self._lanes[organisation].calls.remove(queued)
+        self._take(organisation, queued)
+
+    def __iter__(self):  # type: ignore[no-untyped-def]
+        for lane in self._lanes.values():
+            yield from lane.calls
+
+    def _take(self, organisation: OrganisationId, queued: Queued) -> Queued:
+        self.length -= 1
+        lane = self._lanes[organisation]
+        if not lane.calls:
+            self._lanes.pop(organisation)
+        elif lane.deficit < lane.calls[0].cost:
+            self._lanes.move_to_end(organisation)
+        return queued
+
+
+class AdmissionQueue:
+    """Calls that wait for a slot of the target."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._levels = {one: _Level() for one in Priority}
+
+    def __len__(self) -> int:
+        """Return how many calls wait."""
+        return sum(level.length for level in self._levels.values())
+
+    def offer(self, queued: Queued, capacity: int) -> Dropped | None:
+        """Queue a call; return the call that had to go, if any.
+
+        A full queue drops the newest call of the lowest priority, of the
+        organisation that has most of them; this may be the call offered.
+
+        Args:
+            queued: The call that arrived.
+            capacity: Most calls that may wait now.
+        """
+        self._levels[queued.call.priority].push(queued)
+        if len(self) <= capacity:
+            return None
+        lowest = next(
+            self._levels[one] for one in Priority if self._levels[one].length
+        )
+        victim = lowest.pop_newest(lowest.longest())
+        return Dropped(victim, Reason.SHED)
+
+    def take(self) -> Queued | None:
+        """Take the call that is next in turn, or None when none waits."""
+        for priority in reversed(Priority):
+            if self._levels[priority].length:
+                return self._levels[priority].pop()
+        return None
+
+    def expire(self, now_s: float, service_s: float) -> list[Dropped]:
+        """Remove the calls whose deadline can't be met any more.
+
+        Args:
+            now_s: Monotonic seconds.
+            service_s: Observed service time of the target in seconds.
+        """
+        return [
+            self._drop(one, Reason.DEADLINE)
+            for one in self._all()
+            if now_s + service_s > one.deadline_s
+        ]
+
+    def cancel(self, call_id: CallId, attempt: int) -> Queued | None:
+        """Remove an attempt that its caller gave up; None if not queued."""
+        for one in self._all():
+            if one.call.call_id == call_id and one.call.attempt == attempt:
+                return self._drop(one, Reason.CANCELLED).queued
+        return None
+
+    def _all(self) -> list[Queued]:
+        return [one for level in self._levels.values() for one in level]
+
+    def _drop(self, queued: Queued, reason: Reason) -> Dropped:
+        self._levels[queued.call.priority].remove(queued)
+        return Dropped(queued, reason)
--- a/src/rattanstile/process/messages.py
+++ b/src/rattanstile/process/messages.py
@@ -88,12 +88,27 @@
     """The node takes no new work from now on."""
 
 
+@dataclass(frozen=True, slots=True)
+class ChildEnded:
+    """A call that the target made for a running call has ended.
+
+    Attributes:
+        parent: The running call.
+        pressure: The larger of the child's own and subtree pressure; for a
+            child refused at this entry, the pressure that refused it.
+    """
+
+    parent: CallId
+    pressure: float
+
+
 ServingInput = (
     CallArrived
     | TargetAnswered
     | TargetFailed
     | TargetRestarted
     | CancelArrived
+    | ChildEnded
     | Ticked
     | DrainBegan
 )
--- /dev/null
+++ b/src/rattanstile/process/serving.py
@@ -0,0 +1,481 @@
+"""Serving machine: the last authority on what one target runs.
+
+Each call is checked when it arrives and again just before dispatch: the key
+is in force, target and failure domain are in service, the deadline can be
+met. `not run` is said only of calls that were never dispatched, or that the
+target itself says it did not run.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import logbook
+
+from rattanstile.process.admission import AdmissionQueue, Dropped, Queued
+from rattanstile.process.limiter import TargetLimiter
+from rattanstile.process.messages import (
+    CallArrived,
+    CancelArrived,
+    CancelDispatch,
+    ChildEnded,
+    Dispatch,
+    DrainBegan,
+    SendReply,
+    ServingInput,
+    ServingOutput,
+    TargetAnswered,
+    TargetFailed,
+    TargetFailure,
+    TargetRestarted,
+    Ticked,
+)
+from rattanstile.process.pressure import PressureGauge, shed_level
+from rattanstile.process.serving_home import (
+    AnswerAtOnce,
+    HomeTable,
+    IdempotentOnly,
+)
+from rattanstile.request.envelope import Call, Reply, refusal
+from rattanstile.request.ids import (
+    CallId,
+    FailureDomainId,
+    NodeId,
+    ServiceName,
+    TargetId,
+)
+from rattanstile.request.outcome import Outcome, Reason
+from rattanstile.version.declaration import TargetLimits
+from rattanstile.version.in_force import VersionInForce
+
+SHORTEST_QUEUE = 8
+ABANDONED_SLOT_S = 30.0
+SHORTEST_RETRY_AFTER_MS = 100
+ERROR_STATUS = 500
+UNDECLARED = TargetLimits(slots=1)
+
+_log = logbook.Logger('serving')
+
+
+@dataclass(frozen=True, slots=True)
+class ServingIdentity:
+    """What a serving node knows of itself from its settings."""
+
+    node_id: NodeId
+    target_id: TargetId
+    failure_domain: FailureDomainId
+    service: ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiter:
+    """Who waits for which attempt."""
+
+    sender: NodeId
+    attempt: int
+
+
+@dataclass(slots=True)
+class _Live:
+    """A call that is queued or runs."""
+
+    call: Call
+    deadline_s: float
+    waiters: list[_Waiter] = field(default_factory=list)
+    started_s: float | None = None
+    abandoned: bool = False
+    subtree_pressure: float = 0.0
+
+
+class ServingMachine:
+    """Admits, queues, dispatches and answers the calls of one target.
+
+    Args:
+        identity: The node's own names.
+        in_force: Gives the version in force.
+        now_s: Monotonic seconds; the target counts as cold from here.
+        home_table: Keeps non-idempotent calls to one run each.
+        limiter: Replaces the default limiter.
+    """
+
+    def __init__(
+        self,
+        identity: ServingIdentity,
+        in_force: Callable[[], VersionInForce],
+        now_s: float,
+        home_table: HomeTable | None = None,
+        limiter: TargetLimiter | None = None,
+    ) -> None:
+        """Begin with a cold target and an empty queue."""
+        self.draining = False
+        self._identity = identity
+        self._in_force = in_force
+        self._home_table = home_table or IdempotentOnly()
+        self._limiter = limiter or TargetLimiter(self._limits(), now_s)
+        self._queue = AdmissionQueue()
+        self._gauge = PressureGauge(now_s)
+        self._live: dict[CallId, _Live] = {}
+        self._boot_id = ''
+        self._suspected_s = now_s
+
+    @property
+    def limit(self) -> int:
+        """Return the calls at once that the target now bears."""
+        return self._limiter.limit
+
+    @property
+    def running(self) -> int:
+        """Return the calls on the target."""
+        return self._limiter.in_flight
+
+    @property
+    def queued(self) -> int:
+        """Return the calls that wait."""
+        return len(self._queue)
+
+    @property
+    def pressure(self) -> float:
+        """Return the pressure that replies tell."""
+        return self._gauge.pressure
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no call waits or runs; a drain ends here."""
+        return not self._live
+
+    def step(
+        self, now_s: float, serving_input: ServingInput
+    ) -> list[ServingOutput]:
+        """Take one input and return what is to be done.
+
+        Args:
+            now_s: Monotonic seconds.
+            serving_input: What happened.
+        """
+        self._limiter.limits = self._limits()
+        outputs = self._handle(now_s, serving_input)
+        outputs.extend(self._dispatch_next(now_s))
+        self._gauge.update(
+            now_s,
+            self._limiter.in_flight / self._limiter.limit,
+            len(self._queue) / self._capacity,
+        )
+        return outputs
+
+    def _handle(
+        self, now_s: float, serving_input: ServingInput
+    ) -> list[ServingOutput]:
+        match serving_input:
+            case CallArrived():
+                return self._arrived(now_s, serving_input)
+            case TargetAnswered():
+                return self._answered(now_s, serving_input)
+            case TargetFailed():
+                return self._failed(now_s, serving_input)
+            case TargetRestarted(boot_id=boot_id):
+                self._restart_told(now_s, boot_id)
+            case CancelArrived():
+                return self._cancelled(now_s, serving_input)
+            case ChildEnded(parent=parent, pressure=pressure):
+                self._child_ended(parent, pressure)
+            case Ticked():
+                return self._ticked(now_s)
+            case DrainBegan():
+                self.draining = True
+        return []
+
+    # Arrival
+
+    def _arrived(
+        self, now_s: float, arrived: CallArrived
+    ) -> list[ServingOutput]:
+        call = arrived.call
+        waiter = _Waiter(arrived.sender, call.attempt)
+        live = self._live.get(call.call_id)
+        if live:
+            live.waiters.append(waiter)
+            return []
+        if not call.idempotent:
+            verdict = self._home_table.arrive(now_s, call)
+            if isinstance(verdict, AnswerAtOnce):
+                return [SendReply(verdict.reply, arrived.sender)]
+        live = _Live(call, now_s + call.remaining_ms / 1000, [waiter])
+        self._live[call.call_id] = live
+        reason = self._reason_to_refuse(now_s, live)
+        if reason:
+            return self._refuse(now_s, live, reason)
+        return self._enqueue(now_s, live, arrived.sender)
+
+    def _enqueue(
+        self, now_s: float, live: _Live, sender: NodeId
+    ) -> list[ServingOutput]:
+        self._gauge.arrived(live.call.priority)
+        queued = Queued(live.call, sender, live.deadline_s, now_s)
+        capacity = self._capacity + self._free_slots
+        dropped = self._queue.offer(queued, capacity)
+        return self._drop(now_s, dropped) if dropped else []
+
+    def _reason_to_refuse(self, now_s: float, live: _Live) -> Reason | None:
+        if self.draining and live.started_s is None:
+            return Reason.DRAINING
+        return self._reason_not_to_run(now_s, live)
+
+    def _reason_not_to_run(self, now_s: float, live: _Live) -> Reason | None:
+        version = self._in_force()
+        call = live.call
+        identity = self._identity
+        if call.service != identity.service or not version.service(
+            call.service
+        ):
+            return Reason.NO_SUCH_SERVICE
+        if not version.serves(identity.target_id, identity.failure_domain):
+            return Reason.OUT_OF_SERVICE
+        if not self._key_is_in_force(version, call):
+            return Reason.KEY_REFUSED
+        if now_s + self._limiter.service_s(now_s) > live.deadline_s:
+            return Reason.DEADLINE
+        return None
+
+    def _key_is_in_force(self, version: VersionInForce, call: Call) -> bool:
+        if call.key_digest:
+            owner = version.organisation_of(call.key_digest)
+            return owner is not None and owner == call.organisation
+        route = version.route(call.service, call.method, call.path)
+        return route is not None and route.open_to_all
+
+    # Dispatch
+
+    def _dispatch_next(self, now_s: float) -> list[ServingOutput]:
+        outputs: list[ServingOutput] = []
+        while self._limiter.has_room(now_s):
+            queued = self._queue.take()
+            if queued is None:
+                break
+            live = self._live[queued.call.call_id]
+            reason = self._reason_not_to_run(now_s, live)
+            if reason:
+                self._gauge.refused()
+                outputs.extend(self._refuse(now_s, live, reason))
+                continue
+            outputs.append(self._dispatch(now_s, live))
+        return outputs
+
+    def _dispatch(self, now_s: float, live: _Live) -> Dispatch:
+        live.started_s = now_s
+        self._limiter.started(now_s)
+        remaining_ms = max(1, int((live.deadline_s - now_s) * 1000))
+        return Dispatch(live.call, remaining_ms)
+
+    # End
+
+    def _answered(
+        self, now_s: float, answered: TargetAnswered
+    ) -> list[ServingOutput]:
+        live = self._live.pop(answered.call_id, None)
+        if live is None or live.started_s is None:
+            return []
+        self._see_boot_id(now_s, answered.boot_id, live.started_s)
+        self._limiter.ended(
+            now_s, now_s - live.started_s, ok=not answered.refused_unrun
+        )
+        outcome, reason = _outcome_of(answered)
+        return self._reply_all(
+            now_s,
+            live,
+            Reply(
+                call_id=live.call.call_id,
+                attempt=live.call.attempt,
+                outcome=outcome,
+                reason=reason,
+                status=answered.status,
+                headers=answered.headers,
+                body=answered.body,
+                tries_unspent=answered.tries_unspent,
+            ),
+        )
+
+    def _failed(
+        self, now_s: float, failed: TargetFailed
+    ) -> list[ServingOutput]:
+        live = self._live.pop(failed.call_id, None)
+        if live is None or live.started_s is None:
+            return []
+        outcome, reason = _FAILURES[failed.failure]
+        if failed.failure in _RESTART_SIGNS:
+            self._suspect_restart(now_s)
+        if failed.failure is TargetFailure.CANCELLED:
+            self._limiter.released(now_s)
+        else:
+            self._limiter.ended(now_s, now_s - live.started_s, ok=False)
+        return self._reply_all(
+            now_s, live, refusal(live.call, reason, outcome=outcome)
+        )
+
+    def _ticked(self, now_s: float) -> list[ServingOutput]:
+        outputs: list[ServingOutput] = []
+        for dropped in self._queue.expire(
+            now_s, self._limiter.service_s(now_s)
+        ):
+            outputs.extend(self._drop(now_s, dropped))
+        for live in list(self._live.values()):
+            if live.started_s is not None and now_s > live.deadline_s:
+                outputs.extend(self._expire_running(now_s, live))
+        return outputs
+
+    def _expire_running(self, now_s: float, live: _Live) -> list[ServingOutput]:
+        if live.abandoned:
+            if now_s > live.deadline_s + ABANDONED_SLOT_S:
+                self._live.pop(live.call.call_id)
+                self._limiter.released(now_s)
+            return []
+        unknown = refusal(live.call, Reason.DEADLINE, outcome=Outcome.UNKNOWN)
+        outputs = self._reply_all(now_s, live, unknown)
+        live.abandoned = True
+        outputs.append(CancelDispatch(live.call.call_id))
+        return outputs
+
+    def _cancelled(
+        self, now_s: float, arrived: CancelArrived
+    ) -> list[ServingOutput]:
+        cancel = arrived.cancel
+        live = self._live.get(cancel.call_id)
+        waiter = _Waiter(arrived.sender, cancel.attempt)
+        if live is None or live.abandoned or waiter not in live.waiters:
+            return []
+        if len(live.waiters) > 1:
+            live.waiters.remove(waiter)
+            return []
+        if live.started_s is None:
+            self._queue.cancel(live.call.call_id, live.call.attempt)
+            return self._refuse(now_s, live, Reason.CANCELLED)
+        return [CancelDispatch(cancel.call_id)]
+
+    def _child_ended(self, parent: CallId, pressure: float) -> None:
+        live = self._live.get(parent)
+        if live:
+            live.subtree_pressure = max(live.subtree_pressure, pressure)
+
+    # Signs of a restart
+
+    def _see_boot_id(
+        self, now_s: float, boot_id: str, started_s: float
+    ) -> None:
+        if not boot_id:
+            return
+        if self._boot_id and boot_id != self._boot_id:
+            self._see_restart(now_s, boot_id)
+        elif self._boot_id and started_s > self._suspected_s:
+            self._limiter.same_boot(now_s)
+        self._boot_id = boot_id
+
+    def _restart_told(self, now_s: float, boot_id: str) -> None:
+        if boot_id and boot_id != self._boot_id:
+            self._see_restart(now_s, boot_id)
+        elif not boot_id:
+            self._suspect_restart(now_s)
+
+    def _suspect_restart(self, now_s: float) -> None:
+        self._suspected_s = now_s
+        self._limiter.suspected(now_s)
+        self._log_restart('suspected', '')
+
+    def _see_restart(self, now_s: float, boot_id: str) -> None:
+        self._boot_id = boot_id
+        self._limiter.restarted(now_s)
+        self._log_restart('seen', boot_id)
+
+    def _log_restart(self, certainty: str, boot_id: str) -> None:
+        _log.warn(
+            f'event=target_restart certainty={certainty}'
+            f' target={self._identity.target_id} boot_id={boot_id or "-"}'
+        )
+
+    # Replies
+
+    def _drop(self, now_s: float, dropped: Dropped) -> list[ServingOutput]:
+        self._gauge.refused()
+        live = self._live[dropped.queued.call.call_id]
+        return self._refuse(now_s, live, dropped.reason)
+
+    def _refuse(
+        self, now_s: float, live: _Live, reason: Reason
+    ) -> list[ServingOutput]:
+        self._live.pop(live.call.call_id, None)
+        _log.info(
+            f'event=call_refused call={live.call.call_id}'
+            f' service={live.call.service} reason={reason.value}'
+            f' priority={live.call.priority.name.lower()}'
+        )
+        retry_after_ms = 0
+        if reason.is_overload:
+            service_ms = int(self._limiter.latency_s * 1000)
+            retry_after_ms = max(SHORTEST_RETRY_AFTER_MS, service_ms)
+        refused = refusal(live.call, reason, retry_after_ms=retry_after_ms)
+        return self._reply_all(now_s, live, refused)
+
+    def _reply_all(
+        self, now_s: float, live: _Live, reply: Reply
+    ) -> list[ServingOutput]:
+        if not live.call.idempotent and not live.abandoned:
+            self._home_table.ended(now_s, live.call, reply)
+        return [
+            SendReply(self._addressed(live, reply, waiter), waiter.sender)
+            for waiter in live.waiters
+            if not live.abandoned
+        ]
+
+    def _addressed(self, live: _Live, reply: Reply, waiter: _Waiter) -> Reply:
+        pressure = self._gauge.pressure
+        return Reply(
+            call_id=reply.call_id,
+            attempt=waiter.attempt,
+            outcome=reply.outcome,
+            reason=reply.reason,
+            status=reply.status,
+            headers=reply.headers,
+            body=reply.body,
+            retry_after_ms=reply.retry_after_ms,
+            tries_unspent=reply.tries_unspent,
+            shed_level=shed_level(pressure),
+            in_flight=self._limiter.in_flight + len(self._queue),
+            limit=self._limiter.limit,
+            pressure=pressure,
+            subtree_pressure=live.subtree_pressure,
+        )
+
+    # Sizes
+
+    @property
+    def _capacity(self) -> int:
+        return max(SHORTEST_QUEUE, self._limiter.limit)
+
+    @property
+    def _free_slots(self) -> int:
+        return max(0, self._limiter.limit - self._limiter.in_flight)
+
+    def _limits(self) -> TargetLimits:
+        service = self._in_force().service(self._identity.service)
+        return service.limits if service else UNDECLARED
+
+
+def _outcome_of(answered: TargetAnswered) -> tuple[Outcome, Reason | None]:
+    if answered.refused_unrun:
+        return Outcome.NOT_RUN, Reason.TARGET_REFUSED
+    if answered.status >= ERROR_STATUS:
+        return Outcome.FAILED, Reason.TARGET_FAILED
+    return Outcome.WHOLE, None
+
+
+_RESTART_SIGNS = frozenset(
+    (
+        TargetFailure.NOT_SENT,
+        TargetFailure.RESET,
+        TargetFailure.ANSWER_CUT,
+    ),
+)
+_FAILURES = {
+    TargetFailure.NOT_SENT: (Outcome.NOT_RUN, Reason.NO_TARGET),
+    TargetFailure.RESET: (Outcome.UNKNOWN, Reason.CONNECTION_LOST),
+    TargetFailure.TIMEOUT: (Outcome.UNKNOWN, Reason.DEADLINE),
+    TargetFailure.ANSWER_CUT: (Outcome.UNKNOWN, Reason.ANSWER_CUT),
+    TargetFailure.CANCELLED: (Outcome.UNKNOWN, Reason.CANCELLED),
+}
--- a/src/rattanstile/request/envelope.py
+++ b/src/rattanstile/request/envelope.py
@@ -30,6 +30,9 @@
         hops: How many calls lie above this one.
         home: The node that alone may run a call that is not idempotent.
         version: Version in force at the entry node.
+        shed_draw: Uniform draw in [0, 1) of the whole call tree, inherited
+            from the parent; hops with the same pressure then shed the same
+            trees. Negative when there is none yet.
     """
 
     call_id: CallId
@@ -48,6 +51,7 @@
     hops: int = 0
     home: NodeId
     version: VersionNumber = VersionNumber(0)
+    shed_draw: float = -1.0
 
 
 class Reply(msgspec.Struct, frozen=True, kw_only=True, tag='reply'):
@@ -59,6 +63,10 @@
         tries_unspent: What is left of the attempt's retry budget.
         shed_level: Lowest priority that the serving node now admits.
         in_flight: Calls on the serving node's target, queue included.
+        limit: Calls at once that the target now bears; 0 when not told.
+        pressure: Shed level with its fraction: 1.4 sheds what lies below
+            `Priority.LOOKUP` and 40% of the lookups.
+        subtree_pressure: The same for the calls that this call made.
     """
 
     call_id: CallId
@@ -72,6 +80,9 @@
     tries_unspent: int = 0
     shed_level: Priority = NOTHING_SHED
     in_flight: int = 0
+    limit: int = 0
+    pressure: float = 0.0
+    subtree_pressure: float = 0.0
 
 
 class Cancel(msgspec.Struct, frozen=True, kw_only=True, tag='cancel'):
