--- /dev/null
+++ b/src/rattanstile/process/logs.py
@@ -0,0 +1,50 @@
+"""Logs: one line of key=value pairs for each event."""
+
+import sys
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+
+import logbook
+
+from rattanstile.process.settings import LogSettings
+
+_LINE = (
+    'time={record.time:%Y-%m-%dT%H:%M:%S.%f} level={record.level_name}'
+    ' part={record.channel} {record.message}'
+)
+_QUOTED = frozenset(' "=\n\r\t')
+
+
+def key_values(event: str, **fields: object) -> str:
+    """Return the event and its fields as one line of key=value pairs."""
+    pairs = [f'event={event}']
+    for name, found in fields.items():
+        pairs.append(f'{name}={_quoted(str(found))}')
+    return ' '.join(pairs)
+
+
+@contextmanager
+def logging_to(settings: LogSettings) -> Iterator[None]:
+    """Send log lines to the destination of the settings in the block."""
+    with ExitStack() as stack:
+        handler = _handler(settings)
+        handler.formatter = logbook.StringFormatter(_LINE)
+        stack.callback(handler.close)
+        stack.enter_context(handler.applicationbound())
+        yield
+
+
+def _handler(settings: LogSettings) -> logbook.Handler:
+    level = settings.level.upper()
+    if settings.destination == 'stderr':
+        return logbook.StreamHandler(sys.stderr, level=level)
+    if settings.destination == 'none':
+        return logbook.NullHandler()
+    return logbook.FileHandler(settings.destination, level=level)
+
+
+def _quoted(text: str) -> str:
+    if text and not _QUOTED.intersection(text):
+        return text
+    escaped = text.replace('\\', r'\\').replace('"', r'\"')
+    return '"{0}"'.format(escaped.replace('\n', r'\n').replace('\r', r'\r'))
--- /dev/null
+++ b/src/rattanstile/trial/__init__.py
@@ -0,0 +1,1 @@
+"""Trials on live processes: the fleet, the load and the measures."""
