Keep pressure by organisation, with a common level

Cause: one pressure for all callers of a service sheds an organisation within its share as much as one that sends eight times its rate. Change: each organisation's pressure follows what the queue shed of its own calls; the whole part is common, so priorities still come first. Chooser.admits and Chooser.ended take a CallClass (ended: optional).

--- a/src/rattanstile/process/chooser.py
+++ b/src/rattanstile/process/chooser.py
@@ -12,7 +12,11 @@
 
 import logbook
 
-from rattanstile.process.pressure import PressureMemory, is_shed
+from rattanstile.process.pressure import (
+    CallClass,
+    PressureBook,
+    is_shed,
+)
 from rattanstile.process.ramp import assumed_limit
 from rattanstile.request.envelope import Member, Reply
 from rattanstile.request.ids import (
@@ -21,7 +25,6 @@
     ServiceName,
     TargetId,
 )
-from rattanstile.request.priority import Priority
 from rattanstile.version.declaration import TargetLimits
 from rattanstile.version.in_force import VersionInForce
 
@@ -29,6 +32,7 @@
 LATENCY_FLOOR_S = 0.001
 TOLD_FRESH_S = 1.0
 FULL = 0.9
+FORGET_PERIOD_S = 5.0
 NONE_EXCLUDED: frozenset[NodeId] = frozenset()
 DEFAULT_LIMITS = TargetLimits(slots=16)
 
@@ -103,7 +107,8 @@
         self._unreachable = unreachable
         self._peers: dict[NodeId, _Peer] = {}
         self._by_service: dict[ServiceName, list[_Peer]] = {}
-        self._pressures: dict[tuple[ServiceName, str], PressureMemory] = {}
+        self._pressures = PressureBook()
+        self._forgot_s = 0.0
         self._now_s = 0.0
 
     def members_changed(
@@ -162,7 +167,7 @@
         node: NodeId,
         latency_s: float,
         reply: Reply | None,
-        route: str = '',
+        asked: CallClass | None = None,
         now_s: float | None = None,
     ) -> None:
         """Count the end of an attempt.
@@ -171,7 +176,7 @@
             node: Where it was sent.
             latency_s: Seconds from `sent` to the reply.
             reply: None when the attempt ended without one.
-            route: Path prefix of the call's route; keys subtree pressure.
+            asked: What shedding looks at; without it no pressure is kept.
             now_s: Monotonic seconds; the last time known when not given.
         """
         self._advance(now_s)
@@ -186,39 +191,28 @@
         peer.told_in_flight = reply.in_flight
         peer.told_limit = reply.limit
         peer.told_s = self._now_s
-        self._remember(peer, reply, route)
-
-    def admits(
-        self,
-        now_s: float,
-        service: ServiceName,
-        priority: Priority,
-        draw: float,
-        route: str = '',
-    ) -> bool:
-        """Tell whether a call is worth sending under the pressure told.
+        if asked:
+            self._pressures.told(
+                self._now_s,
+                asked,
+                node,
+                reply.pressure,
+                reply.subtree_pressure,
+                reply.limit,
+            )
 
-        Args:
-            now_s: Monotonic seconds.
-            service: The service that the caller names.
-            priority: Priority of the call.
-            draw: `Call.shed_draw` of the call tree.
-            route: Path prefix of the call's route.
-        """
-        pressure = self.pressure(now_s, service, route)
-        return not is_shed(pressure, priority, draw)
+    def admits(self, now_s: float, asked: CallClass) -> bool:
+        """Tell whether a call is worth sending under the pressure told."""
+        pressure = self.pressure(now_s, asked)
+        return not is_shed(pressure, asked.priority, asked.draw)
 
-    def pressure(
-        self, now_s: float, service: ServiceName, route: str = ''
-    ) -> float:
-        """Return the larger of a service's and its route's pressure."""
+    def pressure(self, now_s: float, asked: CallClass) -> float:
+        """Return the pressure that a call meets at this entry."""
         self._advance(now_s)
-        own = self._pressures.get((service, ''))
-        subtree = self._pressures.get((service, f'below {route}'))
-        return max(
-            own.pressure(now_s) if own else 0.0,
-            subtree.pressure(now_s) if subtree else 0.0,
-        )
+        if now_s - self._forgot_s > FORGET_PERIOD_S:
+            self._forgot_s = now_s
+            self._pressures.forget(now_s)
+        return self._pressures.pressure(now_s, asked)
 
     def _advance(self, now_s: float | None) -> None:
         if now_s is not None:
@@ -290,16 +284,3 @@
     def _score(self, peer: _Peer, limits: TargetLimits) -> float:
         latency_s = max(LATENCY_FLOOR_S, peer.latency_s)
         return self._load(peer, limits) * latency_s
-
-    def _remember(self, peer: _Peer, reply: Reply, route: str) -> None:
-        service = peer.member.service
-        node_id = peer.member.node_id
-        own = self._pressures.setdefault((service, ''), PressureMemory())
-        own.told(self._now_s, node_id, reply.pressure, reply.limit)
-        if reply.subtree_pressure or (service, f'below {route}') in (
-            self._pressures
-        ):
-            below = self._pressures.setdefault(
-                (service, f'below {route}'), PressureMemory()
-            )
-            below.told(self._now_s, node_id, reply.subtree_pressure)
--- a/src/rattanstile/process/serving.py
+++ b/src/rattanstile/process/serving.py
@@ -29,7 +29,7 @@
     TargetRestarted,
     Ticked,
 )
-from rattanstile.process.pressure import PressureGauge, shed_level
+from rattanstile.process.pressure import PressureGauge
 from rattanstile.process.serving_home import (
     AnswerAtOnce,
     HomeTable,
@@ -134,8 +134,8 @@
 
     @property
     def pressure(self) -> float:
-        """Return the pressure that replies tell."""
-        return self._gauge.pressure
+        """Return the highest pressure that replies tell."""
+        return self._gauge.highest
 
     @property
     def is_idle(self) -> bool:
@@ -208,7 +208,7 @@
     def _enqueue(
         self, now_s: float, live: _Live, sender: NodeId
     ) -> list[ServingOutput]:
-        self._gauge.arrived(live.call.priority)
+        self._gauge.arrived(live.call.organisation, live.call.priority)
         queued = Queued(live.call, sender, live.deadline_s, now_s)
         capacity = self._capacity + self._free_slots
         dropped = self._queue.offer(queued, capacity)
@@ -253,7 +253,7 @@
             live = self._live[queued.call.call_id]
             reason = self._reason_not_to_run(now_s, live)
             if reason:
-                self._gauge.refused()
+                self._count_refused(live, reason)
                 outputs.extend(self._refuse(now_s, live, reason))
                 continue
             outputs.append(self._dispatch(now_s, live))
@@ -392,10 +392,14 @@
     # Replies
 
     def _drop(self, now_s: float, dropped: Dropped) -> list[ServingOutput]:
-        self._gauge.refused()
         live = self._live[dropped.queued.call.call_id]
+        self._count_refused(live, dropped.reason)
         return self._refuse(now_s, live, dropped.reason)
 
+    def _count_refused(self, live: _Live, reason: Reason) -> None:
+        if reason.is_overload:
+            self._gauge.refused(live.call.organisation)
+
     def _refuse(
         self, now_s: float, live: _Live, reason: Reason
     ) -> list[ServingOutput]:
@@ -424,7 +428,7 @@
         ]
 
     def _addressed(self, live: _Live, reply: Reply, waiter: _Waiter) -> Reply:
-        pressure = self._gauge.pressure
+        pressure = self._gauge.pressure_of(live.call.organisation)
         return Reply(
             call_id=reply.call_id,
             attempt=waiter.attempt,
@@ -435,7 +439,7 @@
             body=reply.body,
             retry_after_ms=reply.retry_after_ms,
             tries_unspent=reply.tries_unspent,
-            shed_level=shed_level(pressure),
+            shed_level=self._gauge.level,
             in_flight=self._limiter.in_flight + len(self._queue),
             limit=self._limiter.limit,
             pressure=pressure,
