--- a/src/rattanstile/process/messages.py
+++ b/src/rattanstile/process/messages.py
@@ -6,11 +6,14 @@
 from rattanstile.request.envelope import Call, Cancel, Header, Reply
 from rattanstile.request.ids import (
     CallId,
+    Incarnation,
     KeyDigest,
     NodeId,
     OrganisationId,
     ServiceName,
 )
+from rattanstile.request.outcome import Reason
+from rattanstile.request.priority import Priority
 from rattanstile.version.declaration import Route
 
 
@@ -53,6 +56,7 @@
     boot_id: str = ''
     refused_unrun: bool = False
     tries_unspent: int = 0
+    failed_below: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,8 +142,10 @@
     Attributes:
         request_id: Chosen by the shell; names the request in `Finished`.
         call_id: Set when the caller library issued one, else empty.
-        attempt: The caller's own attempt number, from 1.
+        attempt: The caller's own attempt number, from 1; 0 where the caller
+            sent an idempotency key without saying that it is the first.
         tries_left: Retry budget of the whole tree below this call.
+        idempotency_key: Set when the caller sent only its own key.
     """
 
     request_id: int
@@ -156,6 +162,8 @@
     remaining_ms: int
     tries_left: int
     hops: int
+    idempotency_key: str = ''
+    priority: Priority | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,13 +179,63 @@
     """The connection to a node is gone or silent.
 
     Attributes:
-        connected: False when the connection was refused: nothing was sent.
+        connected: False when the connection was refused: nothing was sent
+            since the last loss. A loss after any byte was written is told
+            with True, and before a refused reconnection.
     """
 
     node_id: NodeId
     connected: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class HomeSeen:
+    """A node told who it is, in a greeting or a heartbeat.
+
+    Attributes:
+        id_epoch: The node's own id epoch now.
+    """
+
+    node_id: NodeId
+    incarnation: Incarnation
+    id_epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class HomeGone:
+    """This incarnation of a node, or an older one, never answers again."""
+
+    node_id: NodeId
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """The log ties the request's idempotency key to this call id.
+
+    Attributes:
+        fresh: Whether this request's own record came first.
+    """
+
+    request_id: int
+    call_id: CallId
+    fresh: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BindingFailed:
+    """The request's idempotency key could not be tied to a call id.
+
+    Attributes:
+        proved_unbound: Whether it is certain that the request's own record is
+            not in the log and never comes.
+    """
+
+    request_id: int
+    reason: Reason
+    proved_unbound: bool
+
+
 @dataclass(frozen=True, slots=True)
 class RequestAbandoned:
     """The caller went away."""
@@ -185,7 +243,17 @@
     request_id: int
 
 
-EntryInput = CallRequested | ReplyArrived | PeerLost | RequestAbandoned | Ticked
+EntryInput = (
+    CallRequested
+    | ReplyArrived
+    | PeerLost
+    | HomeSeen
+    | HomeGone
+    | Bound
+    | BindingFailed
+    | RequestAbandoned
+    | Ticked
+)
 
 
 # Out of the entry machine
@@ -207,6 +275,31 @@
     receiver: NodeId
 
 
+@dataclass(frozen=True, slots=True)
+class AskHome:
+    """Connect to a node, or send a heartbeat, so that `HomeSeen` follows."""
+
+    receiver: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class BindingWanted:
+    """Tie an idempotency key to a call id through the log.
+
+    Attributes:
+        call_id: What to tie it to unless another record came first.
+        refused: The call id that its home proved to be never run, so that a
+            later record may replace it; empty for a first binding.
+    """
+
+    request_id: int
+    organisation: OrganisationId
+    idempotency_key: str
+    fingerprint: bytes
+    call_id: CallId
+    refused: CallId
+
+
 @dataclass(frozen=True, slots=True)
 class Finished:
     """The request ended."""
@@ -215,4 +308,4 @@
     reply: Reply
 
 
-EntryOutput = SendCall | SendCancel | Finished
+EntryOutput = SendCall | SendCancel | AskHome | BindingWanted | Finished
--- a/src/rattanstile/request/envelope.py
+++ b/src/rattanstile/request/envelope.py
@@ -22,7 +22,7 @@
 
     Attributes:
         call_id: Same for every attempt of one call.
-        attempt: Counts the attempts of this call from 1.
+        attempt: Rises with the attempts that one entry node sends.
         organisation: Whose key came with the call; empty on open routes.
         key_digest: Checked again before dispatch; empty on open routes.
         remaining_ms: Time left until the deadline when the call was sent.
@@ -59,6 +59,8 @@
         tries_unspent: What is left of the attempt's retry budget.
         shed_level: Lowest priority that the serving node now admits.
         in_flight: Calls on the serving node's target, queue included.
+        failed_below: Whether a call that this one made did not end whole;
+            the hop next to that failure has retried it already.
     """
 
     call_id: CallId
@@ -72,6 +74,7 @@
     tries_unspent: int = 0
     shed_level: Priority = NOTHING_SHED
     in_flight: int = 0
+    failed_below: bool = False
 
 
 class Cancel(msgspec.Struct, frozen=True, kw_only=True, tag='cancel'):
--- a/src/rattanstile/request/outcome.py
+++ b/src/rattanstile/request/outcome.py
@@ -41,6 +41,9 @@
     CONNECTION_LOST = 'connection-lost'
     HOME_GONE = 'home-gone'
     EXPIRED = 'expired'
+    HOME_FULL = 'home-full'
+    ANSWER_FORGOTTEN = 'answer-forgotten'
+    KEY_REUSED = 'key-reused'
 
     @property
     def status(self) -> int:
@@ -74,6 +77,9 @@
     Reason.CONNECTION_LOST: 504,
     Reason.HOME_GONE: 504,
     Reason.EXPIRED: 504,
+    Reason.HOME_FULL: 503,
+    Reason.ANSWER_FORGOTTEN: 504,
+    Reason.KEY_REUSED: 422,
 }
 _OVERLOAD = frozenset(
     (
