--- a/src/rattanstile/process/home_table.py
+++ b/src/rattanstile/process/home_table.py
@@ -1,15 +1,13 @@
 """The home's table: each call that is not idempotent runs at most once."""
 
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
-from enum import Enum, unique
+from dataclasses import dataclass
 
 import msgspec
-import xxhash
 
-from rattanstile.process.messages import SendReply
 from rattanstile.request.call_id import ParsedCallId, parse_call_id
 from rattanstile.request.envelope import Call, Reply, refusal
+from rattanstile.request.fingerprint import fingerprint_of
 from rattanstile.request.ids import CallId, Incarnation, NodeId
 from rattanstile.request.outcome import Outcome, Reason
 
@@ -82,26 +80,13 @@
 )
 
 
-@unique
-class _State(Enum):
-    QUEUED = 'queued'
-    DISPATCHED = 'dispatched'
-    ENDED = 'ended'
-
-
-@dataclass(frozen=True, slots=True)
-class _Waiter:
-    sender: NodeId
-    attempt: int
-
-
 @dataclass(slots=True)
 class _Entry:
+    """One call; `reply` is None while it is queued or runs."""
+
     fingerprint: bytes
-    state: _State = _State.QUEUED
     reply: Reply | None = None
     kept_bytes: int = 0
-    waiters: list[_Waiter] = field(default_factory=list)
 
 
 class HomeTable:
@@ -164,91 +149,44 @@
         expired = self._ids.pop(self._id_epoch - EPOCHS_KEPT, [])
         self._expired.extend(expired)
 
-    def arrive(self, now_s: float, call: Call, sender: NodeId) -> Verdict:
-        """Decide on one copy of a call."""
+    def arrive(self, now_s: float, call: Call) -> Verdict:
+        """Decide on one copy of a call, before anything else is checked.
+
+        Whoever gets `RunIt` runs the call or not, and then tells `ended`
+        how it went, a refusal included.
+        """
         self.tick(now_s)
         parsed = parse_call_id(call.call_id).unwrap_or(None)
         if parsed is None or not self._is_home_of(parsed):
             return CannotTell(_unknown(call, Reason.HOME_GONE))
         entry = self._entries.get(call.call_id)
         if entry is not None:
-            return self._copy_arrived(call, sender, entry)
+            return _copy_arrived(call, entry)
         if not self._accepts(parsed.id_epoch):
             return CannotTell(_unknown(call, Reason.EXPIRED))
         if parsed.id_epoch <= self._sealed_epoch or self._seal_if_full():
             return RefusedNow(refusal(call, Reason.HOME_FULL))
         self._ids.setdefault(parsed.id_epoch, []).append(call.call_id)
-        self._entries[call.call_id] = _Entry(
-            fingerprint=fingerprint_of(call),
-            waiters=[_Waiter(sender, call.attempt)],
-        )
+        self._entries[call.call_id] = _Entry(fingerprint_of(call))
         return RunIt()
 
-    def dispatch(self, call_id: CallId) -> bool:
-        """Mark a queued call as sent to the target.
-
-        Returns:
-            True once for each call; False forbids to send it.
-        """
-        entry = self._entries.get(call_id)
-        if entry is None or entry.state is not _State.QUEUED:
-            return False
-        entry.state = _State.DISPATCHED
-        return True
-
-    def ended(self, reply: Reply) -> tuple[SendReply, ...]:
-        """Keep the reply of a call and return it for each waiting attempt.
+    def ended(self, now_s: float, call: Call, reply: Reply) -> None:
+        """Keep how a call ended.
 
         A reply `not run` is kept like any other: the call never runs after
-        it.
-        """
-        entry = self._entries.get(reply.call_id)
-        if entry is None or entry.state is _State.ENDED:
-            return ()
-        waiters = entry.waiters
-        entry.state = _State.ENDED
-        entry.waiters = []
-        self._keep(entry, reply)
-        return tuple(
-            SendReply(_for_attempt(reply, waiter.attempt), waiter.sender)
-            for waiter in waiters
-        )
-
-    def refused(
-        self, reply: Reply, *, proved_unrun: bool = False
-    ) -> tuple[SendReply, ...]:
-        """Keep a refusal and return it for each waiting attempt.
-
-        Args:
-            reply: Says `not run`.
-            proved_unrun: Whether the target, or the lack of any byte sent to
-                it, proves it for a call that was dispatched. Without proof
-                the refusal of a dispatched call becomes `unknown`.
+        it. The first end stands, but an answer that comes late takes the
+        place of `unknown`.
         """
-        entry = self._entries.get(reply.call_id)
+        self.tick(now_s)
+        entry = self._entries.get(call.call_id)
         if entry is None:
-            return ()
-        if entry.state is _State.DISPATCHED and not proved_unrun:
-            reply = msgspec.structs.replace(reply, outcome=Outcome.UNKNOWN)
-        return self.ended(reply)
-
-    def abandoned(self, call_id: CallId, attempt: int, sender: NodeId) -> bool:
-        """Drop a waiting attempt.
-
-        Returns:
-            True when nobody waits for the queued or running call any more.
-        """
-        entry = self._entries.get(call_id)
-        if entry is None or entry.state is _State.ENDED:
-            return False
-        gone = _Waiter(sender, attempt)
-        entry.waiters = [one for one in entry.waiters if one != gone]
-        return not entry.waiters
-
-    def is_waited_for(self, call_id: CallId) -> bool:
-        """Tell whether any attempt waits for the call."""
-        entry = self._entries.get(call_id)
-        return entry is not None and bool(entry.waiters)
+            return
+        if entry.reply is None or (
+            entry.reply.outcome is Outcome.UNKNOWN
+            and reply.outcome in _ANSWERED
+        ):
+            self._drop_answer(call.call_id)
+            self._keep(entry, reply)
 
     def _is_home_of(self, parsed: ParsedCallId) -> bool:
         return (
@@ -265,21 +203,6 @@
         self._sealed_epoch = self._id_epoch
         return True
 
-    def _copy_arrived(
-        self, call: Call, sender: NodeId, entry: _Entry
-    ) -> Verdict:
-        if entry.fingerprint != fingerprint_of(call):
-            return CannotTell(_unknown(call, Reason.KEY_REUSED))
-        if entry.reply is None:
-            waiter = _Waiter(sender, call.attempt)
-            if waiter not in entry.waiters:
-                entry.waiters.append(waiter)
-            return JoinRunning()
-        reply = _for_attempt(entry.reply, call.attempt)
-        if reply.outcome is Outcome.NOT_RUN:
-            return RefusedBefore(reply)
-        return AnswerAgain(reply)
-
     def _keep(self, entry: _Entry, reply: Reply) -> None:
         size_bytes = _size_bytes(reply)
         if size_bytes > self._limits.largest_answer_bytes:
@@ -290,11 +213,11 @@
         self._kept[reply.call_id] = None
         self._kept_bytes += size_bytes
         while self._kept_bytes > self._limits.most_answer_bytes:
-            oldest, _ = self._kept.popitem(last=False)
-            self._drop_answer(oldest)
+            self._drop_answer(next(iter(self._kept)))
 
     def _drop_answer(self, call_id: CallId) -> None:
         entry = self._entries[call_id]
+        self._kept.pop(call_id, None)
         self._kept_bytes -= entry.kept_bytes
         entry.kept_bytes = 0
         if entry.reply is not None and entry.reply.outcome in _ANSWERED:
@@ -304,38 +227,36 @@
         """Forget a few ids of past epochs, so that no step takes long."""
         for _ in range(min(len(self._expired), _FORGOTTEN_PER_STEP)):
             call_id = self._expired.popleft()
-            if self._entries[call_id].state is _State.ENDED:
+            if self._entries[call_id].reply is not None:
                 self._forget(call_id)
             else:
                 self._expired.append(call_id)
 
     def _forget(self, call_id: CallId) -> None:
-        if call_id in self._kept:
-            self._kept.pop(call_id)
-            self._drop_answer(call_id)
+        self._drop_answer(call_id)
         self._entries.pop(call_id)
 
 
 _ANSWERED = frozenset((Outcome.WHOLE, Outcome.FAILED))
 
 
-def fingerprint_of(call: Call) -> bytes:
-    """Return a digest of what a copy of the same call must share."""
-    digest = xxhash.xxh3_128()
-    for part in (call.organisation, call.service, call.method, call.path):
-        digest.update(f'{len(part)}:{part}'.encode())
-    digest.update(call.body)
-    return digest.digest()
+def _copy_arrived(call: Call, entry: _Entry) -> Verdict:
+    if entry.fingerprint != fingerprint_of(call):
+        return CannotTell(_unknown(call, Reason.KEY_REUSED))
+    if entry.reply is None:
+        return JoinRunning()
+    reply = msgspec.structs.replace(
+        entry.reply, attempt=call.attempt, tries_unspent=call.tries_left
+    )
+    if reply.outcome is Outcome.NOT_RUN:
+        return RefusedBefore(reply)
+    return AnswerAgain(reply)
 
 
 def _unknown(call: Call, reason: Reason) -> Reply:
     return refusal(call, reason, outcome=Outcome.UNKNOWN)
 
 
-def _for_attempt(reply: Reply, attempt: int) -> Reply:
-    return msgspec.structs.replace(reply, attempt=attempt)
-
-
 def _without_answer(reply: Reply) -> Reply:
     """Return what is left to say of an answer that is not kept."""
     return Reply(
@@ -344,7 +265,6 @@
         outcome=Outcome.UNKNOWN,
         reason=Reason.ANSWER_FORGOTTEN,
         status=Reason.ANSWER_FORGOTTEN.status,
-        tries_unspent=reply.tries_unspent,
     )
 
 
--- a/src/rattanstile/process/messages.py
+++ b/src/rattanstile/process/messages.py
@@ -164,6 +164,7 @@
     hops: int
     idempotency_key: str = ''
     priority: Priority | None = None
+    """Set for a child call; the route's own where it is None."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -290,6 +291,7 @@
         call_id: What to tie it to unless another record came first.
         refused: The call id that its home proved to be never run, so that a
             later record may replace it; empty for a first binding.
+        deadline_s: Nobody waits for the binding after it.
     """
 
     request_id: int
@@ -298,6 +300,7 @@
     fingerprint: bytes
     call_id: CallId
     refused: CallId
+    deadline_s: float
 
 
 @dataclass(frozen=True, slots=True)
