Find pressure from a fair rate, and shed at the entry

Cause: a per-organisation pressure that integrates its own refusals sees too few calls in a window; it overshot to shed every priority. Change: one fair rate for each target is the control variable, each organisation's share follows from its demand (max-min). SheddingEntry stands in front of the entry machine and refuses under the pressure told; pressure is held for 1.5 s, then decays by 0.3 a second.

--- a/src/rattanstile/process/pressure.py
+++ b/src/rattanstile/process/pressure.py
@@ -1,4 +1,4 @@
-"""Pressure: what a service sheds, told on replies, kept at entries.
+"""Pressure: what a service sheds, as replies tell it and entries keep it.
 
 A pressure is a number from 0 to 3. Its whole part is the lowest priority
 still admitted, its fraction the share shed of that priority. All hops of a
@@ -6,13 +6,12 @@
 is not shed by the same pressure further down. The idea of one level for both
 priority and a finer per-caller value is that of DAGOR (Zhou et al., 2018).
 
-Each organisation has its own pressure, raised by what the queue shed of its
-calls only, so that one that sends too much is shed before the others. The
-whole part is common: no call is shed while lower priorities are admitted.
+Each organisation has its own pressure, so that one that sends too much is
+shed before the others. The whole part is common to all: no call is shed while
+lower priorities are admitted.
 """
 
-from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from rattanstile.request.ids import (
     NodeId,
@@ -21,16 +20,9 @@
 )
 from rattanstile.request.priority import Priority
 
-WINDOW_S = 0.1
-HIGHEST_PRESSURE = float(len(Priority))
-RISE_GAIN = 0.5
-FEWEST_STEP = 0.02
-LEAST_BUSY = 0.5
-OCCUPANCY_WANTED = 0.5
-OCCUPANCY_GAIN = 0.05
-HOLD_S = 0.5
-DECAY_PER_S = 1.0
-FORGET_S = 3.0
+HOLD_S = 1.5
+DECAY_PER_S = 0.3
+FORGET_S = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,106 +51,6 @@
     return draw < pressure - priority
 
 
-@dataclass(slots=True)
-class _Lane:
-    """Pressure of one organisation, and what the window saw of it."""
-
-    pressure: float = 0.0
-    arrived: Counter[Priority] = field(default_factory=Counter)
-    refused: int = 0
-
-    @property
-    def admitted(self) -> float:
-        return 1 - (self.pressure - shed_level(self.pressure))
-
-    def rise(self) -> None:
-        lowest = min(self.arrived, default=Priority.BACKGROUND)
-        self.pressure = max(self.pressure, float(lowest))
-        level = shed_level(self.pressure)
-        share = min(1.0, self.refused / max(1, self.arrived[level]))
-        self.step(max(FEWEST_STEP, RISE_GAIN * self.admitted * share))
-
-    def fall(self, busy: float) -> None:
-        admitted = self.admitted
-        wanted = admitted / max(busy, LEAST_BUSY) - admitted
-        self.step(-max(FEWEST_STEP, wanted))
-
-    def step(self, change: float) -> None:
-        changed = self.pressure + change
-        self.pressure = min(HIGHEST_PRESSURE, max(0.0, changed))
-
-    def clear(self) -> None:
-        self.arrived.clear()
-        self.refused = 0
-
-
-class PressureGauge:
-    """Pressure of one target, from what its queue saw.
-
-    Args:
-        now_s: Monotonic seconds.
-    """
-
-    def __init__(self, now_s: float) -> None:
-        """Begin without pressure."""
-        self._began_s = now_s
-        self._lanes: dict[OrganisationId, _Lane] = {}
-        self._level = Priority.BACKGROUND
-
-    @property
-    def level(self) -> Priority:
-        """Return the lowest priority of which some calls are admitted."""
-        return self._level
-
-    @property
-    def highest(self) -> float:
-        """Return the pressure of the organisation that is shed most."""
-        return max(
-            (lane.pressure for lane in self._lanes.values()), default=0.0
-        )
-
-    def pressure_of(self, organisation: OrganisationId) -> float:
-        """Return the pressure that calls of an organisation meet."""
-        lane = self._lanes.get(organisation)
-        return max(lane.pressure if lane else 0.0, float(self._level))
-
-    def arrived(self, organisation: OrganisationId, priority: Priority) -> None:
-        """Count a call that reached the queue."""
-        self._lanes.setdefault(organisation, _Lane()).arrived[priority] += 1
-
-    def refused(self, organisation: OrganisationId) -> None:
-        """Count a call that the queue shed or dropped for its deadline."""
-        self._lanes.setdefault(organisation, _Lane()).refused += 1
-
-    def update(self, now_s: float, busy: float, occupancy: float) -> None:
-        """Close the window when it is over.
-
-        Args:
-            now_s: Monotonic seconds.
-            busy: Calls in flight over the limit.
-            occupancy: Calls that wait over the queue's capacity.
-        """
-        if now_s - self._began_s < WINDOW_S:
-            return
-        self._began_s = now_s
-        for organisation, lane in list(self._lanes.items()):
-            self._update_lane(lane, busy, occupancy)
-            if not lane.pressure and not lane.arrived:
-                self._lanes.pop(organisation)
-            lane.clear()
-        self._level = shed_level(self.highest)
-
-    def _update_lane(self, lane: _Lane, busy: float, occupancy: float) -> None:
-        if lane.refused:
-            lane.rise()
-        elif not lane.pressure:
-            return
-        elif occupancy > 0:
-            lane.step(OCCUPANCY_GAIN * (occupancy - OCCUPANCY_WANTED))
-        else:
-            lane.fall(busy)
-
-
 @dataclass(frozen=True, slots=True)
 class _Told:
     """What one node told last."""
--- /dev/null
+++ b/src/rattanstile/process/pressure_gauge.py
@@ -0,0 +1,186 @@
+"""Pressure of one target, found from what its queue saw.
+
+At the lowest priority still admitted, each organisation may send a fair rate;
+one whose demand is larger is shed down to it (max-min fairness). The fair
+rate is the one control variable: it falls with what the queue had to shed and
+rises while slots are free.
+"""
+
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+
+from rattanstile.request.ids import OrganisationId
+from rattanstile.request.priority import Priority
+
+WINDOW_S = 0.1
+DEMAND_MEMORY_S = 1.0
+LARGEST_SHARE = 0.98
+CUT_GAIN = 0.7
+OCCUPANCY_WANTED = 0.5
+OCCUPANCY_GAIN = 0.1
+LEAST_BUSY = 0.7
+LEAST_RISE = 1.02
+FIRST_ADMITTED_SHARE = 0.05
+SMALLEST_RATE_PER_S = 0.01
+
+
+@dataclass(slots=True)
+class _Demand:
+    """Calls a second that one organisation wants, of one priority."""
+
+    weight: float = 0.0
+    at_s: float = 0.0
+
+    def count(self, now_s: float, weight: float) -> None:
+        self.weight = self._decayed(now_s) + weight
+        self.at_s = now_s
+
+    def rate_per_s(self, now_s: float) -> float:
+        return self._decayed(now_s) / DEMAND_MEMORY_S
+
+    def hold(self, now_s: float) -> None:
+        """Keep the estimate of calls that are all shed elsewhere."""
+        self.at_s = now_s
+
+    def _decayed(self, now_s: float) -> float:
+        age_s = max(0.0, now_s - self.at_s)
+        return self.weight * math.exp(-age_s / DEMAND_MEMORY_S)
+
+
+@dataclass(slots=True)
+class _Window:
+    """What the queue saw since the window began."""
+
+    began_s: float
+    arrived: Counter[Priority] = field(default_factory=Counter)
+    refused: Counter[Priority] = field(default_factory=Counter)
+
+
+class PressureGauge:
+    """Pressure of one target, by organisation.
+
+    Args:
+        now_s: Monotonic seconds.
+    """
+
+    def __init__(self, now_s: float) -> None:
+        """Begin without pressure."""
+        self._level = Priority.BACKGROUND
+        self._fair_per_s = math.inf
+        self._now_s = now_s
+        self._window = _Window(now_s)
+        self._demands: dict[tuple[Priority, OrganisationId], _Demand] = {}
+
+    @property
+    def level(self) -> Priority:
+        """Return the lowest priority of which some calls are admitted."""
+        return self._level
+
+    @property
+    def highest(self) -> float:
+        """Return the pressure of the organisation that is shed most."""
+        return self._level + self._share(self._largest_demand())
+
+    def pressure_of(self, organisation: OrganisationId) -> float:
+        """Return the pressure that calls of an organisation meet."""
+        return self._level + self._share(self._demand_of(organisation))
+
+    def arrived(
+        self, now_s: float, organisation: OrganisationId, priority: Priority
+    ) -> None:
+        """Count a call that reached the queue.
+
+        A call that arrives stands for those that entries shed meanwhile.
+        """
+        self._now_s = now_s
+        self._window.arrived[priority] += 1
+        admitted = 1.0
+        if priority is self._level:
+            admitted -= self._share(self._demand_of(organisation))
+        demand = self._demands.setdefault((priority, organisation), _Demand())
+        demand.count(now_s, 1.0 / admitted)
+
+    def refused(self, priority: Priority) -> None:
+        """Count a call that the queue shed or dropped for its deadline."""
+        self._window.refused[priority] += 1
+
+    def update(self, now_s: float, busy: float, occupancy: float) -> None:
+        """Close the window when it is over.
+
+        Args:
+            now_s: Monotonic seconds.
+            busy: Calls in flight over the limit.
+            occupancy: Calls that wait over the queue's capacity.
+        """
+        window = self._window
+        if now_s - window.began_s < WINDOW_S:
+            return
+        self._now_s = now_s
+        self._window = _Window(now_s)
+        self._hold_shed_demands(now_s)
+        highest = max(window.refused, default=Priority.BACKGROUND)
+        if window.refused and highest >= self._level:
+            self._cut(window, highest)
+        elif self._is_shedding:
+            self._follow_queue(busy, occupancy)
+
+    @property
+    def _is_shedding(self) -> bool:
+        return self._level > Priority.BACKGROUND or math.isfinite(
+            self._fair_per_s
+        )
+
+    def _cut(self, window: _Window, highest: Priority) -> None:
+        if highest > self._level:
+            self._level = highest
+            self._fair_per_s = math.inf
+        share = window.refused[highest] / max(1, window.arrived[highest])
+        base_per_s = min(self._fair_per_s, self._largest_demand())
+        kept = 1 - CUT_GAIN * min(1.0, share)
+        self._fair_per_s = max(SMALLEST_RATE_PER_S, base_per_s * kept)
+
+    def _follow_queue(self, busy: float, occupancy: float) -> None:
+        if occupancy > 0:
+            factor = 1 + OCCUPANCY_GAIN * (OCCUPANCY_WANTED - occupancy)
+        else:
+            factor = max(LEAST_RISE, 1 / max(busy, LEAST_BUSY))
+        self._fair_per_s *= factor
+        if self._fair_per_s > self._largest_demand():
+            self._admit_lower()
+
+    def _admit_lower(self) -> None:
+        """Begin to admit the next lower priority, a few calls at first."""
+        self._fair_per_s = math.inf
+        if self._level is Priority.BACKGROUND:
+            return
+        self._level = Priority(self._level - 1)
+        first_per_s = FIRST_ADMITTED_SHARE * self._largest_demand()
+        if first_per_s > SMALLEST_RATE_PER_S:
+            self._fair_per_s = first_per_s
+
+    def _hold_shed_demands(self, now_s: float) -> None:
+        for key, demand in list(self._demands.items()):
+            if key[0] < self._level:
+                demand.hold(now_s)
+            elif demand.rate_per_s(now_s) < SMALLEST_RATE_PER_S:
+                self._demands.pop(key)
+
+    def _demand_of(self, organisation: OrganisationId) -> float:
+        demand = self._demands.get((self._level, organisation))
+        return demand.rate_per_s(self._now_s) if demand else 0.0
+
+    def _largest_demand(self) -> float:
+        return max(
+            (
+                demand.rate_per_s(self._now_s)
+                for (priority, _), demand in self._demands.items()
+                if priority is self._level
+            ),
+            default=0.0,
+        )
+
+    def _share(self, demand_per_s: float) -> float:
+        if demand_per_s <= self._fair_per_s:
+            return 0.0
+        return min(LARGEST_SHARE, 1 - self._fair_per_s / demand_per_s)
--- a/src/rattanstile/process/serving.py
+++ b/src/rattanstile/process/serving.py
@@ -31,7 +31,7 @@
     TargetRestarted,
     Ticked,
 )
-from rattanstile.process.pressure import PressureGauge
+from rattanstile.process.pressure_gauge import PressureGauge
 from rattanstile.process.serving_call import (
     RESTART_SIGNS,
     LiveCall,
@@ -206,7 +206,7 @@
     def _enqueue(
         self, now_s: float, live: LiveCall, sender: NodeId
     ) -> list[ServingOutput]:
-        self._gauge.arrived(live.call.organisation, live.call.priority)
+        self._gauge.arrived(now_s, live.call.organisation, live.call.priority)
         queued = Queued(live.call, sender, live.deadline_s, now_s)
         capacity = self._capacity + self._free_slots
         dropped = self._queue.offer(queued, capacity)
@@ -388,7 +388,7 @@
 
     def _count_refused(self, live: LiveCall, reason: Reason) -> None:
         if reason.is_overload:
-            self._gauge.refused(live.call.organisation)
+            self._gauge.refused(live.call.priority)
 
     def _refuse(
         self, now_s: float, live: LiveCall, reason: Reason
--- a/src/rattanstile/process/shedding.py
+++ b/src/rattanstile/process/shedding.py
@@ -33,6 +33,9 @@
 MOST_ATTEMPTS = 16384
 RETRY_AFTER_MS = 1000
 FORGET_PERIOD_S = 5.0
+SPARED_BELOW = 0.1
+"""Pressure that a call with work behind it is spared, as its tree passed the
+same test with an earlier value."""
 
 _log = logbook.Logger('shedding')
 
@@ -123,6 +126,8 @@
             draw=request.shed_draw,
         )
         pressure = self.pressure(now_s, asked)
+        if request.hops:
+            pressure = max(0.0, pressure - SPARED_BELOW)
         if not is_shed(pressure, asked.priority, asked.draw):
             return None
         _log.info(CallShed(request.request_id, asked, pressure).line())
