--- /dev/null
+++ b/src/rattanstile/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line: ``python -m rattanstile``."""
+
+import sys
+
+from rattanstile.cli import main
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/rattanstile/standin/target.py
+++ b/src/rattanstile/standin/target.py
@@ -19,11 +19,12 @@
     gatherResults,
     succeed,
 )
-from twisted.internet.interfaces import IReactorTCP, IReactorTime
+from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 from twisted.web import http
 
+from rattanstile.process.reactor import Reactor
 from rattanstile.standin.child_calls import ChildCall, ChildCalls, ChildResult
 
 ADMIN_PREFIX = b'/-/'
@@ -31,10 +32,6 @@
 BACKLOG = 1024
 
 
-class Reactor(IReactorTCP, IReactorTime):
-    """What the stand-in needs of a reactor."""
-
-
 @unique
 class ColdBehaviour(Enum):
     """What a cold target does with calls beyond what it bears."""
@@ -290,7 +287,7 @@
         target = self.target
         if target.chance(target.switches.failing):
             found = ChildResult(status=http.INTERNAL_SERVER_ERROR)
-        body = b'a' * target.profile.answer_bytes
+        body = self._body()
         self.setResponseCode(found.status)
         self.setHeader(b'content-length', str(len(body)).encode())
         self.setHeader(b'rattanstile-boot', target.boot_id.encode())
@@ -302,6 +299,10 @@
         self.write(body)
         self.finish()
 
+    def _body(self) -> bytes:
+        start = (self.getHeader('trial-id') or '').encode() + b' '
+        return start.ljust(self.target.profile.answer_bytes, b'a')
+
     def _stop(self, failure: Failure) -> None:
         self._running = None
         if failure.check(CancelledError):
