--- /dev/null
+++ b/src/rattanstile/process/serving_service.py
@@ -0,0 +1,166 @@
+"""Runs the serving machine: owns the sessions with the target."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import logbook
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+
+from rattanstile.connection.target_answer import TargetAnswer
+from rattanstile.connection.target_http import (
+    TargetRequest,
+    TargetResult,
+    TargetSessions,
+)
+from rattanstile.process.contexts import CallContexts
+from rattanstile.process.logs import key_values
+from rattanstile.process.messages import (
+    CallArrived,
+    CancelArrived,
+    CancelDispatch,
+    ChildEnded,
+    Dispatch,
+    DrainBegan,
+    SendReply,
+    ServingInput,
+    ServingOutput,
+    TargetAnswered,
+    TargetFailed,
+    TargetFailure,
+    Ticked,
+)
+from rattanstile.process.serving import ServingMachine
+from rattanstile.process.timers import TimerService
+from rattanstile.request.envelope import Call, Cancel
+from rattanstile.request.ids import CallId, NodeId
+
+TICK_S = 0.02
+MS_PER_S = 1000
+
+_log = logbook.Logger('serving-service')
+
+
+class ServingService:
+    """Performs what the serving machine decides.
+
+    Args:
+        machine: Decides; no other part calls it.
+        sessions: The connections to the target.
+        contexts: What child calls of the target inherit.
+        deliver: Takes each reply to the node that sent the attempt.
+    """
+
+    def __init__(
+        self,
+        machine: ServingMachine,
+        sessions: TargetSessions,
+        contexts: CallContexts,
+        timers: TimerService,
+        deliver: Callable[[SendReply], None],
+    ) -> None:
+        """Begin with no call."""
+        self.machine = machine
+        self._sessions = sessions
+        self._contexts = contexts
+        self._timers = timers
+        self._deliver = deliver
+        self._running: dict[CallId, Deferred[TargetResult]] = {}
+
+    def arrive(self, call: Call, sender: NodeId) -> None:
+        """Take an attempt that an entry node sent."""
+        self._step(CallArrived(call, sender))
+
+    def cancel(self, cancel: Cancel, sender: NodeId) -> None:
+        """Take word that nobody waits for an attempt."""
+        self._step(CancelArrived(cancel, sender))
+
+    def child_ended(self, parent: CallId, pressure: float) -> None:
+        """Learn that a call made by a running call has ended."""
+        self._step(ChildEnded(parent, pressure))
+
+    def drain(self) -> None:
+        """Refuse new work from now on."""
+        self._step(DrainBegan())
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Give the machine its ticks; close the sessions afterwards."""
+        with self._timers.every(TICK_S, lambda _: self._step(Ticked())):
+            try:
+                yield
+            finally:
+                self._sessions.close()
+
+    def _step(self, serving_input: ServingInput) -> None:
+        now_s = self._timers.now_s()
+        for output in self.machine.step(now_s, serving_input):
+            self._perform(now_s, output)
+
+    def _perform(self, now_s: float, output: ServingOutput) -> None:
+        match output:
+            case Dispatch():
+                self._dispatch(now_s, output)
+            case SendReply():
+                self._deliver(output)
+            case CancelDispatch(call_id=call_id):
+                self._cancel_dispatch(call_id)
+
+    def _dispatch(self, now_s: float, dispatch: Dispatch) -> None:
+        call = dispatch.call
+        begun = self._contexts.begin(now_s, call, dispatch.remaining_ms)
+        if begun.is_err():
+            failed = TargetFailed(call.call_id, TargetFailure.NOT_SENT)
+            self._timers.after(0, lambda _: self._step(failed))
+            return
+        _log.info(
+            key_values(
+                'call_dispatched',
+                call=call.call_id,
+                attempt=call.attempt,
+                organisation=call.organisation or '-',
+            )
+        )
+        running = self._sessions.run(
+            TargetRequest(
+                method=call.method,
+                path=call.path,
+                headers=call.headers,
+                body=call.body,
+                token=begun.unwrap(),
+                timeout_s=dispatch.remaining_ms / MS_PER_S,
+            )
+        )
+        self._running[call.call_id] = running
+        running.addErrback(_failure_of)
+        running.addCallback(self._end, call.call_id)
+
+    def _end(self, ended: TargetResult, call_id: CallId) -> None:
+        self._running.pop(call_id, None)
+        left = self._contexts.end(call_id)
+        match ended:
+            case TargetAnswer():
+                self._step(
+                    TargetAnswered(
+                        call_id=call_id,
+                        status=ended.status,
+                        headers=ended.headers,
+                        body=ended.body,
+                        boot_id=ended.boot_id,
+                        refused_unrun=ended.refused_unrun,
+                        tries_unspent=left.tries_unspent,
+                        failed_below=left.failed_below,
+                    )
+                )
+            case TargetFailure():
+                self._step(TargetFailed(call_id, ended))
+
+    def _cancel_dispatch(self, call_id: CallId) -> None:
+        running = self._running.get(call_id)
+        if running is not None:
+            running.cancel()
+
+
+def _failure_of(failure: Failure) -> TargetFailure:
+    failure.trap(CancelledError)
+    return TargetFailure.CANCELLED
