--- a/src/rattanstile/request/envelope.py
+++ b/src/rattanstile/request/envelope.py
@@ -22,7 +22,7 @@
 
     Attributes:
         call_id: Same for every attempt of one call.
-        attempt: Counts the attempts of this call from 1.
+        attempt: Rises with the attempts that one entry node sends.
         organisation: Whose key came with the call; empty on open routes.
         key_digest: Checked again before dispatch; empty on open routes.
         remaining_ms: Time left until the deadline when the call was sent.
@@ -67,6 +67,8 @@
         pressure: Shed level with its fraction: 1.4 sheds what lies below
             `Priority.LOOKUP` and 40% of the lookups.
         subtree_pressure: The same for the calls that this call made.
+        failed_below: Whether a call that this one made did not end whole;
+            the hop next to that failure has retried it already.
     """
 
     call_id: CallId
@@ -83,6 +85,7 @@
     limit: int = 0
     pressure: float = 0.0
     subtree_pressure: float = 0.0
+    failed_below: bool = False
 
 
 class Cancel(msgspec.Struct, frozen=True, kw_only=True, tag='cancel'):
