--- /dev/null
+++ b/src/rattanstile/process/rate_loans.py
@@ -0,0 +1,113 @@
+"""A borrower's loan from one owner's epoch of a shard."""
+
+from dataclasses import dataclass
+
+from rattanstile.process.rate_bucket import LOAN_TERM_S
+from rattanstile.process.rate_messages import (
+    LoanGrant,
+    LoanRequest,
+    OwnerClaimRecord,
+)
+from rattanstile.request.ids import Incarnation, OrganisationId
+
+ANSWER_WITHIN_S = 0.03
+SILENT_BACKOFF_S = 0.1
+SILENT_BACKOFF_MAX_S = 1.0
+
+
+@dataclass(slots=True)
+class Account:
+    """What was lent under one epoch, and what was asked for.
+
+    Attributes:
+        held: Unspent tokens, valid before `until_s`.
+        blocked_until_s: Before it nothing is asked of this owner.
+        left: Tokens that the owner last had left.
+    """
+
+    claim: OwnerClaimRecord
+    organisation: OrganisationId
+    incarnation: Incarnation
+    held: int = 0
+    until_s: float = 0.0
+    blocked_until_s: float = 0.0
+    left: int = 1
+    _sequence: int = 0
+    _spent: int = 0
+    _wanted: int = 0
+    _asked_s: float = 0.0
+    _is_awaited: bool = False
+    _is_answered: bool = True
+    _backoff_s: float = SILENT_BACKOFF_S
+
+    def valid(self, now_s: float) -> int:
+        """Return the tokens that may be spent now."""
+        return self.held if now_s < self.until_s else 0
+
+    def spend(self) -> None:
+        """Spend one token; the caller has looked at `valid`."""
+        self.held -= 1
+        self._spent += 1
+
+    def awaited(self) -> int:
+        """Return the tokens asked for and not yet answered."""
+        return self._wanted if self._is_awaited else 0
+
+    def can_ask(self, now_s: float) -> bool:
+        """Tell whether a request may be sent now."""
+        return not self._is_awaited and now_s >= self.blocked_until_s
+
+    def ask(self, now_s: float, wanted: int, kept_max: int) -> LoanRequest:
+        """Give up all but some tokens and ask for others."""
+        self.held = min(self.valid(now_s), kept_max)
+        self._sequence += 1
+        self._wanted = wanted
+        self._asked_s = now_s
+        self._is_awaited = True
+        self._is_answered = False
+        return LoanRequest(
+            shard=self.claim.shard,
+            epoch=self.claim.epoch,
+            organisation=self.organisation,
+            incarnation=self.incarnation,
+            sequence=self._sequence,
+            held=self.held,
+            spent=self._spent,
+            wanted=wanted,
+        )
+
+    def granted(self, now_s: float, grant: LoanGrant) -> bool:
+        """Take the answer to the latest request; others are out of date.
+
+        Returns:
+            Whether the grant was taken.
+        """
+        if self._is_answered or grant.sequence != self._sequence:
+            return False
+        kept = self.held if grant.extended else 0
+        self.held = kept + grant.granted
+        self.until_s = self._asked_s + LOAN_TERM_S
+        self.left = grant.left
+        self._is_answered = True
+        self._is_awaited = False
+        self._backoff_s = SILENT_BACKOFF_S
+        if grant.granted < self._wanted:
+            self.blocked_until_s = now_s + grant.retry_after_ms / 1000
+        return True
+
+    def refused(self, now_s: float, sequence: int) -> None:
+        """Leave an owner alone that holds no lease."""
+        if sequence == self._sequence:
+            self._silence(now_s)
+
+    def give_up(self, now_s: float) -> bool:
+        """Tell whether the answer is overdue, and then stop waiting for it."""
+        if not self._is_awaited or now_s < self._asked_s + ANSWER_WITHIN_S:
+            return False
+        self._silence(now_s)
+        return True
+
+    def _silence(self, now_s: float) -> None:
+        self._is_awaited = False
+        self.blocked_until_s = now_s + self._backoff_s
+        self._backoff_s = min(2 * self._backoff_s, SILENT_BACKOFF_MAX_S)
