--- /dev/null
+++ b/src/rattanstile/process/configuration.py
@@ -0,0 +1,148 @@
+"""Shell of the relay: its clock, its reads of the log and its messages."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from random import Random
+
+from logbook import Logger
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+
+from rattanstile.process.log_client import (
+    LogClient,
+    OffsetTooOld,
+    ReadBatch,
+    ReadResult,
+)
+from rattanstile.process.relay import TICK_S, Relay
+from rattanstile.process.relay_messages import (
+    AppendSnapshot,
+    LogRead,
+    LogReadFailed,
+    LogReadTooOld,
+    MembersChanged,
+    ReadLog,
+    RelayInput,
+    RelayMember,
+    RelayMessage,
+    RelayOutput,
+    RelayReceived,
+    RelayTicked,
+    SendControl,
+    VersionAccepted,
+)
+from rattanstile.process.timers import TimerService
+from rattanstile.request.ids import NodeId
+from rattanstile.version.in_force import VersionInForce
+from rattanstile.version.records import (
+    CONFIGURATION_STREAM,
+    decode_record,
+    encode_record,
+)
+
+_log = Logger('configuration')
+
+
+class Configuration:
+    """The configuration in force at one node.
+
+    Args:
+        own: The node itself.
+        send: Hands a message to the control bus; it may be lost.
+        on_version: Called with each version once it is in force.
+
+    Attributes:
+        in_force: The version in force; number 0 and empty before any.
+    """
+
+    def __init__(
+        self,
+        own: RelayMember,
+        timers: TimerService,
+        log_client: LogClient,
+        send: Callable[[NodeId, RelayMessage], None],
+        on_version: Callable[[VersionInForce], None],
+        random: Random,
+    ) -> None:
+        """Start without a verified version."""
+        self.relay = Relay(own, random)
+        self.in_force = VersionInForce(
+            self.relay.fold.version, self.relay.fold.declaration
+        )
+        self._timers = timers
+        self._client = log_client
+        self._send = send
+        self._on_version = on_version
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Keep the version up to date while the block runs."""
+        with self._timers.every(TICK_S, self._tick):
+            yield
+
+    def admits_keyed(self) -> bool:
+        """Tell whether calls that come with a key may be admitted now."""
+        fresh = self.relay.freshness.admits(self._timers.now_s())
+        return self.relay.fold.verified and fresh
+
+    def staleness_s(self) -> float:
+        """Return the age of the youngest evidence; infinite before any."""
+        return self.relay.freshness.age_s(self._timers.now_s())
+
+    def set_members(self, members: tuple[RelayMember, ...]) -> None:
+        """Tell which members are known."""
+        self._step(MembersChanged(members))
+
+    def receive(self, sender: NodeId, message: RelayMessage) -> None:
+        """Take a message of a peer."""
+        self._step(RelayReceived(sender, message))
+
+    def _tick(self, now_s: float) -> None:
+        self._step(RelayTicked())
+
+    def _step(self, relay_input: RelayInput) -> None:
+        for output in self.relay.step(self._timers.now_s(), relay_input):
+            self._carry_out(output)
+
+    def _carry_out(self, output: RelayOutput) -> None:
+        match output:
+            case SendControl(receiver=receiver, message=message):
+                self._send(receiver, message)
+            case ReadLog():
+                self._read(output)
+            case AppendSnapshot(snapshot=snapshot):
+                _log.info('event=snapshot version={}', snapshot.version)
+                self._client.append(
+                    CONFIGURATION_STREAM, encode_record(snapshot)
+                )
+            case VersionAccepted(version=version, declaration=declaration):
+                self.in_force = VersionInForce(version, declaration)
+                self._on_version(self.in_force)
+
+    def _read(self, wanted: ReadLog) -> None:
+        reading: Deferred[ReadResult] = self._client.read(
+            CONFIGURATION_STREAM, wanted.from_offset, wanted.wait_s
+        )
+        reading.addCallback(self._answered, wanted.read_id)
+        reading.addErrback(
+            lambda failure: _log.error('event=read_failed cause={}', failure)
+        )
+
+    def _answered(self, answer: ReadResult, read_id: int) -> None:
+        match answer:
+            case Ok(batch):
+                self._step(_log_read(batch, read_id))
+            case Err(OffsetTooOld(oldest=oldest, next_offset=next_offset)):
+                self._step(LogReadTooOld(read_id, oldest, next_offset))
+            case _:
+                self._step(LogReadFailed(read_id))
+
+
+def _log_read(batch: ReadBatch, read_id: int) -> LogRead:
+    return LogRead(
+        read_id,
+        batch.first,
+        tuple(decode_record(record).ok() for record in batch.records),
+        batch.oldest,
+        batch.next_offset,
+    )
--- /dev/null
+++ b/src/rattanstile/process/log_follower.py
@@ -0,0 +1,134 @@
+"""Follows the configuration stream: when to read, and what a read proves."""
+
+from random import Random
+
+from rattanstile.process.freshness import NEVER_S, Freshness
+from rattanstile.process.relay_messages import (
+    LogRead,
+    LogReadFailed,
+    LogReadTooOld,
+    ReadLog,
+)
+from rattanstile.request.ids import FailureDomainId, LogOffset
+from rattanstile.version.fold import Fold
+from rattanstile.version.records import AcceptedRecord
+
+READ_WAIT_S = 0.5
+SLOW_AFTER_S = 0.7
+PROBE_PERIOD_S = 0.5
+MAX_PENDING_READS = 16
+RETRY_MIN_S = 0.15
+RETRY_MAX_S = 0.4
+
+
+class LogFollower:
+    """Decides reads of the log and folds what they bring.
+
+    A read that ends at the highest offset ever heard of proves, for the
+    moment it was sent, that nothing newer was accepted. One that ends lower
+    was answered by an old replica and proves nothing. A read that failed, or
+    hangs for `SLOW_AFTER_S` beyond its wait, shows the log as out of hearing
+    when it was sent; while one hangs, more are sent beside it, since a slow
+    log must not keep a new version from being read.
+
+    Args:
+        fold: Shared with the relay.
+        freshness: Collects the evidence.
+        random: Spreads retries.
+    """
+
+    def __init__(
+        self,
+        domain: FailureDomainId,
+        fold: Fold,
+        freshness: Freshness,
+        random: Random,
+    ) -> None:
+        """Start without any read."""
+        self._domain = domain
+        self._fold = fold
+        self._freshness = freshness
+        self._random = random
+        self._log_end = LogOffset(0)
+        self._next_offset = LogOffset(0)
+        self._read_id = 0
+        self._pending: dict[int, tuple[float, float]] = {}
+        self._next_read_s = NEVER_S
+
+    @property
+    def log_end(self) -> LogOffset:
+        """Highest end of the stream ever heard of."""
+        return self._log_end
+
+    def know_end(self, log_end: LogOffset) -> None:
+        """Learn from a peer how far the stream reaches."""
+        self._log_end = max(self._log_end, log_end)
+
+    def postpone(self, until_s: float) -> None:
+        """Send no read before a time."""
+        self._next_read_s = max(self._next_read_s, until_s)
+
+    def tick(self, now_s: float) -> list[ReadLog]:
+        """Return the read that is due, if any."""
+        hanging_s = self._hanging_since_s(now_s)
+        if hanging_s is not None:
+            self._freshness.see_domain_outage(self._domain, hanging_s)
+        if now_s < self._next_read_s or not self._may_send(now_s):
+            return []
+        wait_s = 0.0 if self._pending else READ_WAIT_S
+        return [self._read(now_s, wait_s)]
+
+    def on_read(self, now_s: float, read: LogRead) -> list[AcceptedRecord]:
+        """Fold what a read brought."""
+        started_s, _wait_s = self._pending.pop(read.read_id, (NEVER_S, 0.0))
+        if read.oldest == 0:
+            self._fold.see_start()
+        made: list[AcceptedRecord] = []
+        for place, record in enumerate(read.records):
+            made.extend(self._fold.offer(LogOffset(read.first + place), record))
+        read_to = LogOffset(read.first + len(read.records))
+        self._next_offset = max(self._next_offset, read_to)
+        if read.next_offset < self._log_end:
+            self._retry_later(now_s)
+            return made
+        self._log_end = read.next_offset
+        if self._fold.verified and self._fold.read_end >= read.next_offset:
+            self._freshness.hear_log(started_s)
+        return made
+
+    def on_too_old(self, now_s: float, read: LogReadTooOld) -> None:
+        """Go on from the oldest record kept."""
+        self._pending.pop(read.read_id, None)
+        self.know_end(read.next_offset)
+        self._next_offset = max(self._next_offset, read.oldest)
+
+    def on_failed(self, now_s: float, read: LogReadFailed) -> None:
+        """Note that the log was out of hearing, and try again soon."""
+        started_s, _wait_s = self._pending.pop(read.read_id, (NEVER_S, 0.0))
+        self._freshness.see_domain_outage(self._domain, started_s)
+        self._retry_later(now_s)
+
+    def _read(self, now_s: float, wait_s: float) -> ReadLog:
+        self._read_id += 1
+        self._pending[self._read_id] = (now_s, wait_s)
+        self._next_read_s = now_s
+        if wait_s == 0:
+            self._next_read_s += PROBE_PERIOD_S
+        self._next_offset = max(self._next_offset, self._fold.read_end)
+        return ReadLog(self._read_id, self._next_offset, wait_s)
+
+    def _may_send(self, now_s: float) -> bool:
+        if len(self._pending) >= MAX_PENDING_READS:
+            return False
+        return not self._pending or self._hanging_since_s(now_s) is not None
+
+    def _hanging_since_s(self, now_s: float) -> float | None:
+        hanging = [
+            started_s
+            for started_s, wait_s in self._pending.values()
+            if now_s - started_s > wait_s + SLOW_AFTER_S
+        ]
+        return max(hanging, default=None)
+
+    def _retry_later(self, now_s: float) -> None:
+        self.postpone(now_s + self._random.uniform(RETRY_MIN_S, RETRY_MAX_S))
--- /dev/null
+++ b/src/rattanstile/process/relay.py
@@ -0,0 +1,348 @@
+"""Relay of the configuration: how every node learns the version in force.
+
+A few nodes of each failure domain read the log; every other node asks its
+parent in a tree each `POLL_PERIOD_S`. A version just accepted is pushed to
+whoever asked lately, and the next query repairs a push that was lost. A node
+whose parent is silent, or knows no more than itself, asks others above it; a
+node that finds none reads the log itself. Readers that do not hear the log
+ask the other failure domains whether they do.
+"""
+
+from collections import deque
+from math import ceil
+from random import Random
+
+from logbook import Logger
+
+from rattanstile.process.freshness import NEVER_S, Freshness
+from rattanstile.process.log_follower import LogFollower
+from rattanstile.process.relay_contacts import Elsewhere, Queries
+from rattanstile.process.relay_messages import (
+    NO_AGE,
+    UNVERIFIED,
+    AppendSnapshot,
+    FreshnessQuery,
+    FreshnessReply,
+    LogRead,
+    LogReadFailed,
+    LogReadTooOld,
+    MembersChanged,
+    RelayInput,
+    RelayMember,
+    RelayMessage,
+    RelayOutput,
+    RelayReceived,
+    RelayTicked,
+    SendControl,
+    VersionAccepted,
+    VersionPush,
+)
+from rattanstile.process.relay_tree import RelayTree
+from rattanstile.process.snapshot_timer import SnapshotTimer
+from rattanstile.request.ids import (
+    NodeId,
+    RecordId,
+    VersionNumber,
+)
+from rattanstile.version.fold import Fold
+from rattanstile.version.records import AcceptedRecord, SnapshotRecord
+
+TICK_S = 0.1
+POLL_PERIOD_S = 0.5
+ASKED_LATELY_S = 2.0
+STALE_AFTER_S = 2.8
+READER_STALE_AFTER_S = 1.3
+SILENT_QUERIES = 1
+ISOLATED_AFTER_S = 1.2
+ISOLATED_JITTER_S = 0.6
+MAX_KEPT = 256
+MAX_HANDED_ON = 32
+
+_log = Logger('relay')
+
+
+class Relay:
+    """The relay machine of one node.
+
+    Args:
+        own: The node itself.
+        random: Spreads queries and retries.
+        freshness: Collects the evidence; made here if not given.
+
+    Attributes:
+        fold: Holds the version in force.
+        freshness: Tells whether keyed calls may be admitted.
+    """
+
+    def __init__(
+        self,
+        own: RelayMember,
+        random: Random,
+        freshness: Freshness | None = None,
+    ) -> None:
+        """Start without members and without a verified version."""
+        self.fold = Fold()
+        self.freshness = freshness or Freshness(own.failure_domain)
+        self._own = own
+        self._random = random
+        self._follower = LogFollower(
+            own.failure_domain, self.fold, self.freshness, random
+        )
+        self._snapshots = SnapshotTimer(random)
+        self._tree = RelayTree(own.node_id, ())
+        self._elsewhere = Elsewhere(own.failure_domain, random)
+        self._source = 0
+        self._queries = Queries()
+        self._next_query_s = NEVER_S
+        self._useful_s: float | None = None
+        self._isolation_s = ISOLATED_AFTER_S
+        self._kept: deque[AcceptedRecord] = deque(maxlen=MAX_KEPT)
+        self._asked_s: dict[NodeId, float] = {}
+
+    @property
+    def reads_log(self) -> bool:
+        """Whether this node is one of its failure domain's readers."""
+        return self._tree.reads_log
+
+    def step(self, now_s: float, relay_input: RelayInput) -> list[RelayOutput]:
+        """Take one message and return what is to be done."""
+        version = self.fold.version
+        verified = self.fold.verified
+        outputs = self._step(now_s, relay_input)
+        if self.fold.version != version or self.fold.verified != verified:
+            _log.info('event=version_in_force version={}', self.fold.version)
+            outputs.append(
+                VersionAccepted(self.fold.version, self.fold.declaration)
+            )
+        return outputs
+
+    def _step(self, now_s: float, relay_input: RelayInput) -> list[RelayOutput]:
+        match relay_input:
+            case RelayTicked():
+                return self._tick(now_s)
+            case RelayReceived(sender=sender, message=message):
+                return self._receive(now_s, sender, message)
+            case LogRead():
+                return self._log_read(now_s, relay_input)
+            case LogReadTooOld():
+                self._follower.on_too_old(now_s, relay_input)
+            case LogReadFailed():
+                self._follower.on_failed(now_s, relay_input)
+            case MembersChanged(members=members):
+                self._members_changed(members)
+        return []
+
+    # members
+
+    def _members_changed(self, members: tuple[RelayMember, ...]) -> None:
+        near = [
+            member.node_id
+            for member in members
+            if member.failure_domain == self._own.failure_domain
+        ]
+        self._tree = RelayTree(self._own.node_id, near)
+        self._elsewhere.set_members(members)
+        self.freshness.know_domains(
+            frozenset(member.failure_domain for member in members)
+        )
+        self._source = 0
+
+    # time
+
+    def _tick(self, now_s: float) -> list[RelayOutput]:
+        outputs: list[RelayOutput] = []
+        if self._useful_s is None:
+            self._useful_s = now_s
+            self._next_query_s = now_s
+        if now_s >= self._next_query_s:
+            self._next_query_s = now_s + self._random.uniform(
+                POLL_PERIOD_S * 0.9, POLL_PERIOD_S * 1.1
+            )
+            outputs.extend(self._ask(now_s))
+        if self._reads_now(now_s):
+            outputs.extend(self._follower.tick(now_s))
+        if self._tree.reads_log and self._snapshots.is_due(now_s, self.fold):
+            outputs.append(AppendSnapshot(self._snapshot()))
+        return outputs
+
+    def _ask(self, now_s: float) -> list[RelayOutput]:
+        if not self._tree.reads_log:
+            return self._ask_source(now_s)
+        if now_s - self.freshness.log_heard_s < READER_STALE_AFTER_S:
+            return []
+        asked = self._elsewhere.next_round()
+        fellows = self._tree.readers
+        if fellows:
+            asked.append(self._random.choice(fellows))
+        return [self._query(now_s, node) for node in asked]
+
+    def _ask_source(self, now_s: float) -> list[RelayOutput]:
+        sources = self._tree.sources()
+        source = sources[self._source % len(sources)]
+        if self._queries.unanswered(source) >= SILENT_QUERIES:
+            self._queries.forget(source)
+            self._source += 1
+            source = sources[self._source % len(sources)]
+            _log.info('event=parent_silent next={}', source)
+        return [self._query(now_s, source)]
+
+    def _query(self, now_s: float, receiver: NodeId) -> SendControl:
+        version = self.fold.version if self.fold.verified else UNVERIFIED
+        query = FreshnessQuery(
+            sequence=self._queries.sent(now_s, receiver), version=version
+        )
+        return SendControl(receiver, query)
+
+    def _reads_now(self, now_s: float) -> bool:
+        if self._tree.reads_log:
+            return True
+        useful_s = self._useful_s or 0.0
+        return now_s - useful_s > self._isolation_s
+
+    # messages
+
+    def _receive(
+        self, now_s: float, sender: NodeId, message: RelayMessage
+    ) -> list[RelayOutput]:
+        match message:
+            case FreshnessQuery():
+                return self._asked(now_s, sender, message)
+            case FreshnessReply():
+                return self._replied(now_s, sender, message)
+            case VersionPush(accepted=accepted):
+                return self._take(now_s, (accepted,), sender)
+        return []
+
+    def _asked(
+        self, now_s: float, sender: NodeId, query: FreshnessQuery
+    ) -> list[RelayOutput]:
+        self._asked_s[sender] = now_s
+        outputs: list[RelayOutput] = [
+            SendControl(sender, self._reply_to(now_s, query))
+        ]
+        own = self.fold.version if self.fold.verified else UNVERIFIED
+        if query.version > own:
+            outputs.append(self._query(now_s, sender))
+        return outputs
+
+    def _reply_to(self, now_s: float, query: FreshnessQuery) -> FreshnessReply:
+        behind = self.fold.verified and query.version < self.fold.version
+        accepted = self._accepted_since(query.version) if behind else ()
+        snapshot = None
+        if behind and not accepted:
+            snapshot = self._snapshot()
+        elif self.fold.verified and query.version == UNVERIFIED:
+            snapshot = self._snapshot()
+        verified = self.fold.verified
+        freshness = self.freshness
+        return FreshnessReply(
+            sequence=query.sequence,
+            version=self.fold.version if verified else UNVERIFIED,
+            log_age_ms=_age_ms(now_s, freshness.log_heard_s),
+            domain_outage_ms=_age_ms(now_s, freshness.domain_outage_s),
+            fleet_outage_ms=_age_ms(now_s, freshness.fleet_outage_s),
+            log_end=self.fold.read_end,
+            accepted=accepted,
+            snapshot=snapshot,
+        )
+
+    def _accepted_since(
+        self, version: VersionNumber
+    ) -> tuple[AcceptedRecord, ...]:
+        lacking = tuple(
+            kept for kept in self._kept if kept.accepted.version > version
+        )
+        complete = len(lacking) == self.fold.version - version
+        return lacking if complete and len(lacking) <= MAX_HANDED_ON else ()
+
+    def _replied(
+        self, now_s: float, sender: NodeId, reply: FreshnessReply
+    ) -> list[RelayOutput]:
+        sent_s = self._queries.answered(sender, reply.sequence)
+        if sent_s is None:
+            return []
+        outputs: list[RelayOutput] = []
+        if reply.snapshot is not None:
+            made = self.fold.take_snapshot(reply.snapshot)
+            outputs.extend(self._made(now_s, made, sender))
+        outputs.extend(self._take(now_s, reply.accepted, sender))
+        self._follower.know_end(reply.log_end)
+        if reply.version <= self.fold.version and self.fold.verified:
+            made = self.fold.agree(reply.version, reply.log_end)
+            outputs.extend(self._made(now_s, made, sender))
+            self._note_evidence(now_s, sender, sent_s, reply)
+        return outputs
+
+    def _note_evidence(
+        self,
+        now_s: float,
+        sender: NodeId,
+        sent_s: float,
+        reply: FreshnessReply,
+    ) -> None:
+        if reply.log_age_ms != NO_AGE:
+            self.freshness.hear_log(sent_s - reply.log_age_ms / 1000)
+        if reply.domain_outage_ms != NO_AGE:
+            self.freshness.see_domain_outage(
+                self._elsewhere.domain_of(sender),
+                sent_s - reply.domain_outage_ms / 1000,
+            )
+        if reply.fleet_outage_ms != NO_AGE:
+            self.freshness.see_fleet_outage(
+                sent_s - reply.fleet_outage_ms / 1000
+            )
+        if self.freshness.age_s(now_s) <= STALE_AFTER_S:
+            self._useful_s = now_s
+            self._isolation_s = ISOLATED_AFTER_S + self._random.uniform(
+                0, ISOLATED_JITTER_S
+            )
+        else:
+            self._source += 1
+
+    def _take(
+        self,
+        now_s: float,
+        accepted: tuple[AcceptedRecord, ...],
+        sender: NodeId,
+    ) -> list[RelayOutput]:
+        made = [one for one in accepted if self.fold.take_accepted(one)]
+        return self._made(now_s, made, sender)
+
+    def _made(
+        self, now_s: float, made: list[AcceptedRecord], sender: NodeId | None
+    ) -> list[RelayOutput]:
+        if not made:
+            return []
+        self._kept.extend(made)
+        lately = {
+            node: asked_s
+            for node, asked_s in self._asked_s.items()
+            if now_s - asked_s <= ASKED_LATELY_S
+        }
+        self._asked_s = lately
+        return [
+            SendControl(node, VersionPush(accepted=one))
+            for one in made
+            for node in lately
+            if node != sender
+        ]
+
+    # log
+
+    def _log_read(self, now_s: float, read: LogRead) -> list[RelayOutput]:
+        self._snapshots.see_records(now_s, read)
+        made = self._follower.on_read(now_s, read)
+        outputs = self._made(now_s, made, None)
+        if self._reads_now(now_s):
+            outputs.extend(self._follower.tick(now_s))
+        return outputs
+
+    def _snapshot(self) -> SnapshotRecord:
+        record_id = RecordId(f'snapshot-{self.fold.version}')
+        return self.fold.snapshot(record_id)
+
+
+def _age_ms(now_s: float, at_s: float) -> int:
+    if at_s == NEVER_S:
+        return NO_AGE
+    return ceil((now_s - at_s) * 1000)
--- /dev/null
+++ b/src/rattanstile/process/relay_contacts.py
@@ -0,0 +1,86 @@
+"""Whom the relay asks, and which of its queries are still unanswered."""
+
+from random import Random
+
+from rattanstile.process.relay_messages import RelayMember
+from rattanstile.request.ids import FailureDomainId, NodeId
+
+MAX_OPEN_QUERIES = 128
+ROUNDS_FOR_ALL = 2
+
+
+class Queries:
+    """Queries sent and not answered, each with its time."""
+
+    def __init__(self) -> None:
+        """Start without a query."""
+        self._sequence = 0
+        self._open: dict[int, tuple[NodeId, float]] = {}
+        self._unanswered: dict[NodeId, int] = {}
+
+    def sent(self, now_s: float, receiver: NodeId) -> int:
+        """Note a query and return its sequence number."""
+        self._sequence += 1
+        self._open[self._sequence] = (receiver, now_s)
+        self._unanswered[receiver] = self.unanswered(receiver) + 1
+        if len(self._open) > MAX_OPEN_QUERIES:
+            self._open.pop(next(iter(self._open)))
+        return self._sequence
+
+    def answered(self, sender: NodeId, sequence: int) -> float | None:
+        """Return when the query was sent, or None if it isn't one's own."""
+        receiver, sent_s = self._open.get(sequence, (None, 0.0))
+        if receiver != sender:
+            return None
+        self._open.pop(sequence)
+        self._unanswered.pop(sender, None)
+        return sent_s
+
+    def unanswered(self, receiver: NodeId) -> int:
+        """Return how many queries a node left unanswered since its last."""
+        return self._unanswered.get(receiver, 0)
+
+    def forget(self, receiver: NodeId) -> None:
+        """Give a silent node another chance when its turn comes again."""
+        self._unanswered.pop(receiver, None)
+
+
+class Elsewhere:
+    """Members of the other failure domains, asked in turn.
+
+    Args:
+        own_domain: Also the domain told for senders that are not known.
+    """
+
+    def __init__(self, own_domain: FailureDomainId, random: Random) -> None:
+        """Start without members."""
+        self._own_domain = own_domain
+        self._random = random
+        self._domains: dict[NodeId, FailureDomainId] = {}
+        self._members: dict[FailureDomainId, list[NodeId]] = {}
+        self._turn = 0
+
+    def set_members(self, members: tuple[RelayMember, ...]) -> None:
+        """Replace the members known."""
+        self._domains = {
+            member.node_id: member.failure_domain for member in members
+        }
+        self._members = {}
+        for member in members:
+            if member.failure_domain != self._own_domain:
+                near = self._members.setdefault(member.failure_domain, [])
+                near.append(member.node_id)
+
+    def domain_of(self, node: NodeId) -> FailureDomainId:
+        """Return a node's failure domain."""
+        return self._domains.get(node, self._own_domain)
+
+    def next_round(self) -> list[NodeId]:
+        """Return one member of each domain whose turn it is."""
+        domains = sorted(self._members)
+        self._turn += 1
+        return [
+            self._random.choice(self._members[domain])
+            for place, domain in enumerate(domains)
+            if (place + self._turn) % ROUNDS_FOR_ALL == 0
+        ]
