--- a/src/rattanstile/process/contexts.py
+++ b/src/rattanstile/process/contexts.py
@@ -37,6 +37,8 @@
         hops: Calls above the child.
         deadline_s: Monotonic time of this node.
         tries: Retry budget lent to the child.
+        parent: The call that makes this one.
+        shed_draw: See `Call.shed_draw`; one draw for the whole tree.
     """
 
     organisation: OrganisationId
@@ -45,6 +47,8 @@
     hops: int
     deadline_s: float
     tries: int
+    parent: CallId
+    shed_draw: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +122,8 @@
                 hops=context.call.hops + 1,
                 deadline_s=context.deadline_s,
                 tries=context.budget.lend(),
+                parent=context.call.call_id,
+                shed_draw=context.call.shed_draw,
             )
         )
 
--- /dev/null
+++ b/src/rattanstile/process/control_service.py
@@ -0,0 +1,95 @@
+"""Control messages of this node: encoding, addresses, and who takes them."""
+
+from collections.abc import Callable
+from enum import IntEnum, unique
+from typing import Any
+
+import logbook
+import msgspec
+
+from rattanstile.connection.control_bus import ControlSender
+from rattanstile.process.logs import key_values
+from rattanstile.process.rate_messages import RateMessage
+from rattanstile.process.relay_messages import RelayMessage
+from rattanstile.request.ids import NodeId
+
+_log = logbook.Logger('control-service')
+
+
+@unique
+class Family(IntEnum):
+    """Which machine a control message is for."""
+
+    RELAY = 1
+    RATES = 2
+
+
+class ControlEnvelope(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
+    """What travels on the control bus."""
+
+    sender: NodeId
+    family: Family
+    payload: msgspec.Raw
+
+
+_DECODERS: dict[Family, msgspec.msgpack.Decoder[Any]] = {
+    Family.RELAY: msgspec.msgpack.Decoder(RelayMessage),
+    Family.RATES: msgspec.msgpack.Decoder(RateMessage),
+}
+_encoder = msgspec.msgpack.Encoder()
+_envelopes = msgspec.msgpack.Decoder(ControlEnvelope)
+
+ControlHandler = Callable[[NodeId, Any], None]
+
+
+class ControlService:
+    """Sends control messages by node id and hands on those that arrive.
+
+    Args:
+        address_of: Gives a node's control address, or None when unknown.
+    """
+
+    def __init__(
+        self, node_id: NodeId, address_of: Callable[[NodeId], str | None]
+    ) -> None:
+        """Begin without a bus and without handlers."""
+        self.bus: ControlSender | None = None
+        self.handlers: dict[Family, ControlHandler] = {}
+        self._node_id = node_id
+        self._address_of = address_of
+
+    def send(
+        self, family: Family, receiver: NodeId, message: msgspec.Struct
+    ) -> None:
+        """Send a message to a node; it is dropped where that fails."""
+        address = self._address_of(receiver)
+        if address is None:
+            _log.debug(key_values('no_control_address', receiver=receiver))
+            return
+        self.send_to_address(family, address, message)
+
+    def send_to_address(
+        self, family: Family, address: str, message: msgspec.Struct
+    ) -> None:
+        """Send a message to a control address, such as a seed's."""
+        if self.bus is None:
+            return
+        payload = msgspec.Raw(_encoder.encode(message))
+        envelope = ControlEnvelope(
+            sender=self._node_id, family=family, payload=payload
+        )
+        self.bus.send(address, _encoder.encode(envelope))
+
+    def receive(self, encoded: bytes) -> None:
+        """Decode a message and hand it to its machine."""
+        try:
+            envelope = _envelopes.decode(encoded)
+            message = _DECODERS[envelope.family].decode(envelope.payload)
+        except msgspec.MsgspecError as error:
+            _log.warning(key_values('control_malformed', cause=error))
+            return
+        handler = self.handlers.get(envelope.family)
+        if handler is not None:
+            handler(envelope.sender, message)
--- a/src/rattanstile/process/gate.py
+++ b/src/rattanstile/process/gate.py
@@ -3,6 +3,7 @@
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 
 from result import Err, Ok, Result
 
@@ -48,6 +49,7 @@
     Attributes:
         tries: Retry budget of the call tree, or of the share lent to it.
         hops: Calls above this one.
+        shed_draw: See `rattanstile.request.envelope.Call`.
         share: What the parent lent; None for a root call.
     """
 
@@ -58,6 +60,7 @@
     remaining_ms: int
     tries: int
     hops: int
+    shed_draw: float
     share: ChildShare | None = None
 
     @property
@@ -81,6 +84,7 @@
         admits_keyed_calls: Tells, for a time, whether the version is known
             to be fresh enough to check keys against.
         contexts: The calls that the own target runs now.
+        rng: Source of the draws by which trees are shed.
     """
 
     def __init__(
@@ -88,8 +92,10 @@
         in_force: Callable[[], VersionInForce],
         admits_keyed_calls: Callable[[float], bool],
         contexts: CallContexts,
+        rng: Random,
     ) -> None:
         """Keep what the checks are made against."""
+        self._rng = rng
         self._in_force = in_force
         self._admits_keyed_calls = admits_keyed_calls
         self._contexts = contexts
@@ -130,6 +136,7 @@
                 remaining_ms=_remaining_ms(asked, service),
                 tries=declaration.retry_budget,
                 hops=0,
+                shed_draw=self._rng.random(),
             )
         )
 
@@ -154,6 +161,7 @@
                 remaining_ms=min(_remaining_ms(asked, service), left_ms),
                 tries=share.tries,
                 hops=share.hops,
+                shed_draw=share.shed_draw,
                 share=share,
             )
         )
--- a/src/rattanstile/process/log_reader.py
+++ b/src/rattanstile/process/log_reader.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from random import Random
+from typing import Any
 
 from logbook import Logger
 from result import Err, Ok
@@ -18,7 +19,7 @@
     ReadResult,
 )
 from rattanstile.request.ids import LogOffset
-from rattanstile.version.records import Record, decode_record
+from rattanstile.version.records import decode_record
 
 READ_WAIT_S = 5.0
 BACK_OFF_MIN_S = 0.2
@@ -38,7 +39,7 @@
     """
 
     first: LogOffset
-    records: tuple[Record | None, ...]
+    records: tuple[Any, ...]
     at_end: bool
     started_s: float
 
@@ -67,6 +68,7 @@
         clock: The reactor, or a clock in tests.
         random: Spreads the retries.
         handler: Called with each event, in the order of the stream.
+        decode: Returns the result of decoding the bytes of a record.
     """
 
     def __init__(
@@ -76,8 +78,10 @@
         stream: str,
         random: Random,
         handler: Callable[[StreamEvent], None],
+        decode: Callable[[bytes], Any] = decode_record,
     ) -> None:
         """Read nothing yet."""
+        self._decode = decode
         self._clock = clock
         self._client = client
         self._stream = stream
@@ -150,7 +154,7 @@
         self._handler(
             StreamRecords(
                 batch.first,
-                tuple(decode_record(one).ok() for one in batch.records),
+                tuple(self._decode(one).ok() for one in batch.records),
                 read_to >= batch.next_offset,
                 started_s,
             )
--- a/src/rattanstile/process/messages.py
+++ b/src/rattanstile/process/messages.py
@@ -180,6 +180,8 @@
     idempotency_key: str = ''
     priority: Priority | None = None
     """Set for a child call; the route's own where it is None."""
+    shed_draw: float = -1.0
+    """See `Call.shed_draw`; negative for none."""
 
 
 @dataclass(frozen=True, slots=True)
