--- a/src/rattanstile/process/entry_service.py
+++ b/src/rattanstile/process/entry_service.py
@@ -4,12 +4,10 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from itertools import count
-from random import Random
 
 import logbook
 from twisted.internet.defer import Deferred
 
-from rattanstile.process.chooser import Chooser
 from rattanstile.process.entry import EntryMachine
 from rattanstile.process.gate import Asked, Gate, Passed
 from rattanstile.process.logs import key_values
@@ -27,13 +25,13 @@
 )
 from rattanstile.process.metrics import CallCounters
 from rattanstile.process.rate_service import Admission, RateService
+from rattanstile.process.shedding import SheddingEntry
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Header, Reply
 from rattanstile.request.ids import CallId, OrganisationId
 from rattanstile.request.outcome import Outcome, Reason
 
 TICK_S = 0.02
-PRESSURE_RETRY_AFTER_MS = 500
 MS_PER_S = 1000
 _NOBODY = OrganisationId('')
 
@@ -86,7 +84,8 @@
     """Takes requests through gate, pressure, rate and entry machine.
 
     Args:
-        machine: Decides on attempts; no other part calls it.
+        machine: Decides on attempts; steps only through `shedding`.
+        shedding: Refuses under the pressure that replies have told.
         rates: Decides whether a root call is within its rate.
         counters: Counts how calls end.
     """
@@ -95,22 +94,20 @@
         self,
         gate: Gate,
         machine: EntryMachine,
-        chooser: Chooser,
+        shedding: SheddingEntry,
         rates: RateService,
         timers: TimerService,
         counters: CallCounters,
         ports: EntryPorts,
-        rng: Random,
     ) -> None:
         """Begin with no request."""
         self.machine = machine
         self._gate = gate
-        self._chooser = chooser
+        self._shedding = shedding
         self._rates = rates
         self._timers = timers
         self._counters = counters
         self._ports = ports
-        self._rng = rng
         self._numbers = count(1)
         self._pending: dict[int, _Pending] = {}
         self._draining = False
@@ -131,7 +128,7 @@
     def step(self, entry_input: EntryInput) -> None:
         """Give the machine an input and perform what it decides."""
         now_s = self._timers.now_s()
-        for output in self.machine.step(now_s, entry_input):
+        for output in self._shedding.step(now_s, entry_input):
             self._perform(now_s, output)
 
     def drain(self) -> None:
@@ -176,25 +173,11 @@
         pending.passed = passed
         if self._draining and passed.share is None:
             self._refuse(number, Reason.DRAINING)
-        elif not self._is_worth_sending(now_s, pending, passed):
-            self._refuse(number, Reason.SHED, PRESSURE_RETRY_AFTER_MS)
         elif passed.is_charged:
             self._charge(now_s, number, passed)
         else:
             self._place(number, pending)
 
-    def _is_worth_sending(
-        self, now_s: float, pending: _Pending, passed: Passed
-    ) -> bool:
-        return self._chooser.admits(
-            now_s,
-            pending.request.asked.service,
-            passed.priority,
-            passed.shed_draw,
-            passed.route.path,
-            passed.organisation,
-        )
-
     def _charge(self, now_s: float, number: int, passed: Passed) -> None:
         match self._rates.admit(now_s, passed.organisation, number):
             case Admission(granted=True):
--- a/src/rattanstile/process/gate.py
+++ b/src/rattanstile/process/gate.py
@@ -3,7 +3,6 @@
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
-from random import Random
 
 from result import Err, Ok, Result
 
@@ -19,6 +18,7 @@
 from rattanstile.version.in_force import VersionInForce
 
 MS_PER_S = 1000
+UNDRAWN = -1.0
 LONGEST_DEADLINE_MS = 60_000
 NO_ORGANISATION = OrganisationId('')
 NO_KEY = KeyDigest('')
@@ -84,7 +84,6 @@
         admits_keyed_calls: Tells, for a time, whether the version is known
             to be fresh enough to check keys against.
         contexts: The calls that the own target runs now.
-        rng: Source of the draws by which trees are shed.
     """
 
     def __init__(
@@ -92,10 +91,8 @@
         in_force: Callable[[], VersionInForce],
         admits_keyed_calls: Callable[[float], bool],
         contexts: CallContexts,
-        rng: Random,
     ) -> None:
         """Keep what the checks are made against."""
-        self._rng = rng
         self._in_force = in_force
         self._admits_keyed_calls = admits_keyed_calls
         self._contexts = contexts
@@ -136,7 +133,7 @@
                 remaining_ms=_remaining_ms(asked, service),
                 tries=declaration.retry_budget,
                 hops=0,
-                shed_draw=self._rng.random(),
+                shed_draw=UNDRAWN,
             )
         )
 
--- a/src/rattanstile/process/messages.py
+++ b/src/rattanstile/process/messages.py
@@ -181,7 +181,7 @@
     priority: Priority | None = None
     """Set for a child call; the route's own where it is None."""
     shed_draw: float = -1.0
-    """See `Call.shed_draw`; negative for none."""
+    """`Call.shed_draw` of the parent; negative for a root call."""
 
 
 @dataclass(frozen=True, slots=True)
