Let each call tell the pressure it was tested with

Cause: a node that infers demand from its own pressure counts calls of entries with older news too heavily; pressure ran to its cap while slots were free, and sparse news decayed fast enough to flood the deep service. Change: Call.shed_pressure gives each call its weight; the fair rate never falls below 0.8 of an equal split of what is served; news is held for 1 s and then doubles the admitted share each second; subtree pressure keeps the last word of any node. Shared: Call.shed_pressure, CallRequested.shed_pressure.

--- a/src/rattanstile/process/entry_call.py
+++ b/src/rattanstile/process/entry_call.py
@@ -140,6 +140,7 @@
             home=self.receiver,
             version=version,
             shed_draw=request.shed_draw,
+            shed_pressure=request.shed_pressure,
         )
 
     def settled(self, reply: Reply) -> Reply:
--- a/src/rattanstile/process/messages.py
+++ b/src/rattanstile/process/messages.py
@@ -182,6 +182,8 @@
     """Set for a child call; the route's own where it is None."""
     shed_draw: float = -1.0
     """`Call.shed_draw` of the parent; negative for a root call."""
+    shed_pressure: float = 0.0
+    """`Call.shed_pressure` of the parent."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rattanstile/process/pressure.py
+++ b/src/rattanstile/process/pressure.py
@@ -11,6 +11,7 @@
 lower priorities are admitted.
 """
 
+import math
 from dataclasses import dataclass
 
 from rattanstile.request.ids import (
@@ -20,9 +21,10 @@
 )
 from rattanstile.request.priority import Priority
 
-HOLD_S = 1.5
-DECAY_PER_S = 0.3
-FORGET_S = 6.0
+HOLD_S = 1.0
+DOUBLING_S = 1.0
+FIRST_ADMITTED = 0.02
+FORGET_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +53,22 @@
     return draw < pressure - priority
 
 
+def relaxed(pressure: float, doublings: float) -> float:
+    """Return a pressure after its admitted share doubled some times."""
+    while pressure > 0:
+        level = shed_level(pressure)
+        admitted = max(FIRST_ADMITTED, 1 - (pressure - level))
+        needed = -math.log2(admitted)
+        if needed >= doublings:
+            return level + 1 - admitted * 2**doublings
+        doublings -= needed
+        pressure = float(level)
+        if level is Priority.BACKGROUND:
+            return 0.0
+        pressure -= FIRST_ADMITTED
+    return 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class _Told:
     """What one node told last."""
@@ -59,10 +77,6 @@
     weight: int
     told_s: float
 
-    def decayed(self, now_s: float) -> float:
-        held_s = now_s - self.told_s - HOLD_S
-        return max(0.0, self.pressure - DECAY_PER_S * max(0.0, held_s))
-
 
 class PressureMemory:
     """What replies told an entry about one service and organisation."""
@@ -70,6 +84,7 @@
     def __init__(self) -> None:
         """Begin without pressure."""
         self._told: dict[NodeId, _Told] = {}
+        self._heard_s = -math.inf
 
     def told(
         self, now_s: float, node_id: NodeId, pressure: float, weight: int
@@ -82,25 +97,29 @@
             pressure: The pressure told.
             weight: Calls at once that the pressure speaks for.
         """
+        self._heard_s = now_s
         self._told[node_id] = _Told(pressure, max(1, weight), now_s)
 
     def pressure(self, now_s: float, priority: Priority) -> float:
         """Return the pressure that a call of this priority meets.
 
-        It is the mean by capacity of what the nodes told last, less what has
-        decayed; the least of it where transactions would be shed, so that no
-        single node's word sheds one.
+        It is the mean by capacity of what the nodes told last, relaxed when
+        none has told anything for a while; the least of it where transactions
+        would be shed, so that no single node's word sheds one.
         """
         self._forget(now_s)
         if not self._told:
             return 0.0
-        decayed = [
-            (told.decayed(now_s), told.weight) for told in self._told.values()
-        ]
         if priority is Priority.TRANSACTION:
-            return min(pressure for pressure, _ in decayed)
-        weights = sum(weight for _, weight in decayed)
-        return sum(one * weight for one, weight in decayed) / weights
+            kept = min(told.pressure for told in self._told.values())
+        else:
+            weights = sum(told.weight for told in self._told.values())
+            weighted = sum(
+                told.pressure * told.weight for told in self._told.values()
+            )
+            kept = weighted / weights
+        silent_s = max(0.0, now_s - self._heard_s - HOLD_S)
+        return relaxed(kept, silent_s / DOUBLING_S) if silent_s else kept
 
     @property
     def is_empty(self) -> bool:
@@ -108,14 +127,20 @@
         return not self._told
 
     def _forget(self, now_s: float) -> None:
-        for node_id, told in list(self._told.items()):
-            if now_s - told.told_s > FORGET_S:
-                self._told.pop(node_id)
+        if now_s - self._heard_s > FORGET_S:
+            self._told.clear()
+            return
+        if len(self._told) > 1:
+            for node_id, told in list(self._told.items()):
+                if self._heard_s - told.told_s > FORGET_S:
+                    self._told.pop(node_id)
 
 
 _MemoryKey = tuple[ServiceName, OrganisationId, str]
 OWN = '='
 """Key of a service's own pressure, which is no path prefix."""
+ANY_NODE = NodeId('')
+"""Source of subtree pressure: the node between adds nothing to it."""
 
 
 class PressureBook:
@@ -155,7 +180,7 @@
         """
         self._tell(now_s, self._key(asked, OWN), node_id, own, weight)
         key = self._key(asked, asked.route)
-        self._tell(now_s, key, node_id, subtree, 1)
+        self._tell(now_s, key, ANY_NODE, subtree, 1)
 
     def forget(self, now_s: float) -> None:
         """Drop what is too old; keeps memory bounded by recent calls."""
--- a/src/rattanstile/process/pressure_gauge.py
+++ b/src/rattanstile/process/pressure_gauge.py
@@ -10,11 +10,12 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from rattanstile.request.envelope import Call
 from rattanstile.request.ids import OrganisationId
 from rattanstile.request.priority import Priority
 
 WINDOW_S = 0.1
-DEMAND_MEMORY_S = 1.0
+DEMAND_MEMORY_S = 2.0
 LARGEST_SHARE = 0.98
 CUT_GAIN = 0.7
 OCCUPANCY_WANTED = 0.5
@@ -23,6 +24,7 @@
 LEAST_RISE = 1.02
 FIRST_ADMITTED_SHARE = 0.05
 SMALLEST_RATE_PER_S = 0.01
+LEAST_OF_SERVED = 0.8
 
 
 @dataclass(slots=True)
@@ -71,6 +73,7 @@
         self._now_s = now_s
         self._window = _Window(now_s)
         self._demands: dict[tuple[Priority, OrganisationId], _Demand] = {}
+        self._served = {one: _Demand() for one in Priority}
 
     @property
     def level(self) -> Priority:
@@ -86,20 +89,23 @@
         """Return the pressure that calls of an organisation meet."""
         return self._level + self._share(self._demand_of(organisation))
 
-    def arrived(
-        self, now_s: float, organisation: OrganisationId, priority: Priority
-    ) -> None:
+    def arrived(self, now_s: float, call: Call) -> None:
         """Count a call that reached the queue.
 
-        A call that arrives stands for those that entries shed meanwhile.
+        It stands for those that entries shed under the same pressure.
         """
         self._now_s = now_s
+        priority = call.priority
         self._window.arrived[priority] += 1
-        admitted = 1.0
-        if priority is self._level:
-            admitted -= self._share(self._demand_of(organisation))
-        demand = self._demands.setdefault((priority, organisation), _Demand())
-        demand.count(now_s, 1.0 / admitted)
+        shed = min(LARGEST_SHARE, max(0.0, call.shed_pressure - priority))
+        demand = self._demands.setdefault(
+            (priority, call.organisation), _Demand()
+        )
+        demand.count(now_s, 1 / (1 - shed))
+
+    def dispatched(self, now_s: float, priority: Priority) -> None:
+        """Count a call that was sent to the target."""
+        self._served[priority].count(now_s, 1.0)
 
     def refused(self, priority: Priority) -> None:
         """Count a call that the queue shed or dropped for its deadline."""
@@ -138,7 +144,20 @@
         share = window.refused[highest] / max(1, window.arrived[highest])
         base_per_s = min(self._fair_per_s, self._largest_demand())
         kept = 1 - CUT_GAIN * min(1.0, share)
-        self._fair_per_s = max(SMALLEST_RATE_PER_S, base_per_s * kept)
+        self._fair_per_s = max(self._least_fair_per_s(), base_per_s * kept)
+
+    def _least_fair_per_s(self) -> float:
+        """Return a rate that even equal shares of what is served exceed.
+
+        Entries learn of a cut late; without this floor the cuts made
+        meanwhile would starve the target.
+        """
+        organisations = sum(
+            priority is self._level for priority, _ in self._demands
+        )
+        served_per_s = self._served[self._level].rate_per_s(self._now_s)
+        least_per_s = LEAST_OF_SERVED * served_per_s / max(1, organisations)
+        return max(SMALLEST_RATE_PER_S, least_per_s)
 
     def _follow_queue(self, busy: float, occupancy: float) -> None:
         if occupancy > 0:
--- a/src/rattanstile/process/serving.py
+++ b/src/rattanstile/process/serving.py
@@ -206,7 +206,7 @@
     def _enqueue(
         self, now_s: float, live: LiveCall, sender: NodeId
     ) -> list[ServingOutput]:
-        self._gauge.arrived(now_s, live.call.organisation, live.call.priority)
+        self._gauge.arrived(now_s, live.call)
         queued = Queued(live.call, sender, live.deadline_s, now_s)
         capacity = self._capacity + self._free_slots
         dropped = self._queue.offer(queued, capacity)
@@ -260,6 +260,7 @@
     def _dispatch(self, now_s: float, live: LiveCall) -> Dispatch:
         live.started_s = now_s
         self._limiter.started(now_s)
+        self._gauge.dispatched(now_s, live.call.priority)
         remaining_ms = max(1, int((live.deadline_s - now_s) * 1000))
         return Dispatch(live.call, remaining_ms)
 
--- a/src/rattanstile/process/shedding.py
+++ b/src/rattanstile/process/shedding.py
@@ -93,11 +93,10 @@
         """Take one input and return what follows from it."""
         match entry_input:
             case CallRequested():
-                drawn = self._drawn(entry_input)
-                refused = self._shed(now_s, drawn)
-                if refused:
-                    return [refused]
-                entry_input = drawn
+                tested = self._tested(now_s, entry_input)
+                if isinstance(tested, Finished):
+                    return [tested]
+                entry_input = tested
             case ReplyArrived():
                 self._replied(now_s, entry_input)
         outputs = self._entry.step(now_s, entry_input)
@@ -112,27 +111,33 @@
             self._book.forget(now_s)
         return self._book.pressure(now_s, asked)
 
-    def _drawn(self, request: CallRequested) -> CallRequested:
-        if request.shed_draw >= 0:
-            return request
-        return replace(request, shed_draw=self._rng.random())
-
-    def _shed(self, now_s: float, request: CallRequested) -> Finished | None:
+    def _tested(
+        self, now_s: float, request: CallRequested
+    ) -> CallRequested | Finished:
+        """Return the request with its draw and test, or its refusal."""
+        draw = request.shed_draw
+        if draw < 0:
+            draw = self._rng.random()
         asked = CallClass(
             service=request.service,
             organisation=request.organisation,
             priority=_priority_of(request),
             route=request.route.path,
-            draw=request.shed_draw,
+            draw=draw,
         )
         pressure = self.pressure(now_s, asked)
+        tested = pressure
         if request.hops:
-            pressure = max(0.0, pressure - SPARED_BELOW)
-        if not is_shed(pressure, asked.priority, asked.draw):
-            return None
-        _log.info(CallShed(request.request_id, asked, pressure).line())
-        refused = own_refusal(request, Reason.SHED, RETRY_AFTER_MS)
-        return Finished(request.request_id, _told(refused, pressure))
+            tested = max(0.0, pressure - SPARED_BELOW)
+        if is_shed(tested, asked.priority, draw):
+            _log.info(CallShed(request.request_id, asked, pressure).line())
+            refused = own_refusal(request, Reason.SHED, RETRY_AFTER_MS)
+            return Finished(request.request_id, _told(refused, pressure))
+        return replace(
+            request,
+            shed_draw=draw,
+            shed_pressure=max(tested, request.shed_pressure),
+        )
 
     def _replied(self, now_s: float, arrived: ReplyArrived) -> None:
         reply = arrived.reply
--- a/src/rattanstile/request/envelope.py
+++ b/src/rattanstile/request/envelope.py
@@ -33,6 +33,8 @@
         shed_draw: Uniform draw in [0, 1) of the whole call tree, inherited
             from the parent; hops with the same pressure then shed the same
             trees. Negative when there is none yet.
+        shed_pressure: Largest pressure that the call tree was tested with;
+            tells how many calls this one stands for.
     """
 
     call_id: CallId
@@ -52,6 +54,7 @@
     home: NodeId
     version: VersionNumber = VersionNumber(0)
     shed_draw: float = -1.0
+    shed_pressure: float = 0.0
 
 
 class Reply(msgspec.Struct, frozen=True, kw_only=True, tag='reply'):
