--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,226 @@
+"""Overload: goodput, recovery, priority, fairness and cold starts."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import logbook
+
+from bench.overload_cases import (
+    chain_at_three_times,
+    lookups_over_transactions,
+    one_greedy_organisation,
+    restart_of_all_targets,
+    slow_deep_service,
+    steady_load,
+)
+from bench.overload_fleet import (
+    PRAIRIE_CHAIN,
+    PRAIRIE_FAR_S,
+    VEDLOTT_CHAIN,
+    VEDLOTT_FAR_S,
+    pass_through_fleet,
+    real_fleet,
+)
+from bench.overload_model import Fleet, ServiceShape
+from bench.row import Row
+
+COLD_START_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """A users' chain of services.
+
+    Attributes:
+        registry: The service of claims, or the till.
+    """
+
+    name: str
+    chain: tuple[ServiceShape, ...]
+    registry: ServiceShape
+    far_s: float
+
+    @property
+    def deepest(self) -> ServiceShape:
+        """Return the service with the least capacity."""
+        return self.chain[-1]
+
+    def real(self, *shapes: ServiceShape) -> Fleet:
+        """Return a fleet of real machines."""
+        return real_fleet(shapes or self.chain, self.far_s)
+
+    def pass_through(self, *shapes: ServiceShape) -> Fleet:
+        """Return the same fleet of pass-through nodes."""
+        return pass_through_fleet(shapes or self.chain, self.far_s)
+
+
+DEPLOYMENTS = (
+    Deployment(
+        'vedlott',
+        VEDLOTT_CHAIN,
+        ServiceShape('claims', 3, 160, 1.0),
+        VEDLOTT_FAR_S,
+    ),
+    Deployment(
+        'prairie cuckoo',
+        PRAIRIE_CHAIN,
+        ServiceShape('till', 3, 130, 1.0),
+        PRAIRIE_FAR_S,
+    ),
+)
+
+
+def _chain_rows(deployment: Deployment) -> list[Row]:
+    chain = deployment.chain
+    real = chain_at_three_times(deployment.real(), chain)
+    baseline = chain_at_three_times(deployment.pass_through(), chain)
+    case = f'{deployment.name}: chain at 3x'
+    return [
+        Row(
+            f'{case}, goodput over capacity',
+            f'{real.goodput:.3f}',
+            '>= 0.95',
+            real.goodput >= 0.95,
+            f'{baseline.goodput:.3f}',
+        ),
+        Row(
+            f'{case}, attempts for each call',
+            f'{real.amplification:.3f}',
+            '<= 1.1',
+            real.amplification <= 1.1,
+            f'{baseline.amplification:.3f}',
+        ),
+        Row(
+            f'{case}, share of slot time wasted',
+            f'{real.wasted:.3f}',
+            'none',
+            held=True,
+            baseline=f'{baseline.wasted:.3f}',
+        ),
+    ]
+
+
+def _slow_rows(deployment: Deployment) -> list[Row]:
+    chain = deployment.chain
+    real_s = slow_deep_service(deployment.real(), chain)
+    baseline_s = slow_deep_service(deployment.pass_through(), chain)
+    return [
+        Row(
+            f'{deployment.name}: deep service slow in a surge, recovery',
+            f'{real_s:.1f} s',
+            '<= 2 s',
+            real_s <= 2.0,
+            f'{baseline_s:.1f} s',
+        ),
+    ]
+
+
+def _priority_rows(deployment: Deployment) -> list[Row]:
+    shape = deployment.registry
+    real = lookups_over_transactions(deployment.real(shape), shape)
+    baseline = lookups_over_transactions(deployment.pass_through(shape), shape)
+    case = f'{deployment.name}: transactions beside lookups at 3x'
+    return [
+        Row(
+            f'{case}, whole',
+            f'{real.transactions_whole:.4f}',
+            '>= 0.99',
+            real.transactions_whole >= 0.99,
+            f'{baseline.transactions_whole:.4f}',
+        ),
+        Row(
+            f'{case}, shed while a lookup is admitted',
+            str(real.shed_before_lookups),
+            '0',
+            real.shed_before_lookups == 0,
+            str(baseline.shed_before_lookups),
+        ),
+        Row(
+            f'{case}, lookups whole over capacity',
+            f'{real.lookups_per_s:.3f}',
+            'none',
+            held=True,
+            baseline=f'{baseline.lookups_per_s:.3f}',
+        ),
+    ]
+
+
+def _greedy_rows(deployment: Deployment) -> list[Row]:
+    shape = deployment.deepest
+    rows_found = []
+    for rate_limited in (False, True):
+        real = one_greedy_organisation(
+            deployment.real(shape), shape, rate_limited=rate_limited
+        )
+        baseline = one_greedy_organisation(
+            deployment.pass_through(shape), shape, rate_limited=rate_limited
+        )
+        front = 'rate limiter in front' if rate_limited else 'queue alone'
+        rows_found.append(
+            Row(
+                f'{deployment.name}: one greedy, worst of seven, {front}',
+                f'{real:.4f}',
+                '>= 0.99',
+                real >= 0.99,
+                f'{baseline:.4f}',
+            ),
+        )
+    return rows_found
+
+
+def _restart_rows(deployment: Deployment) -> list[Row]:
+    shape = replace(deployment.deepest, cold_slots=2, cold_start_s=COLD_START_S)
+    real = restart_of_all_targets(deployment.real(shape), shape)
+    baseline = restart_of_all_targets(deployment.pass_through(shape), shape)
+    case = f'{deployment.name}: all targets restart cold'
+    return [
+        Row(
+            f'{case}, calls beyond what they bear',
+            str(real.over_cold),
+            '0',
+            real.over_cold == 0,
+            str(baseline.over_cold),
+        ),
+        Row(
+            f'{case}, back to full',
+            f'{real.recovered_s:.1f} s',
+            f'<= {1.5 * COLD_START_S:.1f} s',
+            real.recovered_s <= 1.5 * COLD_START_S,
+            f'{baseline.recovered_s:.1f} s',
+        ),
+    ]
+
+
+def _steady_rows(deployment: Deployment) -> list[Row]:
+    chain = deployment.chain
+    real = steady_load(deployment.real(), chain)
+    baseline = steady_load(deployment.pass_through(), chain)
+    return [
+        Row(
+            f'{deployment.name}: steady at 80%, wrongful refusals',
+            f'{real:.5f}',
+            '<= 0.001',
+            real <= 0.001,
+            f'{baseline:.5f}',
+        ),
+    ]
+
+
+CASES: tuple[Callable[[Deployment], list[Row]], ...] = (
+    _chain_rows,
+    _slow_rows,
+    _priority_rows,
+    _greedy_rows,
+    _restart_rows,
+    _steady_rows,
+)
+
+
+def rows() -> list[Row]:
+    """Return the rows of all cases for both deployments."""
+    found: list[Row] = []
+    with logbook.NullHandler().applicationbound():
+        for deployment in DEPLOYMENTS:
+            for case in CASES:
+                found.extend(case(deployment))
+    return found
--- /dev/null
+++ b/bench/overload_cases.py
@@ -0,0 +1,242 @@
+"""Cases of overload, run on a fleet of real or of pass-through nodes."""
+
+from dataclasses import dataclass
+
+from bench.overload_fleet import LOOKUP, ORGANISATIONS, TRANSACTION
+from bench.overload_load import (
+    Bucket,
+    Callers,
+    Request,
+    Stream,
+    begun,
+    recovered_s,
+    steady,
+    stepped,
+    whole_per_s,
+    whole_share,
+)
+from bench.overload_model import Fleet, ServiceShape
+from rattanstile.request.outcome import Reason
+from rattanstile.request.priority import Priority
+
+WARM_S = 6.0
+CHAIN_S = 60.0
+DRAIN_S = 3.0
+SURGE_S = 5.0
+SLOW_S = 10.0
+SLOWDOWN = 4.0
+AFTER_S = 10.0
+PRIORITY_S = 12.0
+FAIRNESS_S = 20.0
+STEADY_S = 30.0
+RESTART_AFTER_S = 12.0
+JUST_S = 0.01
+GREED = 8
+WITHIN_SHARE = 0.1
+RECOVERED_SHARE = 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class ChainFigures:
+    """What the three-hop chain came to."""
+
+    goodput: float
+    amplification: float
+    wasted: float
+
+
+@dataclass(frozen=True, slots=True)
+class PriorityFigures:
+    """What lookups and transactions came to."""
+
+    transactions_whole: float
+    lookups_per_s: float
+    shed_before_lookups: int
+
+
+@dataclass(frozen=True, slots=True)
+class RestartFigures:
+    """What a cold start of all targets came to."""
+
+    over_cold: int
+    recovered_s: float
+
+
+def _begin_for_all(
+    callers: Callers, service: str, rates: tuple[float, float], until_s: float
+) -> None:
+    """Let all organisations call alike, at one rate and after WARM_S another.
+
+    Args:
+        callers: Make the calls.
+        service: The service called.
+        rates: Calls a second of all organisations, before and after.
+        until_s: When the last call begins.
+    """
+    before_per_s, after_per_s = [rate / len(ORGANISATIONS) for rate in rates]
+    for organisation in ORGANISATIONS:
+        rate = stepped(before_per_s, after_per_s, WARM_S)
+        callers.begin(Stream(organisation, service, LOOKUP, rate), until_s)
+
+
+def chain_at_three_times(
+    fleet: Fleet, chain: tuple[ServiceShape, ...]
+) -> ChainFigures:
+    """Run three times the demand that the deepest service bears."""
+    callers = Callers(fleet)
+    capacity_per_s = chain[-1].capacity_per_s
+    rates = (0.5 * capacity_per_s, 3 * capacity_per_s)
+    end_s = WARM_S + CHAIN_S
+    _begin_for_all(callers, chain[0].name, rates, end_s)
+    fleet.loop.run(WARM_S)
+    fleet.reset_counts()
+    fleet.loop.run(end_s)
+    goodput_per_s = whole_per_s(callers.requests, WARM_S, end_s)
+    return ChainFigures(
+        goodput_per_s / capacity_per_s,
+        fleet.attempts / max(1, len(fleet.needed)),
+        _wasted_share(fleet, callers),
+    )
+
+
+def slow_deep_service(fleet: Fleet, chain: tuple[ServiceShape, ...]) -> float:
+    """Slow the deepest service in a surge; return the recovery in seconds."""
+    callers = Callers(fleet)
+    capacity_per_s = chain[-1].capacity_per_s
+    slow_end_s = WARM_S + SURGE_S + SLOW_S
+    end_s = slow_end_s + AFTER_S
+    rates = (0.5 * capacity_per_s, 0.85 * capacity_per_s)
+    _begin_for_all(callers, chain[0].name, rates, end_s)
+    fleet.loop.run(WARM_S + SURGE_S)
+    _set_slowdown(fleet, chain[-1].name, SLOWDOWN)
+    fleet.loop.run(slow_end_s)
+    _set_slowdown(fleet, chain[-1].name, 1.0)
+    fleet.loop.run(end_s + DRAIN_S)
+    return recovered_s(callers.requests, slow_end_s, end_s, RECOVERED_SHARE)
+
+
+def lookups_over_transactions(
+    fleet: Fleet, shape: ServiceShape
+) -> PriorityFigures:
+    """Offer lookups at three times the capacity beside transactions."""
+    callers = Callers(fleet)
+    capacity_per_s = shape.capacity_per_s
+    end_s = WARM_S + PRIORITY_S
+    lookups = (0.2 * capacity_per_s, 3 * capacity_per_s)
+    _begin_for_all(callers, shape.name, lookups, end_s)
+    each_per_s = 0.5 * capacity_per_s / len(ORGANISATIONS)
+    for organisation in ORGANISATIONS:
+        rate = steady(each_per_s)
+        callers.begin(
+            Stream(organisation, shape.name, TRANSACTION, rate), end_s
+        )
+    fleet.loop.run(end_s + DRAIN_S)
+    measured = begun(callers.requests, WARM_S, end_s)
+    transactions = [one for one in measured if one.stream.path == TRANSACTION]
+    looked_up = [one for one in measured if one.stream.path == LOOKUP]
+    return PriorityFigures(
+        whole_share(transactions),
+        whole_per_s(looked_up, WARM_S, end_s) / capacity_per_s,
+        _shed_before_lookups(fleet),
+    )
+
+
+def one_greedy_organisation(
+    fleet: Fleet, shape: ServiceShape, *, rate_limited: bool
+) -> float:
+    """Return the whole share of the worst of seven beside a greedy one."""
+    callers = Callers(fleet)
+    within_per_s = WITHIN_SHARE * shape.capacity_per_s
+    end_s = WARM_S + FAIRNESS_S
+    for organisation in ORGANISATIONS:
+        is_greedy = organisation == ORGANISATIONS[0]
+        demand_per_s = within_per_s * (GREED if is_greedy else 1)
+        bucket = None
+        if rate_limited and is_greedy:
+            bucket = Bucket(within_per_s, 2 * within_per_s)
+        callers.begin(
+            Stream(
+                organisation,
+                shape.name,
+                LOOKUP,
+                stepped(within_per_s / 2, demand_per_s, WARM_S),
+                bucket=bucket,
+            ),
+            end_s,
+        )
+    fleet.loop.run(end_s + DRAIN_S)
+    measured = begun(callers.requests, WARM_S, end_s)
+    return min(
+        whole_share(_of(measured, organisation))
+        for organisation in ORGANISATIONS[1:]
+    )
+
+
+def restart_of_all_targets(fleet: Fleet, shape: ServiceShape) -> RestartFigures:
+    """Restart all targets of a service at once, without a warning."""
+    callers = Callers(fleet)
+    demand_per_s = 0.6 * shape.capacity_per_s
+    restart_s = WARM_S + RESTART_AFTER_S
+    end_s = restart_s + 2 * shape.cold_start_s
+    rates = (demand_per_s, demand_per_s)
+    _begin_for_all(callers, shape.name, rates, end_s)
+    fleet.loop.run(restart_s)
+    for node in fleet.of(shape.name):
+        node.target.restart()
+    fleet.loop.run(end_s + DRAIN_S)
+    over_cold = sum(
+        node.target.counts.over_cold for node in fleet.of(shape.name)
+    )
+    return RestartFigures(
+        over_cold,
+        recovered_s(callers.requests, restart_s, end_s, RECOVERED_SHARE),
+    )
+
+
+def steady_load(fleet: Fleet, chain: tuple[ServiceShape, ...]) -> float:
+    """Return the share refused at 80% of the capacity, without a fault."""
+    callers = Callers(fleet)
+    demand_per_s = 0.8 * chain[-1].capacity_per_s
+    end_s = WARM_S + STEADY_S
+    rates = (0.5 * demand_per_s, demand_per_s)
+    _begin_for_all(callers, chain[0].name, rates, end_s)
+    fleet.loop.run(end_s + DRAIN_S)
+    measured = begun(callers.requests, WARM_S, end_s)
+    refused = [one for one in measured if any(one.reasons)]
+    return len(refused) / len(measured)
+
+
+def _wasted_share(fleet: Fleet, callers: Callers) -> float:
+    """Return the share of slot time spent on requests that failed."""
+    spent_s = 0.0
+    wasted_s = 0.0
+    for node in fleet.nodes.values():
+        for number, work_s in node.target.counts.work_s.items():
+            spent_s += work_s
+            if not callers.requests[number].is_whole:
+                wasted_s += work_s
+    return wasted_s / max(spent_s, 1e-9)
+
+
+def _set_slowdown(fleet: Fleet, service: str, slowdown: float) -> None:
+    for node in fleet.of(service):
+        node.target.slowdown = slowdown
+
+
+def _of(requests: list[Request], organisation: str) -> list[Request]:
+    return [one for one in requests if one.stream.organisation == organisation]
+
+
+def _shed_before_lookups(fleet: Fleet) -> int:
+    """Count the transactions shed just before a lookup was sent to a target."""
+    shed = [
+        ended.at_s
+        for ended in fleet.ends
+        if ended.priority is Priority.TRANSACTION
+        and ended.reason is Reason.SHED
+    ]
+    lookups = fleet.lookups_sent_s
+    return sum(
+        any(at_s <= sent_s < at_s + JUST_S for sent_s in lookups)
+        for at_s in shed
+    )
--- a/src/rattanstile/process/limiter.py
+++ b/src/rattanstile/process/limiter.py
@@ -117,7 +117,9 @@
             self._observe(latency_s)
         else:
             self._window.errors += 1
-        if self._window_is_over(now_s):
+        if self._window_is_over(now_s) or (
+            ok and self._cold_start_is_over(now_s)
+        ):
             self._close_window(now_s)
 
     def released(self, now_s: float) -> None:
@@ -196,8 +198,10 @@
         window = self._window
         self._window = _Window(now_s, peak=self.in_flight)
         if self._cold_since_s is not None:
-            self._leave_cold_start(now_s, window)
-            return
+            if not window.successes or not self._cold_start_is_over(now_s):
+                return
+            self._cold_since_s = None
+            self._before_suspicion = None
         seen = self._seen(window)
         if self._warming:
             self._warm_up(seen)
@@ -211,12 +215,11 @@
             mean_s = window.latencies_s / window.successes
         return WindowSeen(mean_s, window.errors * 2 > window.successes)
 
-    def _leave_cold_start(self, now_s: float, window: _Window) -> None:
-        if self._cold_since_s is None or not window.successes:
-            return
-        if now_s - self._cold_since_s >= self.limits.cold_start_s:
-            self._cold_since_s = None
-            self._before_suspicion = None
+    def _cold_start_is_over(self, now_s: float) -> bool:
+        since_s = self._cold_since_s
+        if since_s is None:
+            return False
+        return now_s - since_s >= self.limits.cold_start_s
 
     def _warm_up(self, seen: WindowSeen) -> None:
         if self._controller.is_congested(seen):
