Tell the pressure ceiling, so that any reply renews the news of all

Cause: an entry hears from one organisation at one service less than once a second when most is shed, so it kept shedding after the service had recovered; and the fair rate was cut below what organisations within their share want. Change: replies tell the ceiling beside the organisation's own pressure; the entry keeps the ceiling by node and each organisation's demand relative to the largest. A cold start ends by as many answers as a window needs, not by one. Shared: Reply.pressure_ceiling, Reply.subtree_ceiling, ChildEnded.ceiling; serving_call.child_end builds ChildEnded from a child's reply.

--- a/src/rattanstile/process/limiter.py
+++ b/src/rattanstile/process/limiter.py
@@ -117,9 +117,7 @@
             self._observe(latency_s)
         else:
             self._window.errors += 1
-        if self._window_is_over(now_s) or (
-            ok and self._cold_start_is_over(now_s)
-        ):
+        if self._window_is_over(now_s):
             self._close_window(now_s)
 
     def released(self, now_s: float) -> None:
@@ -189,10 +187,12 @@
 
     def _window_is_over(self, now_s: float) -> bool:
         window = self._window
-        length_s = max(WINDOW_S, self.latency_s)
-        ended = window.successes + window.errors
         fewest = min(WINDOW_SAMPLES, self.limit)
-        return now_s - window.began_s >= length_s and ended >= fewest
+        if window.successes + window.errors < fewest:
+            return False
+        if window.successes and self._cold_start_is_over(now_s):
+            return True
+        return now_s - window.began_s >= max(WINDOW_S, self.latency_s)
 
     def _close_window(self, now_s: float) -> None:
         window = self._window
--- a/src/rattanstile/process/messages.py
+++ b/src/rattanstile/process/messages.py
@@ -100,10 +100,12 @@
         parent: The running call.
         pressure: The larger of the child's own and subtree pressure; for a
             child refused at this entry, the pressure that refused it.
+        ceiling: The ceiling that belongs to it; 0 when not told.
     """
 
     parent: CallId
     pressure: float
+    ceiling: float = 0.0
 
 
 ServingInput = (
--- a/src/rattanstile/process/pressure.py
+++ b/src/rattanstile/process/pressure.py
@@ -24,6 +24,7 @@
 HOLD_S = 1.0
 DOUBLING_S = 1.0
 FIRST_ADMITTED = 0.02
+LARGEST_SHARE = 0.98
 FORGET_S = 10.0
 
 
@@ -57,7 +58,7 @@
     """Return a pressure after its admitted share doubled some times."""
     while pressure > 0:
         level = shed_level(pressure)
-        admitted = max(FIRST_ADMITTED, 1 - (pressure - level))
+        admitted = _admitted(pressure)
         needed = -math.log2(admitted)
         if needed >= doublings:
             return level + 1 - admitted * 2**doublings
@@ -70,73 +71,121 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Told:
-    """What one node told last."""
+class Told:
+    """What a reply tells of the pressure that its call met.
+
+    Attributes:
+        pressure: That of the call's own organisation.
+        ceiling: That of the organisation that is shed most.
+        weight: Calls at once that the ceiling speaks for.
+    """
 
     pressure: float
-    weight: int
+    ceiling: float
+    weight: int = 1
+
+    @property
+    def level(self) -> Priority:
+        """Return the lowest priority of which some calls are admitted."""
+        return shed_level(self.ceiling)
+
+    @property
+    def demand(self) -> float | None:
+        """Return the organisation's demand over the largest one.
+
+        None when it is not shed at all, so that only a bound is known.
+        """
+        shed = self.pressure - self.level
+        if shed <= 0:
+            return None
+        admitted = 1 - min(LARGEST_SHARE, shed)
+        return min(1.0, _admitted(self.ceiling) / admitted)
+
+
+@dataclass(frozen=True, slots=True)
+class _Demand:
+    """Demand of one organisation over the largest one, at one level."""
+
+    demand: float
+    level: Priority
     told_s: float
 
 
 class PressureMemory:
-    """What replies told an entry about one service and organisation."""
+    """What replies told an entry about one service or route.
+
+    The ceiling moves fast and is common: any organisation's reply renews it.
+    The demands of the organisations relative to each other move slowly.
+    """
 
     def __init__(self) -> None:
         """Begin without pressure."""
-        self._told: dict[NodeId, _Told] = {}
+        self._ceilings: dict[NodeId, tuple[Told, float]] = {}
+        self._demands: dict[OrganisationId, _Demand] = {}
         self._heard_s = -math.inf
 
     def told(
-        self, now_s: float, node_id: NodeId, pressure: float, weight: int
+        self,
+        now_s: float,
+        node_id: NodeId,
+        organisation: OrganisationId,
+        told: Told,
     ) -> None:
-        """Keep what a reply told, in place of the node's earlier word.
-
-        Args:
-            now_s: Monotonic seconds.
-            node_id: The node that replied.
-            pressure: The pressure told.
-            weight: Calls at once that the pressure speaks for.
-        """
+        """Keep what a reply told, in place of the node's earlier word."""
         self._heard_s = now_s
-        self._told[node_id] = _Told(pressure, max(1, weight), now_s)
+        self._ceilings[node_id] = (told, now_s)
+        demand = told.demand
+        if demand is None:
+            self._demands.pop(organisation, None)
+        else:
+            self._demands[organisation] = _Demand(demand, told.level, now_s)
 
-    def pressure(self, now_s: float, priority: Priority) -> float:
-        """Return the pressure that a call of this priority meets.
+    def met(self, now_s: float, asked: CallClass) -> Told:
+        """Return the pressure that a call meets.
 
-        It is the mean by capacity of what the nodes told last, relaxed when
-        none has told anything for a while; the least of it where transactions
+        It follows from the mean ceiling by capacity, relaxed when none has
+        told anything for a while; from the least ceiling where transactions
         would be shed, so that no single node's word sheds one.
         """
-        self._forget(now_s)
-        if not self._told:
+        ceiling = self._ceiling(now_s, asked.priority)
+        level = shed_level(ceiling)
+        demand = self._demands.get(asked.organisation)
+        if demand is None or demand.level is not level:
+            return Told(float(level), ceiling)
+        shed = 1 - _admitted(ceiling) / demand.demand
+        pressure = level + min(LARGEST_SHARE, max(0.0, shed))
+        return Told(pressure, ceiling)
+
+    def forget(self, now_s: float) -> bool:
+        """Drop what is too old; tell whether nothing is left."""
+        if now_s - self._heard_s > FORGET_S:
+            self._ceilings.clear()
+            self._demands.clear()
+        for organisation, demand in list(self._demands.items()):
+            if now_s - demand.told_s > FORGET_S:
+                self._demands.pop(organisation)
+        return not self._ceilings
+
+    def _ceiling(self, now_s: float, priority: Priority) -> float:
+        fresh = [
+            told
+            for told, told_s in self._ceilings.values()
+            if self._heard_s - told_s <= FORGET_S
+        ]
+        if not fresh or now_s - self._heard_s > FORGET_S:
             return 0.0
         if priority is Priority.TRANSACTION:
-            kept = min(told.pressure for told in self._told.values())
+            ceiling = min(told.ceiling for told in fresh)
         else:
-            weights = sum(told.weight for told in self._told.values())
-            weighted = sum(
-                told.pressure * told.weight for told in self._told.values()
-            )
-            kept = weighted / weights
-        silent_s = max(0.0, now_s - self._heard_s - HOLD_S)
-        return relaxed(kept, silent_s / DOUBLING_S) if silent_s else kept
-
-    @property
-    def is_empty(self) -> bool:
-        """Tell whether nothing is remembered."""
-        return not self._told
+            weights = sum(told.weight for told in fresh)
+            ceiling = sum(one.ceiling * one.weight for one in fresh) / weights
+        silent_s = now_s - self._heard_s - HOLD_S
+        if silent_s <= 0:
+            return ceiling
+        return relaxed(ceiling, silent_s / DOUBLING_S)
 
-    def _forget(self, now_s: float) -> None:
-        if now_s - self._heard_s > FORGET_S:
-            self._told.clear()
-            return
-        if len(self._told) > 1:
-            for node_id, told in list(self._told.items()):
-                if self._heard_s - told.told_s > FORGET_S:
-                    self._told.pop(node_id)
 
-
-_MemoryKey = tuple[ServiceName, OrganisationId, str]
+_MemoryKey = tuple[ServiceName, str]
 OWN = '='
 """Key of a service's own pressure, which is no path prefix."""
 ANY_NODE = NodeId('')
@@ -144,29 +193,29 @@
 
 
 class PressureBook:
-    """All that one entry remembers, by service, organisation and route."""
+    """All that one entry remembers, by service and by route."""
 
     def __init__(self) -> None:
         """Begin without pressure."""
         self._memories: dict[_MemoryKey, PressureMemory] = {}
 
-    def pressure(self, now_s: float, asked: CallClass) -> float:
+    def pressure(self, now_s: float, asked: CallClass) -> Told:
         """Return the larger of the service's own and the route's pressure."""
-        keys = (self._key(asked, OWN), self._key(asked, asked.route))
-        memories = [self._memories.get(key) for key in keys]
-        return max(
-            memory.pressure(now_s, asked.priority) if memory else 0.0
-            for memory in memories
-        )
+        found = Told(0.0, 0.0)
+        for key in (OWN, asked.route):
+            memory = self._memories.get((asked.service, key))
+            if memory:
+                told = memory.met(now_s, asked)
+                found = max(found, told, key=lambda one: one.pressure)
+        return found
 
     def told(
         self,
         now_s: float,
         asked: CallClass,
         node_id: NodeId,
-        own: float,
-        subtree: float,
-        weight: int,
+        own: Told,
+        subtree: Told,
     ) -> None:
         """Keep what the reply to a call told.
 
@@ -174,35 +223,35 @@
             now_s: Monotonic seconds.
             asked: The call.
             node_id: The node that replied.
-            own: `Reply.pressure`.
-            subtree: `Reply.subtree_pressure`.
-            weight: `Reply.limit`.
+            own: What it told of its own target.
+            subtree: What it told of the calls that the call made.
         """
-        self._tell(now_s, self._key(asked, OWN), node_id, own, weight)
-        key = self._key(asked, asked.route)
-        self._tell(now_s, key, ANY_NODE, subtree, 1)
+        self._tell(now_s, asked, OWN, node_id, own)
+        self._tell(now_s, asked, asked.route, ANY_NODE, subtree)
 
     def forget(self, now_s: float) -> None:
         """Drop what is too old; keeps memory bounded by recent calls."""
         for key, memory in list(self._memories.items()):
-            memory.pressure(now_s, Priority.LOOKUP)
-            if memory.is_empty:
+            if memory.forget(now_s):
                 self._memories.pop(key)
 
     def _tell(
         self,
         now_s: float,
-        key: _MemoryKey,
+        asked: CallClass,
+        route: str,
         node_id: NodeId,
-        pressure: float,
-        weight: int,
+        told: Told,
     ) -> None:
+        key = (asked.service, route)
         memory = self._memories.get(key)
         if memory is None:
-            if not pressure:
+            if not told.ceiling:
                 return
             memory = self._memories.setdefault(key, PressureMemory())
-        memory.told(now_s, node_id, pressure, weight)
+        memory.told(now_s, node_id, asked.organisation, told)
+
 
-    def _key(self, asked: CallClass, route: str) -> _MemoryKey:
-        return (asked.service, asked.organisation, route)
+def _admitted(pressure: float) -> float:
+    """Return the share admitted of the lowest priority admitted."""
+    return max(FIRST_ADMITTED, 1 - (pressure - shed_level(pressure)))
--- a/src/rattanstile/process/pressure_gauge.py
+++ b/src/rattanstile/process/pressure_gauge.py
@@ -10,13 +10,13 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from rattanstile.process.pressure import LARGEST_SHARE, Told
 from rattanstile.request.envelope import Call
 from rattanstile.request.ids import OrganisationId
 from rattanstile.request.priority import Priority
 
 WINDOW_S = 0.1
 DEMAND_MEMORY_S = 2.0
-LARGEST_SHARE = 0.98
 CUT_GAIN = 0.7
 OCCUPANCY_WANTED = 0.5
 OCCUPANCY_GAIN = 0.1
@@ -85,6 +85,16 @@
         """Return the pressure of the organisation that is shed most."""
         return self._level + self._share(self._largest_demand())
 
+    def told_to(self, organisation: OrganisationId, weight: int) -> Told:
+        """Return what a reply to an organisation's call tells.
+
+        Args:
+            organisation: Whose call it was.
+            weight: Calls at once that the target bears.
+        """
+        pressure = self.pressure_of(organisation)
+        return Told(pressure, self.highest, weight)
+
     def pressure_of(self, organisation: OrganisationId) -> float:
         """Return the pressure that calls of an organisation meet."""
         return self._level + self._share(self._demand_of(organisation))
@@ -147,16 +157,16 @@
         self._fair_per_s = max(self._least_fair_per_s(), base_per_s * kept)
 
     def _least_fair_per_s(self) -> float:
-        """Return a rate that even equal shares of what is served exceed.
+        """Return the fair rate at which most of what is served is wanted.
 
         Entries learn of a cut late; without this floor the cuts made
-        meanwhile would starve the target.
+        meanwhile would starve the target, and organisations within their
+        share with it.
         """
-        organisations = sum(
-            priority is self._level for priority, _ in self._demands
-        )
         served_per_s = self._served[self._level].rate_per_s(self._now_s)
-        least_per_s = LEAST_OF_SERVED * served_per_s / max(1, organisations)
+        least_per_s = fair_rate(
+            self._level_demands(), LEAST_OF_SERVED * served_per_s
+        )
         return max(SMALLEST_RATE_PER_S, least_per_s)
 
     def _follow_queue(self, busy: float, occupancy: float) -> None:
@@ -190,16 +200,37 @@
         return demand.rate_per_s(self._now_s) if demand else 0.0
 
     def _largest_demand(self) -> float:
-        return max(
-            (
-                demand.rate_per_s(self._now_s)
-                for (priority, _), demand in self._demands.items()
-                if priority is self._level
-            ),
-            default=0.0,
-        )
+        return max(self._level_demands(), default=0.0)
+
+    def _level_demands(self) -> list[float]:
+        return [
+            demand.rate_per_s(self._now_s)
+            for (priority, _), demand in self._demands.items()
+            if priority is self._level
+        ]
 
     def _share(self, demand_per_s: float) -> float:
         if demand_per_s <= self._fair_per_s:
             return 0.0
         return min(LARGEST_SHARE, 1 - self._fair_per_s / demand_per_s)
+
+
+def fair_rate(demands: list[float], capacity: float) -> float:
+    """Return the max-min fair rate.
+
+    Args:
+        demands: Calls a second that each organisation wants.
+        capacity: Calls a second to share out.
+
+    Returns:
+        The rate up to which each gets what it wants so that the sum is the
+        capacity; the largest demand when all fit.
+    """
+    left = capacity
+    ascending = sorted(demands)
+    for index, demand in enumerate(ascending):
+        equal = left / (len(ascending) - index)
+        if demand > equal:
+            return equal
+        left -= demand
+    return ascending[-1] if ascending else 0.0
--- a/src/rattanstile/process/serving.py
+++ b/src/rattanstile/process/serving.py
@@ -31,6 +31,7 @@
     TargetRestarted,
     Ticked,
 )
+from rattanstile.process.pressure import Told
 from rattanstile.process.pressure_gauge import PressureGauge
 from rattanstile.process.serving_call import (
     RESTART_SIGNS,
@@ -158,8 +159,8 @@
                 self._restart_told(now_s, boot_id)
             case CancelArrived():
                 return self._cancelled(now_s, serving_input)
-            case ChildEnded(parent=parent, pressure=pressure):
-                self._child_ended(parent, pressure)
+            case ChildEnded():
+                self._child_ended(serving_input)
             case Ticked():
                 return self._ticked(now_s)
             case DrainBegan():
@@ -340,10 +341,11 @@
         live.given_up = True
         return [CancelDispatch(cancel.call_id)]
 
-    def _child_ended(self, parent: CallId, pressure: float) -> None:
-        live = self._live.get(parent)
-        if live:
-            live.subtree_pressure = max(live.subtree_pressure, pressure)
+    def _child_ended(self, child: ChildEnded) -> None:
+        live = self._live.get(child.parent)
+        if live and child.pressure >= live.subtree.pressure:
+            ceiling = max(child.ceiling, child.pressure)
+            live.subtree = Told(child.pressure, ceiling)
 
     # Signs of a restart
 
@@ -412,7 +414,9 @@
     ) -> list[ServingOutput]:
         self._keep_end(now_s, live.call, reply)
         told = msgspec.structs.replace(
-            reply, subtree_pressure=live.subtree_pressure
+            reply,
+            subtree_pressure=live.subtree.pressure,
+            subtree_ceiling=live.subtree.ceiling,
         )
         return [self._addressed(told, waiter) for waiter in live.waiters]
 
@@ -422,13 +426,15 @@
 
     def _addressed(self, reply: Reply, waiter: Waiter) -> SendReply:
         """Address a reply to one attempt and tell the state of the target."""
+        gauged = self._gauge.told_to(waiter.organisation, self._limiter.limit)
         told = msgspec.structs.replace(
             reply,
             attempt=waiter.attempt,
             shed_level=self._gauge.level,
             in_flight=self._limiter.in_flight + len(self._queue),
-            limit=self._limiter.limit,
-            pressure=self._gauge.pressure_of(waiter.organisation),
+            limit=gauged.weight,
+            pressure=gauged.pressure,
+            pressure_ceiling=gauged.ceiling,
         )
         return SendReply(told, waiter.sender)
 
--- a/src/rattanstile/process/serving_call.py
+++ b/src/rattanstile/process/serving_call.py
@@ -3,12 +3,14 @@
 from dataclasses import dataclass, field
 
 from rattanstile.process.messages import (
+    ChildEnded,
     TargetAnswered,
     TargetFailed,
     TargetFailure,
 )
+from rattanstile.process.pressure import Told
 from rattanstile.request.envelope import Call, Reply
-from rattanstile.request.ids import NodeId, OrganisationId
+from rattanstile.request.ids import CallId, NodeId, OrganisationId
 from rattanstile.request.outcome import Outcome, Reason
 
 ERROR_STATUS = 500
@@ -55,7 +57,7 @@
         waiters: Attempts that get the reply.
         started_s: When it was dispatched; None while it is queued.
         given_up: Whether the target was told that nobody waits any more.
-        subtree_pressure: Largest pressure that its own calls met.
+        subtree: Largest pressure that its own calls met.
     """
 
     call: Call
@@ -63,7 +65,7 @@
     waiters: list[Waiter] = field(default_factory=list)
     started_s: float | None = None
     given_up: bool = False
-    subtree_pressure: float = 0.0
+    subtree: Told = Told(0.0, 0.0)
 
     def is_same_call(self, call: Call) -> bool:
         """Tell whether an attempt with this call's id asks for the same."""
@@ -93,6 +95,13 @@
         return expired
 
 
+def child_end(parent: CallId, reply: Reply) -> ChildEnded:
+    """Return what the reply of a child call tells its running parent."""
+    if reply.subtree_pressure > reply.pressure:
+        return ChildEnded(parent, reply.subtree_pressure, reply.subtree_ceiling)
+    return ChildEnded(parent, reply.pressure, reply.pressure_ceiling)
+
+
 def reply_of_answer(call: Call, answered: TargetAnswered) -> Reply:
     """Return the reply for what the target answered."""
     outcome, reason = _outcome_of(answered)
--- a/src/rattanstile/process/shedding.py
+++ b/src/rattanstile/process/shedding.py
@@ -23,7 +23,7 @@
     SendCall,
     SendCancel,
 )
-from rattanstile.process.pressure import CallClass, PressureBook, is_shed
+from rattanstile.process.pressure import CallClass, PressureBook, Told, is_shed
 from rattanstile.request.envelope import Call, Reply
 from rattanstile.request.ids import CallId
 from rattanstile.request.outcome import Reason
@@ -104,7 +104,7 @@
             self._remember(output)
         return outputs
 
-    def pressure(self, now_s: float, asked: CallClass) -> float:
+    def pressure(self, now_s: float, asked: CallClass) -> Told:
         """Return the pressure that a call meets at this entry."""
         if now_s - self._forgot_s > FORGET_PERIOD_S:
             self._forgot_s = now_s
@@ -125,14 +125,14 @@
             route=request.route.path,
             draw=draw,
         )
-        pressure = self.pressure(now_s, asked)
-        tested = pressure
+        met = self.pressure(now_s, asked)
+        tested = met.pressure
         if request.hops:
-            tested = max(0.0, pressure - SPARED_BELOW)
+            tested = max(0.0, tested - SPARED_BELOW)
         if is_shed(tested, asked.priority, draw):
-            _log.info(CallShed(request.request_id, asked, pressure).line())
+            _log.info(CallShed(request.request_id, asked, tested).line())
             refused = own_refusal(request, Reason.SHED, RETRY_AFTER_MS)
-            return Finished(request.request_id, _told(refused, pressure))
+            return Finished(request.request_id, _told(refused, met))
         return replace(
             request,
             shed_draw=draw,
@@ -144,14 +144,9 @@
         asked = self._asked.pop((reply.call_id, reply.attempt), None)
         if asked is None:
             return
-        self._book.told(
-            now_s,
-            asked,
-            arrived.sender,
-            reply.pressure,
-            reply.subtree_pressure,
-            reply.limit,
-        )
+        own = Told(reply.pressure, reply.pressure_ceiling, max(1, reply.limit))
+        subtree = Told(reply.subtree_pressure, reply.subtree_ceiling)
+        self._book.told(now_s, asked, arrived.sender, own, subtree)
 
     def _remember(self, output: EntryOutput) -> None:
         match output:
@@ -179,5 +174,7 @@
     return request.priority
 
 
-def _told(reply: Reply, pressure: float) -> Reply:
-    return msgspec.structs.replace(reply, pressure=pressure)
+def _told(reply: Reply, met: Told) -> Reply:
+    return msgspec.structs.replace(
+        reply, pressure=met.pressure, pressure_ceiling=met.ceiling
+    )
--- a/src/rattanstile/request/envelope.py
+++ b/src/rattanstile/request/envelope.py
@@ -69,7 +69,9 @@
         limit: Calls at once that the target now bears; 0 when not told.
         pressure: Shed level with its fraction: 1.4 sheds what lies below
             `Priority.LOOKUP` and 40% of the lookups.
-        subtree_pressure: The same for the calls that this call made.
+        pressure_ceiling: The pressure of the organisation that is shed most.
+        subtree_pressure: The pressure that met the calls this call made.
+        subtree_ceiling: The ceiling that belongs to it.
         failed_below: Whether a call that this one made did not end whole;
             the hop next to that failure has retried it already.
     """
@@ -87,7 +89,9 @@
     in_flight: int = 0
     limit: int = 0
     pressure: float = 0.0
+    pressure_ceiling: float = 0.0
     subtree_pressure: float = 0.0
+    subtree_ceiling: float = 0.0
     failed_below: bool = False
 
 
