The whole path on live processes: rattanstile node and demo

Cause: every piece stood once, and nothing joined them. Change: the node program (callers' HTTP, frames, control bus, log, rates, membership from the log), its commands, and the demonstration that starts a whole deployment and calls it.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	touch $(STAMP)
 
 demo: install
-	$(BIN)/python -m bench.demo
+	$(BIN)/rattanstile demo
 
 test: install
 	$(BIN)/nose2 --config unittest.cfg
--- a/src/rattanstile/cli.py
+++ b/src/rattanstile/cli.py
@@ -6,7 +6,10 @@
 
 from rattanstile import __version__
 from rattanstile.errors import ExitCode, RattanstileError
+from rattanstile.node_cli import add_node_command
+from rattanstile.operator_cli import add_operator_commands
 from rattanstile.standin_cli import add_standin_commands
+from rattanstile.trial.demo import add_demo_command
 
 _EPILOG = """\
 A first run:
@@ -34,7 +37,10 @@
         '--version', action='version', version=f'%(prog)s {__version__}'
     )
     subparsers = parser.add_subparsers(dest='command', required=True)
+    add_node_command(subparsers)
+    add_operator_commands(subparsers)
     add_standin_commands(subparsers)
+    add_demo_command(subparsers)
     return parser
 
 
--- /dev/null
+++ b/src/rattanstile/node_cli.py
@@ -0,0 +1,67 @@
+"""The command that runs a node."""
+
+import argparse
+import signal
+
+from rattanstile.errors import ExitCode
+from rattanstile.process.logs import logging_to
+from rattanstile.process.node import Node, running_node
+from rattanstile.process.reactor import Reactor, installed_reactor
+from rattanstile.process.settings import parse_address, read_settings
+from rattanstile.ready import print_ready
+
+
+def add_node_command(
+    subparsers: 'argparse._SubParsersAction[argparse.ArgumentParser]',
+) -> None:
+    """Add ``node``."""
+    parser = subparsers.add_parser(
+        'node',
+        help='run the node beside a target',
+        description='Runs until SIGTERM, which drains it: running calls are'
+        ' finished, new ones are refused, then the process ends.',
+    )
+    parser.add_argument('settings', help='JSON file with comments')
+    parser.add_argument(
+        '--check',
+        action='store_true',
+        help='validate the settings and stop',
+    )
+    parser.set_defaults(run=_run_node)
+
+
+def _run_node(arguments: argparse.Namespace) -> ExitCode:
+    settings = read_settings(arguments.settings)
+    if arguments.check:
+        print(f'{arguments.settings}: settings are valid')
+        return ExitCode.OK
+    reactor = installed_reactor()
+    with logging_to(settings.log), running_node(reactor, settings) as node:
+        # The reactor sets handlers of its own when it starts.
+        reactor.callWhenRunning(_drain_on_signals, reactor, node)
+        reactor.callWhenRunning(_print_addresses, node)
+        reactor.run()
+    return ExitCode.OK
+
+
+def _drain_on_signals(reactor: Reactor, node: Node) -> None:
+    def drain(*_: object) -> None:
+        reactor.callFromThread(node.drain, reactor.stop)
+
+    signal.signal(signal.SIGTERM, drain)
+    signal.signal(signal.SIGINT, drain)
+
+
+def _print_addresses(node: Node) -> None:
+    ports = node.core.ports
+    settings = node.core.settings
+    print_ready(
+        caller=_address(settings.caller_address, ports.caller),
+        peer=_address(settings.peer_address, ports.peer),
+        control=ports.control,
+        operator=_address(settings.operator_address, ports.operator),
+    )
+
+
+def _address(setting: str, port: int) -> str:
+    return f'{parse_address(setting).host}:{port}'
--- a/src/rattanstile/operator_cli.py
+++ b/src/rattanstile/operator_cli.py
@@ -285,7 +285,7 @@
 async def _node_status(address: str) -> NodeStatus:
     from twisted.internet import reactor  # noqa: PLC0415
 
-    agent = Agent(reactor, connectTimeout=NODE_TIMEOUT_S)  # type: ignore[no-untyped-call]
+    agent = Agent(reactor, connectTimeout=NODE_TIMEOUT_S)
     try:
         response = await agent.request(
             b'GET', f'http://{address}/status'.encode()
--- a/src/rattanstile/process/call_router.py
+++ b/src/rattanstile/process/call_router.py
@@ -54,6 +54,7 @@
         serving: Set before the first message.
         pool: Set before the first message.
         want_binding: Takes the bindings that calls need.
+        home_seen: Takes what nodes tell of themselves.
         from_caller: Takes what the caller library sent.
     """
 
@@ -61,6 +62,7 @@
     serving: ServingService
     pool: PeerPool
     want_binding: Callable[[BindingWanted], None]
+    home_seen: Callable[[HomeSeen], None]
     from_caller: Callable[[CallerMessageArrived | CallerLost], None]
 
     def __init__(
@@ -174,8 +176,11 @@
 
     def _home_seen(self, node_id: NodeId, id_epoch: int) -> None:
         incarnation = self._incarnations.get(node_id)
-        if incarnation is not None:
-            self.entry.step(HomeSeen(node_id, incarnation, id_epoch))
+        if incarnation is None:
+            return
+        seen = HomeSeen(node_id, incarnation, id_epoch)
+        self.home_seen(seen)
+        self.entry.step(seen)
 
 
 def _too_large(reply: Reply) -> Reply:
--- a/src/rattanstile/process/control_service.py
+++ b/src/rattanstile/process/control_service.py
@@ -7,7 +7,7 @@
 import logbook
 import msgspec
 
-from rattanstile.connection.control_bus import ControlSender
+from rattanstile.connection.control_bus import ControlBus
 from rattanstile.process.logs import key_values
 from rattanstile.process.rate_messages import RateMessage
 from rattanstile.process.relay_messages import RelayMessage
@@ -55,7 +55,7 @@
         self, node_id: NodeId, address_of: Callable[[NodeId], str | None]
     ) -> None:
         """Begin without a bus and without handlers."""
-        self.bus: ControlSender | None = None
+        self.bus: ControlBus | None = None
         self.handlers: dict[Family, ControlHandler] = {}
         self._node_id = node_id
         self._address_of = address_of
--- a/src/rattanstile/process/gate.py
+++ b/src/rattanstile/process/gate.py
@@ -1,6 +1,5 @@
 """The checks that a caller's request passes before any work is spent on it."""
 
-import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -16,6 +15,7 @@
 from rattanstile.request.priority import Priority
 from rattanstile.version.declaration import Route, Service
 from rattanstile.version.in_force import VersionInForce
+from rattanstile.version.keys import digest_of
 
 MS_PER_S = 1000
 UNDRAWN = -1.0
@@ -188,11 +188,6 @@
         return None
 
 
-def digest_of(key: str) -> KeyDigest:
-    """Return the form in which a key is kept and compared."""
-    return KeyDigest(hashlib.sha256(key.encode()).hexdigest())
-
-
 def _remaining_ms(asked: Asked, service: Service) -> int:
     wanted_ms = asked.deadline_ms or int(service.timeout_s * MS_PER_S)
     return min(wanted_ms, LONGEST_DEADLINE_MS)
--- a/src/rattanstile/process/node.py
+++ b/src/rattanstile/process/node.py
@@ -2,10 +2,10 @@
 
 import resource
 import time
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, ExitStack, contextmanager
+from enum import Enum, unique
 from functools import partial
-from pathlib import Path
 from random import Random, SystemRandom
 
 import logbook
@@ -13,34 +13,18 @@
 
 from rattanstile.connection.caller_http import listening_for_callers
 from rattanstile.connection.control_bus import ControlBus, opened_control_bus
-from rattanstile.connection.frames import (
-    Farewell,
-    Heartbeat,
-    Hello,
-    Role,
-)
+from rattanstile.connection.frames import Hello, Role
 from rattanstile.connection.http_request import CallerHttpRequest
-from rattanstile.connection.peer import (
-    CallerLost,
-    CallerMessageArrived,
-    EpochHeard,
-    MessageArrived,
-    PeerEvent,
-    PeerPool,
-    PeerReady,
-    listening_for_peers,
-)
+from rattanstile.connection.peer import PeerPool, listening_for_peers
 from rattanstile.connection.target_http import TargetSessions
+from rattanstile.process.binding import BindingMachine
+from rattanstile.process.binding_service import BindingService
+from rattanstile.process.call_router import CallRouter
 from rattanstile.process.caller_links import CallerLinks
 from rattanstile.process.chooser import Chooser
 from rattanstile.process.configuration import Configuration
 from rattanstile.process.contexts import CallContexts
-from rattanstile.process.control_messages import (
-    AppendRecord,
-    ControlArrived,
-    LogRecordRead,
-    SendControl,
-)
+from rattanstile.process.control_messages import ControlArrived
 from rattanstile.process.control_service import ControlService, Family
 from rattanstile.process.entry import EntryIdentity, EntryMachine
 from rattanstile.process.entry_service import (
@@ -49,31 +33,456 @@
     EntryService,
 )
 from rattanstile.process.gate import Asked, Gate
+from rattanstile.process.home_grants import HomeGrants
 from rattanstile.process.home_table import HomeTable
 from rattanstile.process.log_client import LogClient
 from rattanstile.process.logs import key_values
 from rattanstile.process.member_service import MemberService
-from rattanstile.process.messages import (
-    AskHome,
-    BindingWanted,
-    HomeSeen,
-    PeerLost,
-    ReplyArrived,
-    SendCall,
-    SendCancel,
-    SendReply,
-)
 from rattanstile.process.metrics import Metrics, opened_metrics
 from rattanstile.process.operator_http import (
     NodeStatus,
     listening_for_operators,
 )
 from rattanstile.process.rate_borrower import Borrower
-from rattanstile.process.rate_messages import ProcessId
+from rattanstile.process.rate_messages import (
+    ProcessId,
+    RateMessage,
+    RatePeer,
+    RatePeersChanged,
+)
 from rattanstile.process.rate_owner import RateOwner
 from rattanstile.process.rate_service import RateService
+from rattanstile.process.rate_stream import RateStream
 from rattanstile.process.reactor import Reactor
+from rattanstile.process.relay_messages import RelayMember
 from rattanstile.process.serving import ServingIdentity, ServingMachine
 from rattanstile.process.serving_service import ServingService
 from rattanstile.process.settings import NodeSettings, parse_address
+from rattanstile.process.shedding import SheddingEntry
 from rattanstile.process.timers import TimerService
+from rattanstile.process.unreachable import UnreachableMemory
+from rattanstile.request.envelope import Member, Reply
+from rattanstile.request.ids import (
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    ServiceName,
+    TargetId,
+)
+from rattanstile.version.in_force import VersionInForce
+
+MS_PER_S = 1000
+DRAIN_CHECK_S = 0.05
+FLUSH_S = 0.3
+NEVER_HEARD_S = 86_400.0
+
+_log = logbook.Logger('node')
+
+
+@unique
+class NodeState(Enum):
+    """Where a node is in its life."""
+
+    STARTING = 'starting'
+    SERVING = 'serving'
+    DRAINING = 'draining'
+
+
+class NodePorts:
+    """Ports and addresses that the node listens on, once it does."""
+
+    caller = 0
+    peer = 0
+    operator = 0
+    control = ''
+
+
+class NodeCore:
+    """What the parts of a node share.
+
+    Args:
+        settings: Validated settings.
+        metrics: Where the parts count.
+    """
+
+    def __init__(
+        self, settings: NodeSettings, reactor: Reactor, metrics: Metrics
+    ) -> None:
+        """Name this run of the node."""
+        self.settings = settings
+        self.reactor = reactor
+        self.metrics = metrics
+        self.timers = TimerService(reactor)
+        self.incarnation = Incarnation(int(time.time() * MS_PER_S))
+        self.node_id = NodeId(settings.node_id)
+        self.service = ServiceName(settings.service)
+        self.failure_domain = FailureDomainId(settings.failure_domain)
+        self.rng = Random(SystemRandom().getrandbits(64))
+        self.log_client = LogClient(reactor, settings.log_address)
+        self.ports = NodePorts()
+        self.home_table = HomeTable(
+            self.timers.now_s(), self.node_id, self.incarnation
+        )
+
+    @property
+    def process_id(self) -> ProcessId:
+        """Return the id of this run of the node."""
+        return ProcessId(node_id=self.node_id, incarnation=self.incarnation)
+
+    def member(self) -> Member:
+        """Return this node as the others know it, once it listens."""
+        peer_host = parse_address(self.settings.peer_address).host
+        return Member(
+            node_id=self.node_id,
+            incarnation=self.incarnation,
+            service=self.service,
+            failure_domain=self.failure_domain,
+            address=f'{peer_host}:{self.ports.peer}',
+            control_address=self.ports.control,
+        )
+
+    def hello(self) -> Hello:
+        """Return what this node says first on each connection."""
+        return Hello(
+            role=Role.NODE,
+            node_id=self.node_id,
+            incarnation=self.incarnation,
+            id_epoch=self.home_table.id_epoch,
+            failure_domain=self.failure_domain,
+            service=self.service,
+        )
+
+
+class Node:
+    """The parts of one node that listens already.
+
+    Args:
+        core: What the parts share.
+        control: Sends control messages; its handlers are set here.
+        pool: The connections to peers.
+    """
+
+    def __init__(
+        self, core: NodeCore, control: ControlService, pool: PeerPool
+    ) -> None:
+        """Build the parts and join them."""
+        self.state = NodeState.STARTING
+        self.core = core
+        self.pool = pool
+        self.control = control
+        own = core.member()
+        self.members = MemberService(
+            own,
+            core.reactor,
+            core.log_client,
+            core.rng,
+            self._members_changed,
+        )
+        self.configuration = Configuration(
+            RelayMember(core.node_id, core.failure_domain),
+            core.timers,
+            core.log_client,
+            partial(control.send, Family.RELAY),
+            self._version_changed,
+            core.rng,
+        )
+        self.rates = self._build_rates()
+        self.rate_stream = RateStream(
+            core.reactor, core.log_client, core.rng, self.rates.take
+        )
+        self.contexts = CallContexts()
+        self.router = CallRouter(
+            own,
+            lambda: core.home_table.id_epoch,
+            self.members.members.get,
+            core.timers,
+        )
+        self.serving = self._build_serving()
+        self.chooser = Chooser(core.failure_domain, self._in_force)
+        self.entry = self._build_entry()
+        self.bindings = BindingService(
+            BindingMachine(f'{core.node_id}/{core.incarnation}'),
+            core.log_client,
+            core.timers,
+            self.entry.step,
+        )
+        self._join_router()
+        control.handlers = {
+            Family.RELAY: self.configuration.receive,
+            Family.RATES: self._rate_message,
+        }
+
+    def handle_http(self, request: CallerHttpRequest) -> 'Deferred[Reply]':
+        """Return the reply to a caller's HTTP request."""
+        return self.entry.handle(
+            EntryRequest(
+                asked=Asked(
+                    key=request.key,
+                    service=request.service,
+                    method=request.method,
+                    path=request.path,
+                    deadline_ms=request.deadline_ms,
+                    parent=request.parent,
+                ),
+                headers=request.headers,
+                body=request.body,
+                attempt=0 if request.idempotency_key else 1,
+                idempotency_key=request.idempotency_key,
+            )
+        )
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Run every part while the block runs."""
+        with ExitStack() as stack:
+            for part in (
+                self.pool,
+                self.members,
+                self.configuration,
+                self.rates,
+                self.rate_stream,
+                self.serving,
+                self.entry,
+                self.bindings,
+            ):
+                stack.enter_context(part.running())
+            self.state = NodeState.SERVING
+            yield
+
+    def drain(self, done: Callable[[], None]) -> None:
+        """Take no new work, and call `done` when the last answer is out."""
+        if self.state is NodeState.DRAINING:
+            return
+        self.state = NodeState.DRAINING
+        _log.notice(key_values('drain_began', node=self.core.node_id))
+        self.members.leave()
+        self.pool.say_farewell()
+        self.serving.drain()
+        self.entry.drain()
+        timeout_s = self.core.settings.drain_timeout_s
+        self._await_idle(self.core.timers.now_s() + timeout_s, done)
+
+    def status(self) -> NodeStatus:
+        """Return what the node tells operators of itself."""
+        core = self.core
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        machine = self.serving.machine
+        bus = self.control.bus
+        return NodeStatus(
+            node_id=core.node_id,
+            incarnation=core.incarnation,
+            service=core.service,
+            failure_domain=core.failure_domain,
+            state=self.state.value,
+            version=self._in_force().number,
+            admits_keyed_calls=self.configuration.admits_keyed(),
+            staleness_s=self._staleness_s(),
+            limit=machine.limit,
+            in_flight=machine.running,
+            queued=machine.queued,
+            members=len(self.members.members),
+            control_bytes_sent=bus.sent_bytes if bus else 0,
+            control_bytes_received=bus.received_bytes if bus else 0,
+            processor_s=used.ru_utime + used.ru_stime,
+            rss_kb=used.ru_maxrss,
+        )
+
+    def observe(self) -> None:
+        """Make the gauges of this node readable."""
+        gauge = self.core.metrics.gauge
+        machine = self.serving.machine
+        gauge('queue', '{call}', lambda: machine.queued)
+        gauge('limit', '{call}', lambda: machine.limit)
+        gauge('in_flight', '{call}', lambda: machine.running)
+        gauge('version', '1', lambda: self._in_force().number)
+        gauge('staleness', 's', self._staleness_s)
+        gauge('loans', '{token}', self._loans)
+
+    # Building
+
+    def _build_rates(self) -> RateService:
+        core = self.core
+        return RateService(
+            core.node_id,
+            Borrower(core.process_id, core.rng),
+            RateOwner(core.process_id, core.failure_domain),
+            core.timers,
+            lambda out: self.control.send(
+                Family.RATES, out.receiver, out.message
+            ),
+            lambda wanted: self.rate_stream.append(wanted),
+        )
+
+    def _build_serving(self) -> ServingService:
+        core = self.core
+        target = parse_address(core.settings.target_address)
+        identity = ServingIdentity(
+            node_id=core.node_id,
+            target_id=TargetId(core.settings.target_id),
+            failure_domain=core.failure_domain,
+            service=core.service,
+        )
+        machine = ServingMachine(
+            identity, self._in_force, core.timers.now_s(), core.home_table
+        )
+        sessions = TargetSessions(
+            core.reactor,
+            core.timers,
+            target.host,
+            target.port,
+            core.settings.connections.max_target_connections,
+        )
+        return ServingService(
+            machine, sessions, self.contexts, core.timers, self.router.deliver
+        )
+
+    def _build_entry(self) -> EntryService:
+        core = self.core
+        machine = EntryMachine(
+            EntryIdentity(core.node_id, core.incarnation),
+            self.chooser,
+            core.rng,
+            unreachable=UnreachableMemory(),
+        )
+        gate = Gate(
+            self._in_force,
+            lambda _: self.configuration.admits_keyed(),
+            self.contexts,
+        )
+        service = EntryService(
+            gate,
+            machine,
+            SheddingEntry(machine, self._in_force, core.rng),
+            self.rates,
+            core.timers,
+            core.metrics.calls,
+            EntryPorts(self.router.send, self.serving.child_ended),
+        )
+        self.rates.decided = service.rate_decided
+        return service
+
+    def _join_router(self) -> None:
+        core = self.core
+        grants = HomeGrants(
+            core.node_id,
+            core.incarnation,
+            self.chooser,
+            core.timers,
+            core.rng,
+            self.router.send,
+        )
+        self.router.entry = self.entry
+        self.router.serving = self.serving
+        self.router.pool = self.pool
+        self.router.want_binding = self.bindings.want
+        self.router.home_seen = grants.home_seen
+        self.router.from_caller = CallerLinks(self.entry.handle, grants).take
+
+    # Changes
+
+    def _in_force(self) -> VersionInForce:
+        return self.configuration.in_force
+
+    def _staleness_s(self) -> float:
+        return min(self.configuration.staleness_s(), NEVER_HEARD_S)
+
+    def _loans(self) -> float:
+        return self.rates.borrower.loans(self.core.timers.now_s())
+
+    def _version_changed(self, version: VersionInForce) -> None:
+        self.entry.machine.adopt(version)
+        self.rates.adopt(version)
+
+    def _members_changed(self, members: tuple[Member, ...]) -> None:
+        self.chooser.members_changed(members, self.core.timers.now_s())
+        self.configuration.set_members(
+            tuple(
+                RelayMember(one.node_id, one.failure_domain) for one in members
+            )
+        )
+        peers = tuple(
+            RatePeer(
+                ProcessId(
+                    node_id=one.node_id,
+                    incarnation=Incarnation(one.incarnation),
+                ),
+                one.failure_domain,
+            )
+            for one in members
+            if one.node_id != self.core.node_id
+        )
+        self.rates.take(RatePeersChanged(peers))
+
+    def _rate_message(self, sender: NodeId, message: RateMessage) -> None:
+        self.rates.take(ControlArrived(sender, message))
+
+    def _await_idle(self, until_s: float, done: Callable[[], None]) -> None:
+        idle = self.serving.machine.is_idle and not len(self.entry)
+        timers = self.core.timers
+        if idle or timers.now_s() > until_s:
+            _log.notice(key_values('drain_ended', idle=idle))
+            timers.after(FLUSH_S, lambda _: done())
+            return
+        timers.after(DRAIN_CHECK_S, lambda _: self._await_idle(until_s, done))
+
+
+@contextmanager
+def running_node(reactor: Reactor, settings: NodeSettings) -> Iterator[Node]:
+    """Run a node on the reactor while the block runs."""
+    with ExitStack() as stack:
+        metrics = stack.enter_context(opened_metrics(settings))
+        core = NodeCore(settings, reactor, metrics)
+        built: list[Node] = []
+        control = ControlService(
+            core.node_id, lambda name: built[0].members.address_of(name)
+        )
+        control.bus = stack.enter_context(_opened_bus(core, control))
+        core.ports.control = control.bus.address
+        pool = PeerPool(
+            reactor,
+            core.timers,
+            core.hello,
+            lambda event: built[0].router.take(event),
+            core.rng,
+        )
+        address = parse_address(settings.peer_address)
+        core.ports.peer = stack.enter_context(
+            listening_for_peers(reactor, address.host, address.port, pool)
+        )
+        built.append(Node(core, control, pool))
+        _listen(stack, built[0])
+        stack.enter_context(built[0].running())
+        yield built[0]
+
+
+def _opened_bus(
+    core: NodeCore, control: ControlService
+) -> AbstractContextManager[ControlBus]:
+    address = parse_address(core.settings.control_address)
+    return opened_control_bus(
+        core.reactor, address.host, address.port, control.receive
+    )
+
+
+def _listen(stack: ExitStack, node: Node) -> None:
+    core = node.core
+    callers = parse_address(core.settings.caller_address)
+    core.ports.caller = stack.enter_context(
+        listening_for_callers(
+            core.reactor,
+            core.timers,
+            callers.host,
+            callers.port,
+            node.handle_http,
+            core.settings.connections.max_callers,
+        )
+    )
+    node.observe()
+    core.ports.operator = stack.enter_context(
+        listening_for_operators(
+            core.reactor,
+            parse_address(core.settings.operator_address),
+            node.status,
+            core.metrics,
+        )
+    )
--- a/src/rattanstile/process/reactor.py
+++ b/src/rattanstile/process/reactor.py
@@ -5,12 +5,15 @@
 from twisted.internet.interfaces import (
     IReactorCore,
     IReactorFDSet,
+    IReactorFromThreads,
     IReactorTCP,
     IReactorTime,
 )
 
 
-class Reactor(IReactorCore, IReactorTCP, IReactorTime, IReactorFDSet):
+class Reactor(
+    IReactorCore, IReactorTCP, IReactorTime, IReactorFDSet, IReactorFromThreads
+):
     """What daemons need of a reactor."""
 
 
--- a/src/rattanstile/standin/log.py
+++ b/src/rattanstile/standin/log.py
@@ -116,16 +116,16 @@
 
 class _Root(Resource):
     def __init__(self, log: LogStandin) -> None:
-        super().__init__()  # type: ignore[no-untyped-call]
+        super().__init__()
         self.putChild(b'streams', _Streams(log))
-        admin = Resource()  # type: ignore[no-untyped-call]
+        admin = Resource()
         admin.putChild(b'switches', _Admin(log))
         self.putChild(b'admin', admin)
 
 
 class _Streams(Resource):
     def __init__(self, log: LogStandin) -> None:
-        super().__init__()  # type: ignore[no-untyped-call]
+        super().__init__()
         self._served = log
 
     def getChild(self, path: bytes, request: Request) -> Resource:
@@ -137,7 +137,7 @@
 
 class _Records(Resource):
     def __init__(self, log: LogStandin, name: str) -> None:
-        super().__init__()  # type: ignore[no-untyped-call]
+        super().__init__()
         self._served = log
         self._name = name
 
@@ -179,7 +179,7 @@
         offset = self._served.append(self._name, record)
         _log.debug('event=appended stream={} offset={}', self._name, offset)
         if self._served.switches.lose_answers:
-            request.loseConnection()  # type: ignore[no-untyped-call]
+            request.loseConnection()
             return
         self._answer(
             request,
@@ -235,7 +235,7 @@
     isLeaf = True
 
     def __init__(self, log: LogStandin) -> None:
-        super().__init__()  # type: ignore[no-untyped-call]
+        super().__init__()
         self._served = log
 
     def render_GET(self, request: Request) -> bytes:
@@ -273,14 +273,14 @@
     if request.channel is None:
         return
     request.setResponseCode(status)
-    request.setHeader(b'content-length', str(len(body)).encode())  # type: ignore[no-untyped-call]
-    request.write(body)  # type: ignore[no-untyped-call]
-    request.finish()  # type: ignore[no-untyped-call]
+    request.setHeader(b'content-length', str(len(body)).encode())
+    request.write(body)
+    request.finish()
 
 
 def site(log: LogStandin) -> Site:
     """Return the HTTP site of a log."""
-    return Site(_Root(log))  # type: ignore[no-untyped-call]
+    return Site(_Root(log))
 
 
 @contextmanager
@@ -295,22 +295,3 @@
         yield listener.getHost().port  # type: ignore[attr-defined]
     finally:
         listener.stopListening()
-
-
-def run(
-    reactor: object,
-    host: str,
-    port: int,
-    *,
-    retention: Retention | None = None,
-    switches: Switches | None = None,
-) -> None:
-    """Serve a log until the reactor stops.
-
-    The line ``event=listening address=HOST:PORT`` tells the port.
-    """
-    log = LogStandin(reactor, retention, switches)  # type: ignore[arg-type]
-    with listening(reactor, host, port, log) as bound_port:
-        _log.info('event=listening address={}:{}', host, bound_port)
-        print(f'listening on {host}:{bound_port}', flush=True)
-        reactor.run()  # type: ignore[attr-defined]
--- a/src/rattanstile/standin_cli.py
+++ b/src/rattanstile/standin_cli.py
@@ -11,6 +11,7 @@
 from rattanstile.process.reactor import installed_reactor
 from rattanstile.process.settings import LogSettings, parse_address
 from rattanstile.ready import print_ready
+from rattanstile.standin.log import LogStandin, listening
 from rattanstile.standin.target import TargetProfile, running_target
 
 
@@ -28,6 +29,11 @@
     target.add_argument('profile', help='JSON file with the profile')
     target.add_argument('--address', default='127.0.0.1:0')
     target.set_defaults(run=_run_target)
+    log = standins.add_parser(
+        'log', help="run a stand-in of the platform's log"
+    )
+    log.add_argument('--address', default='127.0.0.1:0')
+    log.set_defaults(run=_run_log)
 
 
 def read_profile(file_name: str) -> TargetProfile:
@@ -57,3 +63,14 @@
             print_ready(address=f'{address.host}:{port}')
             reactor.run()
     return ExitCode.OK
+
+
+def _run_log(arguments: argparse.Namespace) -> ExitCode:
+    address = parse_address(arguments.address)
+    reactor = installed_reactor()
+    with logging_to(LogSettings(level='notice')):
+        log = LogStandin(reactor)
+        with listening(reactor, address.host, address.port, log) as port:
+            print_ready(address=f'{address.host}:{port}')
+            reactor.run()
+    return ExitCode.OK
--- a/src/rattanstile/trial/fleet.py
+++ b/src/rattanstile/trial/fleet.py
@@ -25,6 +25,7 @@
 
 ADMIN_TIMEOUT_S = 5
 STOP_TIMEOUT_S = 10
+SEEDS = 3
 ANY_PORT = '127.0.0.1:0'
 
 
@@ -38,19 +39,28 @@
     """One process of the trial, started anew on demand."""
 
     def __init__(self, name: str, arguments: list[str], log: Path) -> None:
-        """Start the process and wait for its ready line.
-
-        Raises:
-            UnavailableError: The process ended without a ready line.
-        """
+        """Start the process; `ready` waits for its ready line."""
         self.name = name
         self._arguments = arguments
         self._log = log
-        self.ready = self._start()
+        self._ready: ReadyLine | None = None
+        self._popen = self._start()
 
     def restart(self) -> None:
         """Start the process again after it ended."""
-        self.ready = self._start()
+        self._ready = None
+        self._popen = self._start()
+
+    @property
+    def ready(self) -> ReadyLine:
+        """Return the addresses of the process, once it is ready.
+
+        Raises:
+            UnavailableError: The process ended without a ready line.
+        """
+        if self._ready is None:
+            self._ready = self._read_ready_line()
+        return self._ready
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it still runs."""
@@ -86,22 +96,24 @@
         if self.wait(STOP_TIMEOUT_S) is None:
             self.kill()
 
-    def _start(self) -> ReadyLine:
+    def _start(self) -> 'subprocess.Popen[bytes]':
         with self._log.open('ab') as log:
-            self._popen = subprocess.Popen(
+            return subprocess.Popen(
                 [sys.executable, '-m', 'rattanstile', *self._arguments],
                 stdout=subprocess.PIPE,
                 stderr=log,
                 env=dict(os.environ, PYTHONHASHSEED='0'),
             )
-        assert self._popen.stdout is not None
-        line = self._popen.stdout.readline().decode()
+
+    def _read_ready_line(self) -> ReadyLine:
+        output = self._popen.stdout
+        line = output.readline().decode() if output else ''
         if not line:
             raise UnavailableError(
                 f'{self.name} did not start; its log is {self._log}'
             )
         pairs = (pair.split('=', 1) for pair in line.split())
-        return ReadyLine(dict(pair for pair in pairs))
+        return ReadyLine({name: found for name, found in pairs})
 
 
 class Worker:
@@ -190,7 +202,11 @@
 
     def log_switch(self, **changed: object) -> None:
         """Change switches of the log."""
-        _ask(self.log_address, '/-/switch', json.dumps(changed).encode())
+        _ask(
+            self.log_address,
+            '/admin/switches',
+            json.dumps(changed).encode(),
+        )
 
     def of_service(self, name: str) -> list[Worker]:
         """Return the workers of a service."""
@@ -210,7 +226,13 @@
             worker.node = Process(worker.name, ['node', str(path)], log)
         else:
             worker.node.restart()
-        worker.switch(node_address=worker.caller_address)
+
+    def start_all_nodes(self) -> None:
+        """Start every node and tell each target its node's address."""
+        for worker in self.workers:
+            self.start_node(worker)
+        for started in self.workers:
+            started.switch(node_address=started.caller_address)
 
     def status(self, worker: Worker) -> dict[str, object]:
         """Return what the node of a worker tells of itself."""
@@ -222,8 +244,8 @@
     def _settings(self, worker: Worker) -> NodeSettings:
         former = worker.node.ready.addresses if worker.node else {}
         seeds = tuple(
-            one.node.ready.addresses['control']
-            for one in self.workers
+            one.running_node.ready.addresses['control']
+            for one in self.workers[:SEEDS]
             if one.node is not None and one is not worker
         )
         return NodeSettings(
@@ -238,7 +260,7 @@
             peer_address=former.get('peer', ANY_PORT),
             control_address=former.get('control', ANY_PORT),
             operator_address=former.get('operator', ANY_PORT),
-            seeds=seeds[:3],
+            seeds=seeds,
             log=LogSettings(level='info'),
             connections=ConnectionSettings(
                 max_callers=worker.plan.connections,
