--- a/src/rattanstile/standin_cli.py
+++ b/src/rattanstile/standin_cli.py
@@ -2,6 +2,7 @@
 
 import argparse
 from pathlib import Path
+from typing import TypeVar
 
 import json5
 import msgspec
@@ -12,6 +13,10 @@
 from rattanstile.process.settings import LogSettings, parse_address
 from rattanstile.ready import print_ready
 from rattanstile.standin.log import LogStandin, listening
+from rattanstile.standin.passthrough import (
+    PassthroughSettings,
+    running_passthrough,
+)
 from rattanstile.standin.target import TargetProfile, running_target
 
 
@@ -34,23 +39,32 @@
     )
     log.add_argument('--address', default='127.0.0.1:0')
     log.set_defaults(run=_run_log)
+    proxy = standins.add_parser(
+        'passthrough', help='run the baseline that decides nothing'
+    )
+    proxy.add_argument('settings', help='JSON file with the targets')
+    proxy.add_argument('--address', default='127.0.0.1:0')
+    proxy.set_defaults(run=_run_passthrough)
+
+
+Read = TypeVar('Read')
 
 
-def read_profile(file_name: str) -> TargetProfile:
-    """Read the profile of a stand-in target.
+def read_file(file_name: str, kind: type[Read]) -> Read:
+    """Read the settings of a stand-in.
 
     Raises:
-        SettingsError: The file is no valid profile.
+        SettingsError: The file holds no valid settings.
     """
     try:
         text = Path(file_name).read_text(encoding='utf-8')
-        return msgspec.convert(json5.loads(text), TargetProfile)
+        return msgspec.convert(json5.loads(text), kind)
     except (OSError, ValueError) as error:
         raise SettingsError(file_name, '$', str(error))
 
 
 def _run_target(arguments: argparse.Namespace) -> ExitCode:
-    profile = read_profile(arguments.profile)
+    profile = read_file(arguments.profile, TargetProfile)
     address = parse_address(arguments.address)
     reactor = installed_reactor()
     with logging_to(LogSettings(level='notice')):
@@ -74,3 +88,16 @@
             print_ready(address=f'{address.host}:{port}')
             reactor.run()
     return ExitCode.OK
+
+
+def _run_passthrough(arguments: argparse.Namespace) -> ExitCode:
+    settings = read_file(arguments.settings, PassthroughSettings)
+    address = parse_address(arguments.address)
+    reactor = installed_reactor()
+    with logging_to(LogSettings(level='error')):
+        with running_passthrough(
+            reactor, settings, address.host, address.port
+        ) as port:
+            print_ready(caller=f'{address.host}:{port}')
+            reactor.run()
+    return ExitCode.OK
