--- a/src/rattanstile/process/serving.py
+++ b/src/rattanstile/process/serving.py
@@ -6,12 +6,14 @@
 target itself says it did not run.
 """
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 import logbook
+import msgspec
 
 from rattanstile.process.admission import AdmissionQueue, Dropped, Queued
+from rattanstile.process.home_table import HomeTable, JoinRunning, RunIt
 from rattanstile.process.limiter import TargetLimiter
 from rattanstile.process.messages import (
     CallArrived,
@@ -30,10 +32,12 @@
     Ticked,
 )
 from rattanstile.process.pressure import PressureGauge
-from rattanstile.process.serving_home import (
-    AnswerAtOnce,
-    HomeTable,
-    IdempotentOnly,
+from rattanstile.process.serving_call import (
+    RESTART_SIGNS,
+    LiveCall,
+    Waiter,
+    reply_of_answer,
+    reply_of_failure,
 )
 from rattanstile.request.envelope import Call, Reply, refusal
 from rattanstile.request.ids import (
@@ -50,7 +54,6 @@
 SHORTEST_QUEUE = 8
 ABANDONED_SLOT_S = 30.0
 SHORTEST_RETRY_AFTER_MS = 100
-ERROR_STATUS = 500
 UNDECLARED = TargetLimits(slots=1)
 
 _log = logbook.Logger('serving')
@@ -66,26 +69,6 @@
     service: ServiceName
 
 
-@dataclass(frozen=True, slots=True)
-class _Waiter:
-    """Who waits for which attempt."""
-
-    sender: NodeId
-    attempt: int
-
-
-@dataclass(slots=True)
-class _Live:
-    """A call that is queued or runs."""
-
-    call: Call
-    deadline_s: float
-    waiters: list[_Waiter] = field(default_factory=list)
-    started_s: float | None = None
-    abandoned: bool = False
-    subtree_pressure: float = 0.0
-
-
 class ServingMachine:
     """Admits, queues, dispatches and answers the calls of one target.
 
@@ -102,18 +85,18 @@
         identity: ServingIdentity,
         in_force: Callable[[], VersionInForce],
         now_s: float,
-        home_table: HomeTable | None = None,
+        home_table: HomeTable,
         limiter: TargetLimiter | None = None,
     ) -> None:
         """Begin with a cold target and an empty queue."""
         self.draining = False
         self._identity = identity
         self._in_force = in_force
-        self._home_table = home_table or IdempotentOnly()
+        self._home_table = home_table
         self._limiter = limiter or TargetLimiter(self._limits(), now_s)
         self._queue = AdmissionQueue()
         self._gauge = PressureGauge(now_s)
-        self._live: dict[CallId, _Live] = {}
+        self._live: dict[CallId, LiveCall] = {}
         self._boot_id = ''
         self._suspected_s = now_s
 
@@ -189,24 +172,39 @@
         self, now_s: float, arrived: CallArrived
     ) -> list[ServingOutput]:
         call = arrived.call
-        waiter = _Waiter(arrived.sender, call.attempt)
-        live = self._live.get(call.call_id)
-        if live:
-            live.waiters.append(waiter)
-            return []
-        if not call.idempotent:
+        deadline_s = now_s + call.remaining_ms / 1000
+        waiter = Waiter(
+            arrived.sender, call.attempt, deadline_s, call.organisation
+        )
+        if call.idempotent:
+            if call.call_id in self._live:
+                return self._join(call, waiter)
+        else:
             verdict = self._home_table.arrive(now_s, call)
-            if isinstance(verdict, AnswerAtOnce):
-                return [SendReply(verdict.reply, arrived.sender)]
-        live = _Live(call, now_s + call.remaining_ms / 1000, [waiter])
+            match verdict:
+                case RunIt():
+                    pass
+                case JoinRunning():
+                    return self._join(call, waiter)
+                case _:
+                    return [self._addressed(verdict.reply, waiter)]
+        live = LiveCall(call, deadline_s, [waiter])
         self._live[call.call_id] = live
         reason = self._reason_to_refuse(now_s, live)
         if reason:
             return self._refuse(now_s, live, reason)
         return self._enqueue(now_s, live, arrived.sender)
 
+    def _join(self, call: Call, waiter: Waiter) -> list[ServingOutput]:
+        live = self._live[call.call_id]
+        if live.is_same_call(call):
+            live.waiters.append(waiter)
+            return []
+        reused = refusal(call, Reason.KEY_REUSED, outcome=Outcome.UNKNOWN)
+        return [self._addressed(reused, waiter)]
+
     def _enqueue(
-        self, now_s: float, live: _Live, sender: NodeId
+        self, now_s: float, live: LiveCall, sender: NodeId
     ) -> list[ServingOutput]:
         self._gauge.arrived(live.call.organisation, live.call.priority)
         queued = Queued(live.call, sender, live.deadline_s, now_s)
@@ -214,12 +212,12 @@
         dropped = self._queue.offer(queued, capacity)
         return self._drop(now_s, dropped) if dropped else []
 
-    def _reason_to_refuse(self, now_s: float, live: _Live) -> Reason | None:
-        if self.draining and live.started_s is None:
+    def _reason_to_refuse(self, now_s: float, live: LiveCall) -> Reason | None:
+        if self.draining:
             return Reason.DRAINING
         return self._reason_not_to_run(now_s, live)
 
-    def _reason_not_to_run(self, now_s: float, live: _Live) -> Reason | None:
+    def _reason_not_to_run(self, now_s: float, live: LiveCall) -> Reason | None:
         version = self._in_force()
         call = live.call
         identity = self._identity
@@ -259,7 +257,7 @@
             outputs.append(self._dispatch(now_s, live))
         return outputs
 
-    def _dispatch(self, now_s: float, live: _Live) -> Dispatch:
+    def _dispatch(self, now_s: float, live: LiveCall) -> Dispatch:
         live.started_s = now_s
         self._limiter.started(now_s)
         remaining_ms = max(1, int((live.deadline_s - now_s) * 1000))
@@ -277,20 +275,8 @@
         self._limiter.ended(
             now_s, now_s - live.started_s, ok=not answered.refused_unrun
         )
-        outcome, reason = _outcome_of(answered)
         return self._reply_all(
-            now_s,
-            live,
-            Reply(
-                call_id=live.call.call_id,
-                attempt=live.call.attempt,
-                outcome=outcome,
-                reason=reason,
-                status=answered.status,
-                headers=answered.headers,
-                body=answered.body,
-                tries_unspent=answered.tries_unspent,
-            ),
+            now_s, live, reply_of_answer(live.call, answered)
         )
 
     def _failed(
@@ -299,54 +285,58 @@
         live = self._live.pop(failed.call_id, None)
         if live is None or live.started_s is None:
             return []
-        outcome, reason = _FAILURES[failed.failure]
-        if failed.failure in _RESTART_SIGNS:
+        if failed.failure in RESTART_SIGNS:
             self._suspect_restart(now_s)
         if failed.failure is TargetFailure.CANCELLED:
             self._limiter.released(now_s)
         else:
             self._limiter.ended(now_s, now_s - live.started_s, ok=False)
-        return self._reply_all(
-            now_s, live, refusal(live.call, reason, outcome=outcome)
-        )
+        return self._reply_all(now_s, live, reply_of_failure(live.call, failed))
 
     def _ticked(self, now_s: float) -> list[ServingOutput]:
+        self._home_table.tick(now_s)
         outputs: list[ServingOutput] = []
         for dropped in self._queue.expire(
             now_s, self._limiter.service_s(now_s)
         ):
             outputs.extend(self._drop(now_s, dropped))
         for live in list(self._live.values()):
-            if live.started_s is not None and now_s > live.deadline_s:
+            if live.started_s is not None:
                 outputs.extend(self._expire_running(now_s, live))
         return outputs
 
-    def _expire_running(self, now_s: float, live: _Live) -> list[ServingOutput]:
-        if live.abandoned:
-            if now_s > live.deadline_s + ABANDONED_SLOT_S:
-                self._live.pop(live.call.call_id)
-                self._limiter.released(now_s)
-            return []
-        unknown = refusal(live.call, Reason.DEADLINE, outcome=Outcome.UNKNOWN)
-        outputs = self._reply_all(now_s, live, unknown)
-        live.abandoned = True
-        outputs.append(CancelDispatch(live.call.call_id))
-        return outputs
+    def _expire_running(
+        self, now_s: float, live: LiveCall
+    ) -> Iterable[ServingOutput]:
+        call = live.call
+        unknown = refusal(call, Reason.DEADLINE, outcome=Outcome.UNKNOWN)
+        for waiter in live.take_expired(now_s):
+            yield self._addressed(unknown, waiter)
+        if live.waiters:
+            return
+        if not live.given_up:
+            live.given_up = True
+            yield CancelDispatch(call.call_id)
+        if now_s > live.deadline_s + ABANDONED_SLOT_S:
+            self._live.pop(call.call_id)
+            self._limiter.released(now_s)
+            self._keep_end(now_s, call, unknown)
 
     def _cancelled(
         self, now_s: float, arrived: CancelArrived
     ) -> list[ServingOutput]:
         cancel = arrived.cancel
         live = self._live.get(cancel.call_id)
-        waiter = _Waiter(arrived.sender, cancel.attempt)
-        if live is None or live.abandoned or waiter not in live.waiters:
+        if live is None:
             return []
-        if len(live.waiters) > 1:
-            live.waiters.remove(waiter)
+        waiter = live.take_waiter(arrived.sender, cancel.attempt)
+        if waiter is None or live.waiters:
             return []
+        live.waiters.append(waiter)
         if live.started_s is None:
             self._queue.cancel(live.call.call_id, live.call.attempt)
             return self._refuse(now_s, live, Reason.CANCELLED)
+        live.given_up = True
         return [CancelDispatch(cancel.call_id)]
 
     def _child_ended(self, parent: CallId, pressure: float) -> None:
@@ -396,12 +386,12 @@
         self._count_refused(live, dropped.reason)
         return self._refuse(now_s, live, dropped.reason)
 
-    def _count_refused(self, live: _Live, reason: Reason) -> None:
+    def _count_refused(self, live: LiveCall, reason: Reason) -> None:
         if reason.is_overload:
             self._gauge.refused(live.call.organisation)
 
     def _refuse(
-        self, now_s: float, live: _Live, reason: Reason
+        self, now_s: float, live: LiveCall, reason: Reason
     ) -> list[ServingOutput]:
         self._live.pop(live.call.call_id, None)
         _log.info(
@@ -417,34 +407,29 @@
         return self._reply_all(now_s, live, refused)
 
     def _reply_all(
-        self, now_s: float, live: _Live, reply: Reply
+        self, now_s: float, live: LiveCall, reply: Reply
     ) -> list[ServingOutput]:
-        if not live.call.idempotent and not live.abandoned:
-            self._home_table.ended(now_s, live.call, reply)
-        return [
-            SendReply(self._addressed(live, reply, waiter), waiter.sender)
-            for waiter in live.waiters
-            if not live.abandoned
-        ]
-
-    def _addressed(self, live: _Live, reply: Reply, waiter: _Waiter) -> Reply:
-        pressure = self._gauge.pressure_of(live.call.organisation)
-        return Reply(
-            call_id=reply.call_id,
+        self._keep_end(now_s, live.call, reply)
+        told = msgspec.structs.replace(
+            reply, subtree_pressure=live.subtree_pressure
+        )
+        return [self._addressed(told, waiter) for waiter in live.waiters]
+
+    def _keep_end(self, now_s: float, call: Call, reply: Reply) -> None:
+        if not call.idempotent:
+            self._home_table.ended(now_s, call, reply)
+
+    def _addressed(self, reply: Reply, waiter: Waiter) -> SendReply:
+        """Address a reply to one attempt and tell the state of the target."""
+        told = msgspec.structs.replace(
+            reply,
             attempt=waiter.attempt,
-            outcome=reply.outcome,
-            reason=reply.reason,
-            status=reply.status,
-            headers=reply.headers,
-            body=reply.body,
-            retry_after_ms=reply.retry_after_ms,
-            tries_unspent=reply.tries_unspent,
             shed_level=self._gauge.level,
             in_flight=self._limiter.in_flight + len(self._queue),
             limit=self._limiter.limit,
-            pressure=pressure,
-            subtree_pressure=live.subtree_pressure,
+            pressure=self._gauge.pressure_of(waiter.organisation),
         )
+        return SendReply(told, waiter.sender)
 
     # Sizes
 
@@ -459,27 +444,3 @@
     def _limits(self) -> TargetLimits:
         service = self._in_force().service(self._identity.service)
         return service.limits if service else UNDECLARED
-
-
-def _outcome_of(answered: TargetAnswered) -> tuple[Outcome, Reason | None]:
-    if answered.refused_unrun:
-        return Outcome.NOT_RUN, Reason.TARGET_REFUSED
-    if answered.status >= ERROR_STATUS:
-        return Outcome.FAILED, Reason.TARGET_FAILED
-    return Outcome.WHOLE, None
-
-
-_RESTART_SIGNS = frozenset(
-    (
-        TargetFailure.NOT_SENT,
-        TargetFailure.RESET,
-        TargetFailure.ANSWER_CUT,
-    ),
-)
-_FAILURES = {
-    TargetFailure.NOT_SENT: (Outcome.NOT_RUN, Reason.NO_TARGET),
-    TargetFailure.RESET: (Outcome.UNKNOWN, Reason.CONNECTION_LOST),
-    TargetFailure.TIMEOUT: (Outcome.UNKNOWN, Reason.DEADLINE),
-    TargetFailure.ANSWER_CUT: (Outcome.UNKNOWN, Reason.ANSWER_CUT),
-    TargetFailure.CANCELLED: (Outcome.UNKNOWN, Reason.CANCELLED),
-}
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from rattanstile.process.home_table import HomeTable
 from rattanstile.process.messages import (
     CallArrived,
     CancelArrived,
@@ -55,7 +56,10 @@
 
     def __init__(self):
         self.version = VersionInForce(1, declaration())
-        self.machine = ServingMachine(IDENTITY, lambda: self.version, 0.0)
+        table = HomeTable(0.0, 'node-1', 7)
+        self.machine = ServingMachine(
+            IDENTITY, lambda: self.version, 0.0, table
+        )
 
     def put_in_force(self, **changes):
         self.version = VersionInForce(2, declaration(**changes))
