--- a/src/rattanstile/connection/entry_links.py
+++ b/src/rattanstile/connection/entry_links.py
@@ -142,7 +142,7 @@
         self._is_connecting = True
         host, _, port = self._address.rpartition(':')
         self._links.reactor.connectTCP(
-            host, int(port), _EntryFactory(self), CONNECT_TIMEOUT_S
+            host.strip('[]'), int(port), _EntryFactory(self), CONNECT_TIMEOUT_S
         )
 
     def connect_failed(self) -> None:
--- a/src/rattanstile/connection/link.py
+++ b/src/rattanstile/connection/link.py
@@ -34,9 +34,9 @@
 HEARTBEAT_AFTER_CHECKS = 2
 SILENT_AFTER_CHECKS = 6
 IDLE_HEARTBEAT_AFTER_CHECKS = 60
-IDLE_SILENT_AFTER_CHECKS = 72
 MAX_UNSENT_BYTES = 4 * 1024 * 1024
 
+_BEAT = 'heartbeat'
 _FROM_CALLER = (CallerRequest, CallerCancel, IdsWanted)
 _FROM_NODE = (Call, Cancel, Reply, Farewell, CallerReply, IdsGranted)
 
@@ -131,13 +131,10 @@
         """Look for silence; called each `CHECK_PERIOD_S`."""
         self._quiet_checks += 1
         waits = bool(self._awaited) or self._is_paused or self.peer is None
-        silent_after = (
-            SILENT_AFTER_CHECKS if waits else IDLE_SILENT_AFTER_CHECKS
-        )
         beat_after = (
             HEARTBEAT_AFTER_CHECKS if waits else IDLE_HEARTBEAT_AFTER_CHECKS
         )
-        if self._quiet_checks >= silent_after:
+        if waits and self._quiet_checks >= SILENT_AFTER_CHECKS:
             _log.warning('event=connection_silent peer={}', self.peer_name)
             self.abort()
         elif self._quiet_checks == beat_after:
@@ -179,6 +176,8 @@
                 self._await(message.sequence)
             case IdsWanted():
                 self._await(message.service)
+            case Heartbeat():
+                self._await(_BEAT)
             case Cancel():
                 self._awaited.discard(message.call_id)
             case CallerCancel():
@@ -203,6 +202,7 @@
                 self._answer_beat(message)
                 return
             case HeartbeatAck():
+                self._awaited.discard(_BEAT)
                 self._owner.link_heard_epoch(self, message.id_epoch)
                 return
             case Hello():
--- a/src/rattanstile/connection/peer.py
+++ b/src/rattanstile/connection/peer.py
@@ -265,7 +265,10 @@
         self._is_connecting = True
         host, _, port = self.member.address.rpartition(':')
         self._pool.reactor.connectTCP(
-            host, int(port), _LinkFactory(self, self._pool), CONNECT_TIMEOUT_S
+            host.strip('[]'),
+            int(port),
+            _LinkFactory(self, self._pool),
+            CONNECT_TIMEOUT_S,
         )
 
     def _back_off(self) -> None:
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,251 @@
+"""Connections between nodes."""
+
+import random
+import unittest
+
+from rattanstile.connection import peer as peers
+from rattanstile.connection.frames import (
+    CallerRequest,
+    Hello,
+    Role,
+    encode_frame,
+)
+from rattanstile.connection.link import CHECK_PERIOD_S
+from rattanstile.connection.peer import (
+    CallerLost,
+    CallerMessageArrived,
+    MessageArrived,
+    PeerPool,
+    PeerReady,
+)
+from rattanstile.process.messages import PeerLost
+from rattanstile.process.timers import TimerService
+from rattanstile.request.envelope import Call, Member, Reply
+from rattanstile.request.outcome import Outcome
+from tests.transports import FakeReactor, Wire, connect, lose
+
+PEER = Member(
+    node_id='b',
+    incarnation=2,
+    service='s',
+    failure_domain='d',
+    address='127.0.0.1:9',
+)
+
+
+def call(number):
+    """Return a call of this number."""
+    return Call(
+        call_id=f'call-{number}',
+        attempt=1,
+        organisation='o',
+        key_digest='',
+        service='s',
+        method='GET',
+        path='/',
+        remaining_ms=1000,
+        home='b',
+    )
+
+
+def reply(number):
+    """Return the answer to the call of this number."""
+    return Reply(call_id=f'call-{number}', attempt=1, outcome=Outcome.WHOLE)
+
+
+class Node:
+    """A pool whose events are kept."""
+
+    def __init__(self, name):
+        """Begin without events."""
+        self.clock = FakeReactor()
+        self.events = []
+        self.pool = PeerPool(
+            self.clock,
+            TimerService(self.clock),
+            lambda: Hello(
+                role=Role.NODE, node_id=name, incarnation=2, id_epoch=5
+            ),
+            self.events.append,
+            random.Random(1),
+        )
+        self._running = self.pool.running()
+        self._running.__enter__()
+
+    def check(self, times):
+        """Let this many checks for silence go by."""
+        self.clock.pump([CHECK_PERIOD_S] * times)
+
+    def arrived(self):
+        """Return the messages that arrived."""
+        return [
+            event.message
+            for event in self.events
+            if isinstance(event, (MessageArrived, CallerMessageArrived))
+        ]
+
+
+class PeerTest(unittest.TestCase):
+    """Calls and replies travel; what is lost is reported."""
+
+    def setUp(self):
+        """Begin with two nodes."""
+        self.caller = Node('a')
+        self.server = Node('b')
+
+    def join(self):
+        """Let the connection that the caller has asked for be made."""
+        accepted = self.server.pool.accept()
+        connect(accepted)
+        wire = Wire(self.caller.clock.dialled(), accepted)
+        wire.pump()
+        return wire
+
+    def test_call_and_reply_travel_on_one_connection(self):
+        self.caller.pool.send(PEER, call(1))
+        wire = self.join()
+        self.caller.pool.send(PEER, call(2))
+        wire.pump()
+        self.assertEqual(self.server.arrived(), [call(1), call(2)])
+        self.assertTrue(self.server.pool.reply('a', reply(1)))
+        wire.pump()
+        self.assertEqual(self.caller.arrived(), [reply(1)])
+        self.assertEqual(self.caller.events[0], PeerReady('b', 2, 5))
+        self.assertEqual(len(self.caller.clock.factories), 1)
+
+    def test_silent_connection_is_reported_within_two_seconds(self):
+        self.caller.pool.send(PEER, call(1))
+        wire = self.join()
+        wire.is_cut = True
+        self.caller.check(7)
+        self.assertEqual(self.caller.events[-1], PeerLost('b'))
+        self.assertTrue(wire.ends[0].transport.aborted)
+
+    def test_heartbeats_keep_a_connection_whose_call_takes_long(self):
+        self.caller.pool.send(PEER, call(1))
+        wire = self.join()
+        for _ in range(40):
+            self.caller.check(1)
+            wire.pump()
+        self.assertNotIn(PeerLost('b'), self.caller.events)
+
+    def test_idle_connection_that_goes_silent_is_found_too(self):
+        self.caller.pool.send(PEER, call(1))
+        wire = self.join()
+        self.server.pool.reply('a', reply(1))
+        wire.pump()
+        wire.is_cut = True
+        self.caller.check(10)
+        self.assertNotIn(PeerLost('b'), self.caller.events)
+        self.caller.check(60)
+        self.assertEqual(self.caller.events[-1], PeerLost('b'))
+
+    def test_pause_of_the_own_process_blames_nobody(self):
+        self.caller.pool.send(PEER, call(1))
+        wire = self.join()
+        self.caller.clock.advance(60)
+        self.assertNotIn(PeerLost('b'), self.caller.events)
+        self.server.pool.reply('a', reply(1))
+        wire.pump()
+        self.assertEqual(self.caller.arrived(), [reply(1)])
+
+    def test_refused_connection_reports_that_nothing_was_sent(self):
+        self.caller.pool.send(PEER, call(1))
+        self.caller.clock.refuse()
+        unsent = PeerLost('b', connected=False)
+        self.assertEqual(self.caller.events, [unsent])
+        # While it backs off, a call is refused without another connection.
+        self.caller.pool.send(PEER, call(2))
+        self.assertEqual(self.caller.events, [unsent])
+        self.caller.clock.advance(0)
+        self.assertEqual(self.caller.events, [unsent, unsent])
+        self.assertEqual(len(self.caller.clock.factories), 1)
+
+    def test_back_off_grows_and_ends_with_a_connection(self):
+        for _ in range(6):
+            self.caller.clock.advance(peers.MAX_BACKOFF_S)
+            self.caller.pool.send(PEER, call(1))
+            self.caller.clock.refuse()
+        self.assertEqual(len(self.caller.clock.factories), 6)
+        self.caller.clock.advance(peers.MAX_BACKOFF_S / 4)
+        self.caller.pool.send(PEER, call(1))
+        self.assertEqual(len(self.caller.clock.factories), 6)
+        self.caller.clock.advance(peers.MAX_BACKOFF_S)
+        self.caller.pool.send(PEER, call(1))
+        self.join()
+        self.assertEqual(self.server.arrived(), [call(1)])
+
+    def test_other_node_at_the_address_receives_no_call(self):
+        other = Member(
+            node_id='c',
+            incarnation=1,
+            service='s',
+            failure_domain='d',
+            address=PEER.address,
+        )
+        self.caller.pool.send(other, call(1))
+        self.join()
+        self.assertEqual(self.server.arrived(), [])
+        self.assertEqual(self.caller.events, [PeerLost('c', connected=False)])
+
+    def test_overflowing_queue_is_reported_and_never_sent(self):
+        for number in range(peers.MAX_QUEUED_MESSAGES + 1):
+            self.caller.pool.send(PEER, call(number))
+        self.join()
+        self.caller.pool.send(PEER, call(-1))
+        self.assertEqual(self.server.arrived(), [])
+        self.caller.clock.advance(0)
+        self.assertEqual(self.caller.events[-1], PeerLost('b', connected=False))
+
+    def test_bytes_that_are_no_frame_end_only_their_connection(self):
+        self.caller.pool.send(PEER, call(1))
+        wire = self.join()
+        broken = self.server.pool.accept()
+        connect(broken)
+        broken.dataReceived(b'GET / HTTP/1.1\r\n\r\n')
+        self.assertTrue(broken.transport.aborted)
+        self.server.pool.reply('a', reply(1))
+        wire.pump()
+        self.assertEqual(self.caller.arrived(), [reply(1)])
+
+    def test_caller_may_not_send_what_nodes_send(self):
+        link = self.server.pool.accept()
+        connect(link)
+        link.dataReceived(encode_frame(Hello(role=Role.CALLER)))
+        link.dataReceived(encode_frame(call(1)))
+        self.assertEqual(self.server.arrived(), [])
+        self.assertTrue(link.transport.aborted)
+
+    def test_end_of_a_callers_connection_is_reported_once(self):
+        link = self.server.pool.accept()
+        connect(link)
+        link.dataReceived(encode_frame(Hello(role=Role.CALLER)))
+        request = CallerRequest(sequence=1, service='s')
+        link.dataReceived(encode_frame(request))
+        lose(link)
+        self.assertEqual(
+            self.server.events,
+            [CallerMessageArrived(link, request), CallerLost(link)],
+        )
+
+    def test_reply_to_a_node_that_is_gone_is_dropped(self):
+        self.assertFalse(self.server.pool.reply('a', reply(1)))
+
+    def test_failing_handler_leaves_the_connection_open(self):
+        self.caller.pool.send(PEER, call(1))
+        wire = self.join()
+        self.server.pool.handler = lambda event: 1 / 0
+        self.caller.pool.send(PEER, call(2))
+        wire.pump()
+        self.assertFalse(wire.ends[1].transport.aborted)
+
+    def test_unread_replies_are_bounded(self):
+        self.caller.pool.send(PEER, call(1))
+        accepted = self.join().ends[1]
+        accepted.pauseProducing()
+        large = Reply(
+            call_id='x', attempt=1, outcome=Outcome.WHOLE, body=bytes(1 << 20)
+        )
+        for _ in range(5):
+            self.server.pool.reply('a', large)
+        self.assertTrue(accepted.transport.aborted)
