--- a/src/rattanstile/connection/http_request.py
+++ b/src/rattanstile/connection/http_request.py
@@ -30,6 +30,7 @@
         'rattanstile-deadline-ms',
     ),
 )
+_VERSIONS = frozenset(('1.0', '1.1'))
 _BEARER = 'bearer '
 _MAX_DEADLINE_DIGITS = 9
 
@@ -169,6 +170,8 @@
     def on_headers_complete(self) -> None:
         """Check the head before any of the body is taken."""
         self._is_in_head = False
+        if self._parser.get_http_version() not in _VERSIONS:
+            self._refuse(_MALFORMED)
         if self._parser.should_upgrade():
             self._refuse(_MALFORMED)
         for name, content in self._headers:
