--- a/src/rattanstile/connection/target_answer.py
+++ b/src/rattanstile/connection/target_answer.py
@@ -10,6 +10,7 @@
 MAX_HEAD_BYTES = 64 * 1024
 BOOT_HEADER = 'rattanstile-boot'
 NOT_RUN_HEADER = 'rattanstile-not-run'
+CALL_HEADER = 'rattanstile-call'
 
 _FIRST_FINAL_STATUS = 200
 
@@ -22,6 +23,8 @@
         headers: With lower-case names, as the target gave them.
         boot_id: The target's own boot id; empty where it gives none.
         refused_unrun: Whether the target says that it did not run the call.
+        token: The call that the target says it answers; empty where it says
+            nothing.
     """
 
     status: int
@@ -29,6 +32,7 @@
     body: bytes
     boot_id: str = ''
     refused_unrun: bool = False
+    token: str = ''
 
 
 class AnswerCutError(Exception):
@@ -128,9 +132,12 @@
         self._is_expecting = False
         boot_id = ''
         refused_unrun = False
+        token = ''
         for name, content in self._headers:
             if name == BOOT_HEADER:
                 boot_id = content
+            elif name == CALL_HEADER:
+                token = content
             elif name == NOT_RUN_HEADER:
                 refused_unrun = content == '1'
         self._answer = TargetAnswer(
@@ -139,4 +146,5 @@
             body=b''.join(self._body),
             boot_id=boot_id,
             refused_unrun=refused_unrun,
+            token=token,
         )
--- a/src/rattanstile/connection/target_http.py
+++ b/src/rattanstile/connection/target_http.py
@@ -249,6 +249,11 @@
             return
         if answer is None:
             return
+        if self._is_crossed(answer):
+            _log.warning('event=answer_crossed')
+            self._end_run(TargetFailure.ANSWER_CUT)
+            self.abort()
+            return
         self.answered_s = self._timers.now_s()
         self._end_run(answer)
         if self._reader.keeps_alive:
@@ -272,6 +277,14 @@
             self._sessions.connection_dropped(self)
             self.transport.abortConnection()  # type: ignore[union-attr]
 
+    def _is_crossed(self, answer: TargetAnswer) -> bool:
+        run = self._run
+        return (
+            run is not None
+            and bool(answer.token)
+            and answer.token != run.request.token
+        )
+
     def _end_run(self, result: TargetResult) -> None:
         run = self._run
         self._run = None
--- /dev/null
+++ b/tests/test_target_http.py
@@ -0,0 +1,246 @@
+"""Connections to the target."""
+
+import unittest
+
+from rattanstile.connection import target_http
+from rattanstile.connection.target_answer import MAX_ANSWER_BYTES
+from rattanstile.connection.target_http import (
+    TargetRequest,
+    TargetSessions,
+    encode_request,
+)
+from rattanstile.process.messages import TargetFailure
+from rattanstile.process.timers import TimerService
+from tests.transports import FakeReactor, lose
+
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n'
+
+
+def request(**fields):
+    """Return a call with these fields."""
+    fields = {
+        'method': 'POST',
+        'path': '/claims',
+        'headers': (),
+        'body': b'lot 7',
+        'token': 'token',
+        'timeout_s': 2.0,
+        **fields,
+    }
+    return TargetRequest(**fields)
+
+
+class TargetSessionsTest(unittest.TestCase):
+    """Only a whole answer counts, and only proof makes a call unsent."""
+
+    def setUp(self):
+        """Begin without connections."""
+        self.reactor = FakeReactor()
+        self.sessions = TargetSessions(
+            self.reactor, TimerService(self.reactor), '127.0.0.1', 80, 2
+        )
+        self.results = []
+
+    def run_call(self, **fields):
+        """Begin a call and keep its result."""
+        result = self.sessions.run(request(**fields))
+        result.addCallback(self.results.append)
+        return result
+
+    def test_call_reaches_the_target_with_token_deadline_and_length(self):
+        written = encode_request(
+            request(
+                headers=(
+                    ('Accept', 'a/b'),
+                    ('Authorization', 'Bearer key'),
+                    ('Idempotency-Key', 'i-1'),
+                    ('X-Split', 'a\r\nb: c'),
+                ),
+            ),
+        )
+        self.assertEqual(
+            written,
+            b'POST /claims HTTP/1.1\r\nHost: target\r\n'
+            b'Rattanstile-Call: token\r\nRattanstile-Deadline-Ms: 2000\r\n'
+            b'Content-Length: 5\r\naccept: a/b\r\n\r\nlot 7',
+        )
+
+    def test_whole_answer_frees_its_connection_for_the_next_call(self):
+        self.run_call()
+        connection = self.reactor.dialled()
+        connection.dataReceived(
+            b'HTTP/1.1 503 No\r\nRattanstile-Boot: b7\r\n'
+            b'Rattanstile-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfu',
+        )
+        self.assertEqual(self.results, [])
+        connection.dataReceived(b'll')
+        (answer,) = self.results
+        self.assertEqual((answer.status, answer.body), (503, b'full'))
+        self.assertEqual((answer.boot_id, answer.refused_unrun), ('b7', True))
+        self.run_call()
+        self.assertEqual(len(self.reactor.factories), 1)
+        connection.dataReceived(OK + b'ok')
+        self.assertEqual(self.results[1].body, b'ok')
+        self.assertFalse(self.results[1].refused_unrun)
+
+    def test_refused_connection_proves_that_nothing_was_sent(self):
+        self.run_call()
+        self.reactor.refuse()
+        self.assertEqual(self.results, [TargetFailure.NOT_SENT])
+
+    def test_calls_wait_for_a_connection_beyond_the_limit(self):
+        for _ in range(3):
+            self.run_call()
+        self.assertEqual(len(self.reactor.factories), 2)
+        first = self.reactor.dialled(0)
+        first.dataReceived(OK + b'ok')
+        self.assertEqual(first.transport.take().count(b'POST'), 2)
+
+    def test_waiting_call_is_served_after_a_connection_is_lost(self):
+        for _ in range(3):
+            self.run_call()
+        lose(self.reactor.dialled(0))
+        self.assertEqual(self.results, [TargetFailure.RESET])
+        self.assertEqual(len(self.reactor.factories), 3)
+
+    def test_call_that_never_got_a_connection_times_out_unsent(self):
+        self.run_call(timeout_s=0.5)
+        self.reactor.advance(0.5)
+        self.assertEqual(self.results, [TargetFailure.NOT_SENT])
+        self.assertEqual(self.reactor.dialled().transport.take(), b'')
+
+    def test_lost_connection_may_have_run_the_call(self):
+        self.run_call()
+        lose(self.reactor.dialled())
+        self.assertEqual(self.results, [TargetFailure.RESET])
+
+    def test_answers_that_are_not_whole_are_cut(self):
+        for received in (
+            OK + b'o',
+            b'HTTP/1.1 200 OK\r\n',
+            b'HTTP/1.1 200 OK\r\n\r\nno length, so no end',
+            b'HTTP/1.0 200 OK\r\n\r\nno length, so no end',
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n',
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+            b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n'
+            b'Content-Length: 2\r\n\r\nok',
+            b'HTTP/1.1 100 Continue\r\n\r\n',
+            b'HTTP/1.1 101 Switching\r\nUpgrade: x\r\n'
+            b'Connection: upgrade\r\n\r\n',
+            b'nonsense',
+            b'HTTP/1.1 200 OK\r\nX: ' + b'a' * 70_000,
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
+            % (MAX_ANSWER_BYTES + 1)
+            + bytes(MAX_ANSWER_BYTES + 1),
+        ):
+            with self.subTest(received[:60]):
+                self.setUp()
+                self.run_call()
+                connection = self.reactor.dialled()
+                connection.dataReceived(received)
+                lose(connection)
+                self.assertEqual(self.results, [TargetFailure.ANSWER_CUT])
+
+    def test_answers_in_other_shapes_are_whole(self):
+        for received, body in (
+            (
+                b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+                b'2\r\nok\r\n0\r\n\r\n',
+                b'ok',
+            ),
+            (b'HTTP/1.1 100 Continue\r\n\r\n' + OK + b'ok', b'ok'),
+            (b'HTTP/1.1 204 None\r\n\r\n', b''),
+        ):
+            with self.subTest(received):
+                self.setUp()
+                self.run_call()
+                self.reactor.dialled().dataReceived(received)
+                self.assertEqual(self.results[0].body, body)
+
+    def test_answer_to_head_has_no_body_whatever_its_length_says(self):
+        self.run_call(method='HEAD')
+        self.reactor.dialled().dataReceived(OK)
+        self.assertEqual(self.results[0].body, b'')
+
+    def test_surplus_answer_never_reaches_the_next_call(self):
+        self.run_call()
+        connection = self.reactor.dialled()
+        connection.dataReceived(OK + b'ok' + OK + b'NO')
+        self.assertEqual(self.results[0].body, b'ok')
+        self.assertTrue(connection.transport.aborted)
+        self.run_call()
+        self.assertEqual(len(self.reactor.factories), 2)
+
+    def test_bytes_on_an_idle_connection_end_it(self):
+        self.run_call()
+        connection = self.reactor.dialled()
+        connection.dataReceived(OK + b'ok')
+        connection.dataReceived(OK + b'NO')
+        self.assertTrue(connection.transport.aborted)
+        self.run_call()
+        self.assertEqual(len(self.reactor.factories), 2)
+
+    def test_answer_that_names_another_call_is_not_given(self):
+        self.run_call(token='mine')
+        connection = self.reactor.dialled()
+        named = OK.replace(b'Content', b'Rattanstile-Call: other\r\nContent')
+        connection.dataReceived(named + b'NO')
+        self.assertEqual(self.results, [TargetFailure.ANSWER_CUT])
+        self.assertTrue(connection.transport.aborted)
+
+    def test_silent_connection_is_not_used_again(self):
+        self.run_call()
+        self.run_call()
+        other = self.reactor.dialled(0)
+        other.dataReceived(OK + b'ok')
+        self.reactor.advance(1.0)
+        silent = self.reactor.dialled(1)
+        self.run_call(timeout_s=0.5)
+        self.reactor.advance(1.0)
+        self.assertEqual(
+            self.results[1:],
+            [TargetFailure.TIMEOUT] * 2,
+        )
+        self.assertTrue(silent.transport.aborted)
+        self.assertTrue(other.transport.aborted)
+
+    def test_old_idle_connection_is_replaced(self):
+        self.run_call()
+        connection = self.reactor.dialled()
+        connection.dataReceived(OK + b'ok')
+        self.reactor.advance(target_http.MAX_IDLE_S + 1)
+        self.run_call()
+        self.assertTrue(connection.transport.aborted)
+        self.assertEqual(len(self.reactor.factories), 2)
+
+    def test_cancelled_call_closes_its_connection(self):
+        result = self.run_call()
+        connection = self.reactor.dialled()
+        result.cancel()
+        self.assertEqual(self.results, [TargetFailure.CANCELLED])
+        self.assertTrue(connection.transport.aborted)
+        lose(connection)
+        self.assertEqual(len(self.results), 1)
+
+    def test_call_cancelled_before_it_left_is_unsent(self):
+        self.run_call().cancel()
+        self.assertEqual(self.results, [TargetFailure.NOT_SENT])
+        self.assertEqual(self.reactor.dialled().transport.take(), b'')
+
+    def test_connection_that_the_target_closes_is_not_used_again(self):
+        self.run_call()
+        connection = self.reactor.dialled()
+        connection.dataReceived(
+            OK.replace(b'Content', b'Connection: close\r\nContent') + b'ok',
+        )
+        self.run_call()
+        self.assertEqual(len(self.reactor.factories), 2)
+
+    def test_closed_sessions_keep_no_connection(self):
+        self.run_call()
+        connection = self.reactor.dialled()
+        self.sessions.close()
+        self.assertFalse(connection.transport.aborted)
+        connection.dataReceived(OK + b'ok')
+        self.assertEqual(self.results[0].body, b'ok')
+        self.assertTrue(connection.transport.aborted)
