--- a/src/rattanstile/process/log_client.py
+++ b/src/rattanstile/process/log_client.py
@@ -10,8 +10,10 @@
 from result import Err, Ok, Result
 from twisted.internet import error as internet_error
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.web._newclient import RequestGenerationFailed
 from twisted.web.client import (
+    URI,
     Agent,
     FileBodyProducer,
     HTTPConnectionPool,
@@ -20,7 +22,8 @@
     ResponseFailed,
     readBody,
 )
-from twisted.web.iweb import IResponse
+from twisted.web.iweb import IAgentEndpointFactory, IResponse
+from zope.interface import implementer
 
 from rattanstile.errors import (
     RattanstileError,
@@ -106,6 +109,20 @@
     offset: int
 
 
+@implementer(IAgentEndpointFactory)
+class _AddressEndpoints:
+    """Connects to IP numbers without a resolver and its threads."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint:
+        """Return the endpoint of an address."""
+        return TCP4ClientEndpoint(
+            self._reactor, uri.host.decode(), uri.port, CONNECT_TIMEOUT_S
+        )
+
+
 class LogClient:
     """Appends to and reads from streams over persistent connections.
 
@@ -128,8 +145,8 @@
         self._pool = HTTPConnectionPool(reactor, persistent=True)  # type: ignore[no-untyped-call]
         self._pool.maxPersistentPerHost = MAX_CONNECTIONS
         self._pool.retryAutomatically = False
-        self._agent = Agent(  # type: ignore[no-untyped-call]
-            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool
+        self._agent = Agent.usingEndpointFactory(  # type: ignore[no-untyped-call]
+            reactor, _AddressEndpoints(reactor), self._pool
         )
 
     def close(self) -> Deferred[None]:
--- a/src/rattanstile/process/relay.py
+++ b/src/rattanstile/process/relay.py
@@ -49,6 +49,7 @@
 
 TICK_S = 0.1
 POLL_PERIOD_S = 0.5
+CROSS_CHECK_PERIOD_S = 0.9
 ASKED_LATELY_S = 2.0
 STALE_AFTER_S = 2.8
 READER_STALE_AFTER_S = 1.3
@@ -94,6 +95,7 @@
         self._source = 0
         self._queries = Queries()
         self._next_query_s = NEVER_S
+        self._next_check_s = NEVER_S
         self._useful_s: float | None = None
         self._isolation_s = ISOLATED_AFTER_S
         self._kept: deque[AcceptedRecord] = deque(maxlen=MAX_KEPT)
@@ -169,13 +171,20 @@
         if not self._tree.reads_log:
             return self._ask_source(now_s)
         if now_s - self.freshness.log_heard_s < READER_STALE_AFTER_S:
-            return []
+            return self._cross_check(now_s)
         asked = self._elsewhere.next_round()
         fellows = self._tree.readers
         if fellows:
             asked.append(self._random.choice(fellows))
         return [self._query(now_s, node) for node in asked]
 
+    def _cross_check(self, now_s: float) -> list[RelayOutput]:
+        """Ask one node elsewhere, which may know of a longer log."""
+        if now_s < self._next_check_s:
+            return []
+        self._next_check_s = now_s + CROSS_CHECK_PERIOD_S
+        return [self._query(now_s, node) for node in self._elsewhere.one()]
+
     def _ask_source(self, now_s: float) -> list[RelayOutput]:
         sources = self._tree.sources()
         source = sources[self._source % len(sources)]
--- a/src/rattanstile/process/relay_contacts.py
+++ b/src/rattanstile/process/relay_contacts.py
@@ -84,3 +84,10 @@
             for place, domain in enumerate(domains)
             if (place + self._turn) % ROUNDS_FOR_ALL == 0
         ]
+
+    def one(self) -> list[NodeId]:
+        """Return one member of any other domain, or none."""
+        if not self._members:
+            return []
+        domain = self._random.choice(sorted(self._members))
+        return [self._random.choice(self._members[domain])]
--- a/src/rattanstile/version/checks.py
+++ b/src/rattanstile/version/checks.py
@@ -118,7 +118,8 @@
     if not is_digest(digest):
         yield Problem(
             field,
-            f'found {digest!r}; allowed is a SHA-256 as 64 lower-case'
+            f'found {len(digest)} characters that are no digest; allowed is'
+            ' a SHA-256 as 64 lower-case'
             ' hexadecimal digits, as `rattanstile key new` prints it',
         )
     if digest in seen:
--- a/src/rattanstile/version/plan.py
+++ b/src/rattanstile/version/plan.py
@@ -135,13 +135,13 @@
         return str(item)
     if 'name' in item:
         return str(item['name'])
-    return ','.join(item['methods']) + item['path']
+    return f'{",".join(item["methods"])}{item["path"]}'
 
 
-def _shown(item: Any) -> str:
+def _shown(item: object) -> str:
     match item:
         case str():
-            return str(item)
+            return item
         case dict():
             return ' '.join(
                 f'{name}={_shown(inner)}'
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,126 @@
+"""Log stand-in and its client, over a loopback connection."""
+
+import unittest
+
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import Clock
+
+from rattanstile.process.log_client import (
+    AppendUncertain,
+    LogClient,
+    LogUnavailable,
+    OffsetTooOld,
+)
+from rattanstile.standin.log import LogStandin, Switches, listening
+from rattanstile.standin.log_store import Retention, Stream
+
+
+def on_reactor(test):
+    """Run a test that waits for Deferreds to its end."""
+    steps = inlineCallbacks(test)
+
+    def run(self):
+        ended = []
+        steps(self).addBoth(ended.append)
+        while not ended:
+            reactor.iterate(0.01)
+        if ended[0] is not None:
+            ended[0].raiseException()
+
+    return run
+
+
+class StreamTest(unittest.TestCase):
+    """Retention drops the oldest records and keeps the offsets."""
+
+    def test_oldest_records_are_dropped_by_number_and_by_age(self):
+        stream = Stream(Retention(records=3, seconds_s=10))
+        for number in range(5):
+            stream.append(float(number), b'%d' % number)
+        page = stream.read(0, 100)
+        self.assertEqual((page.first_offset, page.oldest_offset), (2, 2))
+        stream.drop_old(13.5)
+        self.assertEqual(stream.read(4, 100).records, (b'4',))
+        self.assertEqual(stream.next_offset, 5)
+
+    def test_old_replica_shows_less(self):
+        stream = Stream(Retention())
+        for number in range(5):
+            stream.append(0.0, b'%d' % number)
+        page = stream.read(0, 100, lag_records=2)
+        self.assertEqual((len(page.records), page.next_offset), (3, 3))
+
+    def test_appends_beyond_the_rate_are_refused(self):
+        clock = Clock()
+        log = LogStandin(clock, switches=Switches(appends_per_s=2))
+        clock.advance(1)
+        taken = [log.takes_append() for _try in range(4)]
+        self.assertEqual(taken, [True, True, False, False])
+
+
+class LogClientTest(unittest.TestCase):
+    """The client tells what the log took, and what is uncertain."""
+
+    def setUp(self):
+        self.log = LogStandin(reactor, Retention(records=4))
+        serving = listening(reactor, '127.0.0.1', 0, self.log)
+        port = serving.__enter__()
+        self.addCleanup(serving.__exit__, None, None, None)
+        self.client = LogClient(reactor, f'127.0.0.1:{port}', 0.3)
+        self.addCleanup(self.client.close)
+
+    @on_reactor
+    def test_records_come_back_with_their_offsets(self):
+        first = yield self.client.append('one', b'\x00a')
+        second = yield self.client.append('one', b'b')
+        self.assertEqual((first.unwrap(), second.unwrap()), (0, 1))
+        batch = (yield self.client.read('one', 1, 0)).unwrap()
+        self.assertEqual((batch.first, batch.records), (1, (b'b',)))
+        other = (yield self.client.read('other', 0, 0)).unwrap()
+        self.assertEqual((other.records, other.next_offset), ((), 0))
+
+    @on_reactor
+    def test_read_waits_for_the_next_record(self):
+        reading = self.client.read('one', 0, 20)
+        reactor.callLater(0.01, self.log.append, 'one', b'late')
+        batch = (yield reading).unwrap()
+        self.assertEqual(batch.records, (b'late',))
+
+    @on_reactor
+    def test_read_past_retention_tells_the_oldest_offset(self):
+        for _record in range(6):
+            yield self.client.append('one', b'x')
+        error = (yield self.client.read('one', 0, 0)).unwrap_err()
+        self.assertIsInstance(error, OffsetTooOld)
+        self.assertEqual((error.oldest, error.next_offset), (2, 6))
+
+    @on_reactor
+    def test_log_that_is_down_appended_nothing(self):
+        self.log.switches.down = True
+        appended = yield self.client.append('one', b'x')
+        self.assertIsInstance(appended.unwrap_err(), LogUnavailable)
+        read = yield self.client.read('one', 0, 0)
+        self.assertIsInstance(read.unwrap_err(), LogUnavailable)
+        self.assertEqual(self.log.stream('one').next_offset, 0)
+
+    @on_reactor
+    def test_lost_answer_is_uncertain_and_the_record_is_in(self):
+        self.log.switches.lose_answers = True
+        appended = yield self.client.append('one', b'x')
+        self.assertIsInstance(appended.unwrap_err(), AppendUncertain)
+        self.assertEqual(self.log.stream('one').next_offset, 1)
+
+    @on_reactor
+    def test_silent_log_leaves_an_append_uncertain(self):
+        self.log.switches.silent = True
+        appended = yield self.client.append('one', b'x')
+        self.assertIsInstance(appended.unwrap_err(), AppendUncertain)
+        read = yield self.client.read('one', 0, 0)
+        self.assertIsInstance(read.unwrap_err(), LogUnavailable)
+
+    @on_reactor
+    def test_log_that_cannot_be_reached_appended_nothing(self):
+        client = LogClient(reactor, '127.0.0.1:1', 0.3)
+        appended = yield client.append('one', b'x')
+        self.assertIsInstance(appended.unwrap_err(), LogUnavailable)
