--- a/src/rattanstile/process/log_client.py
+++ b/src/rattanstile/process/log_client.py
@@ -10,8 +10,10 @@
 from result import Err, Ok, Result
 from twisted.internet import error as internet_error
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.web._newclient import RequestGenerationFailed
 from twisted.web.client import (
+    URI,
     Agent,
     FileBodyProducer,
     HTTPConnectionPool,
@@ -20,7 +22,8 @@
     ResponseFailed,
     readBody,
 )
-from twisted.web.iweb import IResponse
+from twisted.web.iweb import IAgentEndpointFactory, IResponse
+from zope.interface import implementer
 
 from rattanstile.errors import (
     RattanstileError,
@@ -106,6 +109,20 @@
     offset: int
 
 
+@implementer(IAgentEndpointFactory)
+class _AddressEndpoints:
+    """Connects to IP numbers without a resolver and its threads."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint:
+        """Return the endpoint of an address."""
+        return TCP4ClientEndpoint(
+            self._reactor, uri.host.decode(), uri.port, CONNECT_TIMEOUT_S
+        )
+
+
 class LogClient:
     """Appends to and reads from streams over persistent connections.
 
@@ -125,16 +142,16 @@
         self._reactor = reactor
         self._answer_timeout_s = answer_timeout_s
         self._base = f'http://{address}/streams'
-        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool = HTTPConnectionPool(reactor, persistent=True)  # type: ignore[no-untyped-call]
         self._pool.maxPersistentPerHost = MAX_CONNECTIONS
         self._pool.retryAutomatically = False
-        self._agent = Agent(
-            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool
+        self._agent = Agent.usingEndpointFactory(  # type: ignore[no-untyped-call]
+            reactor, _AddressEndpoints(reactor), self._pool
         )
 
     def close(self) -> Deferred[None]:
         """Close the idle connections."""
-        closed: Deferred[None] = self._pool.closeCachedConnections()
+        closed: Deferred[None] = self._pool.closeCachedConnections()  # type: ignore[no-untyped-call]
         return closed
 
     def append(self, stream: str, record: bytes) -> Deferred[AppendResult]:
@@ -160,7 +177,7 @@
         request: Deferred[IResponse] = self._agent.request(
             b'POST',
             f'{self._base}/{stream}/records'.encode(),
-            bodyProducer=FileBodyProducer(BytesIO(record)),
+            bodyProducer=FileBodyProducer(BytesIO(record)),  # type: ignore[no-untyped-call]
         )
         request.addTimeout(self._answer_timeout_s, self._reactor)
         try:
--- a/src/rattanstile/version/plan.py
+++ b/src/rattanstile/version/plan.py
@@ -135,10 +135,10 @@
         return str(item)
     if 'name' in item:
         return str(item['name'])
-    return '{0}{1}'.format(','.join(item['methods']), item['path'])
+    return f'{",".join(item["methods"])}{item["path"]}'
 
 
-def _shown(item: Any) -> str:
+def _shown(item: object) -> str:
     match item:
         case str():
             return item
