--- a/src/rattanstile/process/binding.py
+++ b/src/rattanstile/process/binding.py
@@ -30,6 +30,7 @@
 
 READ_AGAIN_S = 0.1
 MOST_KEYS = 65536
+MOST_APPENDS = 3
 
 _log = logbook.Logger('binding')
 
@@ -134,7 +135,7 @@
     record: BindingRecord
     stream: str
     stage: _Stage = _Stage.READING
-    offset: LogOffset | None = None
+    appends: int = 0
     was_uncertain: bool = False
 
 
@@ -245,7 +246,7 @@
             return self._bind(wish, bound)
         if wish.stage is _Stage.READING:
             return self._append(wish, stream)
-        if wish.stage is _Stage.UNCERTAIN:
+        if wish.stage is _Stage.UNCERTAIN and wish.appends < MOST_APPENDS:
             return self._append(wish, stream)
         return ()
 
@@ -257,6 +258,7 @@
                 proved_unbound=not wish.was_uncertain,
             )
         wish.stage = _Stage.APPENDING
+        wish.appends += 1
         record = msgspec.msgpack.encode(wish.record)
         return (AppendRecord(wish.stream, wish.record.record_id, record),)
 
@@ -290,11 +292,15 @@
     ) -> Iterable[BindingOutput]:
         stream = self._streams[read.stream]
         stream.is_reading = False
+        before = stream.index.next_offset
         stream.index.trim(read.oldest)
         if read.first <= stream.index.next_offset:
             stream.index.fold(read.first, read.records)
-        if stream.index.next_offset < read.next_offset:
+        if before < stream.index.next_offset < read.next_offset:
             return self._read(read.stream, stream)
+        if stream.index.next_offset < read.next_offset:
+            stream.read_again_s = now_s + READ_AGAIN_S
+            return ()
         stream.is_read = True
         outputs: list[BindingOutput] = []
         for wish in list(stream.wishes.values()):
--- a/src/rattanstile/process/binding_index.py
+++ b/src/rattanstile/process/binding_index.py
@@ -1,9 +1,9 @@
 """Fold of one stream of bindings: which call id an idempotency key has."""
 
 from dataclasses import dataclass
+from hashlib import blake2b
 
 import msgspec
-import xxhash
 
 from rattanstile.request.ids import (
     CallId,
@@ -14,6 +14,8 @@
 
 STREAMS = 64
 
+_DIGEST_BYTES = 16
+
 
 class BindingRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A record that ties an idempotency key to a call id.
@@ -36,7 +38,7 @@
     """The call id in force for a key.
 
     Attributes:
-        offset: Where the first record of the key stands.
+        offset: Where the record stands.
     """
 
     record: BindingRecord
@@ -48,6 +50,9 @@
 
     The first record of a key wins. A later one counts only if it replaces
     the call id in force, which its home proved to be never run.
+
+    A key lives as long as the log keeps its record in force. The log must
+    keep records for longer than a home accepts a call id.
     """
 
     def __init__(self) -> None:
@@ -89,17 +94,18 @@
         except msgspec.MsgspecError:
             return
         binding = self._bindings.get(record.key_digest)
-        if binding is None:
-            if not record.refused:
-                self._bindings[record.key_digest] = Binding(record, offset)
-        elif record.refused == binding.record.call_id:
-            binding.record = record
+        if binding is not None and record.refused != binding.record.call_id:
+            return
+        # Kept in the order of the offsets, for `trim`. A replacement whose
+        # first record is past retention is taken like a first one.
+        self._bindings.pop(record.key_digest, None)
+        self._bindings[record.key_digest] = Binding(record, offset)
 
 
 def key_digest_of(organisation: OrganisationId, key: str) -> bytes:
     """Return the digest of a key in its organisation's own name space."""
     text = f'{len(organisation)}:{organisation}{key}'
-    return xxhash.xxh3_128_digest(text.encode())
+    return blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
 
 
 def stream_of(key_digest: bytes) -> str:
