Carry the shed draw from parent to child and into each attempt

Cause: hops of one call tree compare their pressure with one draw. Change: CallRequested.shed_draw, ChildShare.parent and ChildShare.shed_draw. Not measured: no behaviour of its own.

--- a/src/rattanstile/process/contexts.py
+++ b/src/rattanstile/process/contexts.py
@@ -34,17 +34,20 @@
     """What a child call takes over from the call that makes it.
 
     Attributes:
+        parent: The call that makes it.
         hops: Calls above the child.
         deadline_s: Monotonic time of this node.
         tries: Retry budget lent to the child.
     """
 
+    parent: CallId
     organisation: OrganisationId
     key_digest: KeyDigest
     priority: Priority
     hops: int
     deadline_s: float
     tries: int
+    shed_draw: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,12 +115,14 @@
             return Err(UnknownTokenError('no call that runs has this token'))
         return Ok(
             ChildShare(
+                parent=context.call.call_id,
                 organisation=context.call.organisation,
                 key_digest=context.call.key_digest,
                 priority=context.call.priority,
                 hops=context.call.hops + 1,
                 deadline_s=context.deadline_s,
                 tries=context.budget.lend(),
+                shed_draw=context.call.shed_draw,
             )
         )
 
--- a/src/rattanstile/process/entry_call.py
+++ b/src/rattanstile/process/entry_call.py
@@ -139,6 +139,7 @@
             hops=request.hops,
             home=self.receiver,
             version=version,
+            shed_draw=request.shed_draw,
         )
 
     def settled(self, reply: Reply) -> Reply:
--- a/src/rattanstile/process/entry_service.py
+++ b/src/rattanstile/process/entry_service.py
@@ -306,5 +306,3 @@
         pending = self._pending.pop(number, None)
         if pending is not None and pending.is_placed:
             self.step(RequestAbandoned(number))
-
-
--- a/src/rattanstile/process/messages.py
+++ b/src/rattanstile/process/messages.py
@@ -180,6 +180,7 @@
     idempotency_key: str = ''
     priority: Priority | None = None
     """Set for a child call; the route's own where it is None."""
+    shed_draw: float = -1.0
 
 
 @dataclass(frozen=True, slots=True)
