--- a/src/rattanstile/process/home_table.py
+++ b/src/rattanstile/process/home_table.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from rattanstile.process.serving_home import AnswerAtOnce, RunCall
 from rattanstile.request.call_id import ParsedCallId, parse_call_id
 from rattanstile.request.envelope import Call, Reply, refusal
 from rattanstile.request.fingerprint import fingerprint_of
@@ -39,40 +38,45 @@
 
 
 @dataclass(frozen=True, slots=True)
-class JoinRunning(AnswerAtOnce):
-    """A copy of a call that is queued or runs; it waits for that reply.
+class RunIt:
+    """The first copy of this call: queue it, and run it at most once."""
 
-    `reply` is what to say where nobody knows of the run any more.
-    """
+
+@dataclass(frozen=True, slots=True)
+class JoinRunning:
+    """A copy of a call that is queued or runs; its reply follows."""
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerAgain(AnswerAtOnce):
+class AnswerAgain:
     """The call has ended; `reply` is its answer for this attempt."""
 
+    reply: Reply
+
 
 @dataclass(frozen=True, slots=True)
-class RefusedBefore(AnswerAtOnce):
+class RefusedBefore:
     """The call was refused and never runs; `reply` says so."""
 
+    reply: Reply
+
 
 @dataclass(frozen=True, slots=True)
-class RefusedNow(AnswerAtOnce):
+class RefusedNow:
     """The call was not run, is not run now and never runs here."""
 
+    reply: Reply
+
 
 @dataclass(frozen=True, slots=True)
-class CannotTell(AnswerAtOnce):
+class CannotTell:
     """The call may have run; it is not run now."""
 
+    reply: Reply
+
 
 Verdict = (
-    RunCall
-    | JoinRunning
-    | AnswerAgain
-    | RefusedBefore
-    | RefusedNow
-    | CannotTell
+    RunIt | JoinRunning | AnswerAgain | RefusedBefore | RefusedNow | CannotTell
 )
 
 
@@ -148,7 +152,7 @@
     def arrive(self, now_s: float, call: Call) -> Verdict:
         """Decide on one copy of a call, before anything else is checked.
 
-        Whoever gets `RunCall` runs the call or not, and then tells `ended`
+        Whoever gets `RunIt` runs the call or not, and then tells `ended`
         how it went, a refusal included.
         """
         self.tick(now_s)
@@ -164,7 +168,7 @@
             return RefusedNow(refusal(call, Reason.HOME_FULL))
         self._ids.setdefault(parsed.id_epoch, []).append(call.call_id)
         self._entries[call.call_id] = _Entry(fingerprint_of(call))
-        return RunCall()
+        return RunIt()
 
     def ended(self, now_s: float, call: Call, reply: Reply) -> None:
         """Keep how a call ended.
@@ -240,7 +244,7 @@
     if entry.fingerprint != fingerprint_of(call):
         return CannotTell(_unknown(call, Reason.KEY_REUSED))
     if entry.reply is None:
-        return JoinRunning(_unknown(call, Reason.CONNECTION_LOST))
+        return JoinRunning()
     reply = msgspec.structs.replace(
         entry.reply, attempt=call.attempt, tries_unspent=call.tries_left
     )
