Membership machine, thin; records of the stream rates with record ids

The owner claims of the rates replace the earlier OwnerClaimRecord, as a shard carries several organisations. Nothing is measured yet.

--- /dev/null
+++ b/src/rattanstile/process/members.py
@@ -0,0 +1,167 @@
+"""Table of the members that a node knows, and which news of them wins."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+
+from rattanstile.process.membership_messages import MemberState, Update
+from rattanstile.request.envelope import Member
+from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
+
+LEFT_KEPT_S = 600.0
+"""How long it is known that an incarnation left: older news is gone by then."""
+_MASK = 0xFFFFFFFF
+
+
+@dataclass(slots=True)
+class Entry:
+    """One incarnation of a node.
+
+    Attributes:
+        since_s: When the state was taken.
+    """
+
+    member: Member
+    state: MemberState
+    refutation: int
+    since_s: float
+
+    def update(self, *, with_member: bool = False) -> Update:
+        """Return the news to tell others."""
+        return Update(
+            self.member.node_id,
+            self.member.incarnation,
+            self.state,
+            self.refutation,
+            self.member if with_member else None,
+        )
+
+
+@dataclass(slots=True)
+class MemberTable:
+    """Members by node, failure domain and service."""
+
+    _entries: dict[NodeId, Entry] = field(default_factory=dict)
+    _by_domain: dict[FailureDomainId, set[NodeId]] = field(default_factory=dict)
+    _by_service: dict[ServiceName, set[NodeId]] = field(default_factory=dict)
+    _digests: dict[FailureDomainId | ServiceName, int] = field(
+        default_factory=dict
+    )
+
+    def get(self, node_id: NodeId) -> Entry | None:
+        """Return what is known of a node."""
+        return self._entries.get(node_id)
+
+    def __len__(self) -> int:
+        """Return how many nodes are known."""
+        return len(self._entries)
+
+    def apply(self, now_s: float, update: Update) -> bool:
+        """Take news of a node.
+
+        Returns:
+            Whether it was new.
+        """
+        entry = self._entries.get(update.node_id)
+        if entry is None or update.incarnation > entry.member.incarnation:
+            return self._add(now_s, update)
+        if not _wins(update, entry):
+            return False
+        entry.state = update.state
+        entry.refutation = update.refutation
+        entry.since_s = now_s
+        self._digest_changed(entry.member)
+        return True
+
+    def domains(self) -> tuple[FailureDomainId, ...]:
+        """Return every failure domain with a known member, sorted."""
+        return tuple(sorted(self._by_domain))
+
+    def in_domain(self, domain: FailureDomainId) -> Iterator[Entry]:
+        """Yield the entries of a failure domain."""
+        return self._entries_of(self._by_domain.get(domain, ()))
+
+    def of_service(self, service: ServiceName) -> Iterator[Entry]:
+        """Yield the entries of a service."""
+        return self._entries_of(self._by_service.get(service, ()))
+
+    def domain_digest(self, domain: FailureDomainId) -> int:
+        """Return a digest of a domain's nodes, incarnations and states."""
+        if domain not in self._digests:
+            self._digests[domain] = digest_of(self.in_domain(domain))
+        return self._digests[domain]
+
+    def service_digest(self, service: ServiceName) -> int:
+        """Return a digest of a service's nodes, incarnations and states."""
+        if service not in self._digests:
+            self._digests[service] = digest_of(self.of_service(service))
+        return self._digests[service]
+
+    def all_entries(self) -> Iterator[Entry]:
+        """Yield every entry."""
+        return iter(tuple(self._entries.values()))
+
+    def forget(self, node_id: NodeId) -> None:
+        """Drop what is known of a node."""
+        entry = self._entries.pop(node_id)
+        self._digest_changed(entry.member)
+        self._by_domain[entry.member.failure_domain].discard(node_id)
+        self._by_service[entry.member.service].discard(node_id)
+
+    def forget_left(self, now_s: float) -> None:
+        """Drop the members that left long ago."""
+        for entry in self.all_entries():
+            is_old = now_s > entry.since_s + LEFT_KEPT_S
+            if entry.state is MemberState.LEFT and is_old:
+                self.forget(entry.member.node_id)
+
+    def _add(self, now_s: float, update: Update) -> bool:
+        if update.member is None:
+            return False
+        if update.node_id in self._entries:
+            self.forget(update.node_id)
+        member = update.member
+        self._digest_changed(member)
+        self._entries[member.node_id] = Entry(
+            member, update.state, update.refutation, now_s
+        )
+        self._by_domain.setdefault(member.failure_domain, set()).add(
+            member.node_id
+        )
+        self._by_service.setdefault(member.service, set()).add(member.node_id)
+        return True
+
+    def _digest_changed(self, member: Member) -> None:
+        self._digests.pop(member.failure_domain, None)
+        self._digests.pop(member.service, None)
+
+    def _entries_of(self, node_ids: Iterable[NodeId]) -> Iterator[Entry]:
+        return (self._entries[node_id] for node_id in tuple(node_ids))
+
+
+def digest_of(entries: Iterable[Entry]) -> int:
+    """Return a digest of nodes, incarnations and states, in any order."""
+    total = 0
+    for entry in entries:
+        if entry.state is not MemberState.LEFT:
+            total += _entry_digest(entry)
+    return total & _MASK
+
+
+def _entry_digest(entry: Entry) -> int:
+    parts = (
+        entry.member.node_id,
+        entry.member.incarnation,
+        int(entry.state is MemberState.LOST),
+    )
+    return xxhash.xxh32_intdigest(msgspec.msgpack.encode(parts))
+
+
+def _wins(update: Update, entry: Entry) -> bool:
+    if update.incarnation < entry.member.incarnation:
+        return False
+    if MemberState.LEFT in {update.state, entry.state}:
+        return entry.state is not MemberState.LEFT
+    return (update.refutation, update.state) > (entry.refutation, entry.state)
--- a/src/rattanstile/process/rate_borrower.py
+++ b/src/rattanstile/process/rate_borrower.py
@@ -17,23 +17,17 @@
 from rattanstile.process.rate_demand import Demand
 from rattanstile.process.rate_loans import Account
 from rattanstile.process.rate_messages import (
-    RATES_STREAM,
     Admitted,
     BorrowerInput,
     BorrowerOutput,
     Denied,
-    Epoch,
     Granted,
     LoanGrant,
     LoanRefused,
     OverRate,
-    OwnerClaimRecord,
     OwnersRequest,
-    OwnerStartedRecord,
     OwnersTold,
-    ProcessId,
     RatePeersChanged,
-    ShardId,
     StaticSlotSet,
     Verdict,
     Waiting,
@@ -45,6 +39,14 @@
 from rattanstile.process.rate_static import StaticBuckets
 from rattanstile.request.ids import NodeId, OrganisationId
 from rattanstile.version.declaration import Organisation
+from rattanstile.version.rate_records import (
+    Epoch,
+    OwnerClaimRecord,
+    OwnerStartedRecord,
+    ProcessId,
+    ShardId,
+)
+from rattanstile.version.records import RATES_STREAM
 
 HOLD_S = 0.04
 """How long a request waits for a token."""
--- a/src/rattanstile/process/rate_bucket.py
+++ b/src/rattanstile/process/rate_bucket.py
@@ -8,8 +8,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from rattanstile.process.rate_messages import Epoch, LoanRequest, ProcessId
+from rattanstile.process.rate_messages import LoanRequest
 from rattanstile.process.rate_shares import Share
+from rattanstile.version.rate_records import Epoch, ProcessId
 
 LOAN_TERM_S = 0.4
 """From the borrower's request, by the borrower's clock."""
--- a/src/rattanstile/process/rate_candidate.py
+++ b/src/rattanstile/process/rate_candidate.py
@@ -9,13 +9,14 @@
 
 from rattanstile.process.rate_claims import ClaimFold
 from rattanstile.process.rate_lease import Witness
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rate_messages import RatePeer
+from rattanstile.request.ids import FailureDomainId, RecordId
+from rattanstile.version.rate_records import (
+    Epoch,
     OwnerClaimRecord,
     ProcessId,
-    RatePeer,
     ShardId,
 )
-from rattanstile.request.ids import FailureDomainId
 
 WITNESSES_MAX = 5
 SUSPECT_S = 0.6
@@ -76,9 +77,11 @@
         if self.claims.is_full(shard):
             return None
         self._tried_s[shard] = now_s
+        epoch = self.claims.next_epoch(shard)
         return OwnerClaimRecord(
+            record_id=_record_id(self.me, shard, epoch),
             shard=shard,
-            epoch=self.claims.next_epoch(shard),
+            epoch=epoch,
             owner=self.me,
             witnesses=self._witnesses(shard),
         )
@@ -125,6 +128,11 @@
         return tuple(ranked[: max(0, odd)])
 
 
+def _record_id(me: ProcessId, shard: ShardId, epoch: Epoch) -> RecordId:
+    run = f'{me.node_id}/{me.incarnation}'
+    return RecordId(f'owner-claim/{shard}/{epoch}/{run}')
+
+
 def _by_domain(
     shard: ShardId, peers: Iterable[RatePeer]
 ) -> dict[FailureDomainId, list[ProcessId]]:
--- a/src/rattanstile/process/rate_claims.py
+++ b/src/rattanstile/process/rate_claims.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from rattanstile.process.rate_messages import (
+from rattanstile.version.rate_records import (
     Epoch,
     OwnerClaimRecord,
     OwnerStartedRecord,
--- a/src/rattanstile/process/rate_lease.py
+++ b/src/rattanstile/process/rate_lease.py
@@ -12,16 +12,18 @@
 
 from rattanstile.process.rate_bucket import LOAN_TERM_S
 from rattanstile.process.rate_messages import (
-    Epoch,
     LeaseRequest,
     LeaseVouched,
-    OwnerClaimRecord,
-    ProcessId,
     Sealed,
     SealRequest,
-    ShardId,
 )
 from rattanstile.request.ids import NodeId
+from rattanstile.version.rate_records import (
+    Epoch,
+    OwnerClaimRecord,
+    ProcessId,
+    ShardId,
+)
 
 LEASE_S = 0.6
 RENEW_EVERY_S = 0.15
--- a/src/rattanstile/process/rate_loans.py
+++ b/src/rattanstile/process/rate_loans.py
@@ -3,12 +3,9 @@
 from dataclasses import dataclass
 
 from rattanstile.process.rate_bucket import LOAN_TERM_S
-from rattanstile.process.rate_messages import (
-    LoanGrant,
-    LoanRequest,
-    OwnerClaimRecord,
-)
+from rattanstile.process.rate_messages import LoanGrant, LoanRequest
 from rattanstile.request.ids import Incarnation, OrganisationId
+from rattanstile.version.rate_records import OwnerClaimRecord
 
 ANSWER_WITHIN_S = 0.03
 SILENT_BACKOFF_S = 0.1
--- a/src/rattanstile/process/rate_messages.py
+++ b/src/rattanstile/process/rate_messages.py
@@ -1,7 +1,6 @@
 """Records and messages by which an organisation's rate is shared out."""
 
 from dataclasses import dataclass
-from typing import NewType
 
 import msgspec
 
@@ -15,52 +14,14 @@
 from rattanstile.request.ids import (
     FailureDomainId,
     Incarnation,
-    NodeId,
     OrganisationId,
 )
-
-ShardId = NewType('ShardId', int)
-Epoch = NewType('Epoch', int)
-
-RATES_STREAM = 'rates'
-
-
-class ProcessId(msgspec.Struct, frozen=True, kw_only=True):
-    """One run of a node's process."""
-
-    node_id: NodeId
-    incarnation: Incarnation
-
-
-# Records of the stream
-
-
-class OwnerClaimRecord(
-    msgspec.Struct, frozen=True, kw_only=True, tag='rate-owner-claim'
-):
-    """A process claims a shard; the first record for an epoch wins.
-
-    Attributes:
-        witnesses: The processes whose majority bounds the owner's lease.
-    """
-
-    shard: ShardId
-    epoch: Epoch
-    owner: ProcessId
-    witnesses: tuple[ProcessId, ...]
-
-
-class OwnerStartedRecord(
-    msgspec.Struct, frozen=True, kw_only=True, tag='rate-owner-started'
-):
-    """The owner of an epoch holds its lease: every earlier one is over."""
-
-    shard: ShardId
-    epoch: Epoch
-
-
-RateRecord = OwnerClaimRecord | OwnerStartedRecord
-
+from rattanstile.version.rate_records import (
+    Epoch,
+    OwnerClaimRecord,
+    ProcessId,
+    ShardId,
+)
 
 # Between nodes
 
--- a/src/rattanstile/process/rate_owner.py
+++ b/src/rattanstile/process/rate_owner.py
@@ -15,27 +15,29 @@
 from rattanstile.process.rate_claims import ClaimFold
 from rattanstile.process.rate_lease import Witness
 from rattanstile.process.rate_messages import (
-    RATES_STREAM,
     LeaseRequest,
     LeaseVouched,
     LoanRequest,
-    OwnerClaimRecord,
     OwnerInput,
     OwnerOutput,
     OwnersRequest,
-    OwnerStartedRecord,
     OwnersTold,
     ProcessGone,
-    ProcessId,
     RatePeersChanged,
     Sealed,
     SealRequest,
-    ShardId,
 )
 from rattanstile.process.rate_role import Role, refusal, role_of
 from rattanstile.process.rate_shares import SplitSchedule, shard_count
 from rattanstile.request.ids import FailureDomainId, NodeId
 from rattanstile.version.declaration import Organisation
+from rattanstile.version.rate_records import (
+    OwnerClaimRecord,
+    OwnerStartedRecord,
+    ProcessId,
+    ShardId,
+)
+from rattanstile.version.records import RATES_STREAM
 
 TICK_S = 0.05
 """How often the machine wants `Ticked`."""
--- a/src/rattanstile/process/rate_role.py
+++ b/src/rattanstile/process/rate_role.py
@@ -14,19 +14,21 @@
     Sealing,
 )
 from rattanstile.process.rate_messages import (
-    RATES_STREAM,
-    Epoch,
     LeaseVouched,
     LoanGrant,
     LoanRefused,
     LoanRequest,
-    OwnerClaimRecord,
     OwnerOutput,
+)
+from rattanstile.process.rate_shares import SplitSchedule
+from rattanstile.request.ids import NodeId, OrganisationId, RecordId
+from rattanstile.version.rate_records import (
+    Epoch,
+    OwnerClaimRecord,
     OwnerStartedRecord,
     ProcessId,
 )
-from rattanstile.process.rate_shares import SplitSchedule
-from rattanstile.request.ids import NodeId, OrganisationId
+from rattanstile.version.records import RATES_STREAM
 
 STARTED_AGAIN_S = 2.0
 
@@ -156,7 +158,11 @@
             return []
         self._told_s = now_s
         record = OwnerStartedRecord(
-            shard=self.claim.shard, epoch=self.claim.epoch
+            record_id=RecordId(
+                f'owner-started/{self.claim.shard}/{self.claim.epoch}'
+            ),
+            shard=self.claim.shard,
+            epoch=self.claim.epoch,
         )
         return [AppendRecord(RATES_STREAM, record)]
 
--- a/src/rattanstile/process/rate_shares.py
+++ b/src/rattanstile/process/rate_shares.py
@@ -10,9 +10,9 @@
 
 import xxhash
 
-from rattanstile.process.rate_messages import ShardId
 from rattanstile.request.ids import OrganisationId
 from rattanstile.version.declaration import Organisation
+from rattanstile.version.rate_records import ShardId
 
 STATIC_RATE_FRACTION = 0.03
 STATIC_BURST_FRACTION = 0.1
--- a/src/rattanstile/version/records.py
+++ b/src/rattanstile/version/records.py
@@ -16,6 +16,10 @@
 )
 from rattanstile.version.change import DeclarationChange
 from rattanstile.version.declaration import Declaration
+from rattanstile.version.rate_records import (
+    OwnerClaimRecord,
+    OwnerStartedRecord,
+)
 
 CONFIGURATION_STREAM = 'configuration'
 PLANS_STREAM = 'plans'
@@ -113,23 +117,6 @@
     member: Member
 
 
-class OwnerClaimRecord(
-    msgspec.Struct, frozen=True, kw_only=True, tag='owner-claim'
-):
-    """A node claims a shard of an organisation's rate.
-
-    Attributes:
-        epoch: The first record for an epoch wins it.
-    """
-
-    record_id: RecordId
-    organisation: OrganisationId
-    shard: int
-    epoch: int
-    owner: NodeId
-    incarnation: int = 0
-
-
 class KeyBindingRecord(
     msgspec.Struct, frozen=True, kw_only=True, tag='key-binding'
 ):
@@ -153,6 +140,7 @@
     | JoinRecord
     | LeaveRecord
     | OwnerClaimRecord
+    | OwnerStartedRecord
     | KeyBindingRecord
 )
 
