--- a/src/rattanstile/process/gate.py
+++ b/src/rattanstile/process/gate.py
@@ -18,6 +18,7 @@
 from rattanstile.version.in_force import VersionInForce
 
 MS_PER_S = 1000
+UNDRAWN = -1.0
 LONGEST_DEADLINE_MS = 60_000
 NO_ORGANISATION = OrganisationId('')
 NO_KEY = KeyDigest('')
@@ -48,6 +49,7 @@
     Attributes:
         tries: Retry budget of the call tree, or of the share lent to it.
         hops: Calls above this one.
+        shed_draw: See `rattanstile.request.envelope.Call`.
         share: What the parent lent; None for a root call.
     """
 
@@ -58,6 +60,7 @@
     remaining_ms: int
     tries: int
     hops: int
+    shed_draw: float
     share: ChildShare | None = None
 
     @property
@@ -130,6 +133,7 @@
                 remaining_ms=_remaining_ms(asked, service),
                 tries=declaration.retry_budget,
                 hops=0,
+                shed_draw=UNDRAWN,
             )
         )
 
@@ -154,6 +158,7 @@
                 remaining_ms=min(_remaining_ms(asked, service), left_ms),
                 tries=share.tries,
                 hops=share.hops,
+                shed_draw=share.shed_draw,
                 share=share,
             )
         )
