--- a/src/rattanstile/process/rate_messages.py
+++ b/src/rattanstile/process/rate_messages.py
@@ -20,8 +20,12 @@
     Epoch,
     OwnerClaimRecord,
     ProcessId,
+    RateRecord,
     ShardId,
 )
+from rattanstile.version.records import RATES_STREAM
+
+__all__ = ('RATES_STREAM', 'ProcessId', 'RateRecord')
 
 # Between nodes
 
