Membership machine in the node, static slots by settings

Cause: the log alone told the members; a killed node stayed a member. Change: the membership machine with its gossip replaces the fold of the log; members that end settle the calls that wait for them; services are followed on demand beyond 32; the static part of the rates needs a slot, which the settings give.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(BIN)/rattanstile demo
 
 test: install
-	$(BIN)/nose2 --config unittest.cfg
+	$(BIN)/python -m nose2 --config unittest.cfg
 
 bench: install
 	$(BIN)/python -m bench
--- a/src/rattanstile/process/control_service.py
+++ b/src/rattanstile/process/control_service.py
@@ -9,6 +9,7 @@
 
 from rattanstile.connection.control_bus import ControlBus
 from rattanstile.process.logs import key_values
+from rattanstile.process.membership_messages import MembershipMessage
 from rattanstile.process.rate_messages import RateMessage
 from rattanstile.process.relay_messages import RelayMessage
 from rattanstile.request.ids import NodeId
@@ -22,6 +23,7 @@
 
     RELAY = 1
     RATES = 2
+    MEMBERSHIP = 3
 
 
 class ControlEnvelope(
@@ -37,6 +39,7 @@
 _DECODERS: dict[Family, msgspec.msgpack.Decoder[Any]] = {
     Family.RELAY: msgspec.msgpack.Decoder(RelayMessage),
     Family.RATES: msgspec.msgpack.Decoder(RateMessage),
+    Family.MEMBERSHIP: msgspec.msgpack.Decoder(MembershipMessage),
 }
 _encoder = msgspec.msgpack.Encoder()
 _envelopes = msgspec.msgpack.Decoder(ControlEnvelope)
--- a/src/rattanstile/process/entry_service.py
+++ b/src/rattanstile/process/entry_service.py
@@ -28,10 +28,11 @@
 from rattanstile.process.shedding import SheddingEntry
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Header, Reply
-from rattanstile.request.ids import CallId, OrganisationId
+from rattanstile.request.ids import CallId, OrganisationId, ServiceName
 from rattanstile.request.outcome import Outcome, Reason
 
 TICK_S = 0.02
+FOLLOW_S = 0.3
 MS_PER_S = 1000
 _NOBODY = OrganisationId('')
 
@@ -74,10 +75,14 @@
     Attributes:
         send: Takes attempts, cancels, greetings and bindings wanted.
         child_ended: Takes the pressure met by a call of the own target.
+        knows_members: Tells whether members of a service are followed here.
+        follow_members: Begins to follow the members of a service.
     """
 
     send: Callable[[SendCall | SendCancel | AskHome | BindingWanted], None]
     child_ended: Callable[[CallId, float], None]
+    knows_members: Callable[[ServiceName], bool]
+    follow_members: Callable[[ServiceName], None]
 
 
 class EntryService:
@@ -173,10 +178,28 @@
         pending.passed = passed
         if self._draining and passed.share is None:
             self._refuse(number, Reason.DRAINING)
-        elif passed.is_charged:
+        elif not self._ports.knows_members(pending.request.asked.service):
+            self._follow(number, pending)
+        else:
+            self._charge_or_place(now_s, number, passed)
+
+    def _follow(self, number: int, pending: _Pending) -> None:
+        """Begin to follow the members, and go on when they are told."""
+        self._ports.follow_members(pending.request.asked.service)
+
+        def go_on(now_s: float) -> None:
+            if number in self._pending and pending.passed is not None:
+                self._charge_or_place(now_s, number, pending.passed)
+
+        self._timers.after(FOLLOW_S, go_on)
+
+    def _charge_or_place(
+        self, now_s: float, number: int, passed: Passed
+    ) -> None:
+        if passed.is_charged:
             self._charge(now_s, number, passed)
         else:
-            self._place(number, pending)
+            self._place(number, self._pending[number])
 
     def _charge(self, now_s: float, number: int, passed: Passed) -> None:
         match self._rates.admit(now_s, passed.organisation, number):
--- a/src/rattanstile/process/home_grants.py
+++ b/src/rattanstile/process/home_grants.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from itertools import count
 from random import Random
 
 from rattanstile.connection.frames import IdsGranted
@@ -11,7 +10,6 @@
 from rattanstile.process.messages import AskHome, HomeSeen
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import (
-    Incarnation,
     NodeId,
     ServiceName,
 )
@@ -33,26 +31,21 @@
     """Chooses a home for a caller and tells what its ids must carry.
 
     Args:
-        node_id: This entry node; makes issuers unique with `incarnation`.
         ask: Has a home tell its incarnation and id epoch.
     """
 
     def __init__(
         self,
-        node_id: NodeId,
-        incarnation: Incarnation,
         chooser: Chooser,
         timers: TimerService,
         rng: Random,
         ask: Callable[[AskHome], None],
     ) -> None:
         """Begin with no home heard."""
-        self._issuer = f'{node_id}:{incarnation}'
         self._chooser = chooser
         self._timers = timers
         self._rng = rng
         self._ask = ask
-        self._numbers = count(1)
         self._heard: dict[NodeId, tuple[float, HomeSeen]] = {}
         self._waiting: dict[NodeId, list[_Asked]] = {}
 
@@ -84,7 +77,6 @@
             home=seen.node_id,
             incarnation=seen.incarnation,
             id_epoch=seen.id_epoch,
-            issuer=f'{self._issuer}:{next(self._numbers)}',
         )
 
     def _end(self, home: NodeId, asked: _Asked) -> None:
--- a/src/rattanstile/process/log_client.py
+++ b/src/rattanstile/process/log_client.py
@@ -142,16 +142,16 @@
         self._reactor = reactor
         self._answer_timeout_s = answer_timeout_s
         self._base = f'http://{address}/streams'
-        self._pool = HTTPConnectionPool(reactor, persistent=True)  # type: ignore[no-untyped-call]
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = MAX_CONNECTIONS
         self._pool.retryAutomatically = False
-        self._agent = Agent.usingEndpointFactory(  # type: ignore[no-untyped-call]
+        self._agent = Agent.usingEndpointFactory(
             reactor, _AddressEndpoints(reactor), self._pool
         )
 
     def close(self) -> Deferred[None]:
         """Close the idle connections."""
-        closed: Deferred[None] = self._pool.closeCachedConnections()  # type: ignore[no-untyped-call]
+        closed: Deferred[None] = self._pool.closeCachedConnections()
         return closed
 
     def append(self, stream: str, record: bytes) -> Deferred[AppendResult]:
@@ -177,7 +177,7 @@
         request: Deferred[IResponse] = self._agent.request(
             b'POST',
             f'{self._base}/{stream}/records'.encode(),
-            bodyProducer=FileBodyProducer(BytesIO(record)),  # type: ignore[no-untyped-call]
+            bodyProducer=FileBodyProducer(BytesIO(record)),
         )
         request.addTimeout(self._answer_timeout_s, self._reactor)
         try:
--- a/src/rattanstile/process/membership.py
+++ b/src/rattanstile/process/membership.py
@@ -125,6 +125,11 @@
         entries = self._table.all_entries()
         return tuple(one.member for one in entries if self._is_usable(one))
 
+    def member(self, node_id: NodeId) -> Member | None:
+        """Return what is known of a node, live or not."""
+        entry = self._table.get(node_id)
+        return entry.member if entry else None
+
     def wants_log(self) -> bool:
         """Tell whether this node has to read the stream `members` now.
 
--- a/src/rattanstile/process/node.py
+++ b/src/rattanstile/process/node.py
@@ -36,8 +36,12 @@
 from rattanstile.process.home_grants import HomeGrants
 from rattanstile.process.home_table import HomeTable
 from rattanstile.process.log_client import LogClient
+from rattanstile.process.log_reader import LogReader, StreamEvent
 from rattanstile.process.logs import key_values
-from rattanstile.process.member_service import MemberService
+from rattanstile.process.member_service import MemberPorts, MemberService
+from rattanstile.process.membership import Membership
+from rattanstile.process.membership_messages import MemberLost
+from rattanstile.process.messages import HomeGone
 from rattanstile.process.metrics import Metrics, opened_metrics
 from rattanstile.process.operator_http import (
     NodeStatus,
@@ -45,6 +49,7 @@
 )
 from rattanstile.process.rate_borrower import Borrower
 from rattanstile.process.rate_messages import (
+    ProcessGone,
     ProcessId,
     RateMessage,
     RatePeer,
@@ -70,11 +75,15 @@
     TargetId,
 )
 from rattanstile.version.in_force import VersionInForce
+from rattanstile.version.records import MEMBERS_STREAM
 
 MS_PER_S = 1000
 DRAIN_CHECK_S = 0.05
 FLUSH_S = 0.3
 NEVER_HEARD_S = 86_400.0
+MOST_SERVICES_FOLLOWED = 32
+
+StreamHandler = Callable[[StreamEvent], None]
 
 _log = logbook.Logger('node')
 
@@ -171,13 +180,7 @@
         self.pool = pool
         self.control = control
         own = core.member()
-        self.members = MemberService(
-            own,
-            core.reactor,
-            core.log_client,
-            core.rng,
-            self._members_changed,
-        )
+        self.members = self._build_members(own)
         self.configuration = Configuration(
             RelayMember(core.node_id, core.failure_domain),
             core.timers,
@@ -194,7 +197,7 @@
         self.router = CallRouter(
             own,
             lambda: core.home_table.id_epoch,
-            self.members.members.get,
+            self.members.member,
             core.timers,
         )
         self.serving = self._build_serving()
@@ -210,6 +213,7 @@
         control.handlers = {
             Family.RELAY: self.configuration.receive,
             Family.RATES: self._rate_message,
+            Family.MEMBERSHIP: self.members.receive,
         }
 
     def handle_http(self, request: CallerHttpRequest) -> 'Deferred[Reply]':
@@ -234,6 +238,7 @@
     @contextmanager
     def running(self) -> Iterator[None]:
         """Run every part while the block runs."""
+        core = self.core
         with ExitStack() as stack:
             for part in (
                 self.pool,
@@ -246,6 +251,8 @@
                 self.bindings,
             ):
                 stack.enter_context(part.running())
+            if core.settings.static_slot >= 0:
+                self.rates.static_slot(core.settings.static_slot)
             self.state = NodeState.SERVING
             yield
 
@@ -280,7 +287,7 @@
             limit=machine.limit,
             in_flight=machine.running,
             queued=machine.queued,
-            members=len(self.members.members),
+            members=len(self.members.live()),
             control_bytes_sent=bus.sent_bytes if bus else 0,
             control_bytes_received=bus.received_bytes if bus else 0,
             processor_s=used.ru_utime + used.ru_stime,
@@ -300,6 +307,29 @@
 
     # Building
 
+    def _build_members(self, own: Member) -> MemberService:
+        core = self.core
+        seeds = tuple(NodeId(seed) for seed in core.settings.seeds)
+
+        def make_reader(handler: StreamHandler) -> LogReader:
+            return LogReader(
+                core.reactor, core.log_client, MEMBERS_STREAM, core.rng, handler
+            )
+
+        return MemberService(
+            Membership(own, seeds, core.rng),
+            core.log_client,
+            make_reader,
+            core.timers,
+            MemberPorts(
+                self._members_changed,
+                self._member_lost,
+                lambda out: self.control.send(
+                    Family.MEMBERSHIP, out.receiver, out.message
+                ),
+            ),
+        )
+
     def _build_rates(self) -> RateService:
         core = self.core
         return RateService(
@@ -356,7 +386,12 @@
             self.rates,
             core.timers,
             core.metrics.calls,
-            EntryPorts(self.router.send, self.serving.child_ended),
+            EntryPorts(
+                self.router.send,
+                self.serving.child_ended,
+                self.members.knows,
+                lambda service: self.members.follow(frozenset((service,))),
+            ),
         )
         self.rates.decided = service.rate_decided
         return service
@@ -364,8 +399,6 @@
     def _join_router(self) -> None:
         core = self.core
         grants = HomeGrants(
-            core.node_id,
-            core.incarnation,
             self.chooser,
             core.timers,
             core.rng,
@@ -392,27 +425,32 @@
     def _version_changed(self, version: VersionInForce) -> None:
         self.entry.machine.adopt(version)
         self.rates.adopt(version)
-
-    def _members_changed(self, members: tuple[Member, ...]) -> None:
-        self.chooser.members_changed(members, self.core.timers.now_s())
+        services = version.declaration.services
+        if len(services) <= MOST_SERVICES_FOLLOWED:
+            self.members.follow(frozenset(one.name for one in services))
+
+    def _members_changed(self) -> None:
+        now_s = self.core.timers.now_s()
+        self.chooser.members_changed(self.members.members(), now_s)
+        live = self.members.live()
         self.configuration.set_members(
-            tuple(
-                RelayMember(one.node_id, one.failure_domain) for one in members
-            )
+            tuple(RelayMember(one.node_id, one.failure_domain) for one in live)
         )
         peers = tuple(
-            RatePeer(
-                ProcessId(
-                    node_id=one.node_id,
-                    incarnation=Incarnation(one.incarnation),
-                ),
-                one.failure_domain,
-            )
-            for one in members
+            RatePeer(_process_of(one), one.failure_domain)
+            for one in live
             if one.node_id != self.core.node_id
         )
         self.rates.take(RatePeersChanged(peers))
 
+    def _member_lost(self, lost: MemberLost) -> None:
+        if not lost.ended:
+            return
+        incarnation = Incarnation(lost.incarnation)
+        self.entry.step(HomeGone(lost.node_id, incarnation))
+        ended = ProcessId(node_id=lost.node_id, incarnation=incarnation)
+        self.rates.process_gone(ProcessGone(ended))
+
     def _rate_message(self, sender: NodeId, message: RateMessage) -> None:
         self.rates.take(ControlArrived(sender, message))
 
@@ -426,6 +464,12 @@
         timers.after(DRAIN_CHECK_S, lambda _: self._await_idle(until_s, done))
 
 
+def _process_of(member: Member) -> ProcessId:
+    return ProcessId(
+        node_id=member.node_id, incarnation=Incarnation(member.incarnation)
+    )
+
+
 @contextmanager
 def running_node(reactor: Reactor, settings: NodeSettings) -> Iterator[Node]:
     """Run a node on the reactor while the block runs."""
--- a/src/rattanstile/process/settings.py
+++ b/src/rattanstile/process/settings.py
@@ -75,6 +75,9 @@
         target_address: Where the target listens.
         log_address: Where the platform's log listens.
         seeds: Control addresses of nodes to join through.
+        static_slot: A number below the declaration's `max_nodes` that no
+            other node has; the node's place in the part of each rate that
+            needs no owner. Negative for none.
         drain_timeout_s: How long a drain waits for running calls.
     """
 
@@ -90,6 +93,7 @@
     control_address: str = '127.0.0.1:0'
     operator_address: str = '127.0.0.1:0'
     seeds: tuple[str, ...] = ()
+    static_slot: int = -1
     drain_timeout_s: float = 30.0
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
--- a/src/rattanstile/trial/fleet.py
+++ b/src/rattanstile/trial/fleet.py
@@ -261,6 +261,7 @@
             control_address=former.get('control', ANY_PORT),
             operator_address=former.get('operator', ANY_PORT),
             seeds=seeds,
+            static_slot=self.workers.index(worker),
             log=LogSettings(level='info'),
             connections=ConnectionSettings(
                 max_callers=worker.plan.connections,
