--- a/src/rattanstile/cli.py
+++ b/src/rattanstile/cli.py
@@ -10,6 +10,7 @@
 from rattanstile.operator_cli import add_operator_commands
 from rattanstile.standin_cli import add_standin_commands
 from rattanstile.trial.demo import add_demo_command
+from rattanstile.trial.trial_cli import add_trial_command
 
 _EPILOG = """\
 A first run:
@@ -41,6 +42,7 @@
     add_operator_commands(subparsers)
     add_standin_commands(subparsers)
     add_demo_command(subparsers)
+    add_trial_command(subparsers)
     return parser
 
 
--- a/src/rattanstile/standin/target.py
+++ b/src/rattanstile/standin/target.py
@@ -332,6 +332,10 @@
             case b'/-/restart':
                 self._end(b'{}')
                 self.target.restart()
+            case b'/-/forget':
+                target.stats = TargetStats()
+                target.runs.clear()
+                self._end(b'{}')
             case b'/-/warm':
                 target.warm_up()
                 self._end(b'{}')
--- a/src/rattanstile/trial/fleet.py
+++ b/src/rattanstile/trial/fleet.py
@@ -132,6 +132,8 @@
         self.domain = domain
         self.target = target
         self.node: Process | None = None
+        self.baseline: Process | None = None
+        self.uses_baseline = False
 
     def stats(self) -> TargetStats:
         """Return the counters of the target."""
@@ -167,10 +169,17 @@
             raise UnavailableError(f'the node of {self.name} was not started')
         return self.node
 
+    @property
+    def proxy(self) -> Process:
+        """Return the process that calls go through: node or baseline."""
+        if self.uses_baseline and self.baseline is not None:
+            return self.baseline
+        return self.running_node
+
     @property
     def caller_address(self) -> str:
-        """Return the address of the node for callers' HTTP."""
-        return self.running_node.ready.addresses['caller']
+        """Return the address of the proxy for callers' HTTP."""
+        return self.proxy.ready.addresses['caller']
 
     @property
     def peer_address(self) -> str:
@@ -231,8 +240,28 @@
         """Start every node and tell each target its node's address."""
         for worker in self.workers:
             self.start_node(worker)
+        self.use_baseline(chosen=False)
+
+    def start_all_baselines(self) -> None:
+        """Start the baseline proxy of every worker."""
+        targets: dict[str, list[str]] = {}
+        for worker in self.workers:
+            addresses = targets.setdefault(worker.plan.name, [])
+            addresses.append(worker.target_address)
+        path = self.folder / 'baseline.json'
+        path.write_bytes(msgspec.json.encode({'targets': targets}))
         for started in self.workers:
-            started.switch(node_address=started.caller_address)
+            started.baseline = Process(
+                f'{started.name} baseline',
+                ['standin', 'passthrough', str(path)],
+                self.folder / f'{started.name}.baseline.log',
+            )
+
+    def use_baseline(self, *, chosen: bool) -> None:
+        """Send the calls of every target through nodes or baselines."""
+        for worker in self.workers:
+            worker.uses_baseline = chosen
+            worker.switch(node_address=worker.caller_address)
 
     def status(self, worker: Worker) -> dict[str, object]:
         """Return what the node of a worker tells of itself."""
@@ -310,7 +339,8 @@
 
 
 def _stop_nodes(fleet: Fleet) -> None:
-    nodes = [one.node for one in fleet.workers if one.node is not None]
+    pairs = [(one.node, one.baseline) for one in fleet.workers]
+    nodes = [one for pair in pairs for one in pair if one is not None]
     for node in nodes:
         node.signal(signal.SIGCONT)
         node.signal(signal.SIGTERM)
--- a/src/rattanstile/trial/load.py
+++ b/src/rattanstile/trial/load.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum, unique
 from typing import Protocol
 
 from twisted.internet.defer import Deferred
@@ -70,14 +69,6 @@
         """Return how the call ended."""
 
 
-@unique
-class Shape(Enum):
-    """How the demand of one service or organisation is changed."""
-
-    STEADY = 'steady'
-    SURGE = 'surge'
-
-
 @dataclass(slots=True)
 class Demand:
     """Calls a second, to be changed while the load runs.
@@ -110,7 +101,7 @@
         """Prepare the demand of each service and organisation."""
         self.demand = Demand()
         self.tally = Tally()
-        self._deployment = deployment
+        self.deployment = deployment
         self._timers = timers
         self._caller = caller
         self._random = random.Random(seed)
@@ -138,11 +129,11 @@
     def _rate_per_s(self) -> float:
         pairs = self._weights()
         total = sum(weight for _, _, weight in pairs)
-        return self._deployment.calls_per_s * self.demand.factor * total
+        return self.deployment.calls_per_s * self.demand.factor * total
 
     def _weights(self) -> list[tuple[ServicePlan, str, float]]:
-        shares = organisation_weights(self._deployment)
-        names = self._deployment.organisations
+        shares = organisation_weights(self.deployment)
+        names = self.deployment.organisations
         return [
             (
                 plan,
@@ -152,7 +143,7 @@
                 * self.demand.by_service.get(plan.name, 1.0)
                 * self.demand.by_organisation.get(name, 1.0),
             )
-            for plan in self._deployment.services
+            for plan in self.deployment.services
             for name, share in zip(names, shares, strict=True)
         ]
 
@@ -177,7 +168,7 @@
         made.addCallback(self._end, due)
 
     def _end(self, seen: Seen, due: DueCall) -> None:
-        client_ms = 2 * self._deployment.client_delay_ms
+        client_ms = 2 * self.deployment.client_delay_ms
         spent_s = self.elapsed_s() - due.due_s
         answered = seen.body.split(b' ', 1)[0].decode('ascii', 'replace')
         self.tally.add(
--- a/src/rattanstile/trial/measures.py
+++ b/src/rattanstile/trial/measures.py
@@ -58,8 +58,11 @@
     @property
     def broken(self) -> int:
         """Return the sum of all counters."""
-        names = (field.name for field in fields(self))
-        return sum(getattr(self, name) for name in names)
+        return sum(self.as_dict().values())
+
+    def as_dict(self) -> dict[str, int]:
+        """Return the counters by name."""
+        return {field.name: getattr(self, field.name) for field in fields(self)}
 
 
 class Group:
--- a/src/rattanstile/trial/run.py
+++ b/src/rattanstile/trial/run.py
@@ -14,9 +14,13 @@
 from rattanstile.process.operators import Operators
 from rattanstile.process.reactor import Reactor
 from rattanstile.process.timers import TimerService
-from rattanstile.trial.callers import HttpCaller
+from rattanstile.trial.callers import (
+    HttpCaller,
+    LibraryCaller,
+    opened_library_caller,
+)
 from rattanstile.trial.deployments import declaration_of
-from rattanstile.trial.fleet import Fleet
+from rattanstile.trial.fleet import Fleet, Worker
 from rattanstile.trial.load import STEP_S, Caller, DueCall, OpenLoad
 from rattanstile.trial.measures import InvariantCounts, count_broken
 from rattanstile.version.declaration import Declaration
@@ -49,6 +53,7 @@
         self.declaration = declaration_of(
             deployment, {name: key.digest for name, key in made.items()}
         )
+        self.first_declaration = self.declaration
         self._operators = Operators(
             LogClient(reactor, fleet.log_address), 'trial'
         )
@@ -91,6 +96,14 @@
             await self.sleep(POLL_S)
         raise UnavailableError(f'version {version} is not in force everywhere')
 
+    def start_again(self, worker: Worker) -> None:
+        """Start a worker's proxy again after it ended."""
+        if worker.uses_baseline:
+            worker.proxy.restart()
+        else:
+            self.fleet.start_node(worker)
+        worker.switch(node_address=worker.caller_address)
+
     async def sleep(self, delay_s: float) -> None:
         """Wait for a while."""
         woken: Deferred[float] = Deferred()
@@ -116,6 +129,13 @@
         while load.open_calls and self.timers.now_s() < until_s:
             await self.sleep(POLL_S)
 
+    async def use(self, *, baseline: bool) -> None:
+        """Send all calls through nodes or baselines, with calm targets."""
+        await deferToThread(self.fleet.use_baseline, chosen=baseline)
+        for worker in self.fleet.workers:
+            await deferToThread(worker.order, 'warm')
+            await deferToThread(worker.order, 'forget')
+
     async def count_broken(self, load: OpenLoad) -> InvariantCounts:
         """Compare what callers saw with what targets ran."""
         runs: Counter[str] = Counter()
@@ -132,6 +152,13 @@
         """Return a caller that uses plain HTTP."""
         return HttpCaller(self._reactor, self.entries(), self.keys)
 
+    @contextmanager
+    def library_caller(self) -> Iterator[LibraryCaller]:
+        """Provide a caller that uses the caller library in the block."""
+        entries = [worker.peer_address for worker in self.fleet.workers]
+        with opened_library_caller(self._reactor, entries, self.keys) as caller:
+            yield caller
+
     def _all_have(self, version: int) -> bool:
         for worker in self.fleet.workers:
             if worker.running_node.alive:
