Bench transactions beyond capacity, idle restarts and overstated slots

Cause: the priority row had no run in which transactions must be shed, no row restarted idle targets, and the two controllers were compared in no row.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -6,10 +6,13 @@
 import logbook
 
 from bench.overload_cases import (
+    PriorityFigures,
     chain_at_three_times,
     lookups_over_transactions,
     one_greedy_organisation,
+    overstated_slots,
     restart_of_all_targets,
+    restart_of_an_idle_target,
     slow_deep_service,
     steady_load,
 )
@@ -23,8 +26,11 @@
 )
 from bench.overload_model import Fleet, ServiceShape
 from bench.row import Row
+from rattanstile.process.limit_controller import Aimd, Gradient
 
 COLD_START_S = 5.0
+OVERSTATED_SLOTS = 60
+BEARS = 15
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,32 +123,49 @@
 
 def _priority_rows(deployment: Deployment) -> list[Row]:
     shape = deployment.registry
-    real = lookups_over_transactions(deployment.real(shape), shape)
-    baseline = lookups_over_transactions(deployment.pass_through(shape), shape)
-    case = f'{deployment.name}: transactions beside lookups at 3x'
-    return [
-        Row(
-            f'{case}, whole',
-            f'{real.transactions_whole:.4f}',
-            '>= 0.99',
-            real.transactions_whole >= 0.99,
-            f'{baseline.transactions_whole:.4f}',
-        ),
-        Row(
-            f'{case}, shed while a lookup is admitted',
-            str(real.shed_before_lookups),
-            '0',
-            real.shed_before_lookups == 0,
-            str(baseline.shed_before_lookups),
-        ),
-        Row(
-            f'{case}, lookups whole over capacity',
-            f'{real.lookups_per_s:.3f}',
-            'none',
-            held=True,
-            baseline=f'{baseline.lookups_per_s:.3f}',
-        ),
-    ]
+    found = []
+    for demand in (0.5, 1.5):
+        real = lookups_over_transactions(deployment.real(shape), shape, demand)
+        baseline = lookups_over_transactions(
+            deployment.pass_through(shape), shape, demand
+        )
+        case = f'{deployment.name}: transactions at {demand}x, lookups at 3x'
+        found.append(
+            Row(
+                f'{case}, transactions shed while a lookup is admitted',
+                str(real.shed_before_lookups),
+                '0',
+                real.shed_before_lookups == 0,
+                str(baseline.shed_before_lookups),
+            ),
+        )
+        if demand < 1:
+            found.append(
+                Row(
+                    f'{case}, transactions whole',
+                    f'{real.transactions_whole:.4f}',
+                    '>= 0.99',
+                    real.transactions_whole >= 0.99,
+                    f'{baseline.transactions_whole:.4f}',
+                ),
+            )
+        found.append(
+            Row(
+                f'{case}, transactions and lookups whole over capacity',
+                _both(real),
+                'none',
+                held=True,
+                baseline=_both(baseline),
+            ),
+        )
+    return found
+
+
+def _both(figures: PriorityFigures) -> str:
+    return (
+        f'{figures.transactions_over_capacity:.3f}'
+        f' + {figures.lookups_over_capacity:.3f}'
+    )
 
 
 def _greedy_rows(deployment: Deployment) -> list[Row]:
@@ -191,6 +214,48 @@
     ]
 
 
+def _idle_restart_rows(deployment: Deployment) -> list[Row]:
+    shape = replace(deployment.deepest, cold_slots=2, cold_start_s=COLD_START_S)
+    real = restart_of_an_idle_target(deployment.real(shape), shape)
+    baseline = restart_of_an_idle_target(deployment.pass_through(shape), shape)
+    return [
+        Row(
+            f'{deployment.name}: idle targets restart, calls beyond',
+            str(real),
+            '0',
+            real == 0,
+            str(baseline),
+        ),
+    ]
+
+
+def _controller_rows(deployment: Deployment) -> list[Row]:
+    shape = replace(deployment.deepest, slots=OVERSTATED_SLOTS, bears=BEARS)
+    fleets = {
+        'AIMD with trials': real_fleet((shape,), deployment.far_s, Aimd()),
+        'gradient': real_fleet((shape,), deployment.far_s, Gradient()),
+        'pass-through': deployment.pass_through(shape),
+    }
+    figures = {
+        name: overstated_slots(fleet, shape) for name, fleet in fleets.items()
+    }
+    shown = {
+        name: f'{one.goodput:.3f}, {one.p95_s:.2f} s, {one.calls_at_once}'
+        for name, one in figures.items()
+    }
+    case = f'{deployment.name}: targets bear {BEARS} of {OVERSTATED_SLOTS}'
+    return [
+        Row(
+            f'{case}, goodput, p95, calls at once, {name}',
+            shown[name],
+            'none',
+            held=True,
+            baseline=shown['pass-through'],
+        )
+        for name in ('AIMD with trials', 'gradient')
+    ]
+
+
 def _steady_rows(deployment: Deployment) -> list[Row]:
     chain = deployment.chain
     real = steady_load(deployment.real(), chain)
@@ -212,6 +277,8 @@
     _priority_rows,
     _greedy_rows,
     _restart_rows,
+    _idle_restart_rows,
+    _controller_rows,
     _steady_rows,
 )
 
--- a/bench/overload_cases.py
+++ b/bench/overload_cases.py
@@ -1,5 +1,6 @@
 """Cases of overload, run on a fleet of real or of pass-through nodes."""
 
+from bisect import bisect_left
 from dataclasses import dataclass
 
 from bench.overload_fleet import LOOKUP, ORGANISATIONS, TRANSACTION
@@ -32,6 +33,9 @@
 RESTART_AFTER_S = 12.0
 JUST_S = 0.01
 GREED = 8
+P95 = 0.95
+IDLE_S = 5.0
+SPARE_S = 0.5
 WITHIN_SHARE = 0.1
 RECOVERED_SHARE = 0.95
 
@@ -50,7 +54,8 @@
     """What lookups and transactions came to."""
 
     transactions_whole: float
-    lookups_per_s: float
+    transactions_over_capacity: float
+    lookups_over_capacity: float
     shed_before_lookups: int
 
 
@@ -116,17 +121,23 @@
 
 
 def lookups_over_transactions(
-    fleet: Fleet, shape: ServiceShape
+    fleet: Fleet, shape: ServiceShape, demand: float
 ) -> PriorityFigures:
-    """Offer lookups at three times the capacity beside transactions."""
+    """Offer lookups at three times the capacity beside transactions.
+
+    Args:
+        fleet: Runs the calls.
+        shape: The service called.
+        demand: Transactions wanted over the service's capacity.
+    """
     callers = Callers(fleet)
     capacity_per_s = shape.capacity_per_s
     end_s = WARM_S + PRIORITY_S
     lookups = (0.2 * capacity_per_s, 3 * capacity_per_s)
     _begin_for_all(callers, shape.name, lookups, end_s)
-    each_per_s = 0.5 * capacity_per_s / len(ORGANISATIONS)
+    each_per_s = capacity_per_s / len(ORGANISATIONS)
     for organisation in ORGANISATIONS:
-        rate = steady(each_per_s)
+        rate = stepped(0.2 * each_per_s, demand * each_per_s, WARM_S)
         callers.begin(
             Stream(organisation, shape.name, TRANSACTION, rate), end_s
         )
@@ -136,6 +147,7 @@
     looked_up = [one for one in measured if one.stream.path == LOOKUP]
     return PriorityFigures(
         whole_share(transactions),
+        whole_per_s(transactions, WARM_S, end_s) / capacity_per_s,
         whole_per_s(looked_up, WARM_S, end_s) / capacity_per_s,
         _shed_before_lookups(fleet),
     )
@@ -206,6 +218,54 @@
     return len(refused) / len(measured)
 
 
+@dataclass(frozen=True, slots=True)
+class OverstatedFigures:
+    """What a target that bears less than declared came to."""
+
+    goodput: float
+    p95_s: float
+    calls_at_once: int
+
+
+def overstated_slots(fleet: Fleet, shape: ServiceShape) -> OverstatedFigures:
+    """Offer twice what targets bear that bear less than their slots."""
+    callers = Callers(fleet)
+    bears_per_s = shape.workers * shape.bears / shape.service_s
+    end_s = WARM_S + FAIRNESS_S
+    rates = (0.5 * bears_per_s, 2 * bears_per_s)
+    _begin_for_all(callers, shape.name, rates, end_s)
+    fleet.loop.run(end_s)
+    ended = [
+        one for one in callers.requests if one.is_whole and one.ended_s > WARM_S
+    ]
+    latencies_s = sorted(one.ended_s - one.attempted_s for one in ended)
+    at_once = [node.target.held for node in fleet.of(shape.name)]
+    return OverstatedFigures(
+        len(ended) / FAIRNESS_S / bears_per_s,
+        latencies_s[int(P95 * len(latencies_s))],
+        max(at_once),
+    )
+
+
+def restart_of_an_idle_target(fleet: Fleet, shape: ServiceShape) -> int:
+    """Restart idle targets silently, then surge; count calls beyond."""
+    callers = Callers(fleet)
+    quiet_s = WARM_S + IDLE_S
+    end_s = quiet_s + shape.cold_start_s
+    demand_per_s = shape.capacity_per_s
+    each_per_s = demand_per_s / len(ORGANISATIONS)
+    for organisation in ORGANISATIONS:
+        before = Stream(organisation, shape.name, LOOKUP, steady(each_per_s))
+        callers.begin(before, WARM_S)
+        rate = stepped(0, each_per_s, quiet_s)
+        callers.begin(Stream(organisation, shape.name, LOOKUP, rate), end_s)
+    fleet.loop.run(quiet_s - SPARE_S)
+    for node in fleet.of(shape.name):
+        node.target.restart()
+    fleet.loop.run(end_s)
+    return sum(node.target.counts.over_cold for node in fleet.of(shape.name))
+
+
 def _wasted_share(fleet: Fleet, callers: Callers) -> float:
     """Return the share of slot time spent on requests that failed."""
     spent_s = 0.0
@@ -237,6 +297,6 @@
     ]
     lookups = fleet.lookups_sent_s
     return sum(
-        any(at_s <= sent_s < at_s + JUST_S for sent_s in lookups)
+        bisect_left(lookups, at_s) < bisect_left(lookups, at_s + JUST_S)
         for at_s in shed
     )
--- a/bench/overload_load.py
+++ b/bench/overload_load.py
@@ -69,6 +69,7 @@
     stream: Stream
     begun_s: float
     attempts: int = 0
+    attempted_s: float = 0.0
     ended_s: float = 0.0
     outcome: Outcome | None = None
     reasons: list[Reason | None] = field(default_factory=list)
@@ -112,6 +113,7 @@
 
     def _attempt(self, request: Request) -> None:
         request.attempts += 1
+        request.attempted_s = self._fleet.loop.now_s
         node = self._rng.choice(self._nodes)
         requested = self._requested(request)
         loop = self._fleet.loop
--- a/bench/overload_model.py
+++ b/bench/overload_model.py
@@ -74,7 +74,9 @@
     """A service of a fleet.
 
     Attributes:
+        slots: Calls at once that are declared.
         service_s: Mean seconds of one call on its target, child apart.
+        bears: Calls at once beyond which a target slows down; 0 for none.
         child: The service that each call calls in turn, if any.
     """
 
@@ -85,6 +87,7 @@
     cold_slots: int = 4
     cold_start_s: float = 2.0
     child: str = ''
+    bears: int = 0
 
     @property
     def capacity_per_s(self) -> float:
@@ -142,6 +145,11 @@
         self._waiting: list[Call] = []
         self._running = 0
 
+    @property
+    def held(self) -> int:
+        """Return the calls on the target."""
+        return len(self._held)
+
     @property
     def is_cold(self) -> bool:
         """Tell whether the cold start lasts."""
@@ -188,6 +196,8 @@
     def _begin(self, call: Call) -> None:
         fleet = self._node.fleet
         factor = fleet.rng.uniform(1 - SPREAD, 1 + SPREAD) * self.slowdown
+        if self._shape.bears:
+            factor *= max(1.0, self._running / self._shape.bears)
         boot = self.boot
         began_s = fleet.loop.now_s
 
