Judge a decrease of the limit by calls sent after it took effect

Cause: the window after a decrease still held calls sent before it, so the latency rose on, the decrease looked useless and the limit went back up. Change: after a decrease no call counts until the calls at once have fallen to the new limit, and then only calls sent later.

--- a/src/rattanstile/process/limiter.py
+++ b/src/rattanstile/process/limiter.py
@@ -77,6 +77,7 @@
         self._before_suspicion: _Phase | None = None
         self._heard_s = now_s
         self._window = _Window(now_s)
+        self._settled_s = now_s
 
     @property
     def limit(self) -> int:
@@ -112,11 +113,13 @@
         self.in_flight = max(0, self.in_flight - 1)
         if ok:
             self._heard_s = now_s
-            self._window.successes += 1
-            self._window.latencies_s += latency_s
             self._observe(latency_s)
-        else:
+        self._settle(now_s)
+        if not ok:
             self._window.errors += 1
+        elif now_s - latency_s >= self._settled_s:
+            self._window.successes += 1
+            self._window.latencies_s += latency_s
         if self._window_is_over(now_s):
             self._close_window(now_s)
 
@@ -159,12 +162,14 @@
         self._warming = before.warming
         self._limit = before.limit
         self._window = _Window(now_s)
+        self._settled_s = now_s
 
     def _fall_back(self, now_s: float) -> None:
         self._cold_since_s = now_s
         self._warming = True
         self._limit = float(self.limits.cold_slots)
         self._window = _Window(now_s)
+        self._settled_s = now_s
 
     @property
     def _fewest(self) -> int:
@@ -179,6 +184,15 @@
         longest_s = max(SILENCE_S, SILENCE_LATENCIES * self.latency_s)
         return now_s - self._heard_s > longest_s
 
+    def _settle(self, now_s: float) -> None:
+        """Begin a window once a decrease of the limit has taken effect.
+
+        Calls sent before then have met the calls at once of earlier.
+        """
+        if math.isinf(self._settled_s) and self.in_flight <= self.limit:
+            self._settled_s = now_s
+            self._window = _Window(now_s, peak=self.in_flight)
+
     def _observe(self, latency_s: float) -> None:
         if self.latency_s:
             self.latency_s += LATENCY_GAIN * (latency_s - self.latency_s)
@@ -234,4 +248,7 @@
     def _adjust(self, seen: WindowSeen) -> None:
         slots = self.limits.slots
         wanted = self._controller.adjust(self._limit, slots, seen)
-        self._limit = min(max(wanted, float(self._fewest)), float(slots))
+        found = min(max(wanted, float(self._fewest)), float(slots))
+        if found < self._limit:
+            self._settled_s = math.inf
+        self._limit = found
