Leave a node alone for a while when it refuses for good

Cause: a node whose target refuses connections answers at once with nothing in flight, so power of two choices prefers it. Change: after a refusal that says nothing of load (draining, out of service, no target, not verified, refused by the target) the chooser passes the node over for 0.5 s, doubling to 8 s, until it answers. The latency remembered of a node halves every 5 s, so that one that was slow is tried again.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -10,6 +10,7 @@
     chain_at_three_times,
     lookups_over_transactions,
     one_greedy_organisation,
+    one_target_down,
     overstated_slots,
     restart_of_all_targets,
     restart_of_an_idle_target,
@@ -271,6 +272,21 @@
     ]
 
 
+def _down_rows(deployment: Deployment) -> list[Row]:
+    shape = deployment.deepest
+    real = one_target_down(deployment.real(shape), shape)
+    baseline = one_target_down(deployment.pass_through(shape), shape)
+    return [
+        Row(
+            f'{deployment.name}: one target of three down, refusals at 50%',
+            f'{real:.5f}',
+            '<= 0.001',
+            real <= 0.001,
+            f'{baseline:.5f}',
+        ),
+    ]
+
+
 CASES: tuple[Callable[[Deployment], list[Row]], ...] = (
     _chain_rows,
     _slow_rows,
@@ -279,6 +295,7 @@
     _restart_rows,
     _idle_restart_rows,
     _controller_rows,
+    _down_rows,
     _steady_rows,
 )
 
--- a/bench/overload_cases.py
+++ b/bench/overload_cases.py
@@ -205,6 +205,24 @@
     )
 
 
+def one_target_down(fleet: Fleet, shape: ServiceShape) -> float:
+    """Let one target refuse connections; return the share not whole at once.
+
+    The rest bears the demand.
+    """
+    callers = Callers(fleet)
+    demand_per_s = 0.5 * shape.capacity_per_s
+    end_s = WARM_S + FAIRNESS_S
+    rates = (demand_per_s, demand_per_s)
+    _begin_for_all(callers, shape.name, rates, end_s)
+    fleet.loop.run(WARM_S)
+    fleet.of(shape.name)[0].target.is_down = True
+    fleet.loop.run(end_s + DRAIN_S)
+    measured = begun(callers.requests, WARM_S, end_s)
+    refused = [one for one in measured if any(one.reasons)]
+    return len(refused) / len(measured)
+
+
 def steady_load(fleet: Fleet, chain: tuple[ServiceShape, ...]) -> float:
     """Return the share refused at 80% of the capacity, without a fault."""
     callers = Callers(fleet)
--- a/bench/overload_load.py
+++ b/bench/overload_load.py
@@ -86,6 +86,7 @@
     def __init__(self, fleet: Fleet, seed: int = 7) -> None:
         """Begin without streams."""
         self.requests: list[Request] = []
+        fleet.requests = self.requests
         self._fleet = fleet
         self._rng = Random(seed)
         self._nodes = list(fleet.nodes.values())
--- a/bench/overload_model.py
+++ b/bench/overload_model.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol
 
 from rattanstile.process.chooser import Chooser
 from rattanstile.process.home_table import HomeTable
@@ -137,6 +137,7 @@
         """Begin with a cold start."""
         self.counts = TargetCounts()
         self.slowdown = 1.0
+        self.is_down = False
         self.boot = 0
         self._node = node
         self._shape = shape
@@ -169,6 +170,9 @@
 
     def run(self, call: Call) -> None:
         """Take a call; a cold target falls over beyond its cold slots."""
+        if self.is_down:
+            self._tell(TargetFailed(call.call_id, TargetFailure.NOT_SENT))
+            return
         self.counts.runs += 1
         self._held[call.call_id] = call
         self.counts.most_held = max(self.counts.most_held, len(self._held))
@@ -365,6 +369,7 @@
         self.attempts = 0
         self.needed: set[tuple[int, str]] = set()
         self.ends: list[Ended] = []
+        self.requests: list[Any] = []
         self.lookups_sent_s: list[float] = []
         self.request_ids = count(1)
         self.nodes = {node.member.node_id: node for node in self._build(shapes)}
--- a/src/rattanstile/process/chooser.py
+++ b/src/rattanstile/process/chooser.py
@@ -5,6 +5,7 @@
 that starts or returns is taken for a cold one until it tells its limit.
 """
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
@@ -20,6 +21,7 @@
     ServiceName,
     TargetId,
 )
+from rattanstile.request.outcome import Reason
 from rattanstile.version.declaration import TargetLimits
 from rattanstile.version.in_force import VersionInForce
 
@@ -27,6 +29,19 @@
 LATENCY_FLOOR_S = 0.001
 TOLD_FRESH_S = 1.0
 FULL = 0.9
+LATENCY_HALF_LIFE_S = 5.0
+FIRST_AWAY_S = 0.5
+LONGEST_AWAY_S = 8.0
+AWAY_REASONS = frozenset(
+    (
+        Reason.DRAINING,
+        Reason.OUT_OF_SERVICE,
+        Reason.NO_TARGET,
+        Reason.NOT_VERIFIED,
+        Reason.TARGET_REFUSED,
+    ),
+)
+"""Refusals that say nothing of load: the node would refuse the next too."""
 NONE_EXCLUDED: frozenset[NodeId] = frozenset()
 DEFAULT_LIMITS = TargetLimits(slots=16)
 
@@ -77,8 +92,27 @@
     told_in_flight: int = 0
     told_limit: int = 0
     told_s: float = float('-inf')
+    ended_s: float = 0.0
+    away_s: float = 0.0
+    away_until_s: float = float('-inf')
     out_of_service: bool = False
 
+    def stay_away(self, now_s: float) -> None:
+        self.away_s = min(LONGEST_AWAY_S, max(FIRST_AWAY_S, 2 * self.away_s))
+        self.away_until_s = now_s + self.away_s
+
+    def answered(self, now_s: float, latency_s: float) -> None:
+        self.away_s = 0.0
+        self.away_until_s = now_s
+        self.latency_s = self.recent_latency_s(now_s)
+        self.latency_s += LATENCY_GAIN * (latency_s - self.latency_s)
+        self.ended_s = now_s
+
+    def recent_latency_s(self, now_s: float) -> float:
+        """Return the latency, halved over time so that it is tried again."""
+        half_lives = (now_s - self.ended_s) / LATENCY_HALF_LIFE_S
+        return self.latency_s * math.exp2(-half_lives)
+
 
 class Chooser:
     """Chooses serving nodes for the calls of one entry node.
@@ -102,6 +136,7 @@
         self._peers: dict[NodeId, _Peer] = {}
         self._by_service: dict[ServiceName, list[_Peer]] = {}
         self._now_s = 0.0
+        self._rng = Random()
 
     def members_changed(
         self, members: Sequence[Member], now_s: float | None = None
@@ -144,7 +179,7 @@
             if self._is_usable(peer, exclude, now_s)
         ]
         limits = self._limits(service)
-        choice = self._choose_among(usable, limits, service, rng or Random(0))
+        choice = self._choose_among(usable, limits, service, rng or self._rng)
         _log.info(choice.line())
         return choice.node_id
 
@@ -177,7 +212,9 @@
         if reply is None:
             return
         if reply.reason is None:
-            peer.latency_s += LATENCY_GAIN * (latency_s - peer.latency_s)
+            peer.answered(self._now_s, latency_s)
+        elif reply.reason in AWAY_REASONS:
+            peer.stay_away(self._now_s)
         peer.told_in_flight = reply.in_flight
         peer.told_limit = reply.limit
         peer.told_s = self._now_s
@@ -217,13 +254,14 @@
         service: ServiceName,
         rng: Random,
     ) -> ChoiceMade:
-        roomy = [peer for peer in usable if self._load(peer, limits) <= FULL]
+        willing = [peer for peer in usable if self._now_s >= peer.away_until_s]
+        roomy = [peer for peer in willing if self._load(peer, limits) <= FULL]
         near = [
             peer
             for peer in roomy
             if peer.member.failure_domain == self._failure_domain
         ]
-        pool = near or roomy or usable
+        pool = near or roomy or willing or usable
         if not pool:
             return ChoiceMade(service, None, 0, near=False, load=0.0)
         drawn = rng.sample(pool, min(2, len(pool)))
@@ -250,5 +288,5 @@
         return assumed_limit(limits, peer.since_s, self._now_s)
 
     def _score(self, peer: _Peer, limits: TargetLimits) -> float:
-        latency_s = max(LATENCY_FLOOR_S, peer.latency_s)
+        latency_s = max(LATENCY_FLOOR_S, peer.recent_latency_s(self._now_s))
         return self._load(peer, limits) * latency_s
--- a/tests/test_chooser.py
+++ b/tests/test_chooser.py
@@ -5,8 +5,8 @@
 from random import Random
 
 from rattanstile.process.chooser import Chooser
-from rattanstile.request.envelope import Member, Reply
-from rattanstile.request.outcome import Outcome
+from rattanstile.request.envelope import Call, Member, Reply, refusal
+from rattanstile.request.outcome import Outcome, Reason
 from rattanstile.version.declaration import (
     Declaration,
     FailureDomain,
@@ -17,6 +17,17 @@
 
 LIMITS = TargetLimits(slots=10, cold_slots=2, cold_start_s=10.0)
 WARM_S = 100.0
+CALL = Call(
+    call_id='a',
+    attempt=1,
+    organisation='north',
+    key_digest='',
+    service='claims',
+    method='GET',
+    path='/',
+    remaining_ms=1000,
+    home='e1',
+)
 
 
 def member(name, domain, incarnation=1):
@@ -124,8 +135,24 @@
     def test_slower_node_is_avoided_at_equal_load(self):
         for node, latency_s in (('e1', 0.9), ('e2', 0.1)):
             self.chooser.sent(node)
-            self.chooser.ended(node, latency_s, reply(in_flight=2))
+            self.chooser.ended(node, latency_s, reply(2), now_s=WARM_S)
+        self.assertEqual(set(self.choices()), {'e2'})
+
+    def test_node_that_refused_for_good_is_left_alone_for_a_while(self):
+        refused = refusal(CALL, Reason.NO_TARGET)
+        self.chooser.choose(WARM_S, 'claims', rng=self.rng)
+        self.chooser.sent('e1')
+        self.chooser.ended('e1', 0.001, refused)
         self.assertEqual(set(self.choices()), {'e2'})
+        self.assertEqual(set(self.choices(WARM_S + 1.0)), {'e1', 'e2'})
+
+    def test_slow_node_is_tried_again_after_a_while(self):
+        for node, latency_s in (('e1', 0.9), ('e2', 0.1)):
+            self.chooser.sent(node)
+            self.chooser.ended(node, latency_s, reply(2), now_s=WARM_S)
+        self.chooser.sent('e2')
+        self.chooser.ended('e2', 0.1, reply(2), now_s=WARM_S + 30.0)
+        self.assertIn('e1', self.choices(WARM_S + 30.0))
 
     def test_returning_domain_takes_load_by_a_ramp(self):
         self.version = version(domains_out=('west',))
