Share slots by slot time instead of by calls

Cause: turns by calls give an organisation whose calls take three times as long three times the slots of the others. Change: a call costs its organisation's mean slot time relative to that of all calls, in the queue's deficit round robin and in the gauge's demands.

--- a/bench/overload_cases.py
+++ b/bench/overload_cases.py
@@ -154,10 +154,22 @@
 
 
 def one_greedy_organisation(
-    fleet: Fleet, shape: ServiceShape, *, rate_limited: bool
+    fleet: Fleet,
+    shape: ServiceShape,
+    *,
+    rate_limited: bool,
+    slower: float = 1.0,
 ) -> float:
-    """Return the whole share of the worst of seven beside a greedy one."""
+    """Return the whole share of the worst of seven beside a greedy one.
+
+    Args:
+        fleet: Runs the calls.
+        shape: The service called.
+        rate_limited: Whether a rate limiter stands in front.
+        slower: Factor on the service time of the greedy one's calls.
+    """
     callers = Callers(fleet)
+    fleet.slower[ORGANISATIONS[0]] = slower
     within_per_s = WITHIN_SHARE * shape.capacity_per_s
     end_s = WARM_S + FAIRNESS_S
     for organisation in ORGANISATIONS:
--- a/bench/overload_model.py
+++ b/bench/overload_model.py
@@ -200,6 +200,7 @@
     def _begin(self, call: Call) -> None:
         fleet = self._node.fleet
         factor = fleet.rng.uniform(1 - SPREAD, 1 + SPREAD) * self.slowdown
+        factor *= fleet.slower.get(call.organisation, 1.0)
         if self._shape.bears:
             factor *= max(1.0, self._running / self._shape.bears)
         boot = self.boot
@@ -368,6 +369,7 @@
         self.begins_cold = begins_cold
         self.attempts = 0
         self.needed: set[tuple[int, str]] = set()
+        self.slower: dict[str, float] = {}
         self.ends: list[Ended] = []
         self.requests: list[Any] = []
         self.lookups_sent_s: list[float] = []
--- a/src/rattanstile/process/pressure_gauge.py
+++ b/src/rattanstile/process/pressure_gauge.py
@@ -99,10 +99,15 @@
         """Return the pressure that calls of an organisation meet."""
         return self._level + self._share(self._demand_of(organisation))
 
-    def arrived(self, now_s: float, call: Call) -> None:
+    def arrived(self, now_s: float, call: Call, cost: float = 1.0) -> None:
         """Count a call that reached the queue.
 
         It stands for those that entries shed under the same pressure.
+
+        Args:
+            now_s: Monotonic seconds.
+            call: The call.
+            cost: Its slot time relative to the mean of all calls.
         """
         self._now_s = now_s
         priority = call.priority
@@ -111,11 +116,13 @@
         demand = self._demands.setdefault(
             (priority, call.organisation), _Demand()
         )
-        demand.count(now_s, 1 / (1 - shed))
+        demand.count(now_s, cost / (1 - shed))
 
-    def dispatched(self, now_s: float, priority: Priority) -> None:
-        """Count a call that was sent to the target."""
-        self._served[priority].count(now_s, 1.0)
+    def dispatched(
+        self, now_s: float, priority: Priority, cost: float = 1.0
+    ) -> None:
+        """Count a call that was sent to the target, with its cost."""
+        self._served[priority].count(now_s, cost)
 
     def refused(self, priority: Priority) -> None:
         """Count a call that the queue shed or dropped for its deadline."""
--- a/src/rattanstile/process/serving.py
+++ b/src/rattanstile/process/serving.py
@@ -40,6 +40,7 @@
     reply_of_answer,
     reply_of_failure,
 )
+from rattanstile.process.slot_time import SlotTime
 from rattanstile.request.envelope import Call, Reply, refusal
 from rattanstile.request.ids import (
     CallId,
@@ -97,6 +98,7 @@
         self._limiter = limiter or TargetLimiter(self._limits(), now_s)
         self._queue = AdmissionQueue()
         self._gauge = PressureGauge(now_s)
+        self._slot_time = SlotTime()
         self._live: dict[CallId, LiveCall] = {}
         self._boot_id = ''
         self._suspected_s = now_s
@@ -207,8 +209,9 @@
     def _enqueue(
         self, now_s: float, live: LiveCall, sender: NodeId
     ) -> list[ServingOutput]:
-        self._gauge.arrived(now_s, live.call)
-        queued = Queued(live.call, sender, live.deadline_s, now_s)
+        cost = self._slot_time.relative(live.call.organisation)
+        self._gauge.arrived(now_s, live.call, cost)
+        queued = Queued(live.call, sender, live.deadline_s, now_s, cost)
         capacity = self._capacity + self._free_slots
         dropped = self._queue.offer(queued, capacity)
         return self._drop(now_s, dropped) if dropped else []
@@ -255,13 +258,13 @@
                 self._count_refused(live, reason)
                 outputs.extend(self._refuse(now_s, live, reason))
                 continue
-            outputs.append(self._dispatch(now_s, live))
+            outputs.append(self._dispatch(now_s, live, queued.cost))
         return outputs
 
-    def _dispatch(self, now_s: float, live: LiveCall) -> Dispatch:
+    def _dispatch(self, now_s: float, live: LiveCall, cost: float) -> Dispatch:
         live.started_s = now_s
         self._limiter.started(now_s)
-        self._gauge.dispatched(now_s, live.call.priority)
+        self._gauge.dispatched(now_s, live.call.priority, cost)
         remaining_ms = max(1, int((live.deadline_s - now_s) * 1000))
         return Dispatch(live.call, remaining_ms)
 
@@ -274,6 +277,7 @@
         if live is None or live.started_s is None:
             return []
         self._see_boot_id(now_s, answered.boot_id, live.started_s)
+        self._slot_time.ended(live.call.organisation, now_s - live.started_s)
         self._limiter.ended(
             now_s, now_s - live.started_s, ok=not answered.refused_unrun
         )
