--- a/bench/overload.py
+++ b/bench/overload.py
@@ -30,6 +30,7 @@
 from rattanstile.process.limit_controller import Aimd, Gradient
 
 COLD_START_S = 5.0
+LONG_SERVICE_S = 0.8
 OVERSTATED_SLOTS = 60
 BEARS = 15
 
@@ -78,9 +79,10 @@
 
 
 def _chain_rows(deployment: Deployment) -> list[Row]:
-    chain = deployment.chain
-    real = chain_at_three_times(deployment.real(), chain)
-    baseline = chain_at_three_times(deployment.pass_through(), chain)
+    deepest = replace(deployment.deepest, service_s=LONG_SERVICE_S)
+    chain = (*deployment.chain[:-1], deepest)
+    real = chain_at_three_times(deployment.real(*chain), chain)
+    baseline = chain_at_three_times(deployment.pass_through(*chain), chain)
     case = f'{deployment.name}: chain at 3x'
     return [
         Row(
--- a/src/rattanstile/process/admission.py
+++ b/src/rattanstile/process/admission.py
@@ -15,6 +15,7 @@
 from rattanstile.request.priority import Priority
 
 QUANTUM = 1.0
+TRANSACTION_ROOM = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +120,9 @@
         """Queue a call; return the call that had to go, if any.
 
         A full queue drops the newest call of the lowest priority, of the
-        organisation that has most of them; this may be the call offered.
+        organisation that has most slot time waiting; this may be the call
+        offered. Transactions alone may wait in larger number, so that none is
+        dropped while other nodes of the service still have lookups to drop.
 
         Args:
             queued: The call that arrived.
@@ -128,10 +131,12 @@
         self._levels[queued.call.priority].push(queued)
         if len(self) <= capacity:
             return None
-        lowest = next(
-            self._levels[one] for one in Priority if self._levels[one].length
-        )
-        victim = lowest.pop_newest(lowest.longest())
+        lowest = next(one for one in Priority if self._levels[one].length)
+        if lowest is Priority.TRANSACTION:
+            if len(self) <= TRANSACTION_ROOM * capacity:
+                return None
+        level = self._levels[lowest]
+        victim = level.pop_newest(level.longest())
         return Dropped(victim, Reason.SHED)
 
     def take(self) -> Queued | None:
--- a/src/rattanstile/process/serving.py
+++ b/src/rattanstile/process/serving.py
@@ -314,9 +314,12 @@
     def _expire_running(
         self, now_s: float, live: LiveCall
     ) -> Iterable[ServingOutput]:
+        expired = live.take_expired(now_s)
+        if live.waiters and not expired:
+            return
         call = live.call
         unknown = refusal(call, Reason.DEADLINE, outcome=Outcome.UNKNOWN)
-        for waiter in live.take_expired(now_s):
+        for waiter in expired:
             yield self._addressed(unknown, waiter)
         if live.waiters:
             return
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -206,6 +206,19 @@
         self.assertEqual(dispatched(self.node.arrive(0.3, 'b')), [])
         self.assertEqual(replies(self.node.answer(0.4, 'a')), [])
 
+    def test_each_joined_attempt_has_its_own_deadline(self):
+        self.node.arrive(0.0, 'a', remaining_ms=100)
+        self.node.arrive(0.0, 'a', attempt=2, remaining_ms=900)
+        outputs = self.node.machine.step(0.2, Ticked())
+        self.assertEqual(
+            [one.reply.attempt for one in outputs], [1], 'first attempt only'
+        )
+        outputs = self.node.answer(0.3, 'a')
+        self.assertEqual(
+            [(one.reply.attempt, one.reply.outcome) for one in outputs],
+            [(2, Outcome.WHOLE)],
+        )
+
     def test_transaction_evicts_a_lookup_from_a_full_queue(self):
         for number in range(9):
             self.node.arrive(0.0, f'lookup-{number}')
