Hold a request up to 250 ms for a token, measure after a warm-up

Cause: the refusals within rate took 40 to 90 ms: the first loan of an entry node waits for its first connection to the owner, longer than the 40 ms that a request was held. And a run began while the targets were still cold.

--- a/src/rattanstile/process/rate_borrower.py
+++ b/src/rattanstile/process/rate_borrower.py
@@ -48,7 +48,7 @@
 )
 from rattanstile.version.records import RATES_STREAM
 
-HOLD_S = 0.04
+HOLD_S = 0.25
 """How long a request waits for a token."""
 WAITING_MAX = 512
 """Requests of one organisation that wait at once."""
--- a/src/rattanstile/trial/run.py
+++ b/src/rattanstile/trial/run.py
@@ -27,6 +27,8 @@
 from rattanstile.version.keys import make_key
 
 POLL_S = 0.1
+WARM_UP_S = 6.0
+WARM_UP_SEED = 1
 IN_FORCE_TIMEOUT_S = 20.0
 LAST_CALLS_TIMEOUT_S = 8.0
 
@@ -66,6 +68,12 @@
         for worker in self.fleet.workers:
             await deferToThread(worker.order, 'warm')
 
+    async def warm_up(self) -> None:
+        """Call for a while without measuring: targets start cold."""
+        http = self.http_caller()
+        with self.load(lambda _: http, WARM_UP_SEED):
+            await self.sleep(WARM_UP_S)
+
     async def confirm(self, declaration: Declaration) -> int:
         """Put a declaration in force at every node; return its version.
 
--- a/src/rattanstile/trial/trial_cli.py
+++ b/src/rattanstile/trial/trial_cli.py
@@ -76,6 +76,7 @@
     run: TrialRun, chosen: tuple[Scenario, ...], measured: list[Measures]
 ) -> None:
     await run.begin()
+    await run.warm_up()
     if any(one.has_baseline for one in chosen):
         await deferToThread(run.fleet.start_all_baselines)
     for scenario in chosen:
