--- a/src/rattanstile/connection/frames.py
+++ b/src/rattanstile/connection/frames.py
@@ -130,12 +130,14 @@
     Attributes:
         home: The node that alone may run the calls; empty when none serves.
         id_epoch: The home's id epoch, as the entry node last heard it.
+        issuer: Name that the entry node gives the caller, for its logs.
     """
 
     service: ServiceName
     home: NodeId
     incarnation: int = 0
     id_epoch: int = 0
+    issuer: str = ''
 
 
 Message = (
