--- a/src/rattanstile/process/rate_borrower.py
+++ b/src/rattanstile/process/rate_borrower.py
@@ -59,8 +59,13 @@
 
 @dataclass(slots=True)
 class _Purse:
-    """All loans and waiting requests of one organisation."""
+    """All loans and waiting requests of one organisation.
 
+    Attributes:
+        closed_until_s: No owner may be asked before it and no token is here.
+    """
+
+    closed_until_s: float = 0.0
     demand: Demand = field(default_factory=Demand)
     waiting: deque[tuple[float, int]] = field(default_factory=deque)
     accounts: dict[tuple[ShardId, Epoch], Account] = field(default_factory=dict)
@@ -141,6 +146,8 @@
         if purse is None or not self._schedule.shards_of(organisation):
             return OverRate(RETRY_AFTER_MS)
         purse.demand.count(now_s)
+        if now_s < purse.closed_until_s:
+            return OverRate(_retry_after_ms(purse.closed_until_s - now_s))
         if not purse.waiting:
             until_s = self._spend(now_s, organisation, purse)
             if until_s is not None:
@@ -152,7 +159,7 @@
         self._ask(now_s, organisation, purse)
         if purse.awaited() == 0:
             purse.waiting.pop()
-            return OverRate(self._retry_after_ms(now_s, purse))
+            return OverRate(self._close(now_s, purse))
         return Waiting()
 
     def step(
@@ -226,16 +233,15 @@
             self._deny_all(now_s, purse)
 
     def _deny_all(self, now_s: float, purse: _Purse) -> None:
-        retry_after_ms = self._retry_after_ms(now_s, purse)
+        retry_after_ms = self._close(now_s, purse)
         while purse.waiting:
             _, request_id = purse.waiting.popleft()
             self._outputs.append(Denied(request_id, retry_after_ms))
 
     def _end_waits(self, now_s: float, purse: _Purse) -> None:
-        retry_after_ms = self._retry_after_ms(now_s, purse)
         while purse.waiting and purse.waiting[0][0] <= now_s:
             _, request_id = purse.waiting.popleft()
-            self._outputs.append(Denied(request_id, retry_after_ms))
+            self._outputs.append(Denied(request_id, RETRY_AFTER_MS))
 
     def _ask(
         self, now_s: float, organisation: OrganisationId, purse: _Purse
@@ -282,15 +288,17 @@
             if not is_current and not account.valid(now_s):
                 purse.accounts.pop(key)
 
-    def _retry_after_ms(self, now_s: float, purse: _Purse) -> int:
-        waits_s = [
-            account.blocked_until_s - now_s
+    def _close(self, now_s: float, purse: _Purse) -> int:
+        """Refuse at once until an owner may be asked again."""
+        ends_s = [
+            account.blocked_until_s
             for account in purse.accounts.values()
             if account.blocked_until_s > now_s
         ]
-        if not waits_s:
+        if not ends_s:
             return RETRY_AFTER_MS
-        return max(1, int(min(waits_s) * 1000))
+        purse.closed_until_s = min(ends_s)
+        return _retry_after_ms(purse.closed_until_s - now_s)
 
     def _control(self, now_s: float, control: msgspec.Struct) -> None:
         match control:
@@ -313,6 +321,7 @@
             return
         account = purse.accounts.get((grant.shard, grant.epoch))
         if account is not None and account.granted(now_s, grant):
+            purse.closed_until_s = 0.0
             self._serve(now_s, grant.organisation, purse)
 
     def _read(self, record: msgspec.Struct) -> None:
@@ -342,3 +351,7 @@
     def _witnesses(self, shard: ShardId) -> tuple[ProcessId, ...]:
         claim = self._claims.current(shard)
         return claim.witnesses if claim else ()
+
+
+def _retry_after_ms(wait_s: float) -> int:
+    return max(1, int(wait_s * 1000))
--- a/src/rattanstile/process/rate_candidate.py
+++ b/src/rattanstile/process/rate_candidate.py
@@ -97,9 +97,10 @@
         if self.me in known.witnesses:
             index = known.witnesses.index(self.me)
             patience_s = SUSPECT_S + index * SUSPECT_STEP_S
-            seen_s = self._seen_s.get(shard, now_s) + START_GRACE_S
-            heard_s = self.witness.heard_s(shard)
-            return max(heard_s, seen_s) + patience_s - now_s
+            heard_s = self.witness.heard_s(shard, known.epoch)
+            if heard_s is None:
+                heard_s = self._seen_s.get(shard, now_s) + START_GRACE_S
+            return heard_s + patience_s - now_s
         if known.owner in self._gone:
             return self._vacant_wait_s(now_s, shard)
         return None
--- a/src/rattanstile/process/rate_lease.py
+++ b/src/rattanstile/process/rate_lease.py
@@ -155,14 +155,14 @@
 
     me: ProcessId
     _sealed: dict[ShardId, Epoch] = field(default_factory=dict)
-    _heard_s: dict[ShardId, float] = field(default_factory=dict)
+    _heard: dict[ShardId, tuple[Epoch, float]] = field(default_factory=dict)
 
     def vouch(self, now_s: float, message: LeaseRequest) -> LeaseVouched | None:
         """Answer an owner, or not at all if the epoch is sealed."""
         is_other_run = message.witness != self.me
         if is_other_run or message.epoch <= self._sealed.get(message.shard, 0):
             return None
-        self._heard_s[message.shard] = now_s
+        self._heard[message.shard] = (message.epoch, now_s)
         return LeaseVouched(
             shard=message.shard, epoch=message.epoch, sequence=message.sequence
         )
@@ -180,6 +180,7 @@
             shard=message.shard, epoch=message.epoch, witness=message.witness
         )
 
-    def heard_s(self, shard: ShardId) -> float:
-        """Return when an owner of the shard was last heard; 0.0 for never."""
-        return self._heard_s.get(shard, 0.0)
+    def heard_s(self, shard: ShardId, epoch: Epoch) -> float | None:
+        """Return when the owner of an epoch last asked, or None for never."""
+        heard_epoch, heard_s = self._heard.get(shard, (None, None))
+        return heard_s if heard_epoch == epoch else None
