--- a/bench/relay_fleet.py
+++ b/bench/relay_fleet.py
@@ -9,10 +9,12 @@
 
 from rattanstile.process.relay import Relay
 from rattanstile.process.relay_messages import (
+    AppendMark,
     AppendSnapshot,
     LogRead,
     LogReadFailed,
     LogReadTooOld,
+    MarkAppended,
     MembersChanged,
     ReadLog,
     RelayInput,
@@ -24,8 +26,8 @@
     SendControl,
     VersionAccepted,
 )
-from rattanstile.request.ids import FailureDomainId, LogOffset, NodeId
-from rattanstile.version.records import Record
+from rattanstile.request.ids import FailureDomainId, LogOffset, NodeId, RecordId
+from rattanstile.version.records import MarkRecord, Record
 
 LINK_MIN_S = 0.0005
 LINK_MAX_S = 0.005
@@ -104,6 +106,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.nodes: dict[NodeId, FleetNode] = {}
         self.snapshots = 0
+        self.marks = 0
         self.counts_bytes = False
         self._tick_s = tick_s
         self._make_relay = make_relay
@@ -225,11 +228,33 @@
             case AppendSnapshot(snapshot=snapshot):
                 self.snapshots += 1
                 self.log.append(snapshot)
+            case AppendMark(mark_id=mark_id):
+                self._mark(node, mark_id)
             case VersionAccepted(version=version):
                 node.fell += version < node.version
                 node.version = version
                 node.in_force_s.setdefault(version, self.now_s)
 
+    def _mark(self, node: FleetNode, mark_id: int) -> None:
+        start = node.starts
+        self.marks += 1
+
+        def arrive() -> None:
+            if self.is_cut(node, None):
+                return
+            mark = MarkRecord(record_id=RecordId(f'mark-{mark_id}'))
+            offset = self.log.append(mark)
+            marked = MarkAppended(
+                mark_id, None if offset is None else LogOffset(offset)
+            )
+            self.at(self.now_s + self._link_s(), lambda: answer(marked))
+
+        def answer(marked: MarkAppended) -> None:
+            if node.starts == start and not self.is_cut(node, None):
+                self._step(node, marked)
+
+        self.at(self.now_s + self._link_s(), arrive)
+
     def _send(
         self, node: FleetNode, receiver: NodeId, message: RelayMessage
     ) -> None:
--- a/src/rattanstile/process/configuration.py
+++ b/src/rattanstile/process/configuration.py
@@ -16,10 +16,12 @@
 )
 from rattanstile.process.relay import TICK_S, Relay
 from rattanstile.process.relay_messages import (
+    AppendMark,
     AppendSnapshot,
     LogRead,
     LogReadFailed,
     LogReadTooOld,
+    MarkAppended,
     MembersChanged,
     ReadLog,
     RelayInput,
@@ -32,10 +34,11 @@
     VersionAccepted,
 )
 from rattanstile.process.timers import TimerService
-from rattanstile.request.ids import NodeId
+from rattanstile.request.ids import NodeId, RecordId
 from rattanstile.version.in_force import VersionInForce
 from rattanstile.version.records import (
     CONFIGURATION_STREAM,
+    MarkRecord,
     decode_record,
     encode_record,
 )
@@ -69,6 +72,7 @@
         self.in_force = VersionInForce(
             self.relay.fold.version, self.relay.fold.declaration
         )
+        self._own_id = own.node_id
         self._timers = timers
         self._client = log_client
         self._send = send
@@ -115,10 +119,21 @@
                 self._client.append(
                     CONFIGURATION_STREAM, encode_record(snapshot)
                 )
+            case AppendMark(mark_id=mark_id):
+                self._append_mark(mark_id)
             case VersionAccepted(version=version, declaration=declaration):
                 self.in_force = VersionInForce(version, declaration)
                 self._on_version(self.in_force)
 
+    def _append_mark(self, mark_id: int) -> None:
+        mark = MarkRecord(record_id=RecordId(f'{self._own_id}-{mark_id}'))
+        appending = self._client.append(
+            CONFIGURATION_STREAM, encode_record(mark)
+        )
+        appending.addCallback(
+            lambda answer: self._step(MarkAppended(mark_id, answer.ok()))
+        )
+
     def _read(self, wanted: ReadLog) -> None:
         reading: Deferred[ReadResult] = self._client.read(
             CONFIGURATION_STREAM, wanted.from_offset, wanted.wait_s
--- a/src/rattanstile/process/freshness.py
+++ b/src/rattanstile/process/freshness.py
@@ -15,7 +15,7 @@
 
 from rattanstile.request.ids import FailureDomainId
 
-CLOSE_AFTER_S = 3.5
+CLOSE_AFTER_S = 3.4
 NEVER_S = float('-inf')
 
 
@@ -30,6 +30,7 @@
 
     Attributes:
         log_heard_s: When the log is known to have held nothing newer.
+        domain_read_s: The same, read by this failure domain itself.
         domain_outage_s: When this domain is known not to have heard the log.
     """
 
@@ -41,28 +42,37 @@
     ) -> None:
         """Start closed."""
         self.log_heard_s = NEVER_S
+        self.domain_read_s = NEVER_S
         self.domain_outage_s = NEVER_S
         self._own_domain = own_domain
         self._close_after_s = close_after_s
         self._required_share = required_share
         self._told_outage_s = NEVER_S
+        self._fleet_s = NEVER_S
         self._known: frozenset[FailureDomainId] = frozenset((own_domain,))
         self._outages_s: dict[FailureDomainId, float] = {}
 
     def know_domains(self, domains: frozenset[FailureDomainId]) -> None:
         """Set which failure domains have members in service."""
         self._known = domains | {self._own_domain}
+        self._fleet_s = self._heard_by_enough_s()
 
     def hear_log(self, at_s: float) -> None:
         """Note that the node has every version accepted before a time."""
         self.log_heard_s = max(self.log_heard_s, at_s)
 
+    def read_log(self, at_s: float) -> None:
+        """Note the same from a read made in this failure domain."""
+        self.domain_read_s = max(self.domain_read_s, at_s)
+        self.hear_log(at_s)
+
     def see_domain_outage(self, domain: FailureDomainId, at_s: float) -> None:
         """Note that a failure domain did not hear the log at a time."""
         known_s = self._outages_s.get(domain, NEVER_S)
         self._outages_s[domain] = max(known_s, at_s)
         if domain == self._own_domain:
             self.domain_outage_s = self._outages_s[domain]
+        self._fleet_s = self._heard_by_enough_s()
 
     def see_fleet_outage(self, at_s: float) -> None:
         """Note that, as a peer says, no domain heard the log at a time."""
@@ -71,12 +81,7 @@
     @property
     def fleet_outage_s(self) -> float:
         """When no failure domain is known to have heard the log."""
-        needed = max(1, ceil(len(self._known) * self._required_share))
-        heard_s = sorted(
-            (self._outages_s.get(one, NEVER_S) for one in self._known),
-            reverse=True,
-        )
-        return max(self._told_outage_s, heard_s[needed - 1])
+        return max(self._told_outage_s, self._fleet_s)
 
     def evidence_s(self) -> float:
         """Return the time before which nothing was missed."""
@@ -89,3 +94,11 @@
     def age_s(self, now_s: float) -> float:
         """Return the age of the youngest evidence; infinite before any."""
         return now_s - self.evidence_s()
+
+    def _heard_by_enough_s(self) -> float:
+        needed = max(1, ceil(len(self._known) * self._required_share))
+        heard_s = sorted(
+            (self._outages_s.get(one, NEVER_S) for one in self._known),
+            reverse=True,
+        )
+        return heard_s[needed - 1]
--- a/src/rattanstile/process/log_follower.py
+++ b/src/rattanstile/process/log_follower.py
@@ -4,9 +4,11 @@
 
 from rattanstile.process.freshness import NEVER_S, Freshness
 from rattanstile.process.relay_messages import (
+    AppendMark,
     LogRead,
     LogReadFailed,
     LogReadTooOld,
+    MarkAppended,
     ReadLog,
 )
 from rattanstile.request.ids import FailureDomainId, LogOffset
@@ -17,6 +19,9 @@
 SLOW_AFTER_S = 0.7
 PROBE_PERIOD_S = 0.5
 MAX_PENDING_READS = 16
+VOUCHED_FOR_S = 0.6
+MARK_PERIOD_S = 0.5
+MARK_TIMEOUT_S = 2.0
 RETRY_MIN_S = 0.15
 RETRY_MAX_S = 0.4
 
@@ -31,6 +36,11 @@
     when it was sent; while one hangs, more are sent beside it, since a slow
     log must not keep a new version from being read.
 
+    A reader can't tell an old replica that stands still from a log that does.
+    So a read counts only as long as something else vouches for the end of the
+    stream: a node of another failure domain that reads the log too, or, where
+    none is heard, a mark appended by the reader itself.
+
     Args:
         fold: Shared with the relay.
         freshness: Collects the evidence.
@@ -54,6 +64,12 @@
         self._read_id = 0
         self._pending: dict[int, tuple[float, float]] = {}
         self._next_read_s = NEVER_S
+        self._vouched_s = NEVER_S
+        self._needs_voucher = False
+        self._read_s = NEVER_S
+        self._mark_id = 0
+        self._mark_sent_s = NEVER_S
+        self._mark_pending = False
 
     @property
     def log_end(self) -> LogOffset:
@@ -64,6 +80,36 @@
         """Learn from a peer how far the stream reaches."""
         self._log_end = max(self._log_end, log_end)
 
+    def need_voucher(self, needed: bool) -> None:
+        """Set whether there is another failure domain to vouch."""
+        self._needs_voucher = needed
+
+    def vouch(self, at_s: float) -> None:
+        """Learn that a reader elsewhere knew no higher end at a time."""
+        self._vouched_s = max(self._vouched_s, at_s)
+
+    def mark(self, now_s: float) -> list[AppendMark]:
+        """Return the mark that is due, if any."""
+        vouched = now_s - self._vouched_s <= VOUCHED_FOR_S
+        reads = now_s - self._read_s <= VOUCHED_FOR_S + READ_WAIT_S
+        period_s = MARK_TIMEOUT_S if self._mark_pending else MARK_PERIOD_S
+        recent = now_s - self._mark_sent_s < period_s
+        if vouched or recent or not (reads and self._needs_voucher):
+            return []
+        self._mark_id += 1
+        self._mark_sent_s = now_s
+        self._mark_pending = True
+        return [AppendMark(self._mark_id)]
+
+    def on_mark(self, marked: MarkAppended) -> None:
+        """Learn from an offset how far the stream reaches."""
+        if marked.mark_id != self._mark_id:
+            return
+        self._mark_pending = False
+        if marked.offset is not None:
+            self.know_end(LogOffset(marked.offset + 1))
+            self.vouch(self._mark_sent_s)
+
     def postpone(self, until_s: float) -> None:
         """Send no read before a time."""
         self._next_read_s = max(self._next_read_s, until_s)
@@ -93,7 +139,8 @@
             return made
         self._log_end = read.next_offset
         if self._fold.verified and self._fold.read_end >= read.next_offset:
-            self._freshness.hear_log(started_s)
+            self._read_s = now_s
+            self._freshness.read_log(self._proven_s(started_s))
         return made
 
     def on_too_old(self, now_s: float, read: LogReadTooOld) -> None:
@@ -117,6 +164,11 @@
         self._next_offset = max(self._next_offset, self._fold.read_end)
         return ReadLog(self._read_id, self._next_offset, wait_s)
 
+    def _proven_s(self, started_s: float) -> float:
+        if not self._needs_voucher:
+            return started_s
+        return min(started_s, self._vouched_s + VOUCHED_FOR_S)
+
     def _may_send(self, now_s: float) -> bool:
         if len(self._pending) >= MAX_PENDING_READS:
             return False
--- a/src/rattanstile/process/relay.py
+++ b/src/rattanstile/process/relay.py
@@ -26,6 +26,7 @@
     LogRead,
     LogReadFailed,
     LogReadTooOld,
+    MarkAppended,
     MembersChanged,
     RelayInput,
     RelayMember,
@@ -49,7 +50,7 @@
 
 TICK_S = 0.1
 POLL_PERIOD_S = 0.5
-CROSS_CHECK_PERIOD_S = 0.9
+CROSS_CHECK_PERIOD_S = 0.4
 ASKED_LATELY_S = 2.0
 STALE_AFTER_S = 2.8
 READER_STALE_AFTER_S = 1.3
@@ -130,6 +131,8 @@
                 self._follower.on_too_old(now_s, relay_input)
             case LogReadFailed():
                 self._follower.on_failed(now_s, relay_input)
+            case MarkAppended():
+                self._follower.on_mark(relay_input)
             case MembersChanged(members=members):
                 self._members_changed(members)
         return []
@@ -144,6 +147,7 @@
         ]
         self._tree = RelayTree(self._own.node_id, near)
         self._elsewhere.set_members(members)
+        self._follower.need_voucher(self._elsewhere.has_members)
         self.freshness.know_domains(
             frozenset(member.failure_domain for member in members)
         )
@@ -156,6 +160,8 @@
         if self._useful_s is None:
             self._useful_s = now_s
             self._next_query_s = now_s
+        if self._tree.reads_log:
+            outputs.extend(self._cross_check(now_s))
         if now_s >= self._next_query_s:
             self._next_query_s = now_s + self._random.uniform(
                 POLL_PERIOD_S * 0.9, POLL_PERIOD_S * 1.1
@@ -163,6 +169,7 @@
             outputs.extend(self._ask(now_s))
         if self._reads_now(now_s):
             outputs.extend(self._follower.tick(now_s))
+            outputs.extend(self._follower.mark(now_s))
         if self._tree.reads_log and self._snapshots.is_due(now_s, self.fold):
             outputs.append(AppendSnapshot(self._snapshot()))
         return outputs
@@ -171,7 +178,7 @@
         if not self._tree.reads_log:
             return self._ask_source(now_s)
         if now_s - self.freshness.log_heard_s < READER_STALE_AFTER_S:
-            return self._cross_check(now_s)
+            return []
         asked = self._elsewhere.next_round()
         fellows = self._tree.readers
         if fellows:
@@ -248,6 +255,7 @@
             sequence=query.sequence,
             version=self.fold.version if verified else UNVERIFIED,
             log_age_ms=_age_ms(now_s, freshness.log_heard_s),
+            domain_read_ms=_age_ms(now_s, freshness.domain_read_s),
             domain_outage_ms=_age_ms(now_s, freshness.domain_outage_s),
             fleet_outage_ms=_age_ms(now_s, freshness.fleet_outage_s),
             log_end=self.fold.read_end,
@@ -291,6 +299,8 @@
     ) -> None:
         if reply.log_age_ms != NO_AGE:
             self.freshness.hear_log(sent_s - reply.log_age_ms / 1000)
+        if reply.domain_read_ms != NO_AGE:
+            self._note_read(sender, sent_s, reply.domain_read_ms / 1000)
         if reply.domain_outage_ms != NO_AGE:
             self.freshness.see_domain_outage(
                 self._elsewhere.domain_of(sender),
@@ -308,6 +318,12 @@
         else:
             self._source += 1
 
+    def _note_read(self, sender: NodeId, sent_s: float, age_s: float) -> None:
+        if self._elsewhere.domain_of(sender) == self._own.failure_domain:
+            self.freshness.read_log(sent_s - age_s)
+        elif age_s <= STALE_AFTER_S:
+            self._follower.vouch(sent_s)
+
     def _take(
         self,
         now_s: float,
--- a/src/rattanstile/process/relay_contacts.py
+++ b/src/rattanstile/process/relay_contacts.py
@@ -71,6 +71,11 @@
                 near = self._members.setdefault(member.failure_domain, [])
                 near.append(member.node_id)
 
+    @property
+    def has_members(self) -> bool:
+        """Whether any other failure domain has members."""
+        return bool(self._members)
+
     def domain_of(self, node: NodeId) -> FailureDomainId:
         """Return a node's failure domain."""
         return self._domains.get(node, self._own_domain)
--- a/src/rattanstile/process/relay_messages.py
+++ b/src/rattanstile/process/relay_messages.py
@@ -46,6 +46,7 @@
 
     Attributes:
         log_age_ms: Age of the last hearing of the log; -1 for never.
+        domain_read_ms: The same, read by the sender's failure domain itself.
         domain_outage_ms: How long ago the log was last known to be out of
             hearing in the sender's failure domain; -1 for never.
         fleet_outage_ms: The same for every failure domain.
@@ -57,6 +58,7 @@
     sequence: int
     version: VersionNumber
     log_age_ms: int
+    domain_read_ms: int
     domain_outage_ms: int
     fleet_outage_ms: int
     log_end: LogOffset
@@ -133,6 +135,14 @@
     read_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class MarkAppended:
+    """The log took a mark, or did not answer (no offset)."""
+
+    mark_id: int
+    offset: LogOffset | None
+
+
 @dataclass(frozen=True, slots=True)
 class RelayTicked:
     """Time went by; wanted about each `TICK_S`."""
@@ -144,6 +154,7 @@
     | LogRead
     | LogReadTooOld
     | LogReadFailed
+    | MarkAppended
     | RelayTicked
 )
 
@@ -175,6 +186,13 @@
     snapshot: SnapshotRecord
 
 
+@dataclass(frozen=True, slots=True)
+class AppendMark:
+    """Append a mark to the configuration stream, and tell its offset."""
+
+    mark_id: int
+
+
 @dataclass(frozen=True, slots=True)
 class VersionAccepted:
     """A version is in force at this node from now on."""
@@ -183,4 +201,6 @@
     declaration: Declaration
 
 
-RelayOutput = SendControl | ReadLog | AppendSnapshot | VersionAccepted
+RelayOutput = (
+    SendControl | ReadLog | AppendSnapshot | AppendMark | VersionAccepted
+)
--- a/src/rattanstile/version/records.py
+++ b/src/rattanstile/version/records.py
@@ -79,6 +79,12 @@
     recent: tuple[Accepted, ...] = ()
 
 
+class MarkRecord(msgspec.Struct, frozen=True, kw_only=True, tag='mark'):
+    """Changes nothing; its offset tells a reader where the log ends."""
+
+    record_id: RecordId
+
+
 class PlanRecord(msgspec.Struct, frozen=True, kw_only=True, tag='plan'):
     """A plan that waits for its confirmation.
 
@@ -149,6 +155,7 @@
 Record = (
     ConfigurationRecord
     | SnapshotRecord
+    | MarkRecord
     | PlanRecord
     | JoinRecord
     | LeaveRecord
