--- a/bench/relay_fleet.py
+++ b/bench/relay_fleet.py
@@ -27,15 +27,16 @@
     VersionAccepted,
 )
 from rattanstile.request.ids import FailureDomainId, LogOffset, NodeId, RecordId
-from rattanstile.version.records import MarkRecord, Record
+from rattanstile.version.records import MarkRecord, Record, encode_record
 
 LINK_MIN_S = 0.0005
 LINK_MAX_S = 0.005
 READ_TIMEOUT_S = 8.0
-FRAME_BYTES = 20
-"""Length and sender that the control bus puts before a message."""
-READ_BYTES = 420
-"""Request and answer of a read of the log, HTTP headers included."""
+FRAME_BYTES = 11
+"""Length and envelope of the control bus, without the sender's name."""
+READ_BYTES = 282
+"""Request and answer of an empty read of the log, HTTP headers included."""
+BASE64_BYTES = 4 / 3
 
 
 @dataclass(slots=True)
@@ -130,8 +131,9 @@
     def run(self, until_s: float) -> None:
         """Let time go by."""
         while self._events and self._events[0][0] <= until_s:
-            self.now_s, _sequence, action = heapq.heappop(self._events)
-            action()
+            event = heapq.heappop(self._events)
+            self.now_s = event[0]
+            event[2]()
         self.now_s = until_s
 
     def kill(self, name: NodeId) -> None:
@@ -259,7 +261,7 @@
         self, node: FleetNode, receiver: NodeId, message: RelayMessage
     ) -> None:
         other = self.nodes[receiver]
-        size_bytes = self._size_bytes(message)
+        size_bytes = self._size_bytes(node, message)
         node.bytes_moved += size_bytes
         if self.random.random() < self.loss or self.is_cut(node, other):
             return
@@ -272,10 +274,11 @@
 
         self.at(self.now_s + self._link_s(), arrive)
 
-    def _size_bytes(self, message: RelayMessage) -> int:
+    def _size_bytes(self, node: FleetNode, message: RelayMessage) -> int:
         if not self.counts_bytes:
             return 0
-        return len(msgspec.msgpack.encode(message)) + FRAME_BYTES
+        envelope_bytes = FRAME_BYTES + len(node.member.node_id)
+        return len(msgspec.msgpack.encode(message)) + envelope_bytes
 
     def _read(self, node: FleetNode, wanted: ReadLog) -> None:
         node.bytes_moved += READ_BYTES
@@ -348,10 +351,16 @@
         end = log.end_for(self._node.member.node_id)
         if first < log.oldest:
             return LogReadTooOld(read_id, LogOffset(log.oldest), LogOffset(end))
+        records = tuple(log.records[first:end])
+        if self._fleet.counts_bytes:
+            self._node.bytes_moved += sum(
+                round(len(encode_record(record)) * BASE64_BYTES)
+                for record in records
+            )
         return LogRead(
             read_id,
             first,
-            tuple(log.records[first:end]),
+            records,
             LogOffset(log.oldest),
             LogOffset(end),
         )
--- a/src/rattanstile/process/log_follower.py
+++ b/src/rattanstile/process/log_follower.py
@@ -11,7 +11,7 @@
     MarkAppended,
     ReadLog,
 )
-from rattanstile.request.ids import FailureDomainId, LogOffset
+from rattanstile.request.ids import LogOffset
 from rattanstile.version.fold import Fold
 from rattanstile.version.records import AcceptedRecord
 
@@ -45,17 +45,19 @@
         fold: Shared with the relay.
         freshness: Collects the evidence.
         random: Spreads retries.
+
+    Attributes:
+        outage_s: When the last read was sent that failed or hangs.
     """
 
     def __init__(
         self,
-        domain: FailureDomainId,
         fold: Fold,
         freshness: Freshness,
         random: Random,
     ) -> None:
         """Start without any read."""
-        self._domain = domain
+        self.outage_s = NEVER_S
         self._fold = fold
         self._freshness = freshness
         self._random = random
@@ -118,7 +120,7 @@
         """Return the read that is due, if any."""
         hanging_s = self._hanging_since_s(now_s)
         if hanging_s is not None:
-            self._freshness.see_domain_outage(self._domain, hanging_s)
+            self.outage_s = max(self.outage_s, hanging_s)
         if now_s < self._next_read_s or not self._may_send(now_s):
             return []
         wait_s = 0.0 if self._pending else READ_WAIT_S
@@ -152,7 +154,7 @@
     def on_failed(self, now_s: float, read: LogReadFailed) -> None:
         """Note that the log was out of hearing, and try again soon."""
         started_s, _wait_s = self._pending.pop(read.read_id, (NEVER_S, 0.0))
-        self._freshness.see_domain_outage(self._domain, started_s)
+        self.outage_s = max(self.outage_s, started_s)
         self._retry_later(now_s)
 
     def _read(self, now_s: float, wait_s: float) -> ReadLog:
--- a/src/rattanstile/process/relay.py
+++ b/src/rattanstile/process/relay.py
@@ -16,7 +16,11 @@
 
 from rattanstile.process.freshness import NEVER_S, Freshness
 from rattanstile.process.log_follower import LogFollower
-from rattanstile.process.relay_contacts import Elsewhere, Queries
+from rattanstile.process.relay_contacts import (
+    Elsewhere,
+    FellowReaders,
+    Queries,
+)
 from rattanstile.process.relay_messages import (
     NO_AGE,
     UNVERIFIED,
@@ -41,6 +45,7 @@
 from rattanstile.process.relay_tree import RelayTree
 from rattanstile.process.snapshot_timer import SnapshotTimer
 from rattanstile.request.ids import (
+    FailureDomainId,
     NodeId,
     RecordId,
     VersionNumber,
@@ -55,6 +60,8 @@
 STALE_AFTER_S = 2.8
 READER_STALE_AFTER_S = 1.3
 SILENT_QUERIES = 1
+RETURN_MIN_S = 6.0
+RETURN_MAX_S = 12.0
 ISOLATED_AFTER_S = 1.2
 ISOLATED_JITTER_S = 0.6
 MAX_KEPT = 256
@@ -87,13 +94,14 @@
         self.freshness = freshness or Freshness(own.failure_domain)
         self._own = own
         self._random = random
-        self._follower = LogFollower(
-            own.failure_domain, self.fold, self.freshness, random
-        )
+        self._follower = LogFollower(self.fold, self.freshness, random)
+        self._fellows = FellowReaders()
         self._snapshots = SnapshotTimer(random)
         self._tree = RelayTree(own.node_id, ())
         self._elsewhere = Elsewhere(own.failure_domain, random)
+        self._member_domains: frozenset[FailureDomainId] = frozenset()
         self._source = 0
+        self._return_s = NEVER_S
         self._queries = Queries()
         self._next_query_s = NEVER_S
         self._next_check_s = NEVER_S
@@ -113,6 +121,7 @@
         verified = self.fold.verified
         outputs = self._step(now_s, relay_input)
         if self.fold.version != version or self.fold.verified != verified:
+            self._know_domains()
             _log.info('event=version_in_force version={}', self.fold.version)
             outputs.append(
                 VersionAccepted(self.fold.version, self.fold.declaration)
@@ -147,12 +156,25 @@
         ]
         self._tree = RelayTree(self._own.node_id, near)
         self._elsewhere.set_members(members)
-        self._follower.need_voucher(self._elsewhere.has_members)
-        self.freshness.know_domains(
-            frozenset(member.failure_domain for member in members)
+        self._member_domains = frozenset(
+            member.failure_domain for member in members
         )
+        self._know_domains()
         self._source = 0
 
+    def _know_domains(self) -> None:
+        """Take the declared domains as known, also when none is heard.
+
+        Membership forgets a failure domain that is cut off; whether it hears
+        the log still matters.
+        """
+        declared = self.fold.declaration.failure_domains
+        taken_out = {one.name for one in declared if not one.in_service}
+        known = self._member_domains | {one.name for one in declared}
+        known = frozenset(known - taken_out)
+        self.freshness.know_domains(known)
+        self._follower.need_voucher(bool(known - {self._own.failure_domain}))
+
     # time
 
     def _tick(self, now_s: float) -> list[RelayOutput]:
@@ -162,6 +184,7 @@
             self._next_query_s = now_s
         if self._tree.reads_log:
             outputs.extend(self._cross_check(now_s))
+            self._note_own_outage()
         if now_s >= self._next_query_s:
             self._next_query_s = now_s + self._random.uniform(
                 POLL_PERIOD_S * 0.9, POLL_PERIOD_S * 1.1
@@ -179,10 +202,7 @@
             return self._ask_source(now_s)
         if now_s - self.freshness.log_heard_s < READER_STALE_AFTER_S:
             return []
-        asked = self._elsewhere.next_round()
-        fellows = self._tree.readers
-        if fellows:
-            asked.append(self._random.choice(fellows))
+        asked = [*self._elsewhere.next_round(), *self._tree.readers]
         return [self._query(now_s, node) for node in asked]
 
     def _cross_check(self, now_s: float) -> list[RelayOutput]:
@@ -194,14 +214,24 @@
 
     def _ask_source(self, now_s: float) -> list[RelayOutput]:
         sources = self._tree.sources()
+        if self._source and now_s >= self._return_s:
+            self._source = 0
+            self._queries.forget(sources[0])
         source = sources[self._source % len(sources)]
         if self._queries.unanswered(source) >= SILENT_QUERIES:
             self._queries.forget(source)
-            self._source += 1
+            self._turn_away(now_s)
             source = sources[self._source % len(sources)]
             _log.info('event=parent_silent next={}', source)
         return [self._query(now_s, source)]
 
+    def _turn_away(self, now_s: float) -> None:
+        if not self._source:
+            self._return_s = now_s + self._random.uniform(
+                RETURN_MIN_S, RETURN_MAX_S
+            )
+        self._source += 1
+
     def _query(self, now_s: float, receiver: NodeId) -> SendControl:
         version = self.fold.version if self.fold.verified else UNVERIFIED
         query = FreshnessQuery(
@@ -232,7 +262,8 @@
     def _asked(
         self, now_s: float, sender: NodeId, query: FreshnessQuery
     ) -> list[RelayOutput]:
-        self._asked_s[sender] = now_s
+        if self._elsewhere.domain_of(sender) == self._own.failure_domain:
+            self._asked_s[sender] = now_s
         outputs: list[RelayOutput] = [
             SendControl(sender, self._reply_to(now_s, query))
         ]
@@ -256,6 +287,7 @@
             version=self.fold.version if verified else UNVERIFIED,
             log_age_ms=_age_ms(now_s, freshness.log_heard_s),
             domain_read_ms=_age_ms(now_s, freshness.domain_read_s),
+            own_outage_ms=_age_ms(now_s, self._own_outage_s()),
             domain_outage_ms=_age_ms(now_s, freshness.domain_outage_s),
             fleet_outage_ms=_age_ms(now_s, freshness.fleet_outage_s),
             log_end=self.fold.read_end,
@@ -301,7 +333,11 @@
             self.freshness.hear_log(sent_s - reply.log_age_ms / 1000)
         if reply.domain_read_ms != NO_AGE:
             self._note_read(sender, sent_s, reply.domain_read_ms / 1000)
-        if reply.domain_outage_ms != NO_AGE:
+        if reply.own_outage_ms != NO_AGE:
+            self._fellows.see_outage(
+                sender, sent_s - reply.own_outage_ms / 1000
+            )
+        if reply.domain_outage_ms != NO_AGE and self._may_tell(sender):
             self.freshness.see_domain_outage(
                 self._elsewhere.domain_of(sender),
                 sent_s - reply.domain_outage_ms / 1000,
@@ -315,8 +351,8 @@
             self._isolation_s = ISOLATED_AFTER_S + self._random.uniform(
                 0, ISOLATED_JITTER_S
             )
-        else:
-            self._source += 1
+        elif not self._tree.reads_log:
+            self._turn_away(now_s)
 
     def _note_read(self, sender: NodeId, sent_s: float, age_s: float) -> None:
         if self._elsewhere.domain_of(sender) == self._own.failure_domain:
@@ -324,6 +360,22 @@
         elif age_s <= STALE_AFTER_S:
             self._follower.vouch(sent_s)
 
+    def _may_tell(self, sender: NodeId) -> bool:
+        """Tell whether a sender may speak for its failure domain here."""
+        domain = self._elsewhere.domain_of(sender)
+        return not (self.reads_log and domain == self._own.failure_domain)
+
+    def _own_outage_s(self) -> float:
+        return self._follower.outage_s if self.reads_log else NEVER_S
+
+    def _note_own_outage(self) -> None:
+        """Speak for the failure domain once most of its readers agree."""
+        agreed_s = self._fellows.agreed_s(
+            self._follower.outage_s, self._tree.readers
+        )
+        if agreed_s != NEVER_S:
+            self.freshness.see_domain_outage(self._own.failure_domain, agreed_s)
+
     def _take(
         self,
         now_s: float,
--- a/src/rattanstile/process/relay_contacts.py
+++ b/src/rattanstile/process/relay_contacts.py
@@ -1,12 +1,15 @@
 """Whom the relay asks, and which of its queries are still unanswered."""
 
+from collections.abc import Sequence
+from math import ceil
 from random import Random
 
+from rattanstile.process.freshness import NEVER_S
 from rattanstile.process.relay_messages import RelayMember
 from rattanstile.request.ids import FailureDomainId, NodeId
 
 MAX_OPEN_QUERIES = 128
-ROUNDS_FOR_ALL = 2
+DOMAINS_A_ROUND = 9
 
 
 class Queries:
@@ -71,11 +74,6 @@
                 near = self._members.setdefault(member.failure_domain, [])
                 near.append(member.node_id)
 
-    @property
-    def has_members(self) -> bool:
-        """Whether any other failure domain has members."""
-        return bool(self._members)
-
     def domain_of(self, node: NodeId) -> FailureDomainId:
         """Return a node's failure domain."""
         return self._domains.get(node, self._own_domain)
@@ -83,11 +81,12 @@
     def next_round(self) -> list[NodeId]:
         """Return one member of each domain whose turn it is."""
         domains = sorted(self._members)
+        rounds = ceil(len(domains) / DOMAINS_A_ROUND)
         self._turn += 1
         return [
             self._random.choice(self._members[domain])
             for place, domain in enumerate(domains)
-            if (place + self._turn) % ROUNDS_FOR_ALL == 0
+            if (place + self._turn) % rounds == 0
         ]
 
     def one(self) -> list[NodeId]:
@@ -96,3 +95,29 @@
             return []
         domain = self._random.choice(sorted(self._members))
         return [self._random.choice(self._members[domain])]
+
+
+class FellowReaders:
+    """When the other readers of a failure domain tried the log in vain.
+
+    One reader that is cut off may not speak for its failure domain, since
+    the others may hear the log: most of them must agree.
+    """
+
+    def __init__(self) -> None:
+        """Start without having heard any."""
+        self._outages_s: dict[NodeId, float] = {}
+
+    def see_outage(self, reader: NodeId, at_s: float) -> None:
+        """Note when a reader tried the log in vain."""
+        known_s = self._outages_s.get(reader, NEVER_S)
+        self._outages_s[reader] = max(known_s, at_s)
+
+    def agreed_s(self, own_s: float, fellows: Sequence[NodeId]) -> float:
+        """Return since when most readers, the own node included, agree."""
+        told_s = sorted(
+            (self._outages_s.get(fellow, NEVER_S) for fellow in fellows),
+            reverse=True,
+        )
+        others = (len(fellows) + 1) // 2
+        return min(own_s, told_s[others - 1]) if others else own_s
--- a/src/rattanstile/process/relay_messages.py
+++ b/src/rattanstile/process/relay_messages.py
@@ -47,6 +47,8 @@
     Attributes:
         log_age_ms: Age of the last hearing of the log; -1 for never.
         domain_read_ms: The same, read by the sender's failure domain itself.
+        own_outage_ms: How long ago the sender itself, as a reader, tried the
+            log in vain; -1 for never.
         domain_outage_ms: How long ago the log was last known to be out of
             hearing in the sender's failure domain; -1 for never.
         fleet_outage_ms: The same for every failure domain.
@@ -59,6 +61,7 @@
     version: VersionNumber
     log_age_ms: int
     domain_read_ms: int
+    own_outage_ms: int
     domain_outage_ms: int
     fleet_outage_ms: int
     log_end: LogOffset
--- a/src/rattanstile/process/relay_tree.py
+++ b/src/rattanstile/process/relay_tree.py
@@ -13,10 +13,13 @@
 
 from rattanstile.request.ids import NodeId
 
+MIN_READERS = 2
 MAX_READERS = 4
-NODES_PER_READER = 5
+NODES_PER_READER = 10
 MAX_DEPTH = 3
-MIN_FAN_OUT = 3
+MIN_FAN_OUT = 4
+READER_CHILDREN_LESS = 3
+"""Reading the log costs a reader about what three children would."""
 ALTERNATIVES = 6
 
 
@@ -32,8 +35,10 @@
         self._own = own
         self._order = sorted({*nodes, own}, key=_rank)
         size = len(self._order)
-        self._reader_count = min(MAX_READERS, 1 + size // NODES_PER_READER)
+        wanted = MIN_READERS + size // NODES_PER_READER
+        self._reader_count = min(MAX_READERS, wanted, size)
         self.fan_out = _fan_out(self._reader_count, size)
+        self._reader_fan_out = self.fan_out - READER_CHILDREN_LESS
         self._place = self._order.index(own)
 
     @property
@@ -64,14 +69,19 @@
         return [parent, *spread[:ALTERNATIVES]]
 
     def _parent_place(self, place: int) -> int:
-        return (place - self._reader_count) // self.fan_out
+        second_level = self._reader_count * (1 + self._reader_fan_out)
+        if place < second_level:
+            return (place - self._reader_count) // self._reader_fan_out
+        return self._reader_count + (place - second_level) // self.fan_out
 
     def _level_start(self) -> int:
         start = 0
         width = self._reader_count
+        fan_out = self._reader_fan_out
         while start + width <= self._place:
             start += width
-            width *= self.fan_out
+            width *= fan_out
+            fan_out = self.fan_out
         return start
 
 
@@ -87,4 +97,6 @@
 
 
 def _capacity(readers: int, fan_out: int) -> int:
-    return sum(readers * fan_out**level for level in range(MAX_DEPTH + 1))
+    """Return how many nodes a tree holds within `MAX_DEPTH` levels."""
+    below_readers = sum(int(fan_out**level) for level in range(MAX_DEPTH))
+    return readers * (1 + (fan_out - READER_CHILDREN_LESS) * below_readers)
