Trial: keep the callers open until their last calls have ended

Ruled out: the nodes; no call_ended line of theirs said unknown. Change: the callers outlive the load; rate owners are logged.

--- a/src/rattanstile/process/rate_service.py
+++ b/src/rattanstile/process/rate_service.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
+import logbook
 import msgspec
 
 from rattanstile.process.control_messages import (
@@ -12,6 +13,7 @@
     LogRecordRead,
     SendControl,
 )
+from rattanstile.process.logs import key_values
 from rattanstile.process.messages import Ticked
 from rattanstile.process.rate_borrower import Borrower
 from rattanstile.process.rate_messages import (
@@ -28,9 +30,12 @@
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import NodeId, OrganisationId
 from rattanstile.version.in_force import VersionInForce
+from rattanstile.version.rate_records import ShardId
 
 RETRY_AFTER_MS = 100
 
+_log = logbook.Logger('rate-service')
+
 
 @dataclass(frozen=True, slots=True)
 class Admission:
@@ -75,6 +80,7 @@
         self._timers = timers
         self._send = send
         self._append = append
+        self._owned: tuple[ShardId, ...] = ()
 
     def admit(
         self, now_s: float, organisation: OrganisationId, number: int
@@ -126,6 +132,13 @@
     def _tick(self, now_s: float) -> None:
         self._perform(self.owner.step(now_s, Ticked()))
         self._perform(self.borrower.step(now_s, Ticked()))
+        self._log_owned(self.owner.owned(now_s))
+
+    def _log_owned(self, owned: tuple[ShardId, ...]) -> None:
+        if owned != self._owned:
+            self._owned = owned
+            shards = ','.join(str(shard) for shard in owned)
+            _log.notice(key_values('rate_shards_owned', shards=shards or '-'))
 
     def _perform(
         self, outputs: Iterable[OwnerOutput | Granted | Denied]
--- a/src/rattanstile/trial/scenarios.py
+++ b/src/rattanstile/trial/scenarios.py
@@ -133,27 +133,36 @@
     whole_share: dict[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class Window:
+    """When the faults of a run had ended, and when its load did."""
+
+    clear_s: float
+    until_s: float
+
+
 async def run_scenario(
     run: TrialRun, scenario: Scenario, side: Side
 ) -> Measures:
     """Run one scenario on one side and return what it measured."""
     faults = scenario.faults(run.fleet.deployment)
     notes = FaultNotes()
-    clear_s = CLEAR_S
-    with ExitStack() as stack:
-        caller = _caller(stack, run, scenario, side)
-        load = stack.enter_context(run.load(caller, SEED))
-        await run.sleep(FAULT_S)
-        for fault in faults:
-            await begin(run, load, fault, notes)
-        await run.sleep(max(0.0, CLEAR_S - load.elapsed_s()))
-        for ending in faults:
-            await end(run, load, ending, notes)
-        clear_s = load.elapsed_s()
-        await run.sleep(max(LENGTH_S - CLEAR_S, LENGTH_S - clear_s))
-    await run.last_calls(load)
+    with ExitStack() as callers:
+        caller = _caller(callers, run, scenario, side)
+        with run.load(caller, SEED) as load:
+            await run.sleep(FAULT_S)
+            for fault in faults:
+                await begin(run, load, fault, notes)
+            await run.sleep(max(0.0, CLEAR_S - load.elapsed_s()))
+            for ending in faults:
+                await end(run, load, ending, notes)
+            clear_s = load.elapsed_s()
+            until_s = clear_s + LENGTH_S - CLEAR_S
+            await run.sleep(until_s - clear_s)
+        await run.last_calls(load)
     broken = await run.count_broken(load)
-    return _measures(run, scenario, side, load, broken, notes, clear_s)
+    window = Window(clear_s, until_s)
+    return _measures(run, scenario, side, load, broken, notes, window)
 
 
 def _caller(
@@ -176,10 +185,11 @@
     load: OpenLoad,
     broken: InvariantCounts,
     notes: FaultNotes,
-    clear_s: float,
+    window: Window,
 ) -> Measures:
     tally = load.tally
-    until_s = load.elapsed_s() - LAST_BUCKET_S
+    clear_s = window.clear_s
+    until_s = window.until_s
     within = _within_rate(run.fleet.deployment, scenario)
     shares = {name: tally.share_whole(name) for name in sorted(within)}
     counts = broken.as_dict()
