--- a/src/rattanstile/connection/peer.py
+++ b/src/rattanstile/connection/peer.py
@@ -8,11 +8,19 @@
 from typing import Any, cast
 
 import logbook
+from result import Err
 from twisted.internet.address import IPv4Address
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory, ServerFactory
 
-from rattanstile.connection.frames import Farewell, Hello, Message, Role
+from rattanstile.connection.caller_request import checked_request
+from rattanstile.connection.frames import (
+    CallerRequest,
+    Farewell,
+    Hello,
+    Message,
+    Role,
+)
 from rattanstile.connection.link import (
     CHECK_PERIOD_S,
     HelloSource,
@@ -346,9 +354,18 @@
         peer = cast(Hello, link.peer)
         if peer.role is Role.NODE:
             self._pool.handler(MessageArrived(peer.node_id, message))
+        elif isinstance(message, CallerRequest):
+            self._take_request(link, message)
         else:
             self._pool.handler(CallerMessageArrived(link, message))
 
+    def _take_request(self, link: PeerProtocol, request: CallerRequest) -> None:
+        checked = checked_request(request)
+        if isinstance(checked, Err):
+            link.send(checked.err_value)
+        else:
+            self._pool.handler(CallerMessageArrived(link, checked.ok_value))
+
     def link_heard_epoch(self, link: PeerProtocol, id_epoch: int) -> None:
         peer = link.peer
         if peer is not None and peer.role is Role.NODE:
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -6,6 +6,7 @@
 from rattanstile.connection import peer as peers
 from rattanstile.connection.frames import (
     CallerRequest,
+    FrameReader,
     Hello,
     Role,
     encode_frame,
@@ -217,6 +218,41 @@
         self.assertEqual(self.server.arrived(), [])
         self.assertTrue(link.transport.aborted)
 
+    def test_request_that_would_mislead_a_target_is_refused(self):
+        link = self.server.pool.accept()
+        connect(link)
+        link.dataReceived(encode_frame(Hello(role=Role.CALLER)))
+        link.transport.take()
+        for unsafe in (
+            {'path': '/a HTTP/1.1\r\nX: b'},
+            {'path': '/a/../b'},
+            {'path': 'a'},
+            {'path': '/?k=key'},
+            {'method': 'GET /x\r\n'},
+            {'service': 'a/b'},
+            {'service': ''},
+            {'body': bytes((1 << 20) + 1)},
+        ):
+            fields = {'sequence': 7, 'service': 's', 'key': 'key', **unsafe}
+            with self.subTest(unsafe.keys()):
+                link.dataReceived(encode_frame(CallerRequest(**fields)))
+                (answer,) = FrameReader().feed(link.transport.take())
+                self.assertEqual(answer.sequence, 7)
+                self.assertIs(answer.reply.outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.server.arrived(), [])
+        headers = (('X-Copy', 'a key'), ('Bad Name', ''), ('A', 'b\n'))
+        good = CallerRequest(
+            sequence=8,
+            service='s',
+            key='key',
+            path='/%61',
+            headers=(*headers, ('Accept', 'x/y')),
+        )
+        link.dataReceived(encode_frame(good))
+        (arrived,) = self.server.arrived()
+        self.assertEqual(arrived.path, '/a')
+        self.assertEqual(arrived.headers, (('accept', 'x/y'),))
+
     def test_end_of_a_callers_connection_is_reported_once(self):
         link = self.server.pool.accept()
         connect(link)
