--- a/src/rattanstile/client.py
+++ b/src/rattanstile/client.py
@@ -45,6 +45,7 @@
 from rattanstile.connection.id_grants import IdGrants
 from rattanstile.connection.link import PeerProtocol
 from rattanstile.process.edge_bucket import EdgeBuckets
+from rattanstile.process.logs import key_values
 from rattanstile.process.reactor import Reactor, installed_reactor
 from rattanstile.process.timers import Timer, TimerService
 from rattanstile.request.call_id import CallIdIssuer
@@ -300,7 +301,7 @@
     def _take_reply(self, link: PeerProtocol, message: CallerReply) -> None:
         call = self._in_flight.get(message.sequence)
         if call is None or call.link is not link:
-            _log.info('event=reply_ignored sequence={}', message.sequence)
+            _log.info(key_values('reply_ignored', sequence=message.sequence))
             return
         self._in_flight.pop(message.sequence)
         reply = message.reply
--- a/src/rattanstile/connection/caller_http.py
+++ b/src/rattanstile/connection/caller_http.py
@@ -29,6 +29,7 @@
     RequestParser,
     RequestRefused,
 )
+from rattanstile.process.logs import key_values
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Reply
 from rattanstile.request.ids import CallId
@@ -153,7 +154,7 @@
         try:
             running = self._owner.handler(request)
         except Exception:
-            _log.exception('event=request_failed')
+            _log.exception(key_values('request_failed'))
             running = Deferred()
             running.callback(_unknown())
         self._running = running
@@ -180,14 +181,16 @@
             self._finish()
 
     def _log_failure(self, failure: Failure) -> None:
-        _log.error('event=reply_failed cause={!r}', failure.value)
+        _log.error(key_values('reply_failed', cause=repr(failure.value)))
         self._abort()
 
     def _answer_refused(self, refused: RequestRefused) -> None:
         _log.info(
-            'event=request_refused status={} reason={}',
-            refused.status,
-            refused.reason.value,
+            key_values(
+                'request_refused',
+                status=refused.status,
+                reason=refused.reason.value,
+            )
         )
         reply = Reply(
             call_id=CallId(''),
@@ -228,7 +231,7 @@
 def _settle_failure(failure: Failure) -> Reply | None:
     if isinstance(failure.value, CancelledError):
         return None
-    _log.error('event=request_failed cause={!r}', failure.value)
+    _log.error(key_values('request_failed', cause=repr(failure.value)))
     return _unknown()
 
 
@@ -271,8 +274,9 @@
         """Return the connection, or None when there are too many."""
         if len(self.connections) >= self._max_connections:
             _log.warning(
-                'event=connection_refused connections={}',
-                len(self.connections),
+                key_values(
+                    'connection_refused', connections=len(self.connections)
+                )
             )
             return None
         return CallerHttpConnection(self)
--- a/src/rattanstile/connection/entry_links.py
+++ b/src/rattanstile/connection/entry_links.py
@@ -11,6 +11,7 @@
 
 from rattanstile.connection.frames import Farewell, Hello, Message, Role
 from rattanstile.connection.link import CHECK_PERIOD_S, LinkOwner, PeerProtocol
+from rattanstile.process.logs import key_values
 from rattanstile.process.timers import TimerService
 
 CONNECT_TIMEOUT_S = 1.0
@@ -156,7 +157,7 @@
 
     def link_ready(self, link: PeerProtocol, hello: Hello) -> None:
         _log.info(
-            'event=entry_ready node={} address={}', hello.node_id, self._address
+            key_values('entry_ready', node=hello.node_id, address=self._address)
         )
         self._backoff_s = FIRST_BACKOFF_S
         self._links.owner.entry_ready()
@@ -172,7 +173,7 @@
         """Take no notice: a grant of ids names the epoch."""
 
     def link_lost(self, link: PeerProtocol) -> None:
-        _log.info('event=entry_lost address={}', self._address)
+        _log.info(key_values('entry_lost', address=self._address))
         self.link = None
         self._back_off()
         self._links.owner.entry_lost(link)
--- a/src/rattanstile/connection/link.py
+++ b/src/rattanstile/connection/link.py
@@ -29,6 +29,7 @@
     Role,
     encode_frame,
 )
+from rattanstile.process.logs import key_values
 from rattanstile.request.envelope import Call, Cancel, Reply
 
 CHECK_PERIOD_S = 0.25
@@ -101,7 +102,7 @@
             for message in self._reader.feed(data):
                 self._take(message)
         except FrameError as error:
-            _log.warning('event=frame_refused cause={!r}', error.message)
+            _log.warning(key_values('frame_refused', cause=error.message))
             self.abort()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
@@ -136,7 +137,7 @@
             HEARTBEAT_AFTER_CHECKS if waits else IDLE_HEARTBEAT_AFTER_CHECKS
         )
         if waits and self._quiet_checks >= SILENT_AFTER_CHECKS:
-            _log.warning('event=connection_silent peer={}', self.peer_name)
+            _log.warning(key_values('connection_silent', peer=self.peer_name))
             self.abort()
         elif self._quiet_checks == beat_after:
             self._beat()
@@ -161,7 +162,7 @@
     def _count_unsent(self, size_bytes: int) -> None:
         self._unsent_bytes += size_bytes
         if self._unsent_bytes > MAX_UNSENT_BYTES:
-            _log.warning('event=connection_unread peer={}', self.peer_name)
+            _log.warning(key_values('connection_unread', peer=self.peer_name))
             self.abort()
 
     def _beat(self) -> None:
@@ -221,7 +222,7 @@
             self._owner.link_received(self, message)
         except Exception:
             # One message's failure is not the other calls' on this link.
-            _log.exception('event=message_failed peer={}', self.peer_name)
+            _log.exception(key_values('message_failed', peer=self.peer_name))
 
     def _learn_peer(self, hello: Hello) -> None:
         if self.peer is not None:
--- a/src/rattanstile/connection/peer.py
+++ b/src/rattanstile/connection/peer.py
@@ -27,6 +27,7 @@
     LinkOwner,
     PeerProtocol,
 )
+from rattanstile.process.logs import key_values
 from rattanstile.process.messages import PeerLost
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Member
@@ -147,7 +148,7 @@
         """
         link = self._inbound.named.get(node_id)
         if link is None:
-            _log.info('event=reply_dropped receiver={}', node_id)
+            _log.info(key_values('reply_dropped', receiver=node_id))
             return False
         link.send(message)
         return True
@@ -234,9 +235,11 @@
     def link_ready(self, link: PeerProtocol, hello: Hello) -> None:
         if self._is_closed or hello.node_id != self.member.node_id:
             _log.warning(
-                'event=peer_refused expected={} found={}',
-                self.member.node_id,
-                hello.node_id,
+                key_values(
+                    'peer_refused',
+                    expected=self.member.node_id,
+                    found=hello.node_id,
+                )
             )
             link.abort()
             return
@@ -331,7 +334,9 @@
 
     def accept(self) -> PeerProtocol | None:
         if len(self.links) >= MAX_INBOUND_LINKS:
-            _log.warning('event=connection_refused links={}', len(self.links))
+            _log.warning(
+                key_values('connection_refused', links=len(self.links))
+            )
             return None
         return PeerProtocol(self, self._pool.hello)
 
--- a/src/rattanstile/connection/target_http.py
+++ b/src/rattanstile/connection/target_http.py
@@ -17,6 +17,7 @@
     AnswerReader,
     TargetAnswer,
 )
+from rattanstile.process.logs import key_values
 from rattanstile.process.messages import TargetFailure
 from rattanstile.process.timers import Timer, TimerService
 from rattanstile.request.envelope import Header
@@ -251,7 +252,7 @@
         if answer is None:
             return
         if self._is_crossed(answer):
-            _log.warning('event=answer_crossed')
+            _log.warning(key_values('answer_crossed'))
             self._end_run(TargetFailure.ANSWER_CUT)
             self.abort()
             return
