--- a/src/rattanstile/connection/peer.py
+++ b/src/rattanstile/connection/peer.py
@@ -8,17 +8,26 @@
 from typing import Any, cast
 
 import logbook
+from result import Err
 from twisted.internet.address import IPv4Address
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory, ServerFactory
 
-from rattanstile.connection.frames import Farewell, Hello, Message, Role
+from rattanstile.connection.caller_request import checked_request
+from rattanstile.connection.frames import (
+    CallerRequest,
+    Farewell,
+    Hello,
+    Message,
+    Role,
+)
 from rattanstile.connection.link import (
     CHECK_PERIOD_S,
     HelloSource,
     LinkOwner,
     PeerProtocol,
 )
+from rattanstile.process.logs import key_values
 from rattanstile.process.messages import PeerLost
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Member
@@ -139,7 +148,7 @@
         """
         link = self._inbound.named.get(node_id)
         if link is None:
-            _log.info('event=reply_dropped receiver={}', node_id)
+            _log.info(key_values('reply_dropped', receiver=node_id))
             return False
         link.send(message)
         return True
@@ -226,9 +235,11 @@
     def link_ready(self, link: PeerProtocol, hello: Hello) -> None:
         if self._is_closed or hello.node_id != self.member.node_id:
             _log.warning(
-                'event=peer_refused expected={} found={}',
-                self.member.node_id,
-                hello.node_id,
+                key_values(
+                    'peer_refused',
+                    expected=self.member.node_id,
+                    found=hello.node_id,
+                )
             )
             link.abort()
             return
@@ -323,7 +334,9 @@
 
     def accept(self) -> PeerProtocol | None:
         if len(self.links) >= MAX_INBOUND_LINKS:
-            _log.warning('event=connection_refused links={}', len(self.links))
+            _log.warning(
+                key_values('connection_refused', links=len(self.links))
+            )
             return None
         return PeerProtocol(self, self._pool.hello)
 
@@ -346,9 +359,18 @@
         peer = cast(Hello, link.peer)
         if peer.role is Role.NODE:
             self._pool.handler(MessageArrived(peer.node_id, message))
+        elif isinstance(message, CallerRequest):
+            self._take_request(link, message)
         else:
             self._pool.handler(CallerMessageArrived(link, message))
 
+    def _take_request(self, link: PeerProtocol, request: CallerRequest) -> None:
+        checked = checked_request(request)
+        if isinstance(checked, Err):
+            link.send(checked.err_value)
+        else:
+            self._pool.handler(CallerMessageArrived(link, checked.ok_value))
+
     def link_heard_epoch(self, link: PeerProtocol, id_epoch: int) -> None:
         peer = link.peer
         if peer is not None and peer.role is Role.NODE:
