--- a/src/rattanstile/process/pressure.py
+++ b/src/rattanstile/process/pressure.py
@@ -1,4 +1,4 @@
-"""Pressure: what a service sheds, told on replies, kept at entries.
+"""Pressure: what a service sheds, as replies tell it and entries keep it.
 
 A pressure is a number from 0 to 3. Its whole part is the lowest priority
 still admitted, its fraction the share shed of that priority. All hops of a
@@ -6,13 +6,13 @@
 is not shed by the same pressure further down. The idea of one level for both
 priority and a finer per-caller value is that of DAGOR (Zhou et al., 2018).
 
-Each organisation has its own pressure, raised by what the queue shed of its
-calls only, so that one that sends too much is shed before the others. The
-whole part is common: no call is shed while lower priorities are admitted.
+Each organisation has its own pressure, so that one that sends too much is
+shed before the others. The whole part is common to all: no call is shed while
+lower priorities are admitted.
 """
 
-from collections import Counter
-from dataclasses import dataclass, field
+import math
+from dataclasses import dataclass
 
 from rattanstile.request.ids import (
     NodeId,
@@ -21,16 +21,11 @@
 )
 from rattanstile.request.priority import Priority
 
-WINDOW_S = 0.1
-HIGHEST_PRESSURE = float(len(Priority))
-RISE_GAIN = 0.5
-FEWEST_STEP = 0.02
-LEAST_BUSY = 0.5
-OCCUPANCY_WANTED = 0.5
-OCCUPANCY_GAIN = 0.05
-HOLD_S = 0.5
-DECAY_PER_S = 1.0
-FORGET_S = 3.0
+HOLD_S = 1.0
+DOUBLING_S = 1.0
+FIRST_ADMITTED = 0.02
+LARGEST_SHARE = 0.98
+FORGET_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,197 +54,168 @@
     return draw < pressure - priority
 
 
-@dataclass(slots=True)
-class _Lane:
-    """Pressure of one organisation, and what the window saw of it."""
-
-    pressure: float = 0.0
-    arrived: Counter[Priority] = field(default_factory=Counter)
-    refused: int = 0
-
-    @property
-    def admitted(self) -> float:
-        return 1 - (self.pressure - shed_level(self.pressure))
-
-    def rise(self) -> None:
-        lowest = min(self.arrived, default=Priority.BACKGROUND)
-        self.pressure = max(self.pressure, float(lowest))
-        level = shed_level(self.pressure)
-        share = min(1.0, self.refused / max(1, self.arrived[level]))
-        self.step(max(FEWEST_STEP, RISE_GAIN * self.admitted * share))
-
-    def fall(self, busy: float) -> None:
-        admitted = self.admitted
-        wanted = admitted / max(busy, LEAST_BUSY) - admitted
-        self.step(-max(FEWEST_STEP, wanted))
-
-    def step(self, change: float) -> None:
-        changed = self.pressure + change
-        self.pressure = min(HIGHEST_PRESSURE, max(0.0, changed))
-
-    def clear(self) -> None:
-        self.arrived.clear()
-        self.refused = 0
+def relaxed(pressure: float, doublings: float) -> float:
+    """Return a pressure after its admitted share doubled some times."""
+    while pressure > 0:
+        level = shed_level(pressure)
+        admitted = _admitted(pressure)
+        needed = -math.log2(admitted)
+        if needed >= doublings:
+            return level + 1 - admitted * 2**doublings
+        doublings -= needed
+        pressure = float(level)
+        if level is Priority.BACKGROUND:
+            return 0.0
+        pressure -= FIRST_ADMITTED
+    return 0.0
 
 
-class PressureGauge:
-    """Pressure of one target, from what its queue saw.
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a reply tells of the pressure that its call met.
 
-    Args:
-        now_s: Monotonic seconds.
+    Attributes:
+        pressure: That of the call's own organisation.
+        ceiling: That of the organisation that is shed most.
+        weight: Calls at once that the ceiling speaks for.
     """
 
-    def __init__(self, now_s: float) -> None:
-        """Begin without pressure."""
-        self._began_s = now_s
-        self._lanes: dict[OrganisationId, _Lane] = {}
-        self._level = Priority.BACKGROUND
+    pressure: float
+    ceiling: float
+    weight: int = 1
 
     @property
     def level(self) -> Priority:
         """Return the lowest priority of which some calls are admitted."""
-        return self._level
+        return shed_level(self.ceiling)
 
     @property
-    def highest(self) -> float:
-        """Return the pressure of the organisation that is shed most."""
-        return max(
-            (lane.pressure for lane in self._lanes.values()), default=0.0
-        )
-
-    def pressure_of(self, organisation: OrganisationId) -> float:
-        """Return the pressure that calls of an organisation meet."""
-        lane = self._lanes.get(organisation)
-        return max(lane.pressure if lane else 0.0, float(self._level))
-
-    def arrived(self, organisation: OrganisationId, priority: Priority) -> None:
-        """Count a call that reached the queue."""
-        self._lanes.setdefault(organisation, _Lane()).arrived[priority] += 1
-
-    def refused(self, organisation: OrganisationId) -> None:
-        """Count a call that the queue shed or dropped for its deadline."""
-        self._lanes.setdefault(organisation, _Lane()).refused += 1
+    def demand(self) -> float | None:
+        """Return the organisation's demand over the largest one.
 
-    def update(self, now_s: float, busy: float, occupancy: float) -> None:
-        """Close the window when it is over.
-
-        Args:
-            now_s: Monotonic seconds.
-            busy: Calls in flight over the limit.
-            occupancy: Calls that wait over the queue's capacity.
+        None when it is not shed at all, so that only a bound is known.
         """
-        if now_s - self._began_s < WINDOW_S:
-            return
-        self._began_s = now_s
-        for organisation, lane in list(self._lanes.items()):
-            self._update_lane(lane, busy, occupancy)
-            if not lane.pressure and not lane.arrived:
-                self._lanes.pop(organisation)
-            lane.clear()
-        self._level = shed_level(self.highest)
-
-    def _update_lane(self, lane: _Lane, busy: float, occupancy: float) -> None:
-        if lane.refused:
-            lane.rise()
-        elif not lane.pressure:
-            return
-        elif occupancy > 0:
-            lane.step(OCCUPANCY_GAIN * (occupancy - OCCUPANCY_WANTED))
-        else:
-            lane.fall(busy)
+        shed = self.pressure - self.level
+        if shed <= 0:
+            return None
+        admitted = 1 - min(LARGEST_SHARE, shed)
+        return min(1.0, _admitted(self.ceiling) / admitted)
 
 
 @dataclass(frozen=True, slots=True)
-class _Told:
-    """What one node told last."""
+class _Demand:
+    """Demand of one organisation over the largest one, at one level."""
 
-    pressure: float
-    weight: int
+    demand: float
+    level: Priority
     told_s: float
 
-    def decayed(self, now_s: float) -> float:
-        held_s = now_s - self.told_s - HOLD_S
-        return max(0.0, self.pressure - DECAY_PER_S * max(0.0, held_s))
-
 
 class PressureMemory:
-    """What replies told an entry about one service and organisation."""
+    """What replies told an entry about one service or route.
+
+    The ceiling moves fast and is common: any organisation's reply renews it.
+    The demands of the organisations relative to each other move slowly.
+    """
 
     def __init__(self) -> None:
         """Begin without pressure."""
-        self._told: dict[NodeId, _Told] = {}
+        self._ceilings: dict[NodeId, tuple[Told, float]] = {}
+        self._demands: dict[OrganisationId, _Demand] = {}
+        self._heard_s = -math.inf
 
     def told(
-        self, now_s: float, node_id: NodeId, pressure: float, weight: int
+        self,
+        now_s: float,
+        node_id: NodeId,
+        organisation: OrganisationId,
+        told: Told,
     ) -> None:
-        """Keep what a reply told, in place of the node's earlier word.
-
-        Args:
-            now_s: Monotonic seconds.
-            node_id: The node that replied.
-            pressure: The pressure told.
-            weight: Calls at once that the pressure speaks for.
-        """
-        self._told[node_id] = _Told(pressure, max(1, weight), now_s)
+        """Keep what a reply told, in place of the node's earlier word."""
+        self._heard_s = now_s
+        self._ceilings[node_id] = (told, now_s)
+        demand = told.demand
+        if demand is None:
+            self._demands.pop(organisation, None)
+        else:
+            self._demands[organisation] = _Demand(demand, told.level, now_s)
 
-    def pressure(self, now_s: float, priority: Priority) -> float:
-        """Return the pressure that a call of this priority meets.
+    def met(self, now_s: float, asked: CallClass) -> Told:
+        """Return the pressure that a call meets.
 
-        It is the mean by capacity of what the nodes told last, less what has
-        decayed; the least of it where transactions would be shed, so that no
-        single node's word sheds one.
+        It follows from the mean ceiling by capacity, relaxed when none has
+        told anything for a while; from the least ceiling where transactions
+        would be shed, so that no single node's word sheds one.
         """
-        self._forget(now_s)
-        if not self._told:
-            return 0.0
-        decayed = [
-            (told.decayed(now_s), told.weight) for told in self._told.values()
+        ceiling = self._ceiling(now_s, asked.priority)
+        level = shed_level(ceiling)
+        demand = self._demands.get(asked.organisation)
+        if demand is None or demand.level is not level:
+            return Told(float(level), ceiling)
+        shed = 1 - _admitted(ceiling) / demand.demand
+        pressure = level + min(LARGEST_SHARE, max(0.0, shed))
+        return Told(pressure, ceiling)
+
+    def forget(self, now_s: float) -> bool:
+        """Drop what is too old; tell whether nothing is left."""
+        if now_s - self._heard_s > FORGET_S:
+            self._ceilings.clear()
+            self._demands.clear()
+        for organisation, demand in list(self._demands.items()):
+            if now_s - demand.told_s > FORGET_S:
+                self._demands.pop(organisation)
+        return not self._ceilings
+
+    def _ceiling(self, now_s: float, priority: Priority) -> float:
+        fresh = [
+            told
+            for told, told_s in self._ceilings.values()
+            if self._heard_s - told_s <= FORGET_S
         ]
+        if not fresh or now_s - self._heard_s > FORGET_S:
+            return 0.0
         if priority is Priority.TRANSACTION:
-            return min(pressure for pressure, _ in decayed)
-        weights = sum(weight for _, weight in decayed)
-        return sum(one * weight for one, weight in decayed) / weights
-
-    @property
-    def is_empty(self) -> bool:
-        """Tell whether nothing is remembered."""
-        return not self._told
-
-    def _forget(self, now_s: float) -> None:
-        for node_id, told in list(self._told.items()):
-            if now_s - told.told_s > FORGET_S:
-                self._told.pop(node_id)
+            ceiling = min(told.ceiling for told in fresh)
+        else:
+            weights = sum(told.weight for told in fresh)
+            ceiling = sum(one.ceiling * one.weight for one in fresh) / weights
+        silent_s = now_s - self._heard_s - HOLD_S
+        if silent_s <= 0:
+            return ceiling
+        return relaxed(ceiling, silent_s / DOUBLING_S)
 
 
-_MemoryKey = tuple[ServiceName, OrganisationId, str]
+_MemoryKey = tuple[ServiceName, str]
 OWN = '='
 """Key of a service's own pressure, which is no path prefix."""
+ANY_NODE = NodeId('')
+"""Source of subtree pressure: the node between adds nothing to it."""
 
 
 class PressureBook:
-    """All that one entry remembers, by service, organisation and route."""
+    """All that one entry remembers, by service and by route."""
 
     def __init__(self) -> None:
         """Begin without pressure."""
         self._memories: dict[_MemoryKey, PressureMemory] = {}
 
-    def pressure(self, now_s: float, asked: CallClass) -> float:
+    def pressure(self, now_s: float, asked: CallClass) -> Told:
         """Return the larger of the service's own and the route's pressure."""
-        keys = (self._key(asked, OWN), self._key(asked, asked.route))
-        memories = [self._memories.get(key) for key in keys]
-        return max(
-            memory.pressure(now_s, asked.priority) if memory else 0.0
-            for memory in memories
-        )
+        found = Told(0.0, 0.0)
+        for key in (OWN, asked.route):
+            memory = self._memories.get((asked.service, key))
+            if memory:
+                told = memory.met(now_s, asked)
+                found = max(found, told, key=lambda one: one.pressure)
+        return found
 
     def told(
         self,
         now_s: float,
         asked: CallClass,
         node_id: NodeId,
-        own: float,
-        subtree: float,
-        weight: int,
+        own: Told,
+        subtree: Told,
     ) -> None:
         """Keep what the reply to a call told.
 
@@ -257,35 +223,35 @@
             now_s: Monotonic seconds.
             asked: The call.
             node_id: The node that replied.
-            own: `Reply.pressure`.
-            subtree: `Reply.subtree_pressure`.
-            weight: `Reply.limit`.
+            own: What it told of its own target.
+            subtree: What it told of the calls that the call made.
         """
-        self._tell(now_s, self._key(asked, OWN), node_id, own, weight)
-        key = self._key(asked, asked.route)
-        self._tell(now_s, key, node_id, subtree, 1)
+        self._tell(now_s, asked, OWN, node_id, own)
+        self._tell(now_s, asked, asked.route, ANY_NODE, subtree)
 
     def forget(self, now_s: float) -> None:
         """Drop what is too old; keeps memory bounded by recent calls."""
         for key, memory in list(self._memories.items()):
-            memory.pressure(now_s, Priority.LOOKUP)
-            if memory.is_empty:
+            if memory.forget(now_s):
                 self._memories.pop(key)
 
     def _tell(
         self,
         now_s: float,
-        key: _MemoryKey,
+        asked: CallClass,
+        route: str,
         node_id: NodeId,
-        pressure: float,
-        weight: int,
+        told: Told,
     ) -> None:
+        key = (asked.service, route)
         memory = self._memories.get(key)
         if memory is None:
-            if not pressure:
+            if not told.ceiling:
                 return
             memory = self._memories.setdefault(key, PressureMemory())
-        memory.told(now_s, node_id, pressure, weight)
+        memory.told(now_s, node_id, asked.organisation, told)
+
 
-    def _key(self, asked: CallClass, route: str) -> _MemoryKey:
-        return (asked.service, asked.organisation, route)
+def _admitted(pressure: float) -> float:
+    """Return the share admitted of the lowest priority admitted."""
+    return max(FIRST_ADMITTED, 1 - (pressure - shed_level(pressure)))
--- a/src/rattanstile/process/shedding.py
+++ b/src/rattanstile/process/shedding.py
@@ -23,7 +23,7 @@
     SendCall,
     SendCancel,
 )
-from rattanstile.process.pressure import CallClass, PressureBook, is_shed
+from rattanstile.process.pressure import CallClass, PressureBook, Told, is_shed
 from rattanstile.request.envelope import Call, Reply
 from rattanstile.request.ids import CallId
 from rattanstile.request.outcome import Reason
@@ -33,6 +33,9 @@
 MOST_ATTEMPTS = 16384
 RETRY_AFTER_MS = 1000
 FORGET_PERIOD_S = 5.0
+SPARED_BELOW = 0.1
+"""Pressure that a call with work behind it is spared, as its tree passed the
+same test with an earlier value."""
 
 _log = logbook.Logger('shedding')
 
@@ -90,11 +93,10 @@
         """Take one input and return what follows from it."""
         match entry_input:
             case CallRequested():
-                drawn = self._drawn(entry_input)
-                refused = self._shed(now_s, drawn)
-                if refused:
-                    return [refused]
-                entry_input = drawn
+                tested = self._tested(now_s, entry_input)
+                if isinstance(tested, Finished):
+                    return [tested]
+                entry_input = tested
             case ReplyArrived():
                 self._replied(now_s, entry_input)
         outputs = self._entry.step(now_s, entry_input)
@@ -102,46 +104,49 @@
             self._remember(output)
         return outputs
 
-    def pressure(self, now_s: float, asked: CallClass) -> float:
+    def pressure(self, now_s: float, asked: CallClass) -> Told:
         """Return the pressure that a call meets at this entry."""
         if now_s - self._forgot_s > FORGET_PERIOD_S:
             self._forgot_s = now_s
             self._book.forget(now_s)
         return self._book.pressure(now_s, asked)
 
-    def _drawn(self, request: CallRequested) -> CallRequested:
-        if request.shed_draw >= 0:
-            return request
-        return replace(request, shed_draw=self._rng.random())
-
-    def _shed(self, now_s: float, request: CallRequested) -> Finished | None:
+    def _tested(
+        self, now_s: float, request: CallRequested
+    ) -> CallRequested | Finished:
+        """Return the request with its draw and test, or its refusal."""
+        draw = request.shed_draw
+        if draw < 0:
+            draw = self._rng.random()
         asked = CallClass(
             service=request.service,
             organisation=request.organisation,
             priority=_priority_of(request),
             route=request.route.path,
-            draw=request.shed_draw,
+            draw=draw,
+        )
+        met = self.pressure(now_s, asked)
+        tested = met.pressure
+        if request.hops:
+            tested = max(0.0, tested - SPARED_BELOW)
+        if is_shed(tested, asked.priority, draw):
+            _log.info(CallShed(request.request_id, asked, tested).line())
+            refused = own_refusal(request, Reason.SHED, RETRY_AFTER_MS)
+            return Finished(request.request_id, _told(refused, met))
+        return replace(
+            request,
+            shed_draw=draw,
+            shed_pressure=max(tested, request.shed_pressure),
         )
-        pressure = self.pressure(now_s, asked)
-        if not is_shed(pressure, asked.priority, asked.draw):
-            return None
-        _log.info(CallShed(request.request_id, asked, pressure).line())
-        refused = own_refusal(request, Reason.SHED, RETRY_AFTER_MS)
-        return Finished(request.request_id, _told(refused, pressure))
 
     def _replied(self, now_s: float, arrived: ReplyArrived) -> None:
         reply = arrived.reply
         asked = self._asked.pop((reply.call_id, reply.attempt), None)
         if asked is None:
             return
-        self._book.told(
-            now_s,
-            asked,
-            arrived.sender,
-            reply.pressure,
-            reply.subtree_pressure,
-            reply.limit,
-        )
+        own = Told(reply.pressure, reply.pressure_ceiling, max(1, reply.limit))
+        subtree = Told(reply.subtree_pressure, reply.subtree_ceiling)
+        self._book.told(now_s, asked, arrived.sender, own, subtree)
 
     def _remember(self, output: EntryOutput) -> None:
         match output:
@@ -169,5 +174,7 @@
     return request.priority
 
 
-def _told(reply: Reply, pressure: float) -> Reply:
-    return msgspec.structs.replace(reply, pressure=pressure)
+def _told(reply: Reply, met: Told) -> Reply:
+    return msgspec.structs.replace(
+        reply, pressure=met.pressure, pressure_ceiling=met.ceiling
+    )
