Take a refused connection as proof only where none is open

Cause: PeerLost(connected=False) ends every attempt at a node as unsent. A second connection refused, or a member that left the directory while its connection is open, so moved calls that were running: a second run. Ruled out: the order of events of one connection, which is told rightly. Change: a node heard since its last loss counts as connected; AttemptUnsent (additive) tells of one attempt only; 'too large', which this node's own connection says, is 'not run' only where no attempt left.

--- a/bench/once_links.py
+++ b/bench/once_links.py
@@ -114,6 +114,15 @@
             late_s = self.rng.uniform(0.1, 3.0) if copy else self._delay_s()
             entry.later(late_s, step)
 
+    def refuse_beside_open(self) -> None:
+        """Refuse a second connection to a node that has an open one."""
+        open_links = [
+            pair for pair, link in self.links.items() if link is Link.OPEN
+        ]
+        if open_links:
+            sender, receiver = self.rng.choice(open_links)
+            self._tell_lost(sender, receiver, connected=False)
+
     def silence(self) -> None:
         """Silence an open connection; its sender finds out later."""
         open_links = [
--- a/bench/once_world.py
+++ b/bench/once_world.py
@@ -221,7 +221,13 @@
             self.operations.append(operation)
             at_s = self.rng.choice((0.5, self.rng.uniform(0, 2)))
             self.loop.after(at_s, partial(self.request, operation))
-        faults = (self.silence, self._kill_any, self._pause_any, self._log_out)
+        faults = (
+            self.silence,
+            self.refuse_beside_open,
+            self._kill_any,
+            self._pause_any,
+            self._log_out,
+        )
         for _ in range(self.rng.randint(2, 8)):
             self.loop.after(self.rng.uniform(0, 4), self.rng.choice(faults))
 
--- a/bench/rates_world.py
+++ b/bench/rates_world.py
@@ -180,9 +180,7 @@
         """Read the records that are new, and again after a while."""
         if not self.alive:
             return
-        self.world.after(
-            READ_S * 2 * self.world.random.random(), self.read_log
-        )
+        self.world.after(READ_S * 2 * self.world.random.random(), self.read_log)
         log = self.fleet.log
         is_cut = self.index in self.fleet.cut_from_log
         if self.paused or not log.up or is_cut:
@@ -362,9 +360,7 @@
         self.refusals[name].append(self.world.now_s)
 
 
-def most_above(
-    times_s: list[float], rate_per_s: float, burst: float
-) -> float:
+def most_above(times_s: list[float], rate_per_s: float, burst: float) -> float:
     """Return by how many calls the worst window is above its bound.
 
     A bucket of the rate and burst that starts full is replayed: a call that
--- a/src/rattanstile/process/entry.py
+++ b/src/rattanstile/process/entry.py
@@ -29,6 +29,7 @@
 from rattanstile.process.homes import Homes
 from rattanstile.process.messages import (
     AskHome,
+    AttemptUnsent,
     BindingFailed,
     BindingWanted,
     Bound,
@@ -136,6 +137,7 @@
         self._outstanding: dict[tuple[CallId, int], EntryCall] = {}
         self._by_receiver: dict[NodeId, dict[int, EntryCall]] = {}
         self._wakes: list[tuple[float, int]] = []
+        self._heard: set[NodeId] = set()
 
     def __len__(self) -> int:
         """Return how many requests are in hand."""
@@ -165,6 +167,8 @@
                 outputs = self._replied(now_s, entry_input)
             case PeerLost():
                 outputs = self._peer_lost(now_s, entry_input)
+            case AttemptUnsent():
+                outputs = self._attempt_unsent(now_s, entry_input)
             case HomeSeen():
                 outputs = self._home_seen(now_s, entry_input)
             case HomeGone():
@@ -316,8 +320,13 @@
         if call is None or call.receiver != arrived.sender:
             return ()
         self._attempt_ended(now_s, call, reply)
+        self._heard.add(arrived.sender)
         call.budget.returned(call.lent, reply.tries_unspent)
         call.lent = 0
+        is_refused = reply.outcome is Outcome.NOT_RUN
+        if is_refused and reply.reason is Reason.TOO_LARGE:
+            # Said by this node's own connection, not by the home.
+            return self._refuse(call, Reason.TOO_LARGE)
         if self._unreachable is not None:
             self._unreachable.succeeded(arrived.sender)
         if reply.outcome is Outcome.WHOLE:
@@ -325,7 +334,7 @@
             return self._finish(call, reply)
         if call.is_idempotent:
             return self._idempotent_failed(now_s, call, reply)
-        if reply.outcome is Outcome.NOT_RUN:
+        if is_refused:
             return self._home_refused(now_s, call, reply)
         return self._finish(call, reply)
 
@@ -376,6 +385,9 @@
     def _peer_lost(self, now_s: float, lost: PeerLost) -> Iterable[EntryOutput]:
         if self._unreachable is not None:
             self._unreachable.failed(lost.node_id, now_s)
+        # A refused connection says nothing of what left on an open one.
+        is_unsent = not lost.connected and lost.node_id not in self._heard
+        self._heard.discard(lost.node_id)
         outputs: list[EntryOutput] = []
         for call in self._received_by(lost.node_id):
             if call.phase is Phase.ASKING:
@@ -383,23 +395,41 @@
                 outputs.extend(self._place_again(now_s, call))
             elif call.phase is Phase.SENT:
                 self._attempt_ended(now_s, call, None)
-                outputs.extend(self._attempt_lost(now_s, call, lost))
+                if is_unsent:
+                    outputs.extend(self._unsent(now_s, call))
+                else:
+                    outputs.extend(self._attempt_lost(now_s, call))
         return outputs
 
-    def _attempt_lost(
-        self, now_s: float, call: EntryCall, lost: PeerLost
+    def _attempt_unsent(
+        self, now_s: float, unsent: AttemptUnsent
     ) -> Iterable[EntryOutput]:
-        if lost.connected:
-            call.may_run = True
-        else:
-            call.budget.returned(call.lent, call.lent)
+        call = self._outstanding.get((unsent.call_id, unsent.attempt))
+        if call is None:
+            return ()
+        self._attempt_ended(now_s, call, None)
+        return self._unsent(now_s, call)
+
+    def _unsent(self, now_s: float, call: EntryCall) -> Iterable[EntryOutput]:
+        call.budget.returned(call.lent, call.lent)
         call.lent = 0
-        if call.may_move and not lost.connected and not call.may_run:
-            call.tried.add(lost.node_id)
+        if call.may_move and not call.may_run:
+            call.tried.add(call.receiver)
             return self._place_again(now_s, call)
-        if not call.is_idempotent:
-            return self._back_off(now_s, call)
-        if self._may_retry(call):
+        return self._try_again(now_s, call)
+
+    def _attempt_lost(
+        self, now_s: float, call: EntryCall
+    ) -> Iterable[EntryOutput]:
+        call.may_run = True
+        call.lent = 0
+        return self._try_again(now_s, call)
+
+    def _try_again(
+        self, now_s: float, call: EntryCall
+    ) -> Iterable[EntryOutput]:
+        """Send the same id again: to its home, or elsewhere if it may move."""
+        if not call.is_idempotent or self._may_retry(call):
             return self._back_off(now_s, call)
         return self._refuse(call, Reason.CONNECTION_LOST)
 
@@ -414,6 +444,7 @@
 
     def _home_seen(self, now_s: float, seen: HomeSeen) -> Iterable[EntryOutput]:
         outputs: list[EntryOutput] = []
+        self._heard.add(seen.node_id)
         if self._unreachable is not None:
             self._unreachable.succeeded(seen.node_id)
         if self._homes.seen(now_s, seen):
--- a/src/rattanstile/process/messages.py
+++ b/src/rattanstile/process/messages.py
@@ -210,6 +210,14 @@
     connected: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptUnsent:
+    """No byte of this one attempt left this node, and none ever will."""
+
+    call_id: CallId
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class HomeSeen:
     """A node told who it is, in a greeting or a heartbeat.
@@ -269,6 +277,7 @@
     CallRequested
     | ReplyArrived
     | PeerLost
+    | AttemptUnsent
     | HomeSeen
     | HomeGone
     | Bound
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -8,6 +8,7 @@
 from rattanstile.process.entry_call import own_refusal
 from rattanstile.process.messages import (
     AskHome,
+    AttemptUnsent,
     BindingFailed,
     BindingWanted,
     Bound,
@@ -93,6 +94,7 @@
         self.entry.adopt(VersionInForce(4, Declaration(max_hops=5)))
         for node in 'abc':
             self.step(HomeSeen(node, 10, 1))
+            self.step(PeerLost(node))
 
     def step(self, entry_input, now_s=0.0):
         return self.entry.step(now_s, entry_input)
@@ -291,6 +293,43 @@
         sent = self.sends(PeerLost('a', connected=False))
         self.assertEqual(sent.receiver, 'b')
 
+    def test_refused_connection_beside_an_open_one_proves_nothing(self):
+        sent = self.sends(request(CLAIM))
+        self.step(HomeSeen('a', 10, 1))
+        self.assertEqual(self.step(PeerLost('a', connected=False)), [])
+        again = self.wakes()
+        self.assertEqual(again.call.call_id, sent.call.call_id)
+        self.assertEqual(again.receiver, 'a')
+
+    def test_attempt_that_never_left_moves_alone(self):
+        one = self.sends(request(CLAIM))
+        two = self.sends(request(CLAIM, request_id=2))
+        self.assertEqual((one.receiver, two.receiver), ('a', 'a'))
+        unsent = AttemptUnsent(two.call.call_id, two.call.attempt)
+        moved = self.sends(unsent)
+        self.assertEqual((moved.receiver, len(self.entry)), ('b', 2))
+        self.assertEqual(self.step(unsent), [])
+
+    def test_attempt_that_never_left_after_one_that_did_proves_nothing(self):
+        self.sends(request(CLAIM))
+        self.step(PeerLost('a'))
+        again = self.wakes()
+        unsent = AttemptUnsent(again.call.call_id, again.call.attempt)
+        self.assertEqual(self.step(unsent), [])
+        self.assertEqual(self.wakes().receiver, 'a')
+
+    def test_too_large_after_a_loss_is_unknown(self):
+        sent = self.sends(request(CLAIM))
+        self.step(PeerLost('a'))
+        sent = self.wakes()
+        ended = self.ends(replied(sent, Outcome.NOT_RUN, Reason.TOO_LARGE))
+        self.assertEqual(ended, (Outcome.UNKNOWN, Reason.TOO_LARGE))
+
+    def test_answer_too_large_to_carry_stays_unknown(self):
+        sent = self.sends(request(CLAIM))
+        ended = self.ends(replied(sent, Outcome.UNKNOWN, Reason.TOO_LARGE))
+        self.assertEqual(ended, (Outcome.UNKNOWN, Reason.TOO_LARGE))
+
     def test_home_is_asked_when_it_was_not_heard_lately(self):
         (asked,) = self.step(request(CLAIM), 100)
         self.assertEqual(asked, AskHome('a'))
