--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -18,6 +18,7 @@
     FreshnessQuery,
     FreshnessReply,
     LogRead,
+    LogReadFailed,
     LogReadTooOld,
     MembersChanged,
     ReadLog,
@@ -190,22 +191,75 @@
 
     def test_reply_that_answers_no_query_is_ignored(self):
         relay = self.relay(('one', 'two', 'three'))
+        reply = self.reply(99)
+        relay.step(1.0, RelayReceived('two', reply))
+        self.assertFalse(relay.fold.verified)
+
+    def test_reply_is_dated_by_the_sending_of_its_query(self):
+        members = [RelayMember(f'b{place}', 'b') for place in range(30)]
+        own = next(one for one in members if not self.reads(one, members))
+        relay = Relay(own, Random(1))
+        relay.step(0.0, MembersChanged(tuple(members)))
+        asked = next(
+            one
+            for one in relay.step(0.0, RelayTicked())
+            if isinstance(one, SendControl)
+        )
+        reply = self.reply(asked.message.sequence)
+        relay.step(10.0, RelayReceived(asked.receiver, reply))
+        self.assertEqual(relay.fold.version, 1)
+        self.assertFalse(relay.freshness.admits(10.0))
+
+    def test_one_reader_alone_does_not_speak_for_its_domain(self):
+        members = (
+            RelayMember('one', 'a'),
+            RelayMember('two', 'a'),
+            RelayMember('far', 'b'),
+        )
+        relay = Relay(members[0], Random(1))
+        relay.step(0.0, MembersChanged(members))
+        wanted = self.read(relay)
+        relay.step(0.1, LogReadFailed(wanted.read_id))
+        self.assertEqual(self.told_outage_ms(relay, 1.0), -1)
+        asked = next(
+            one
+            for one in relay.step(1.5, RelayTicked())
+            if isinstance(one, SendControl) and one.receiver == 'two'
+        )
+        reply = self.reply(asked.message.sequence, own_outage_ms=100)
+        relay.step(1.5, RelayReceived('two', reply))
+        self.assertEqual(self.told_outage_ms(relay, 2.0), 2000)
+
+    def reads(self, own, members):
+        return RelayTree(
+            own.node_id, [one.node_id for one in members]
+        ).reads_log
+
+    def reply(self, sequence, **fields):
         fold = Fold()
         fold.see_start()
         fold.offer(0, first_record())
-        reply = FreshnessReply(
-            sequence=99,
+        ages = {
+            'log_age_ms': 0,
+            'domain_read_ms': 0,
+            'own_outage_ms': -1,
+            'domain_outage_ms': -1,
+            'fleet_outage_ms': -1,
+        }
+        ages.update(fields)
+        return FreshnessReply(
+            sequence=sequence,
             version=1,
-            log_age_ms=0,
-            domain_read_ms=0,
-            own_outage_ms=-1,
-            domain_outage_ms=-1,
-            fleet_outage_ms=-1,
             log_end=1,
             snapshot=fold.snapshot('snap'),
+            **ages,
         )
-        relay.step(1.0, RelayReceived('two', reply))
-        self.assertFalse(relay.fold.verified)
+
+    def told_outage_ms(self, relay, now_s):
+        relay.step(now_s, RelayTicked())
+        query = FreshnessQuery(sequence=1, version=-1)
+        answers = relay.step(now_s, RelayReceived('far', query))
+        return answers[0].message.domain_outage_ms
 
     def test_asker_without_a_version_gets_a_snapshot(self):
         relay = self.relay()
