--- /dev/null
+++ b/src/rattanstile/process/serving.py
@@ -0,0 +1,453 @@
+"""Serving machine: the last authority on what one target runs.
+
+Each call is checked when it arrives and again just before dispatch: the key
+is in force, target and failure domain are in service, the deadline can be
+met. `not run` is said only of calls that were never dispatched, or that the
+target itself says it did not run.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import logbook
+import msgspec
+
+from rattanstile.process.admission import AdmissionQueue, Dropped, Queued
+from rattanstile.process.home_table import HomeTable, JoinRunning, RunIt
+from rattanstile.process.limiter import TargetLimiter
+from rattanstile.process.messages import (
+    CallArrived,
+    CancelArrived,
+    CancelDispatch,
+    ChildEnded,
+    Dispatch,
+    DrainBegan,
+    SendReply,
+    ServingInput,
+    ServingOutput,
+    TargetAnswered,
+    TargetFailed,
+    TargetFailure,
+    TargetRestarted,
+    Ticked,
+)
+from rattanstile.process.pressure import Told
+from rattanstile.process.pressure_gauge import PressureGauge
+from rattanstile.process.serving_call import (
+    RESTART_SIGNS,
+    LiveCall,
+    Waiter,
+    reply_of_answer,
+    reply_of_failure,
+)
+from rattanstile.request.envelope import Call, Reply, refusal
+from rattanstile.request.ids import (
+    CallId,
+    FailureDomainId,
+    NodeId,
+    ServiceName,
+    TargetId,
+)
+from rattanstile.request.outcome import Outcome, Reason
+from rattanstile.version.declaration import TargetLimits
+from rattanstile.version.in_force import VersionInForce
+
+SHORTEST_QUEUE = 8
+ABANDONED_SLOT_S = 30.0
+SHORTEST_RETRY_AFTER_MS = 100
+UNDECLARED = TargetLimits(slots=1)
+
+_log = logbook.Logger('serving')
+
+
+@dataclass(frozen=True, slots=True)
+class ServingIdentity:
+    """What a serving node knows of itself from its settings."""
+
+    node_id: NodeId
+    target_id: TargetId
+    failure_domain: FailureDomainId
+    service: ServiceName
+
+
+class ServingMachine:
+    """Admits, queues, dispatches and answers the calls of one target.
+
+    Args:
+        identity: The node's own names.
+        in_force: Gives the version in force.
+        now_s: Monotonic seconds; the target counts as cold from here.
+        home_table: Keeps non-idempotent calls to one run each.
+        limiter: Replaces the default limiter.
+    """
+
+    def __init__(
+        self,
+        identity: ServingIdentity,
+        in_force: Callable[[], VersionInForce],
+        now_s: float,
+        home_table: HomeTable,
+        limiter: TargetLimiter | None = None,
+    ) -> None:
+        """Begin with a cold target and an empty queue."""
+        self.draining = False
+        self._identity = identity
+        self._in_force = in_force
+        self._home_table = home_table
+        self._limiter = limiter or TargetLimiter(self._limits(), now_s)
+        self._queue = AdmissionQueue()
+        self._gauge = PressureGauge(now_s)
+        self._live: dict[CallId, LiveCall] = {}
+        self._boot_id = ''
+        self._suspected_s = now_s
+
+    @property
+    def limit(self) -> int:
+        """Return the calls at once that the target now bears."""
+        return self._limiter.limit
+
+    @property
+    def running(self) -> int:
+        """Return the calls on the target."""
+        return self._limiter.in_flight
+
+    @property
+    def queued(self) -> int:
+        """Return the calls that wait."""
+        return len(self._queue)
+
+    @property
+    def pressure(self) -> float:
+        """Return the highest pressure that replies tell."""
+        return self._gauge.highest
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no call waits or runs; a drain ends here."""
+        return not self._live
+
+    def step(
+        self, now_s: float, serving_input: ServingInput
+    ) -> list[ServingOutput]:
+        """Take one input and return what is to be done.
+
+        Args:
+            now_s: Monotonic seconds.
+            serving_input: What happened.
+        """
+        self._limiter.limits = self._limits()
+        outputs = self._handle(now_s, serving_input)
+        outputs.extend(self._dispatch_next(now_s))
+        self._gauge.update(
+            now_s,
+            self._limiter.in_flight / self._limiter.limit,
+            len(self._queue) / self._capacity,
+        )
+        return outputs
+
+    def _handle(
+        self, now_s: float, serving_input: ServingInput
+    ) -> list[ServingOutput]:
+        match serving_input:
+            case CallArrived():
+                return self._arrived(now_s, serving_input)
+            case TargetAnswered():
+                return self._answered(now_s, serving_input)
+            case TargetFailed():
+                return self._failed(now_s, serving_input)
+            case TargetRestarted(boot_id=boot_id):
+                self._restart_told(now_s, boot_id)
+            case CancelArrived():
+                return self._cancelled(now_s, serving_input)
+            case ChildEnded():
+                self._child_ended(serving_input)
+            case Ticked():
+                return self._ticked(now_s)
+            case DrainBegan():
+                self.draining = True
+        return []
+
+    # Arrival
+
+    def _arrived(
+        self, now_s: float, arrived: CallArrived
+    ) -> list[ServingOutput]:
+        call = arrived.call
+        deadline_s = now_s + call.remaining_ms / 1000
+        waiter = Waiter(
+            arrived.sender, call.attempt, deadline_s, call.organisation
+        )
+        if call.idempotent:
+            if call.call_id in self._live:
+                return self._join(call, waiter)
+        else:
+            verdict = self._home_table.arrive(now_s, call)
+            match verdict:
+                case RunIt():
+                    pass
+                case JoinRunning():
+                    return self._join(call, waiter)
+                case _:
+                    return [self._addressed(verdict.reply, waiter)]
+        live = LiveCall(call, deadline_s, [waiter])
+        self._live[call.call_id] = live
+        reason = self._reason_to_refuse(now_s, live)
+        if reason:
+            return self._refuse(now_s, live, reason)
+        return self._enqueue(now_s, live, arrived.sender)
+
+    def _join(self, call: Call, waiter: Waiter) -> list[ServingOutput]:
+        live = self._live[call.call_id]
+        if live.is_same_call(call):
+            live.waiters.append(waiter)
+            return []
+        reused = refusal(call, Reason.KEY_REUSED, outcome=Outcome.UNKNOWN)
+        return [self._addressed(reused, waiter)]
+
+    def _enqueue(
+        self, now_s: float, live: LiveCall, sender: NodeId
+    ) -> list[ServingOutput]:
+        self._gauge.arrived(now_s, live.call)
+        queued = Queued(live.call, sender, live.deadline_s, now_s)
+        capacity = self._capacity + self._free_slots
+        dropped = self._queue.offer(queued, capacity)
+        return self._drop(now_s, dropped) if dropped else []
+
+    def _reason_to_refuse(self, now_s: float, live: LiveCall) -> Reason | None:
+        if self.draining:
+            return Reason.DRAINING
+        return self._reason_not_to_run(now_s, live)
+
+    def _reason_not_to_run(self, now_s: float, live: LiveCall) -> Reason | None:
+        version = self._in_force()
+        call = live.call
+        identity = self._identity
+        if call.service != identity.service or not version.service(
+            call.service
+        ):
+            return Reason.NO_SUCH_SERVICE
+        if not version.serves(identity.target_id, identity.failure_domain):
+            return Reason.OUT_OF_SERVICE
+        if not self._key_is_in_force(version, call):
+            return Reason.KEY_REFUSED
+        if now_s + self._limiter.service_s(now_s) > live.deadline_s:
+            return Reason.DEADLINE
+        return None
+
+    def _key_is_in_force(self, version: VersionInForce, call: Call) -> bool:
+        if call.key_digest:
+            owner = version.organisation_of(call.key_digest)
+            return owner is not None and owner == call.organisation
+        route = version.route(call.service, call.method, call.path)
+        return route is not None and route.open_to_all
+
+    # Dispatch
+
+    def _dispatch_next(self, now_s: float) -> list[ServingOutput]:
+        outputs: list[ServingOutput] = []
+        while self._limiter.has_room(now_s):
+            queued = self._queue.take()
+            if queued is None:
+                break
+            live = self._live[queued.call.call_id]
+            reason = self._reason_not_to_run(now_s, live)
+            if reason:
+                self._count_refused(live, reason)
+                outputs.extend(self._refuse(now_s, live, reason))
+                continue
+            outputs.append(self._dispatch(now_s, live))
+        return outputs
+
+    def _dispatch(self, now_s: float, live: LiveCall) -> Dispatch:
+        live.started_s = now_s
+        self._limiter.started(now_s)
+        self._gauge.dispatched(now_s, live.call.priority)
+        remaining_ms = max(1, int((live.deadline_s - now_s) * 1000))
+        return Dispatch(live.call, remaining_ms)
+
+    # End
+
+    def _answered(
+        self, now_s: float, answered: TargetAnswered
+    ) -> list[ServingOutput]:
+        live = self._live.pop(answered.call_id, None)
+        if live is None or live.started_s is None:
+            return []
+        self._see_boot_id(now_s, answered.boot_id, live.started_s)
+        self._limiter.ended(
+            now_s, now_s - live.started_s, ok=not answered.refused_unrun
+        )
+        return self._reply_all(
+            now_s, live, reply_of_answer(live.call, answered)
+        )
+
+    def _failed(
+        self, now_s: float, failed: TargetFailed
+    ) -> list[ServingOutput]:
+        live = self._live.pop(failed.call_id, None)
+        if live is None or live.started_s is None:
+            return []
+        if failed.failure in RESTART_SIGNS:
+            self._suspect_restart(now_s)
+        if failed.failure is TargetFailure.CANCELLED:
+            self._limiter.released(now_s)
+        else:
+            self._limiter.ended(now_s, now_s - live.started_s, ok=False)
+        return self._reply_all(now_s, live, reply_of_failure(live.call, failed))
+
+    def _ticked(self, now_s: float) -> list[ServingOutput]:
+        self._home_table.tick(now_s)
+        outputs: list[ServingOutput] = []
+        for dropped in self._queue.expire(
+            now_s, self._limiter.service_s(now_s)
+        ):
+            outputs.extend(self._drop(now_s, dropped))
+        for live in list(self._live.values()):
+            if live.started_s is not None:
+                outputs.extend(self._expire_running(now_s, live))
+        return outputs
+
+    def _expire_running(
+        self, now_s: float, live: LiveCall
+    ) -> Iterable[ServingOutput]:
+        call = live.call
+        unknown = refusal(call, Reason.DEADLINE, outcome=Outcome.UNKNOWN)
+        for waiter in live.take_expired(now_s):
+            yield self._addressed(unknown, waiter)
+        if live.waiters:
+            return
+        if not live.given_up:
+            live.given_up = True
+            yield CancelDispatch(call.call_id)
+        if now_s > live.deadline_s + ABANDONED_SLOT_S:
+            self._live.pop(call.call_id)
+            self._limiter.released(now_s)
+            self._keep_end(now_s, call, unknown)
+
+    def _cancelled(
+        self, now_s: float, arrived: CancelArrived
+    ) -> list[ServingOutput]:
+        cancel = arrived.cancel
+        live = self._live.get(cancel.call_id)
+        if live is None:
+            return []
+        waiter = live.take_waiter(arrived.sender, cancel.attempt)
+        if waiter is None or live.waiters:
+            return []
+        live.waiters.append(waiter)
+        if live.started_s is None:
+            self._queue.cancel(live.call.call_id, live.call.attempt)
+            return self._refuse(now_s, live, Reason.CANCELLED)
+        live.given_up = True
+        return [CancelDispatch(cancel.call_id)]
+
+    def _child_ended(self, child: ChildEnded) -> None:
+        live = self._live.get(child.parent)
+        if live and child.pressure >= live.subtree.pressure:
+            ceiling = max(child.ceiling, child.pressure)
+            live.subtree = Told(child.pressure, ceiling)
+
+    # Signs of a restart
+
+    def _see_boot_id(
+        self, now_s: float, boot_id: str, started_s: float
+    ) -> None:
+        if not boot_id:
+            return
+        if self._boot_id and boot_id != self._boot_id:
+            self._see_restart(now_s, boot_id)
+        elif self._boot_id and started_s > self._suspected_s:
+            self._limiter.same_boot(now_s)
+        self._boot_id = boot_id
+
+    def _restart_told(self, now_s: float, boot_id: str) -> None:
+        if boot_id and boot_id != self._boot_id:
+            self._see_restart(now_s, boot_id)
+        elif not boot_id:
+            self._suspect_restart(now_s)
+
+    def _suspect_restart(self, now_s: float) -> None:
+        self._suspected_s = now_s
+        self._limiter.suspected(now_s)
+        self._log_restart('suspected', '')
+
+    def _see_restart(self, now_s: float, boot_id: str) -> None:
+        self._boot_id = boot_id
+        self._limiter.restarted(now_s)
+        self._log_restart('seen', boot_id)
+
+    def _log_restart(self, certainty: str, boot_id: str) -> None:
+        _log.warn(
+            f'event=target_restart certainty={certainty}'
+            f' target={self._identity.target_id} boot_id={boot_id or "-"}'
+        )
+
+    # Replies
+
+    def _drop(self, now_s: float, dropped: Dropped) -> list[ServingOutput]:
+        live = self._live[dropped.queued.call.call_id]
+        self._count_refused(live, dropped.reason)
+        return self._refuse(now_s, live, dropped.reason)
+
+    def _count_refused(self, live: LiveCall, reason: Reason) -> None:
+        if reason.is_overload:
+            self._gauge.refused(live.call.priority)
+
+    def _refuse(
+        self, now_s: float, live: LiveCall, reason: Reason
+    ) -> list[ServingOutput]:
+        self._live.pop(live.call.call_id, None)
+        _log.info(
+            f'event=call_refused call={live.call.call_id}'
+            f' service={live.call.service} reason={reason.value}'
+            f' priority={live.call.priority.name.lower()}'
+        )
+        retry_after_ms = 0
+        if reason.is_overload:
+            service_ms = int(self._limiter.latency_s * 1000)
+            retry_after_ms = max(SHORTEST_RETRY_AFTER_MS, service_ms)
+        refused = refusal(live.call, reason, retry_after_ms=retry_after_ms)
+        return self._reply_all(now_s, live, refused)
+
+    def _reply_all(
+        self, now_s: float, live: LiveCall, reply: Reply
+    ) -> list[ServingOutput]:
+        self._keep_end(now_s, live.call, reply)
+        told = msgspec.structs.replace(
+            reply,
+            subtree_pressure=live.subtree.pressure,
+            subtree_ceiling=live.subtree.ceiling,
+        )
+        return [self._addressed(told, waiter) for waiter in live.waiters]
+
+    def _keep_end(self, now_s: float, call: Call, reply: Reply) -> None:
+        if not call.idempotent:
+            self._home_table.ended(now_s, call, reply)
+
+    def _addressed(self, reply: Reply, waiter: Waiter) -> SendReply:
+        """Address a reply to one attempt and tell the state of the target."""
+        gauged = self._gauge.told_to(waiter.organisation, self._limiter.limit)
+        told = msgspec.structs.replace(
+            reply,
+            attempt=waiter.attempt,
+            shed_level=self._gauge.level,
+            in_flight=self._limiter.in_flight + len(self._queue),
+            limit=gauged.weight,
+            pressure=gauged.pressure,
+            pressure_ceiling=gauged.ceiling,
+        )
+        return SendReply(told, waiter.sender)
+
+    # Sizes
+
+    @property
+    def _capacity(self) -> int:
+        return max(SHORTEST_QUEUE, self._limiter.limit)
+
+    @property
+    def _free_slots(self) -> int:
+        return max(0, self._limiter.limit - self._limiter.in_flight)
+
+    def _limits(self) -> TargetLimits:
+        service = self._in_force().service(self._identity.service)
+        return service.limits if service else UNDECLARED
--- a/src/rattanstile/request/envelope.py
+++ b/src/rattanstile/request/envelope.py
@@ -22,7 +22,7 @@
 
     Attributes:
         call_id: Same for every attempt of one call.
-        attempt: Counts the attempts of this call from 1.
+        attempt: Rises with the attempts that one entry node sends.
         organisation: Whose key came with the call; empty on open routes.
         key_digest: Checked again before dispatch; empty on open routes.
         remaining_ms: Time left until the deadline when the call was sent.
@@ -30,6 +30,11 @@
         hops: How many calls lie above this one.
         home: The node that alone may run a call that is not idempotent.
         version: Version in force at the entry node.
+        shed_draw: Uniform draw in [0, 1) of the whole call tree, inherited
+            from the parent; hops with the same pressure then shed the same
+            trees. Negative when there is none yet.
+        shed_pressure: Largest pressure that the call tree was tested with;
+            tells how many calls this one stands for.
     """
 
     call_id: CallId
@@ -48,6 +53,8 @@
     hops: int = 0
     home: NodeId
     version: VersionNumber = VersionNumber(0)
+    shed_draw: float = -1.0
+    shed_pressure: float = 0.0
 
 
 class Reply(msgspec.Struct, frozen=True, kw_only=True, tag='reply'):
@@ -59,6 +66,14 @@
         tries_unspent: What is left of the attempt's retry budget.
         shed_level: Lowest priority that the serving node now admits.
         in_flight: Calls on the serving node's target, queue included.
+        limit: Calls at once that the target now bears; 0 when not told.
+        pressure: Shed level with its fraction: 1.4 sheds what lies below
+            `Priority.LOOKUP` and 40% of the lookups.
+        pressure_ceiling: The pressure of the organisation that is shed most.
+        subtree_pressure: The pressure that met the calls this call made.
+        subtree_ceiling: The ceiling that belongs to it.
+        failed_below: Whether a call that this one made did not end whole;
+            the hop next to that failure has retried it already.
     """
 
     call_id: CallId
@@ -72,6 +87,12 @@
     tries_unspent: int = 0
     shed_level: Priority = NOTHING_SHED
     in_flight: int = 0
+    limit: int = 0
+    pressure: float = 0.0
+    pressure_ceiling: float = 0.0
+    subtree_pressure: float = 0.0
+    subtree_ceiling: float = 0.0
+    failed_below: bool = False
 
 
 class Cancel(msgspec.Struct, frozen=True, kw_only=True, tag='cancel'):
--- /dev/null
+++ b/src/rattanstile/standin_cli.py
@@ -0,0 +1,103 @@
+"""Commands that run the stand-ins for the platform's log and for a target."""
+
+import argparse
+from pathlib import Path
+from typing import TypeVar
+
+import json5
+import msgspec
+
+from rattanstile.errors import ExitCode, SettingsError
+from rattanstile.process.logs import logging_to
+from rattanstile.process.reactor import installed_reactor
+from rattanstile.process.settings import LogSettings, parse_address
+from rattanstile.ready import print_ready
+from rattanstile.standin.log import LogStandin, listening
+from rattanstile.standin.passthrough import (
+    PassthroughSettings,
+    running_passthrough,
+)
+from rattanstile.standin.target import TargetProfile, running_target
+
+
+def add_standin_commands(
+    subparsers: 'argparse._SubParsersAction[argparse.ArgumentParser]',
+) -> None:
+    """Add ``standin target`` and ``standin log``."""
+    parser = subparsers.add_parser(
+        'standin',
+        help='run a stand-in for the platform or for a target',
+        description='Stand-ins for trials and tests; not for production.',
+    )
+    standins = parser.add_subparsers(dest='standin', required=True)
+    target = standins.add_parser('target', help='run a stand-in target')
+    target.add_argument('profile', help='JSON file with the profile')
+    target.add_argument('--address', default='127.0.0.1:0')
+    target.set_defaults(run=_run_target)
+    log = standins.add_parser(
+        'log', help="run a stand-in of the platform's log"
+    )
+    log.add_argument('--address', default='127.0.0.1:0')
+    log.set_defaults(run=_run_log)
+    proxy = standins.add_parser(
+        'passthrough', help='run the baseline that decides nothing'
+    )
+    proxy.add_argument('settings', help='JSON file with the targets')
+    proxy.add_argument('--address', default='127.0.0.1:0')
+    proxy.set_defaults(run=_run_passthrough)
+
+
+Read = TypeVar('Read')
+
+
+def read_file(file_name: str, kind: type[Read]) -> Read:
+    """Read the settings of a stand-in.
+
+    Raises:
+        SettingsError: The file holds no valid settings.
+    """
+    try:
+        text = Path(file_name).read_text(encoding='utf-8')
+        return msgspec.convert(json5.loads(text), kind)
+    except (OSError, ValueError) as error:
+        raise SettingsError(file_name, '$', str(error))
+
+
+def _run_target(arguments: argparse.Namespace) -> ExitCode:
+    profile = read_file(arguments.profile, TargetProfile)
+    address = parse_address(arguments.address)
+    reactor = installed_reactor()
+    with logging_to(LogSettings(level='notice')):
+        with running_target(
+            reactor,
+            profile,
+            address.host,
+            address.port,
+        ) as (_, port):
+            print_ready(address=f'{address.host}:{port}')
+            reactor.run()
+    return ExitCode.OK
+
+
+def _run_log(arguments: argparse.Namespace) -> ExitCode:
+    address = parse_address(arguments.address)
+    reactor = installed_reactor()
+    with logging_to(LogSettings(level='notice')):
+        log = LogStandin(reactor)
+        with listening(reactor, address.host, address.port, log) as port:
+            print_ready(address=f'{address.host}:{port}')
+            reactor.run()
+    return ExitCode.OK
+
+
+def _run_passthrough(arguments: argparse.Namespace) -> ExitCode:
+    settings = read_file(arguments.settings, PassthroughSettings)
+    address = parse_address(arguments.address)
+    reactor = installed_reactor()
+    with logging_to(LogSettings(level='error')):
+        with running_passthrough(
+            reactor, settings, address.host, address.port
+        ) as port:
+            print_ready(caller=f'{address.host}:{port}')
+            reactor.run()
+    return ExitCode.OK
