Fold: build anew only the items that a change touches

Change: only the organisations that a change names are built, and lists that no change touches are kept.

--- a/src/rattanstile/version/change.py
+++ b/src/rattanstile/version/change.py
@@ -99,14 +99,8 @@
 
     Items come out sorted by name, so that equal declarations encode alike.
     """
-    bare = _merged(
-        [_without_keys(one) for one in base.organisations],
-        change.organisations,
-        change.organisations_removed,
-    )
-    keys = set(_keys(base)) - set(change.keys_withdrawn)
     return Declaration(
-        organisations=_with_keys(bare, keys | set(change.keys_granted)),
+        organisations=_organisations(base.organisations, change),
         services=_merged(
             base.services, change.services, change.services_removed
         ),
@@ -115,12 +109,7 @@
             change.failure_domains,
             change.failure_domains_removed,
         ),
-        targets_out=tuple(
-            sorted(
-                set(base.targets_out) - set(change.targets_returned)
-                | set(change.targets_taken_out)
-            )
-        ),
+        targets_out=_targets_out(base.targets_out, change),
         max_nodes=_chosen(change.max_nodes, base.max_nodes),
         max_hops=_chosen(change.max_hops, base.max_hops),
         retry_budget=_chosen(change.retry_budget, base.retry_budget),
@@ -146,18 +135,37 @@
     return msgspec.structs.replace(organisation, keys=())
 
 
-def _with_keys(
-    organisations: Iterable[Organisation], keys: Iterable[GrantedKey]
+def _organisations(
+    base: tuple[Organisation, ...], change: DeclarationChange
 ) -> tuple[Organisation, ...]:
-    digests: dict[OrganisationId, list[KeyDigest]] = {}
-    for key in keys:
-        digests.setdefault(key.organisation, []).append(key.digest)
-    return tuple(
-        msgspec.structs.replace(one, keys=tuple(sorted(digests[one.name])))
-        if one.name in digests
-        else one
-        for one in organisations
+    """Return the organisations, building only those anew that change."""
+    before = {one.name: one for one in base}
+    touched = {one.name: one for one in change.organisations}
+    for key in (*change.keys_withdrawn, *change.keys_granted):
+        if key.organisation in before:
+            touched.setdefault(key.organisation, before[key.organisation])
+    keys = {
+        name: set(before[name].keys) if name in before else set()
+        for name in touched
+    }
+    for key in change.keys_withdrawn:
+        keys.get(key.organisation, set()).discard(key.digest)
+    for key in change.keys_granted:
+        keys.get(key.organisation, set()).add(key.digest)
+    put = tuple(
+        msgspec.structs.replace(one, keys=tuple(sorted(keys[one.name])))
+        for one in touched.values()
     )
+    return _merged(base, put, change.organisations_removed)
+
+
+def _targets_out(
+    base: tuple[TargetId, ...], change: DeclarationChange
+) -> tuple[TargetId, ...]:
+    if not change.targets_taken_out and not change.targets_returned:
+        return base
+    kept = set(base) - set(change.targets_returned)
+    return tuple(sorted(kept | set(change.targets_taken_out)))
 
 
 def _put(
@@ -168,10 +176,12 @@
 
 
 def _merged(
-    base: Iterable[NamedItem],
-    put: Iterable[NamedItem],
-    removed: Iterable[str],
+    base: tuple[NamedItem, ...],
+    put: tuple[NamedItem, ...],
+    removed: tuple[str, ...],
 ) -> tuple[NamedItem, ...]:
+    if not put and not removed:
+        return base
     items = {one.name: one for one in base}
     items.update({one.name: one for one in put})
     for name in removed:
