Send a repeated call id again without spending a retry

Cause: when a connection that carried many calls went silent, the share of retries ran out and calls ended unknown, though their home would have told. Change: a repeated id, which its home answers from its table, needs no token; attempts of one call stay bounded.

--- a/src/rattanstile/connection/call_retries.py
+++ b/src/rattanstile/connection/call_retries.py
@@ -151,7 +151,9 @@
             return Settle(Err(error))
         if self._attempts >= MAX_ATTEMPTS or now_s + after_s > self.deadline_s:
             return Settle(Err(error))
-        if not self._buckets.spend(self._service):
+        # The home answers a repeated id from its table: no target pays for it.
+        is_repeated_id = not (is_new_call or self._idempotent)
+        if not is_repeated_id and not self._buckets.spend(self._service):
             return Settle(Err(error))
         return TryAgain(after_s, is_new_call)
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -233,6 +233,22 @@
         self.assertEqual(len(self.results), 30)
         self.assertEqual(attempts, 30 + 10)
 
+    def test_many_calls_lost_at_once_are_all_sent_again(self):
+        for _ in range(40):
+            self.call('POST')
+            entry, message = self.heard()
+            if isinstance(message, IdsWanted):
+                entry.grant()
+                self.heard()
+        lose(self.entries[0].link)
+        self.reactor.advance(0.1)
+        again = self.entries[1].heard()
+        self.assertGreater(len(again), 10)
+        self.assertEqual(self.results, [])
+        for request in again:
+            self.entries[1].answer(request)
+        self.assertEqual(len(self.results), len(again))
+
     def test_final_refusals_and_failures_are_not_retried(self):
         for outcome, reason, kind in (
             (Outcome.NOT_RUN, Reason.KEY_REFUSED, NotRunError),
