Quote each id part once, and queue each wake once

Cause: a profile of 20,000 idempotent calls gave quoting 10% and two heap entries for one deadline. Change: a cache of 4,096 quoted parts; no second entry for the same time.

--- a/src/rattanstile/process/entry.py
+++ b/src/rattanstile/process/entry.py
@@ -507,7 +507,9 @@
         wake_s = self.next_wake_s()
         while wake_s is not None and wake_s <= now_s:
             _, request_id = heappop(self._wakes)
-            outputs.extend(self._woken(now_s, self._calls[request_id]))
+            call = self._calls[request_id]
+            call.wake_s = 0
+            outputs.extend(self._woken(now_s, call))
             wake_s = self.next_wake_s()
         return outputs
 
@@ -591,5 +593,7 @@
         return list(self._by_receiver.get(node_id, {}).values())
 
     def _wake_at(self, call: EntryCall, wake_s: float) -> None:
+        if call.wake_s == wake_s:
+            return
         call.wake_s = wake_s
         heappush(self._wakes, (wake_s, call.request.request_id))
--- a/src/rattanstile/request/call_id.py
+++ b/src/rattanstile/request/call_id.py
@@ -1,6 +1,7 @@
 """Call ids: who may run a call, who issued it, and how old it may get."""
 
 from dataclasses import dataclass, replace
+from functools import lru_cache
 from itertools import count
 from urllib.parse import quote, unquote
 
@@ -23,6 +24,7 @@
 _PART_COUNT = 6
 _NUMBERS = (1, 2, 4, 5)
 _MOST_DIGITS = 16
+_MOST_QUOTED = 4096
 
 
 class CallIdError(RattanstileError):
@@ -123,6 +125,7 @@
     )
 
 
+@lru_cache(maxsize=_MOST_QUOTED)
 def _quoted(part: str) -> str:
     return quote(part, safe=':')
 
