Bound what an entry node keeps of homes

Change: the 4,096 nodes heard last are kept. A forgotten one counts as never heard, which only delays an 'unknown' to the deadline.

--- a/src/rattanstile/process/homes.py
+++ b/src/rattanstile/process/homes.py
@@ -1,5 +1,6 @@
 """What an entry node knows of the homes that it may name in call ids."""
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from rattanstile.process.messages import HomeSeen
@@ -8,6 +9,7 @@
 
 FRESH_S = 45.0
 """An id issued later after a heartbeat could be too old on its arrival."""
+MOST_HOMES = 4096
 
 
 @dataclass(slots=True)
@@ -27,11 +29,19 @@
 
 
 class Homes:
-    """Keeps incarnation and id epoch of each node heard."""
+    """Keeps incarnation and id epoch of the nodes heard last.
 
-    def __init__(self) -> None:
+    A node that is forgotten is taken for one never heard: calls to it wait
+    for their deadline instead of ending at once, and nothing runs twice.
+
+    Args:
+        most_homes: Nodes kept at most.
+    """
+
+    def __init__(self, most_homes: int = MOST_HOMES) -> None:
         """Start with no node heard."""
-        self._homes: dict[NodeId, Home] = {}
+        self._most_homes = most_homes
+        self._homes: OrderedDict[NodeId, Home] = OrderedDict()
 
     def known(self, node_id: NodeId) -> Home:
         """Return what the node told last; a blank for one never heard."""
@@ -43,7 +53,7 @@
         Returns:
             True when an earlier incarnation of the node is gone by it.
         """
-        home = self._homes.setdefault(seen.node_id, Home())
+        home = self._taken(seen.node_id)
         if seen.incarnation < home.incarnation:
             return False
         if seen.incarnation <= home.gone_incarnation:
@@ -61,7 +71,7 @@
 
     def gone(self, node_id: NodeId, incarnation: Incarnation) -> None:
         """Keep that an incarnation of a node, or an older one, is gone."""
-        home = self._homes.setdefault(node_id, Home())
+        home = self._taken(node_id)
         home.gone_incarnation = max(home.gone_incarnation, incarnation)
         if home.incarnation <= home.gone_incarnation:
             home.heard_s = float('-inf')
@@ -74,3 +84,11 @@
         """Tell whether the home named in an id never answers again."""
         home = self.known(parsed.home)
         return parsed.home_incarnation <= home.gone_incarnation
+
+    def _taken(self, node_id: NodeId) -> Home:
+        """Return a node's entry, made if need be, as the latest one."""
+        home = self._homes.setdefault(node_id, Home())
+        self._homes.move_to_end(node_id)
+        if len(self._homes) > self._most_homes:
+            self._homes.popitem(last=False)
+        return home
