--- a/bench/overload_load.py
+++ b/bench/overload_load.py
@@ -69,6 +69,7 @@
     stream: Stream
     begun_s: float
     attempts: int = 0
+    attempted_s: float = 0.0
     ended_s: float = 0.0
     outcome: Outcome | None = None
     reasons: list[Reason | None] = field(default_factory=list)
@@ -85,6 +86,7 @@
     def __init__(self, fleet: Fleet, seed: int = 7) -> None:
         """Begin without streams."""
         self.requests: list[Request] = []
+        fleet.requests = self.requests
         self._fleet = fleet
         self._rng = Random(seed)
         self._nodes = list(fleet.nodes.values())
@@ -112,6 +114,7 @@
 
     def _attempt(self, request: Request) -> None:
         request.attempts += 1
+        request.attempted_s = self._fleet.loop.now_s
         node = self._rng.choice(self._nodes)
         requested = self._requested(request)
         loop = self._fleet.loop
