Bench drains, departures told late, attempts that never left

Cause: re-homing after a proved refusal was met only by target refusals. Change: three more faults; tests of home table and serving machine together (cancels, copies, late answers, drain, restart).

--- a/bench/once_links.py
+++ b/bench/once_links.py
@@ -8,6 +8,7 @@
 from bench.once_log import Loop
 from bench.once_node import Node
 from rattanstile.process.messages import (
+    AttemptUnsent,
     CallArrived,
     HomeSeen,
     PeerLost,
@@ -88,7 +89,11 @@
             self._greet(node, receiver)
 
     def send_call(self, node: Node, call: Call, receiver: str) -> None:
-        """Carry an attempt to its serving node."""
+        """Carry an attempt to its serving node, or fail to begin to."""
+        if self.rng.random() < 0.02:
+            unsent = AttemptUnsent(call.call_id, call.attempt)
+            node.later(0, lambda: node.step_entry(unsent))
+            return
         self.send(
             node,
             receiver,
--- a/bench/once_world.py
+++ b/bench/once_world.py
@@ -15,7 +15,12 @@
     version_in_force,
 )
 from rattanstile.process.home_table import HomeLimits
-from rattanstile.process.messages import CallRequested, RequestAbandoned
+from rattanstile.process.messages import (
+    CallRequested,
+    DrainBegan,
+    HomeGone,
+    RequestAbandoned,
+)
 from rattanstile.request.call_id import CallIdIssuer
 from rattanstile.request.envelope import Member, Reply
 from rattanstile.request.outcome import Outcome
@@ -100,6 +105,11 @@
     def _tell_members(self, node: Node) -> None:
         node.chooser.members_changed(self.members(), self.loop.now_s)
 
+    def _tell_gone(self, gone: HomeGone) -> None:
+        for node in self.nodes.values():
+            told = partial(node.step_entry, gone)
+            node.later(self.rng.uniform(0.1, 2), told)
+
     def _kill(self, node_id: str) -> None:
         if not self.nodes[node_id].is_up:
             return
@@ -108,6 +118,8 @@
         for operation, attempt in dead.requests.values():
             self._caller_lost(operation, attempt)
         self.cut(node_id)
+        if self.rng.random() < 0.5:
+            self._tell_gone(HomeGone(node_id, dead.incarnation))
         delay_s = self.rng.choice((0.05, 0.5, 2.0))
         self.loop.after(delay_s, lambda: self._start(node_id))
 
@@ -225,6 +237,7 @@
             self.silence,
             self.refuse_beside_open,
             self._kill_any,
+            self._drain_any,
             self._pause_any,
             self._log_out,
         )
@@ -234,6 +247,13 @@
     def _kill_any(self) -> None:
         self._kill(self.rng.choice(self.node_ids))
 
+    def _drain_any(self) -> None:
+        node = self.nodes[self.rng.choice(self.node_ids)]
+        if node.is_up:
+            node.later(0, lambda: node.step_serving(DrainBegan()))
+            ends_s = self.rng.uniform(0.5, 3)
+            self.loop.after(ends_s, partial(self._kill, node.node_id))
+
     def _pause_any(self) -> None:
         node = self.nodes[self.rng.choice(self.node_ids)]
         pause_s = self.rng.choice((0.2, 1.0, 3.0))
