--- a/src/rattanstile/process/entry.py
+++ b/src/rattanstile/process/entry.py
@@ -10,13 +10,12 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from heapq import heappop, heappush
 from itertools import count
 from random import Random
-from typing import Protocol
 
 import logbook
 
+from rattanstile.process.calls_in_hand import CallsInHand
 from rattanstile.process.edge_bucket import EdgeBuckets
 from rattanstile.process.entry_call import (
     EntryCall,
@@ -46,6 +45,7 @@
     SendCancel,
     Ticked,
 )
+from rattanstile.process.receivers import Chooser, Receivers
 from rattanstile.process.unreachable import UnreachableMemory
 from rattanstile.request.budget import RetryBudget
 from rattanstile.request.call_id import (
@@ -56,10 +56,8 @@
 from rattanstile.request.envelope import Cancel, Reply
 from rattanstile.request.fingerprint import fingerprint_of
 from rattanstile.request.ids import (
-    CallId,
     Incarnation,
     NodeId,
-    ServiceName,
     VersionNumber,
 )
 from rattanstile.request.outcome import Outcome, Reason
@@ -76,27 +74,6 @@
 _log = logbook.Logger('entry')
 
 
-class Chooser(Protocol):
-    """Picks the node that serves a call."""
-
-    def choose(
-        self,
-        now_s: float,
-        service: ServiceName,
-        exclude: frozenset[NodeId],
-        rng: Random,
-    ) -> NodeId | None:
-        """Return a node of the service, or None when none is left."""
-
-    def sent(self, node: NodeId) -> None:
-        """Count an attempt sent to the node."""
-
-    def ended(
-        self, node: NodeId, latency_s: float, reply: Reply | None
-    ) -> None:
-        """Count the end of an attempt; without a reply when it was lost."""
-
-
 @dataclass(frozen=True, slots=True)
 class EntryIdentity:
     """Who issues the call ids of this entry node."""
@@ -125,19 +102,14 @@
     ) -> None:
         """Start with no request in hand."""
         self._issuer = CallIdIssuer(identity.node_id, identity.incarnation)
-        self._chooser = chooser
         self._rng = rng
+        self._receivers = Receivers(chooser, rng, unreachable)
         self._edge_buckets = edge_buckets or EdgeBuckets()
-        self._unreachable = unreachable
         self._homes = Homes()
         self._version = VersionNumber(0)
         self._max_hops = 0
         self._attempts = count(1)
-        self._calls: dict[int, EntryCall] = {}
-        self._outstanding: dict[tuple[CallId, int], EntryCall] = {}
-        self._by_receiver: dict[NodeId, dict[int, EntryCall]] = {}
-        self._wakes: list[tuple[float, int]] = []
-        self._heard: set[NodeId] = set()
+        self._calls = CallsInHand()
 
     def __len__(self) -> int:
         """Return how many requests are in hand."""
@@ -150,13 +122,7 @@
 
     def next_wake_s(self) -> float | None:
         """Return when to step with `Ticked`, or None while nothing waits."""
-        while self._wakes:
-            wake_s, request_id = self._wakes[0]
-            call = self._calls.get(request_id)
-            if call is not None and call.wake_s == wake_s:
-                return wake_s
-            heappop(self._wakes)
-        return None
+        return self._calls.next_wake_s()
 
     def step(self, now_s: float, entry_input: EntryInput) -> list[EntryOutput]:
         """Take one input and return what follows from it."""
@@ -195,13 +161,13 @@
             budget=RetryBudget(request.tries_left),
             call_id=request.call_id,
         )
-        self._calls[request.request_id] = call
+        self._calls.take(call)
         # The hop limit that stops a loop is the idea of RFC 2821, 6.2.
         if request.hops > self._max_hops:
             return self._refuse(call, Reason.HOP_LIMIT)
         if request.remaining_ms <= 0:
             return self._refuse(call, Reason.DEADLINE)
-        self._wake_at(call, call.deadline_s)
+        self._calls.wake_at(call, call.deadline_s)
         if call.source is IdSource.CALLER:
             return self._take_callers_id(now_s, call)
         return self._place(now_s, call)
@@ -222,7 +188,9 @@
 
     def _place(self, now_s: float, call: EntryCall) -> Iterable[EntryOutput]:
         """Choose a node for a call that has none, or whose node is out."""
-        node_id = self._choose(now_s, call)
+        node_id = self._receivers.choose(
+            now_s, call.request.service, frozenset(call.tried)
+        )
         if node_id is None:
             return self._refuse(call, Reason.NO_TARGET)
         if call.is_idempotent:
@@ -232,26 +200,11 @@
         if self._homes.is_fresh(node_id, now_s):
             return self._settle_home(now_s, call, node_id)
         call.phase = Phase.ASKING
-        self._count_sent(now_s, node_id)
-        self._receive_from(call, node_id)
-        self._wake_at(call, min(call.deadline_s, now_s + ASK_TIMEOUT_S))
+        self._receivers.asked(now_s, node_id)
+        self._calls.receive_from(call, node_id)
+        self._calls.wake_at(call, min(call.deadline_s, now_s + ASK_TIMEOUT_S))
         return (AskHome(node_id),)
 
-    def _choose(self, now_s: float, call: EntryCall) -> NodeId | None:
-        tried = frozenset(call.tried)
-        excluded = tried
-        if self._unreachable is not None:
-            excluded |= self._unreachable.backed_off(now_s)
-        service = call.request.service
-        node_id = self._chooser.choose(now_s, service, excluded, self._rng)
-        if node_id is None and excluded != tried:
-            return self._chooser.choose(now_s, service, tried, self._rng)
-        return node_id
-
-    def _count_sent(self, now_s: float, node_id: NodeId) -> None:
-        if self._unreachable is not None:
-            self._unreachable.sent(node_id, now_s)
-
     def _settle_home(
         self, now_s: float, call: EntryCall, node_id: NodeId
     ) -> Iterable[EntryOutput]:
@@ -264,8 +217,8 @@
             return self._send(now_s, call, node_id)
         refused = call.call_id
         call.phase = Phase.BINDING
-        self._receive_from(call, NodeId(''))
-        self._wake_at(call, call.deadline_s)
+        self._calls.receive_from(call, NodeId(''))
+        self._calls.wake_at(call, call.deadline_s)
         request = call.request
         wanted = BindingWanted(
             request_id=request.request_id,
@@ -299,11 +252,10 @@
         # A copy of the same id joins the run that holds the share already.
         is_copy = call.may_run and not call.is_idempotent
         call.lent = 0 if is_copy else call.budget.lend()
-        self._receive_from(call, node_id)
-        self._wake_at(call, call.deadline_s)
-        self._outstanding[call.call_id, call.attempt] = call
-        self._chooser.sent(node_id)
-        self._count_sent(now_s, node_id)
+        self._calls.receive_from(call, node_id)
+        self._calls.wake_at(call, call.deadline_s)
+        self._calls.attempt_began(call)
+        self._receivers.sent(now_s, node_id)
         _log.info(
             f'event=call_sent call={call.call_id} attempt={call.attempt}'
             f' service={call.request.service} node={node_id}'
@@ -316,19 +268,17 @@
         self, now_s: float, arrived: ReplyArrived
     ) -> Iterable[EntryOutput]:
         reply = arrived.reply
-        call = self._outstanding.get((reply.call_id, reply.attempt))
+        call = self._calls.of_attempt(reply.call_id, reply.attempt)
         if call is None or call.receiver != arrived.sender:
             return ()
         self._attempt_ended(now_s, call, reply)
-        self._heard.add(arrived.sender)
         call.budget.returned(call.lent, reply.tries_unspent)
         call.lent = 0
         is_refused = reply.outcome is Outcome.NOT_RUN
         if is_refused and reply.reason is Reason.TOO_LARGE:
             # Said by this node's own connection, not by the home.
             return self._refuse(call, Reason.TOO_LARGE)
-        if self._unreachable is not None:
-            self._unreachable.succeeded(arrived.sender)
+        self._receivers.heard(arrived.sender)
         if reply.outcome is Outcome.WHOLE:
             self._edge_buckets.succeeded(call.request.service)
             return self._finish(call, reply)
@@ -377,19 +327,15 @@
         call.failures += 1
         call.phase = Phase.BACKING_OFF
         wake_s = now_s + longest_s * self._rng.uniform(0.5, 1.0)
-        self._wake_at(call, min(wake_s, call.deadline_s))
+        self._calls.wake_at(call, min(wake_s, call.deadline_s))
         return ()
 
     # A connection is lost, a node restarts or leaves
 
     def _peer_lost(self, now_s: float, lost: PeerLost) -> Iterable[EntryOutput]:
-        if self._unreachable is not None:
-            self._unreachable.failed(lost.node_id, now_s)
-        # A refused connection says nothing of what left on an open one.
-        is_unsent = not lost.connected and lost.node_id not in self._heard
-        self._heard.discard(lost.node_id)
+        is_unsent = self._receivers.lost(now_s, lost)
         outputs: list[EntryOutput] = []
-        for call in self._received_by(lost.node_id):
+        for call in self._calls.of_receiver(lost.node_id):
             if call.phase is Phase.ASKING:
                 call.tried.add(lost.node_id)
                 outputs.extend(self._place_again(now_s, call))
@@ -404,7 +350,7 @@
     def _attempt_unsent(
         self, now_s: float, unsent: AttemptUnsent
     ) -> Iterable[EntryOutput]:
-        call = self._outstanding.get((unsent.call_id, unsent.attempt))
+        call = self._calls.of_attempt(unsent.call_id, unsent.attempt)
         if call is None:
             return ()
         self._attempt_ended(now_s, call, None)
@@ -444,14 +390,12 @@
 
     def _home_seen(self, now_s: float, seen: HomeSeen) -> Iterable[EntryOutput]:
         outputs: list[EntryOutput] = []
-        self._heard.add(seen.node_id)
-        if self._unreachable is not None:
-            self._unreachable.succeeded(seen.node_id)
+        self._receivers.heard(seen.node_id)
         if self._homes.seen(now_s, seen):
             outputs.extend(self._settle_gone(now_s, seen.node_id))
         if not self._homes.is_fresh(seen.node_id, now_s):
             return outputs
-        for call in self._received_by(seen.node_id):
+        for call in self._calls.of_receiver(seen.node_id):
             if call.phase is Phase.ASKING:
                 outputs.extend(self._settle_home(now_s, call, seen.node_id))
         return outputs
@@ -465,7 +409,7 @@
     ) -> Iterable[EntryOutput]:
         """End or move the calls whose home is gone for good."""
         outputs: list[EntryOutput] = []
-        for call in self._received_by(node_id):
+        for call in self._calls.of_receiver(node_id):
             parsed = call.parsed_id
             if call.is_idempotent or parsed is None or call.moving:
                 continue
@@ -480,7 +424,7 @@
     # An idempotency key is bound
 
     def _bound(self, now_s: float, bound: Bound) -> Iterable[EntryOutput]:
-        call = self._calls.get(bound.request_id)
+        call = self._calls.of_request(bound.request_id)
         parsed = parse_call_id(bound.call_id).unwrap_or(None)
         if call is None or call.phase is not Phase.BINDING:
             return ()
@@ -494,7 +438,7 @@
         return self._send_home(now_s, call, parsed)
 
     def _binding_failed(self, failed: BindingFailed) -> Iterable[EntryOutput]:
-        call = self._calls.get(failed.request_id)
+        call = self._calls.of_request(failed.request_id)
         if call is None or call.phase is not Phase.BINDING:
             return ()
         call.may_run = call.may_run or not failed.proved_unbound
@@ -504,13 +448,8 @@
 
     def _ticked(self, now_s: float) -> Iterable[EntryOutput]:
         outputs: list[EntryOutput] = []
-        wake_s = self.next_wake_s()
-        while wake_s is not None and wake_s <= now_s:
-            _, request_id = heappop(self._wakes)
-            call = self._calls[request_id]
-            call.wake_s = 0
+        for call in self._calls.due(now_s):
             outputs.extend(self._woken(now_s, call))
-            wake_s = self.next_wake_s()
         return outputs
 
     def _woken(self, now_s: float, call: EntryCall) -> Iterable[EntryOutput]:
@@ -518,8 +457,7 @@
             return self._deadline_passed(now_s, call)
         if call.phase is Phase.ASKING:
             call.tried.add(call.receiver)
-            if self._unreachable is not None:
-                self._unreachable.failed(call.receiver, now_s)
+            self._receivers.timed_out(now_s, call.receiver)
             return self._place_again(now_s, call)
         parsed = call.parsed_id
         if call.is_idempotent or parsed is None or call.moving:
@@ -536,11 +474,11 @@
     def _abandoned(
         self, now_s: float, abandoned: RequestAbandoned
     ) -> Iterable[EntryOutput]:
-        call = self._calls.get(abandoned.request_id)
+        call = self._calls.of_request(abandoned.request_id)
         if call is None:
             return ()
         outputs = list(self._give_up(now_s, call))
-        self._forget(call)
+        self._calls.forget(call)
         return outputs
 
     def _give_up(self, now_s: float, call: EntryCall) -> Iterable[EntryOutput]:
@@ -563,8 +501,8 @@
     def _attempt_ended(
         self, now_s: float, call: EntryCall, reply: Reply | None
     ) -> None:
-        self._outstanding.pop((call.call_id, call.attempt), None)
-        self._chooser.ended(call.receiver, now_s - call.sent_s, reply)
+        self._calls.attempt_ended(call)
+        self._receivers.ended(call.receiver, now_s - call.sent_s, reply)
 
     def _refuse(self, call: EntryCall, reason: Reason) -> Iterable[EntryOutput]:
         if call.earlier is not None:
@@ -572,28 +510,5 @@
         return self._finish(call, call.own_refusal(reason))
 
     def _finish(self, call: EntryCall, reply: Reply) -> Iterable[EntryOutput]:
-        self._forget(call)
+        self._calls.forget(call)
         return (Finished(call.request.request_id, call.settled(reply)),)
-
-    def _forget(self, call: EntryCall) -> None:
-        self._receive_from(call, NodeId(''))
-        self._calls.pop(call.request.request_id, None)
-
-    def _receive_from(self, call: EntryCall, node_id: NodeId) -> None:
-        request_id = call.request.request_id
-        known = self._by_receiver.get(call.receiver, {})
-        known.pop(request_id, None)
-        if not known:
-            self._by_receiver.pop(call.receiver, None)
-        call.receiver = node_id
-        if node_id:
-            self._by_receiver.setdefault(node_id, {})[request_id] = call
-
-    def _received_by(self, node_id: NodeId) -> list[EntryCall]:
-        return list(self._by_receiver.get(node_id, {}).values())
-
-    def _wake_at(self, call: EntryCall, wake_s: float) -> None:
-        if call.wake_s == wake_s:
-            return
-        call.wake_s = wake_s
-        heappush(self._wakes, (wake_s, call.request.request_id))
