Share the replies of refused calls in the home table

Cause: a full table of 65,536 refused ids took 31 MB by 466 bytes an id. Change: a reply without an answer is kept once for all calls that end so. Before and after (trial, tracemalloc, 20,000 refused ids): 466 and 232 bytes an id.

--- a/src/rattanstile/process/home_table.py
+++ b/src/rattanstile/process/home_table.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass
+from functools import lru_cache
 
 import msgspec
 
@@ -18,6 +19,7 @@
 LARGEST_ANSWER_BYTES = 256 * 1024
 
 _FORGOTTEN_PER_STEP = 16
+_MOST_BARE = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,9 +206,14 @@
         return True
 
     def _keep(self, entry: _Entry, reply: Reply) -> None:
+        if reply.outcome not in _ANSWERED:
+            entry.reply = _bare(
+                reply.outcome, reply.reason, reply.status, reply.retry_after_ms
+            )
+            return
         size_bytes = _size_bytes(reply)
         if size_bytes > self._limits.largest_answer_bytes:
-            entry.reply = _without_answer(reply)
+            entry.reply = _FORGOTTEN
             return
         entry.reply = reply
         entry.kept_bytes = size_bytes
@@ -221,7 +228,7 @@
         self._kept_bytes -= entry.kept_bytes
         entry.kept_bytes = 0
         if entry.reply is not None and entry.reply.outcome in _ANSWERED:
-            entry.reply = _without_answer(entry.reply)
+            entry.reply = _FORGOTTEN
 
     def _forget_some(self) -> None:
         """Forget a few ids of past epochs, so that no step takes long."""
@@ -240,13 +247,41 @@
 _ANSWERED = frozenset((Outcome.WHOLE, Outcome.FAILED))
 
 
+@lru_cache(maxsize=_MOST_BARE)
+def _bare(
+    outcome: Outcome,
+    reason: Reason | None,
+    status: int,
+    retry_after_ms: int = 0,
+) -> Reply:
+    """Return a reply without an answer, shared by all calls that end so."""
+    return Reply(
+        call_id=CallId(''),
+        attempt=0,
+        outcome=outcome,
+        reason=reason,
+        status=status,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+_FORGOTTEN = _bare(
+    Outcome.UNKNOWN,
+    Reason.ANSWER_FORGOTTEN,
+    Reason.ANSWER_FORGOTTEN.status,
+)
+
+
 def _copy_arrived(call: Call, entry: _Entry) -> Verdict:
     if entry.fingerprint != fingerprint_of(call):
         return CannotTell(_unknown(call, Reason.KEY_REUSED))
     if entry.reply is None:
         return JoinRunning()
     reply = msgspec.structs.replace(
-        entry.reply, attempt=call.attempt, tries_unspent=call.tries_left
+        entry.reply,
+        call_id=call.call_id,
+        attempt=call.attempt,
+        tries_unspent=call.tries_left,
     )
     if reply.outcome is Outcome.NOT_RUN:
         return RefusedBefore(reply)
@@ -257,17 +292,6 @@
     return refusal(call, reason, outcome=Outcome.UNKNOWN)
 
 
-def _without_answer(reply: Reply) -> Reply:
-    """Return what is left to say of an answer that is not kept."""
-    return Reply(
-        call_id=reply.call_id,
-        attempt=reply.attempt,
-        outcome=Outcome.UNKNOWN,
-        reason=Reason.ANSWER_FORGOTTEN,
-        status=Reason.ANSWER_FORGOTTEN.status,
-    )
-
-
 def _size_bytes(reply: Reply) -> int:
     headers = sum(len(name) + len(text) for name, text in reply.headers)
     return len(reply.body) + headers
