Try the only node again after a lost connection

Cause: an idempotent call whose connection went silent ended 'unknown' when no other node of the service was left, though a new connection may work. Change: a node whose connection was lost comes last instead of never; one that refused or failed the call stays out. At most 32,768 bound keys in memory.

--- a/src/rattanstile/process/binding.py
+++ b/src/rattanstile/process/binding.py
@@ -29,7 +29,7 @@
 from rattanstile.request.outcome import Reason
 
 READ_AGAIN_S = 0.1
-MOST_KEYS = 65536
+MOST_KEYS = 32768
 MOST_APPENDS = 3
 
 _log = logbook.Logger('binding')
--- a/src/rattanstile/process/entry.py
+++ b/src/rattanstile/process/entry.py
@@ -189,7 +189,10 @@
     def _place(self, now_s: float, call: EntryCall) -> Iterable[EntryOutput]:
         """Choose a node for a call that has none, or whose node is out."""
         node_id = self._receivers.choose(
-            now_s, call.request.service, frozenset(call.tried)
+            now_s,
+            call.request.service,
+            frozenset(call.tried),
+            frozenset(call.lost_at),
         )
         if node_id is None:
             return self._refuse(call, Reason.NO_TARGET)
@@ -294,6 +297,7 @@
         if may_have_run(reply):
             call.may_run = True
             call.earlier = reply
+        call.tried.add(call.receiver)
         if goes_elsewhere(reply) and self._may_retry(call):
             return self._back_off(now_s, call)
         return self._finish(call, reply)
@@ -308,13 +312,13 @@
         call.moving = True
         if call.source is IdSource.KEY and not call.fresh_binding:
             return self._place_again(now_s, call)
+        call.tried.add(call.receiver)
         if goes_elsewhere(reply) and self._may_retry(call):
             return self._back_off(now_s, call)
         return self._finish(call, reply)
 
     def _may_retry(self, call: EntryCall) -> bool:
-        """Spend what a try elsewhere costs, if there is another node."""
-        call.tried.add(call.receiver)
+        """Spend what another try costs, if budget and edge allow it."""
         if call.budget.tries == 0:
             return False
         if not self._edge_buckets.spend(call.request.service):
@@ -369,6 +373,7 @@
     ) -> Iterable[EntryOutput]:
         call.may_run = True
         call.lent = 0
+        call.lost_at.add(call.receiver)
         return self._try_again(now_s, call)
 
     def _try_again(
--- a/src/rattanstile/process/entry_call.py
+++ b/src/rattanstile/process/entry_call.py
@@ -68,6 +68,8 @@
         lent: Retry budget that the outstanding attempt holds.
         fresh_binding: Whether this request's own record bound its key.
         rebound: Whether an earlier attempt had bound the key.
+        tried: Nodes that refused or failed it, or could not be reached.
+        lost_at: Nodes whose connection was lost under it.
         earlier: The reply of an earlier attempt that did run.
     """
 
@@ -90,6 +92,7 @@
     fresh_binding: bool = False
     rebound: bool = False
     tried: set[NodeId] = field(default_factory=set)
+    lost_at: set[NodeId] = field(default_factory=set)
     earlier: Reply | None = None
 
     @property
--- a/src/rattanstile/process/receivers.py
+++ b/src/rattanstile/process/receivers.py
@@ -50,16 +50,27 @@
         self._heard: set[NodeId] = set()
 
     def choose(
-        self, now_s: float, service: ServiceName, tried: frozenset[NodeId]
+        self,
+        now_s: float,
+        service: ServiceName,
+        refused_by: frozenset[NodeId],
+        lost_at: frozenset[NodeId],
     ) -> NodeId | None:
-        """Return a node that was not tried, one within reach if there is."""
-        excluded = tried
+        """Return a node for a call, or None when none is left.
+
+        A node that is out of reach is taken only where there is no other,
+        and one whose connection was lost under the call comes last.
+        """
+        backed_off: frozenset[NodeId] = frozenset()
         if self._unreachable is not None:
-            excluded |= self._unreachable.backed_off(now_s)
-        node_id = self._chooser.choose(now_s, service, excluded, self._rng)
-        if node_id is None and excluded != tried:
-            return self._chooser.choose(now_s, service, tried, self._rng)
-        return node_id
+            backed_off = self._unreachable.backed_off(now_s)
+        sparing_lost = refused_by | lost_at
+        exclusions = (sparing_lost | backed_off, sparing_lost, refused_by)
+        for excluded in dict.fromkeys(exclusions):
+            node_id = self._chooser.choose(now_s, service, excluded, self._rng)
+            if node_id is not None:
+                return node_id
+        return None
 
     def asked(self, now_s: float, node_id: NodeId) -> None:
         """Count a message that waits for the node's answer."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -188,6 +188,22 @@
         ended = self.ends(replied(second, Outcome.NOT_RUN, Reason.SHED))
         self.assertEqual(ended, (Outcome.FAILED, Reason.TARGET_FAILED))
 
+    def test_lost_connection_to_the_only_node_is_tried_once_more(self):
+        self.chooser.nodes = ('a',)
+        self.sends(request())
+        self.step(PeerLost('a'))
+        again = self.wakes()
+        self.assertEqual(again.receiver, 'a')
+        self.assertEqual(self.ends(replied(again)), (Outcome.WHOLE, None))
+
+    def test_failure_of_the_only_node_is_not_tried_again(self):
+        self.chooser.nodes = ('a',)
+        sent = self.sends(request())
+        failed = replied(sent, Outcome.FAILED, Reason.TARGET_FAILED)
+        self.assertEqual(self.step(failed), [])
+        ended = self.ends(Ticked(), self.entry.next_wake_s())
+        self.assertEqual(ended, (Outcome.FAILED, Reason.TARGET_FAILED))
+
     def test_refused_connection_costs_no_try(self):
         first = self.sends(request(tries_left=0))
         second = self.sends(PeerLost(first.receiver, connected=False))
