--- a/src/rattanstile/operator_cli.py
+++ b/src/rattanstile/operator_cli.py
@@ -32,12 +32,8 @@
 Command = Callable[[argparse.Namespace], ExitCode]
 
 
-class _LogSettings(msgspec.Struct):
-    address: str
-
-
 class _Settings(msgspec.Struct):
-    log: _LogSettings
+    log_address: str
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
@@ -223,7 +219,7 @@
         return Ok(arguments.log)
     if arguments.settings:
         settings = read_checked(arguments.settings, _Settings)
-        return settings.map(lambda read: read.log.address)
+        return settings.map(lambda read: read.log_address)
     if os.environ.get(LOG_VARIABLE):
         return Ok(os.environ[LOG_VARIABLE])
     return Err(
