--- a/src/rattanstile/operator_cli.py
+++ b/src/rattanstile/operator_cli.py
@@ -20,7 +20,8 @@
     SettingsError,
 )
 from rattanstile.process.log_client import LogClient
-from rattanstile.process.operators import Operators, StreamState
+from rattanstile.process.operators import Operators
+from rattanstile.process.stream_state import StreamState
 from rattanstile.request.ids import PlanId
 from rattanstile.version.checked_file import read_checked
 from rattanstile.version.checks import read_declaration
@@ -28,6 +29,7 @@
 
 LOG_VARIABLE = 'RATTANSTILE_LOG'
 NODE_TIMEOUT_S = 3.0
+SHOWN_VERSIONS = 20
 
 Command = Callable[[argparse.Namespace], ExitCode]
 
@@ -84,6 +86,13 @@
     history = subparsers.add_parser(
         'history', help='list the versions that the log still holds'
     )
+    history.add_argument(
+        '--last',
+        type=int,
+        default=SHOWN_VERSIONS,
+        metavar='N',
+        help='how many versions to list (default: %(default)s)',
+    )
     for parser, run in (
         (plan, run_plan),
         (confirm, run_confirm),
@@ -140,17 +149,16 @@
     """Print the accepted versions, oldest first."""
 
     async def command(operators: Operators) -> ExitCode:
-        match await operators.state():
+        match await operators.history(max(1, arguments.last)):
             case Err(failure):
                 return _failed(failure)
-            case Ok(state):
-                for entry in state.history:
+            case Ok(accepted):
+                for one in accepted:
                     print(
-                        f'version {entry.accepted.version}'
-                        f' plan {entry.plan_id}'
-                        f' by {entry.operator or "unknown"}'
+                        f'version {one.version} plan {one.plan_id}'
+                        f' by {one.operator}'
                     )
-                    for line in entry.differences:
+                    for line in one.differences:
                         print(f'  {line}')
         return ExitCode.OK
 
--- a/src/rattanstile/process/operators.py
+++ b/src/rattanstile/process/operators.py
@@ -1,6 +1,6 @@
 """What operators do: plan, confirm, look back; over the log alone."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from logbook import Logger
 from result import Err, Ok, Result
@@ -18,6 +18,13 @@
     OffsetTooOld,
     ReadBatch,
 )
+from rattanstile.process.stream_state import (
+    HistoryEntry,
+    PlacedRecord,
+    StreamRead,
+    StreamState,
+    state_of,
+)
 from rattanstile.request.ids import (
     LogOffset,
     PlanId,
@@ -25,19 +32,17 @@
     VersionNumber,
 )
 from rattanstile.version.declaration import Declaration
-from rattanstile.version.fold import Fold
-from rattanstile.version.plan import Plan, differences_between, make_plan
+from rattanstile.version.plan import Plan, make_plan
 from rattanstile.version.records import (
     CONFIGURATION_STREAM,
     PLANS_STREAM,
-    Accepted,
     ConfigurationRecord,
     PlanRecord,
-    Record,
     decode_record,
     encode_record,
 )
 
+SHOWN_WINNERS = 5
 SETTLE_TRIES = 6
 SETTLE_WAIT_S = 0.5
 
@@ -48,10 +53,6 @@
     """No plan of this id is kept."""
 
 
-class NoVerifiedVersion(UnavailableError):
-    """The log holds neither its first records nor a snapshot."""
-
-
 @dataclass(frozen=True, slots=True)
 class Confirmed:
     """A plan took effect.
@@ -66,39 +67,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HistoryEntry:
-    """One accepted version.
+class AcceptedPlan:
+    """A plan that made a version.
 
     Attributes:
-        differences: What it changed, as lines.
+        differences: What it changed, as the operator was shown; empty where
+            the plan is past retention.
     """
 
-    accepted: Accepted
+    version: VersionNumber
     plan_id: PlanId
     operator: str
     differences: tuple[str, ...]
 
 
-@dataclass(slots=True)
-class StreamState:
-    """The configuration stream read to its end.
-
-    Attributes:
-        history: The accepted versions that the log still holds.
-    """
-
-    fold: Fold = field(default_factory=Fold)
-    history: list[HistoryEntry] = field(default_factory=list)
-
-    def version_of(self, plan_id: PlanId) -> VersionNumber | None:
-        """Return which version a plan made, or None if it made none."""
-        for entry in self.history:
-            if entry.plan_id == plan_id:
-                return entry.accepted.version
-        return self.fold.version_of(RecordId(plan_id))
-
-
 StateResult = Result[StreamState, UnavailableError]
+HistoryResult = Result[list[AcceptedPlan], UnavailableError]
 PlanResult = Result[Plan, UnavailableError | UncertainError]
 ConfirmResult = Result[
     Confirmed, ConflictError | UnavailableError | UncertainError | NoSuchPlan
@@ -123,10 +107,17 @@
         match await self._read_all(CONFIGURATION_STREAM):
             case Err(failure):
                 return Err(failure)
-            case Ok(records):
-                return _folded(records)
+            case Ok(stream):
+                return state_of(stream)
         raise AssertionError
 
+    async def history(self, last: int) -> HistoryResult:
+        """Return the last accepted plans that the log holds, oldest first."""
+        state = await self.state()
+        if isinstance(state, Err):
+            return state
+        return await self._accepted_plans(state.ok_value.history[-last:])
+
     async def plan(self, declared: Declaration) -> PlanResult:
         """Keep a plan in the log; nothing takes effect."""
         state = await self.state()
@@ -164,7 +155,7 @@
             return found
         plan = found.ok_value
         if plan.base != state.ok_value.fold.version:
-            return Err(_conflict(state.ok_value, plan))
+            return await self._conflict(state.ok_value, plan)
         return await self._append_plan(plan)
 
     async def _append_plan(self, plan: PlanRecord) -> ConfirmResult:
@@ -202,7 +193,7 @@
             if version is not None:
                 return Ok(Confirmed(plan.plan_id, version, repeated=False))
             if state.ok_value.fold.version > plan.base:
-                return Err(_conflict(state.ok_value, plan))
+                return await self._conflict(state.ok_value, plan)
             await self._platform_log.read(
                 CONFIGURATION_STREAM,
                 state.ok_value.fold.read_end,
@@ -219,17 +210,48 @@
     async def _find_plan(
         self, plan_id: PlanId
     ) -> Result[PlanRecord, UnavailableError | NoSuchPlan]:
-        match await self._read_all(PLANS_STREAM):
-            case Err(failure):
-                return Err(failure)
-            case Ok(records):
-                for _offset, record in records:
-                    if _is_plan(record, plan_id):
-                        return Ok(record)  # type: ignore[arg-type]
+        plans = await self._plans()
+        if isinstance(plans, Err):
+            return plans
+        found = plans.ok_value.get(plan_id)
+        if found is not None:
+            return Ok(found)
         return Err(
             NoSuchPlan(f'no plan {plan_id}; make one with `rattanstile plan`')
         )
 
+    async def _plans(
+        self,
+    ) -> Result[dict[PlanId, PlanRecord], UnavailableError]:
+        read = await self._read_all(PLANS_STREAM)
+        if isinstance(read, Err):
+            return read
+        plans: dict[PlanId, PlanRecord] = {}
+        for _offset, record in read.ok_value.records:
+            if isinstance(record, PlanRecord):
+                plans.setdefault(record.plan_id, record)
+        return Ok(plans)
+
+    async def _accepted_plans(
+        self, entries: list[HistoryEntry]
+    ) -> HistoryResult:
+        plans = await self._plans()
+        if isinstance(plans, Err):
+            return plans
+        return Ok([_accepted_plan(entry, plans.ok_value) for entry in entries])
+
+    async def _conflict(
+        self, state: StreamState, plan: PlanRecord
+    ) -> Result[Confirmed, ConflictError]:
+        winners = [
+            entry
+            for entry in state.history
+            if entry.accepted.version > plan.base
+        ]
+        accepted = await self._accepted_plans(winners[:SHOWN_WINNERS])
+        shown = accepted.unwrap_or([])
+        return Err(_conflict_error(state.fold.version, plan, shown))
+
     def _plan_record(self, plan: Plan) -> PlanRecord:
         return PlanRecord(
             record_id=RecordId(plan.plan_id),
@@ -242,69 +264,56 @@
 
     async def _read_all(
         self, stream: str
-    ) -> Result[list[tuple[LogOffset, Record | None]], UnavailableError]:
-        records: list[tuple[LogOffset, Record | None]] = []
-        offset = LogOffset(0)
+    ) -> Result[StreamRead, UnavailableError]:
+        read = StreamRead(LogOffset(0), LogOffset(0))
         while True:
-            match await self._platform_log.read(stream, offset, 0):
+            match await self._platform_log.read(stream, read.end, 0):
                 case Err(OffsetTooOld(oldest=oldest)):
-                    offset = oldest
+                    read.end = oldest
                 case Err(failure):
                     return Err(failure)  # type: ignore[arg-type]
                 case Ok(batch):
-                    records.extend(_decoded(batch))
-                    offset = LogOffset(batch.first + len(batch.records))
-                    if offset >= batch.next_offset:
-                        return Ok(records)
+                    read.oldest = max(read.oldest, batch.oldest)
+                    read.records.extend(_decoded(batch))
+                    read.end = LogOffset(batch.first + len(batch.records))
+                    if read.end >= batch.next_offset:
+                        return Ok(read)
 
 
-def _decoded(batch: ReadBatch) -> list[tuple[LogOffset, Record | None]]:
+def _decoded(batch: ReadBatch) -> list[PlacedRecord]:
     return [
         (LogOffset(batch.first + place), decode_record(record).ok())
         for place, record in enumerate(batch.records)
     ]
 
 
-def _is_plan(record: Record | None, plan_id: PlanId) -> bool:
-    return isinstance(record, PlanRecord) and record.plan_id == plan_id
-
-
-def _folded(records: list[tuple[LogOffset, Record | None]]) -> StateResult:
-    state = StreamState()
-    fold = state.fold
-    if not records or records[0][0] == 0:
-        fold.see_start()
-    for offset, record in records:
-        before = fold.declaration
-        for made in fold.offer(offset, record):
-            differences = differences_between(before, fold.declaration)
-            state.history.append(
-                HistoryEntry(
-                    made.accepted,
-                    made.record.plan_id,
-                    made.record.operator,
-                    tuple(str(one) for one in differences),
-                )
-            )
-    if not fold.verified:
-        return Err(
-            NoVerifiedVersion('the log holds no snapshot of its first records')
-        )
-    return Ok(state)
+def _accepted_plan(
+    entry: HistoryEntry, plans: dict[PlanId, PlanRecord]
+) -> AcceptedPlan:
+    plan = plans.get(entry.record.plan_id)
+    return AcceptedPlan(
+        version=entry.accepted.version,
+        plan_id=entry.record.plan_id,
+        operator=entry.record.operator or 'unknown',
+        differences=plan.differences if plan else (),
+    )
 
 
-def _conflict(state: StreamState, plan: PlanRecord) -> ConflictError:
-    winners = [
-        f'version {entry.accepted.version} by {entry.operator or "unknown"}'
-        f' (plan {entry.plan_id}):\n  ' + '\n  '.join(entry.differences)
-        for entry in state.history
-        if entry.accepted.version > plan.base
-    ]
-    return ConflictError(
+def _conflict_error(
+    version: VersionNumber, plan: PlanRecord, winners: list[AcceptedPlan]
+) -> ConflictError:
+    lines = [
         f'plan {plan.plan_id} was made against version {plan.base}, but'
-        f' version {state.fold.version} is in force; nothing of the plan took'
-        ' effect. What came first:\n' + '\n'.join(winners)
-    )
+        f' version {version} is in force; nothing of the plan took effect.'
+        ' What came first:'
+    ]
+    for winner in winners:
+        lines.append(
+            f'version {winner.version} by {winner.operator}'
+            f' (plan {winner.plan_id}):'
+        )
+        lines.extend(f'  {one}' for one in winner.differences)
+    return ConflictError('\n'.join(lines))
 
 
 def _uncertain(plan_id: PlanId) -> UncertainError:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -12,8 +12,14 @@
     ReadBatch,
 )
 from rattanstile.process.operators import NoSuchPlan, Operators
+from rattanstile.process.stream_state import StreamRead, state_of
+from rattanstile.version.change import DeclarationChange
 from rattanstile.version.declaration import Declaration
-from rattanstile.version.records import CONFIGURATION_STREAM
+from rattanstile.version.fold import Fold
+from rattanstile.version.records import (
+    CONFIGURATION_STREAM,
+    ConfigurationRecord,
+)
 
 
 class MemoryLog:
@@ -138,3 +144,46 @@
     def test_unknown_plan_is_refused(self):
         failure = ended(self.one.confirm('nothing')).unwrap_err()
         self.assertIsInstance(failure, NoSuchPlan)
+
+
+class StreamStateTest(unittest.TestCase):
+    """Records past retention are never guessed."""
+
+    def record(self, base):
+        return ConfigurationRecord(
+            record_id=f'record{base}',
+            base=base,
+            plan_id=f'plan{base}',
+            change=DeclarationChange(max_hops=base + 1),
+        )
+
+    def stream(self, oldest, records):
+        placed = [
+            (oldest + place, record) for place, record in enumerate(records)
+        ]
+        return StreamRead(oldest, oldest + len(records), placed)
+
+    def snapshot(self, versions):
+        fold = Fold()
+        fold.see_start()
+        for base in range(versions):
+            fold.offer(base, self.record(base))
+        return fold.snapshot('snapshot')
+
+    def test_stream_that_lost_its_records_is_not_taken_for_a_new_one(self):
+        failure = state_of(self.stream(7, [])).unwrap_err()
+        self.assertEqual(failure.exit_code, ExitCode.UNAVAILABLE)
+        self.assertEqual(state_of(self.stream(0, [])).unwrap().fold.version, 0)
+
+    def test_history_goes_on_from_the_first_snapshot(self):
+        records = [self.record(5), self.record(5), self.snapshot(5)]
+        state = state_of(self.stream(5, [*records, self.record(6)])).unwrap()
+        self.assertEqual(state.fold.version, 7)
+        self.assertEqual(state.version_of('plan6'), 7)
+        self.assertEqual(
+            [one.accepted.version for one in state.history], [6, 7]
+        )
+
+    def test_snapshot_that_ends_before_the_oldest_record_is_refused(self):
+        stream = self.stream(9, [self.snapshot(5), self.record(5)])
+        self.assertTrue(state_of(stream).is_err())
