Routes: match whole segments, longest first

Cause: a route open to all at /draws also opened /drawsheets, as a prefix matched in the middle of a segment; and each lookup built a list. Change: routes are sorted once a version, the first that matches by whole segments wins. version/declaration.py: doc of Route.path only.

--- a/src/rattanstile/version/declaration.py
+++ b/src/rattanstile/version/declaration.py
@@ -36,7 +36,8 @@
     """A set of requests of one service that are treated alike.
 
     Attributes:
-        path: Prefix of the path behind the service's name.
+        path: Prefix, of whole segments, of the path behind the service's
+            name.
         methods: HTTP methods; empty for all.
         kind: ``background``, ``lookup``, ``claim``, ``payment``, ``booking``.
         open_to_all: Whether a call needs no key.
--- a/src/rattanstile/version/in_force.py
+++ b/src/rattanstile/version/in_force.py
@@ -15,6 +15,8 @@
     Service,
 )
 
+SEGMENT_ENDS = '/?'
+
 
 class VersionInForce:
     """One version with the lookups that the path of a call needs.
@@ -37,6 +39,9 @@
             for digest in one.keys
         }
         self._services = {one.name: one for one in declaration.services}
+        self._routes = {
+            one.name: _longest_first(one.routes) for one in declaration.services
+        }
         self._domains_out = {
             one.name
             for one in declaration.failure_domains
@@ -57,20 +62,31 @@
         return self._services.get(name)
 
     def route(self, name: ServiceName, method: str, path: str) -> Route | None:
-        """Return the route with the longest matching prefix, or None."""
-        service = self._services.get(name)
-        if service is None:
-            return None
-        matching = [
-            route
-            for route in service.routes
-            if path.startswith(route.path)
-            and (not route.methods or method in route.methods)
-        ]
-        return max(matching, key=lambda route: len(route.path), default=None)
+        """Return the route with the longest matching prefix, or None.
+
+        A prefix matches whole segments only, so that what is open to all
+        below ``/draws`` does not open ``/drawsheets``.
+        """
+        for route in self._routes.get(name, ()):
+            if route.methods and method not in route.methods:
+                continue
+            if _lies_below(path, route.path):
+                return route
+        return None
 
     def serves(self, target: TargetId, domain: FailureDomainId) -> bool:
         """Tell whether operators have both the target and its domain in."""
         return (
             target not in self._targets_out and domain not in self._domains_out
         )
+
+
+def _longest_first(routes: tuple[Route, ...]) -> list[Route]:
+    return sorted(routes, key=lambda route: len(route.path), reverse=True)
+
+
+def _lies_below(path: str, prefix: str) -> bool:
+    if not path.startswith(prefix):
+        return False
+    ends_segment = prefix.endswith('/') or len(path) == len(prefix)
+    return ends_segment or path[len(prefix)] in SEGMENT_ENDS
