--- a/bench/overload_model.py
+++ b/bench/overload_model.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol
 
 from rattanstile.process.chooser import Chooser
 from rattanstile.process.home_table import HomeTable
@@ -74,7 +74,9 @@
     """A service of a fleet.
 
     Attributes:
+        slots: Calls at once that are declared.
         service_s: Mean seconds of one call on its target, child apart.
+        bears: Calls at once beyond which a target slows down; 0 for none.
         child: The service that each call calls in turn, if any.
     """
 
@@ -85,6 +87,7 @@
     cold_slots: int = 4
     cold_start_s: float = 2.0
     child: str = ''
+    bears: int = 0
 
     @property
     def capacity_per_s(self) -> float:
@@ -134,6 +137,7 @@
         """Begin with a cold start."""
         self.counts = TargetCounts()
         self.slowdown = 1.0
+        self.is_down = False
         self.boot = 0
         self._node = node
         self._shape = shape
@@ -142,6 +146,11 @@
         self._waiting: list[Call] = []
         self._running = 0
 
+    @property
+    def held(self) -> int:
+        """Return the calls on the target."""
+        return len(self._held)
+
     @property
     def is_cold(self) -> bool:
         """Tell whether the cold start lasts."""
@@ -161,6 +170,9 @@
 
     def run(self, call: Call) -> None:
         """Take a call; a cold target falls over beyond its cold slots."""
+        if self.is_down:
+            self._tell(TargetFailed(call.call_id, TargetFailure.NOT_SENT))
+            return
         self.counts.runs += 1
         self._held[call.call_id] = call
         self.counts.most_held = max(self.counts.most_held, len(self._held))
@@ -188,6 +200,8 @@
     def _begin(self, call: Call) -> None:
         fleet = self._node.fleet
         factor = fleet.rng.uniform(1 - SPREAD, 1 + SPREAD) * self.slowdown
+        if self._shape.bears:
+            factor *= max(1.0, self._running / self._shape.bears)
         boot = self.boot
         began_s = fleet.loop.now_s
 
@@ -355,6 +369,7 @@
         self.attempts = 0
         self.needed: set[tuple[int, str]] = set()
         self.ends: list[Ended] = []
+        self.requests: list[Any] = []
         self.lookups_sent_s: list[float] = []
         self.request_ids = count(1)
         self.nodes = {node.member.node_id: node for node in self._build(shapes)}
--- a/src/rattanstile/connection/caller_http.py
+++ b/src/rattanstile/connection/caller_http.py
@@ -19,6 +19,7 @@
 from twisted.internet.protocol import Protocol, ServerFactory
 from twisted.python.failure import Failure
 
+from rattanstile.connection.direct_write import write_now
 from rattanstile.connection.http_reply import encode_reply
 from rattanstile.connection.http_request import (
     TIMED_OUT,
@@ -28,6 +29,7 @@
     RequestParser,
     RequestRefused,
 )
+from rattanstile.process.logs import key_values
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Reply
 from rattanstile.request.ids import CallId
@@ -152,7 +154,7 @@
         try:
             running = self._owner.handler(request)
         except Exception:
-            _log.exception('event=request_failed')
+            _log.exception(key_values('request_failed'))
             running = Deferred()
             running.callback(_unknown())
         self._running = running
@@ -179,14 +181,16 @@
             self._finish()
 
     def _log_failure(self, failure: Failure) -> None:
-        _log.error('event=reply_failed cause={!r}', failure.value)
+        _log.error(key_values('reply_failed', cause=repr(failure.value)))
         self._abort()
 
     def _answer_refused(self, refused: RequestRefused) -> None:
         _log.info(
-            'event=request_refused status={} reason={}',
-            refused.status,
-            refused.reason.value,
+            key_values(
+                'request_refused',
+                status=refused.status,
+                reason=refused.reason.value,
+            )
         )
         reply = Reply(
             call_id=CallId(''),
@@ -218,7 +222,7 @@
         self._waiting.clear()
 
     def _write(self, encoded: bytes) -> None:
-        self.transport.write(encoded)  # type: ignore[union-attr]
+        write_now(self.transport, encoded)
 
     def _abort(self) -> None:
         self.transport.abortConnection()  # type: ignore[union-attr]
@@ -227,7 +231,7 @@
 def _settle_failure(failure: Failure) -> Reply | None:
     if isinstance(failure.value, CancelledError):
         return None
-    _log.error('event=request_failed cause={!r}', failure.value)
+    _log.error(key_values('request_failed', cause=repr(failure.value)))
     return _unknown()
 
 
@@ -270,8 +274,9 @@
         """Return the connection, or None when there are too many."""
         if len(self.connections) >= self._max_connections:
             _log.warning(
-                'event=connection_refused connections={}',
-                len(self.connections),
+                key_values(
+                    'connection_refused', connections=len(self.connections)
+                )
             )
             return None
         return CallerHttpConnection(self)
--- a/src/rattanstile/connection/target_http.py
+++ b/src/rattanstile/connection/target_http.py
@@ -10,12 +10,14 @@
 from twisted.internet.interfaces import IReactorTCP, ITCPTransport
 from twisted.internet.protocol import ClientFactory, Protocol
 
+from rattanstile.connection.direct_write import write_now
 from rattanstile.connection.http_rules import headers_for_target
 from rattanstile.connection.target_answer import (
     AnswerCutError,
     AnswerReader,
     TargetAnswer,
 )
+from rattanstile.process.logs import key_values
 from rattanstile.process.messages import TargetFailure
 from rattanstile.process.timers import Timer, TimerService
 from rattanstile.request.envelope import Header
@@ -237,7 +239,7 @@
         self._run = run
         self._has_answer_begun = False
         self._reader.expect(is_head=request.method == 'HEAD')
-        self.transport.write(encode_request(request))  # type: ignore
+        write_now(self.transport, encode_request(request))
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._has_answer_begun = True
@@ -250,7 +252,7 @@
         if answer is None:
             return
         if self._is_crossed(answer):
-            _log.warning('event=answer_crossed')
+            _log.warning(key_values('answer_crossed'))
             self._end_run(TargetFailure.ANSWER_CUT)
             self.abort()
             return
