Rates: benches, and what they found in loans and choice of owners

An ended term now ends the account. Cause of refusals within rate: owners once seen empty were not asked while another had a token, spent tokens stayed lent until the next request, and loans ahead of need emptied the shards.

--- a/bench/rates_faults.py
+++ b/bench/rates_faults.py
@@ -5,6 +5,7 @@
 from bench.rates_world import Fleet, most_above
 from rattanstile.request.ids import OrganisationId
 from rattanstile.version.declaration import Organisation
+from rattanstile.version.rate_records import OwnerStartedRecord
 
 NODES = 4
 LENGTH_S = 4.0
@@ -70,6 +71,13 @@
         """Return the calls admitted."""
         return sum(map(len, self.fleet.admissions.values()))
 
+    def takeovers(self) -> int:
+        """Return how many owners started after a shard's first."""
+        return sum(
+            isinstance(record, OwnerStartedRecord) and record.epoch > 1
+            for record in self.fleet.log.records
+        )
+
     def greedy(self, index: int) -> None:
         """Ask for every organisation at one node, again and again."""
         node = self.fleet.nodes[index]
--- a/bench/rates_world.py
+++ b/bench/rates_world.py
@@ -180,9 +180,7 @@
         """Read the records that are new, and again after a while."""
         if not self.alive:
             return
-        self.world.after(
-            READ_S * 2 * self.world.random.random(), self.read_log
-        )
+        self.world.after(READ_S * 2 * self.world.random.random(), self.read_log)
         log = self.fleet.log
         is_cut = self.index in self.fleet.cut_from_log
         if self.paused or not log.up or is_cut:
@@ -218,18 +216,17 @@
     def perform(self, outputs) -> None:
         """Carry out what the machines decided."""
         for output in outputs:
-            match output:
-                case SendControl() | AppendRecord():
-                    self.do(partial(self.send, output))
-                case Granted(request_id, valid_until_s):
-                    name = self.waiting.pop(request_id)
-                    self.spend(name, valid_until_s)
-                case Denied(request_id, _):
-                    self.fleet.refused(self.waiting.pop(request_id))
-
-    def send(self, output: SendControl | AppendRecord) -> None:
-        """Send a message, or a record to the log."""
+            self.do(partial(self.perform_one, output))
+
+    def perform_one(self, output) -> None:
+        """Carry out one output; a pause within holds up those behind it."""
         match output:
+            case Granted(request_id, valid_until_s):
+                name = self.waiting.pop(request_id)
+                self.spend(name, valid_until_s)
+            case Denied(request_id, _):
+                name = self.waiting.pop(request_id)
+                self.fleet.refused(name, request_id)
             case SendControl(receiver, message):
                 self.fleet.send(self, receiver, message)
             case AppendRecord():
@@ -241,13 +238,13 @@
         self.do(lambda: self._request(name))
 
     def _request(self, name: str) -> None:
-        number = self.fleet.next_request()
+        number = self.fleet.next_request(name, self.index)
         organisation = OrganisationId(name)
         match self.borrower.admit(self.now_s(), organisation, number):
             case Admitted(valid_until_s):
                 self.spend(name, valid_until_s)
             case OverRate():
-                self.fleet.refused(name)
+                self.fleet.refused(name, number)
             case _:
                 self.waiting[number] = name
         self.perform(self.borrower.take_outputs())
@@ -294,9 +291,12 @@
         self.admissions: dict[str, list[float]] = {
             one.name: [] for one in organisations
         }
-        self.refusals: dict[str, list[float]] = {
+        self.arrivals: dict[str, list[tuple[float, int, int]]] = {
             one.name: [] for one in organisations
         }
+        self.refusals: dict[str, set[int]] = {
+            one.name: set() for one in organisations
+        }
         self.messages = 0
         self._requests = 0
         self.nodes: dict[int, VirtualNode] = {}
@@ -328,9 +328,10 @@
         """Return a node's static slot."""
         return index
 
-    def next_request(self) -> int:
-        """Return a new request id."""
+    def next_request(self, name: str, index: int) -> int:
+        """Return a new request id; it tells the order of arrival."""
         self._requests += 1
+        self.arrivals[name].append((self.world.now_s, self._requests, index))
         return self._requests
 
     def send(self, sender: VirtualNode, receiver: NodeId, message) -> None:
@@ -357,14 +358,12 @@
         """Note an admission in true time."""
         self.admissions[name].append(self.world.now_s)
 
-    def refused(self, name: str) -> None:
+    def refused(self, name: str, number: int) -> None:
         """Note a refusal."""
-        self.refusals[name].append(self.world.now_s)
+        self.refusals[name].add(number)
 
 
-def most_above(
-    times_s: list[float], rate_per_s: float, burst: float
-) -> float:
+def most_above(times_s: list[float], rate_per_s: float, burst: float) -> float:
     """Return by how many calls the worst window is above its bound.
 
     A bucket of the rate and burst that starts full is replayed: a call that
--- a/src/rattanstile/process/rate_borrower.py
+++ b/src/rattanstile/process/rate_borrower.py
@@ -54,7 +54,8 @@
 """Requests of one organisation that wait at once."""
 RETRY_AFTER_MS = 100
 ASK_OWNERS_EVERY_S = 0.25
-RETURN_BEFORE_END_S = 0.12
+RETURN_BEFORE_END_S = 0.1
+ASK_AHEAD_EVERY_S = 0.03
 
 
 @dataclass(slots=True)
@@ -66,6 +67,7 @@
     """
 
     closed_until_s: float = 0.0
+    ahead_after_s: float = 0.0
     demand: Demand = field(default_factory=Demand)
     waiting: deque[tuple[float, int]] = field(default_factory=deque)
     accounts: dict[tuple[ShardId, Epoch], Account] = field(default_factory=dict)
@@ -76,6 +78,15 @@
     def awaited(self) -> int:
         return sum(one.awaited() for one in self.accounts.values())
 
+    def awaited_needed(self) -> int:
+        return sum(one.awaited_needed() for one in self.accounts.values())
+
+    def opens_before(self, time_s: float) -> bool:
+        """Tell whether an owner may be asked before a time."""
+        return any(
+            one.blocked_until_s < time_s for one in self.accounts.values()
+        )
+
     def spend(self, now_s: float) -> float | None:
         """Spend the token that ends first; return when it ends."""
         valid = [one for one in self.accounts.values() if one.valid(now_s)]
@@ -157,7 +168,7 @@
             return OverRate(RETRY_AFTER_MS)
         purse.waiting.append((now_s + HOLD_S, request_id))
         self._ask(now_s, organisation, purse)
-        if purse.awaited() == 0:
+        if purse.awaited() == 0 and not purse.opens_before(now_s + HOLD_S):
             purse.waiting.pop()
             return OverRate(self._close(now_s, purse))
         return Waiting()
@@ -229,7 +240,8 @@
             _, request_id = purse.waiting.popleft()
             self._outputs.append(Granted(request_id, until_s))
         self._ask(now_s, organisation, purse)
-        if purse.waiting and purse.awaited() == 0:
+        is_open = purse.awaited() or purse.opens_before(now_s + HOLD_S)
+        if purse.waiting and not is_open:
             self._deny_all(now_s, purse)
 
     def _deny_all(self, now_s: float, purse: _Purse) -> None:
@@ -251,37 +263,56 @@
         )
         if missing <= 0:
             return
+        awaited = purse.awaited_needed()
+        needed = max(0, len(purse.waiting) - awaited - purse.valid(now_s))
+        if needed == 0 and now_s < purse.ahead_after_s:
+            return
         account = self._best_account(now_s, organisation, purse)
         if account is None:
             return
-        request = account.ask(now_s, missing, account.held)
+        purse.ahead_after_s = now_s + ASK_AHEAD_EVERY_S
+        request = account.ask(
+            now_s, account.held, missing, min(needed, missing)
+        )
         self._outputs.append(SendControl(account.claim.owner.node_id, request))
 
     def _best_account(
         self, now_s: float, organisation: OrganisationId, purse: _Purse
     ) -> Account | None:
         best: Account | None = None
+        best_left = float('-inf')
         for shard in self._schedule.shards_of(organisation):
-            claim = self._claims.current(shard)
-            if claim is None:
-                self._missing.add(shard)
+            account = self._account(shard, organisation, purse)
+            if account is None or not account.can_ask(now_s):
                 continue
-            account = purse.accounts.get((shard, claim.epoch))
-            if account is None:
-                account = Account(claim, organisation, self._me.incarnation)
-                purse.accounts[(shard, claim.epoch)] = account
-            if account.can_ask(now_s) and (
-                best is None or account.left > best.left
-            ):
-                best = account
+            share = self._schedule.shard_share(now_s, organisation, shard)
+            left = account.likely_left(now_s, share)
+            if left > best_left:
+                best, best_left = account, left
         return best
 
+    def _account(
+        self, shard: ShardId, organisation: OrganisationId, purse: _Purse
+    ) -> Account | None:
+        claim = self._claims.current(shard)
+        if claim is None:
+            self._missing.add(shard)
+            return None
+        key = (shard, claim.epoch)
+        account = purse.accounts.get(key)
+        if account is None:
+            account = Account(claim, organisation, self._me.incarnation)
+            purse.accounts[key] = account
+        return account
+
     def _settle(self, now_s: float, purse: _Purse) -> None:
         for key, account in tuple(purse.accounts.items()):
             is_ending = account.until_s - RETURN_BEFORE_END_S <= now_s
-            if account.valid(now_s) and is_ending and account.can_ask(now_s):
+            is_due = account.valid(now_s) > 0 and is_ending
+            is_due = is_due or account.has_to_settle(now_s)
+            if is_due and account.can_ask(now_s):
                 kept = min(account.held, purse.demand.target(now_s))
-                request = account.ask(now_s, 0, kept)
+                request = account.ask(now_s, kept)
                 owner = account.claim.owner.node_id
                 self._outputs.append(SendControl(owner, request))
             is_current = self._claims.current(key[0]) == account.claim
--- a/src/rattanstile/process/rate_bucket.py
+++ b/src/rattanstile/process/rate_bucket.py
@@ -2,7 +2,8 @@
 
 Tokens in the bucket and tokens lent for a term that may still run are
 together never more than the burst. What was lent comes back only by the
-borrower's word; a term that ends without it ends the loan, as spent.
+borrower's word; a term that ends without it ends the loan, as spent. A word
+that comes after the term gives nothing back: new tokens have taken the room.
 """
 
 from collections import deque
@@ -12,11 +13,13 @@
 from rattanstile.process.rate_shares import Share
 from rattanstile.version.rate_records import Epoch, ProcessId
 
-LOAN_TERM_S = 0.4
+LOAN_TERM_S = 0.3
 """From the borrower's request, by the borrower's clock."""
 LENT_FOR_S = LOAN_TERM_S * 1.03
 """The owner's view of the term: longer, as clocks differ by up to 1%."""
-RETRY_MIN_MS = 20
+AHEAD_FRACTION = 0.25
+"""Part of the tokens left that is lent before a call needs it."""
+RETRY_MIN_MS = 5
 RETRY_MAX_MS = 1000
 
 BorrowerKey = tuple[ProcessId, Epoch]
@@ -28,8 +31,6 @@
     spent: int = 0
     lent: int = 0
     """Tokens that the borrower has not accounted for."""
-    outstanding: int = 0
-    """The same, and zero once the term is over."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,29 +83,34 @@
         if request.sequence <= account.sequence:
             return None
         extended = self._settle(account, request)
-        granted = min(request.wanted, int(self._tokens))
+        granted = self._granted(request)
         self._tokens -= granted
         account.lent += granted
-        account.outstanding += granted
         self._outstanding += granted
         self._terms.append((now_s + LENT_FOR_S, key, request.sequence))
         return Loan(
             extended,
             granted,
             int(self._tokens),
-            self._retry_after_ms() if granted < request.wanted else 0,
+            self._retry_after_ms() if granted < request.needed else 0,
         )
 
+    def _granted(self, request: LoanRequest) -> int:
+        """Return the tokens to lend: those needed first, then a part."""
+        here = int(self._tokens)
+        needed = min(request.needed, here)
+        spare = int((here - needed) * AHEAD_FRACTION)
+        return needed + min(max(0, request.wanted - request.needed), spare)
+
     def _settle(self, account: _Account, request: LoanRequest) -> bool:
-        extended = 0 < request.held <= account.outstanding
+        extended = 0 < request.held <= account.lent
         held = request.held if extended else 0
         spent = request.spent - account.spent
         unspent = account.lent - spent - request.held
-        self._outstanding += held - account.outstanding
+        self._outstanding += held - account.lent
         account.sequence = request.sequence
         account.spent = request.spent
         account.lent = held
-        account.outstanding = held
         self._tokens += max(0, unspent)
         self._cap()
         return extended
@@ -121,12 +127,8 @@
             _, key, sequence = self._terms.popleft()
             account = self._accounts.get(key)
             if account is not None and account.sequence == sequence:
-                self._outstanding -= account.outstanding
-                self._forget(key)
-
-    def _forget(self, key: BorrowerKey) -> None:
-        account = self._accounts[key]
-        account.outstanding = 0
+                self._outstanding -= account.lent
+                self._accounts.pop(key)
 
     def _cap(self) -> None:
         room = max(0.0, self.share.burst_tokens - self._outstanding)
--- a/src/rattanstile/process/rate_candidate.py
+++ b/src/rattanstile/process/rate_candidate.py
@@ -18,9 +18,9 @@
     ShardId,
 )
 
-WITNESSES_MAX = 5
+WITNESSES_MAX = 3
 SUSPECT_S = 0.6
-"""Four renewals missed."""
+"""Three renewals missed."""
 SUSPECT_STEP_S = 0.3
 """Between the claims of two witnesses, so that mostly one tries."""
 START_GRACE_S = 3.0
--- a/src/rattanstile/process/rate_demand.py
+++ b/src/rattanstile/process/rate_demand.py
@@ -9,7 +9,7 @@
 """Demand that a full purse covers."""
 LOW_S = 0.06
 """Demand below which the purse is filled again."""
-PREFETCH_MIN_PER_S = 2.0
+PREFETCH_MIN_PER_S = 5.0
 
 
 @dataclass(slots=True)
--- a/src/rattanstile/process/rate_lease.py
+++ b/src/rattanstile/process/rate_lease.py
@@ -26,7 +26,7 @@
 )
 
 LEASE_S = 0.6
-RENEW_EVERY_S = 0.15
+RENEW_EVERY_S = 0.2
 SEAL_EVERY_S = 0.1
 TAKEOVER_WAIT_S = (LEASE_S + LOAN_TERM_S) * 1.03
 REQUESTS_KEPT = 8
--- a/src/rattanstile/process/rate_messages.py
+++ b/src/rattanstile/process/rate_messages.py
@@ -30,7 +30,9 @@
 # Between nodes
 
 
-class LoanRequest(msgspec.Struct, frozen=True, kw_only=True, tag='loan-ask'):
+class LoanRequest(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag='loan-ask'
+):
     """A borrower accounts for its loan and asks for more.
 
     Attributes:
@@ -38,6 +40,8 @@
         held: Unspent tokens that the borrower keeps; it gave up all others.
         spent: All tokens spent under this epoch so far.
         wanted: Further tokens asked for.
+        needed: How many of them calls wait for now; the others are to save
+            later calls the way, and are lent only where there are plenty.
     """
 
     shard: ShardId
@@ -48,9 +52,12 @@
     held: int
     spent: int
     wanted: int
+    needed: int = 0
 
 
-class LoanGrant(msgspec.Struct, frozen=True, kw_only=True, tag='loan'):
+class LoanGrant(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag='loan'
+):
     """The owner's answer to the request with the same sequence.
 
     Attributes:
@@ -71,7 +78,11 @@
 
 
 class LoanRefused(
-    msgspec.Struct, frozen=True, kw_only=True, tag='loan-refused'
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    tag='loan-refused',
 ):
     """The receiver holds no lease for the shard and epoch."""
 
@@ -81,7 +92,9 @@
     sequence: int
 
 
-class LeaseRequest(msgspec.Struct, frozen=True, kw_only=True, tag='lease-ask'):
+class LeaseRequest(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag='lease-ask'
+):
     """An owner asks a witness to vouch for its epoch."""
 
     shard: ShardId
@@ -90,7 +103,9 @@
     witness: ProcessId
 
 
-class LeaseVouched(msgspec.Struct, frozen=True, kw_only=True, tag='lease'):
+class LeaseVouched(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag='lease'
+):
     """The witness had not sealed the epoch when it got the request."""
 
     shard: ShardId
@@ -98,7 +113,9 @@
     sequence: int
 
 
-class SealRequest(msgspec.Struct, frozen=True, kw_only=True, tag='seal-ask'):
+class SealRequest(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag='seal-ask'
+):
     """A later claimant asks a witness never to vouch again up to an epoch."""
 
     shard: ShardId
@@ -106,7 +123,9 @@
     witness: ProcessId
 
 
-class Sealed(msgspec.Struct, frozen=True, kw_only=True, tag='sealed'):
+class Sealed(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag='sealed'
+):
     """The named witness will not vouch up to the epoch any more."""
 
     shard: ShardId
@@ -115,14 +134,16 @@
 
 
 class OwnersRequest(
-    msgspec.Struct, frozen=True, kw_only=True, tag='owners-ask'
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag='owners-ask'
 ):
     """A borrower asks a peer who owns the shards."""
 
     shards: tuple[ShardId, ...]
 
 
-class OwnersTold(msgspec.Struct, frozen=True, kw_only=True, tag='owners'):
+class OwnersTold(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag='owners'
+):
     """The latest claims that the sender has read or been told."""
 
     claims: tuple[OwnerClaimRecord, ...]
--- a/src/rattanstile/process/rate_owner.py
+++ b/src/rattanstile/process/rate_owner.py
@@ -39,9 +39,9 @@
 )
 from rattanstile.version.records import RATES_STREAM
 
-TICK_S = 0.05
+TICK_S = 0.02
 """How often the machine wants `Ticked`."""
-SCAN_EVERY_S = 0.2
+SCAN_EVERY_S = 0.1
 RECLAIM_EVERY_S = 600.0
 """Far below the log's retention: a shard's claim is always in the log."""
 WITNESS_SILENT_S = 3.0
--- a/src/rattanstile/process/rate_shares.py
+++ b/src/rattanstile/process/rate_shares.py
@@ -14,14 +14,16 @@
 from rattanstile.version.declaration import Organisation
 from rattanstile.version.rate_records import ShardId
 
-STATIC_RATE_FRACTION = 0.03
+STATIC_RATE_FRACTION = 0.01
 STATIC_BURST_FRACTION = 0.1
+STATIC_BURST_MIN = 4
+"""With fewer whole tokens to split there is no static part."""
 CLOCK_MARGIN = 1.01
 """How much faster than true time a clock may run."""
 STATIC_VALIDITY_S = 0.05
 """How late a token of the static part may be used after the decision."""
 SHARDS_MAX = 3
-SHARD_BURST_MIN = 4
+SHARD_BURST_MIN = 10
 NODES_PER_GROUP = 256
 RAISE_DELAY_S = 5.0
 """Above the 4 s within which a version is in force everywhere."""
@@ -84,6 +86,8 @@
     """
     rate_per_s = organisation.rate_per_s
     static_burst = int(organisation.burst_calls * STATIC_BURST_FRACTION)
+    if static_burst < STATIC_BURST_MIN:
+        static_burst = 0
     slots = min(max_nodes, static_burst)
     static_rate = rate_per_s * STATIC_RATE_FRACTION if slots else 0.0
     slot_share = (
--- a/src/rattanstile/version/rate_records.py
+++ b/src/rattanstile/version/rate_records.py
@@ -10,7 +10,7 @@
 Epoch = NewType('Epoch', int)
 
 
-class ProcessId(msgspec.Struct, frozen=True, kw_only=True):
+class ProcessId(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One run of a node's process."""
 
     node_id: NodeId
