--- a/bench/rates_world.py
+++ b/bench/rates_world.py
@@ -253,7 +253,8 @@
         """Run the call, unless a pause since the decision was too long."""
         gap_s = self.fleet.pause_before_run(self)
         if gap_s == 0:
-            self.fleet.admitted(name)
+            if self.now_s() < valid_until_s:
+                self.fleet.admitted(name)
             return
         self.world.after(gap_s, lambda: self._spend_late(name, valid_until_s))
 
