--- a/Makefile
+++ b/Makefile
@@ -15,10 +15,10 @@
 	touch $(STAMP)
 
 demo: install
-	$(BIN)/python -m bench.demo
+	$(BIN)/rattanstile demo
 
 test: install
-	$(BIN)/nose2 --config unittest.cfg
+	$(BIN)/python -m nose2 --config unittest.cfg
 
 bench: install
 	$(BIN)/python -m bench
--- a/src/rattanstile/connection/link.py
+++ b/src/rattanstile/connection/link.py
@@ -12,6 +12,7 @@
 import logbook
 from twisted.internet.protocol import Protocol as TwistedProtocol
 
+from rattanstile.connection.direct_write import write_now
 from rattanstile.connection.frames import (
     CallerCancel,
     CallerReply,
@@ -28,15 +29,16 @@
     Role,
     encode_frame,
 )
+from rattanstile.process.logs import key_values
 from rattanstile.request.envelope import Call, Cancel, Reply
 
 CHECK_PERIOD_S = 0.25
 HEARTBEAT_AFTER_CHECKS = 2
 SILENT_AFTER_CHECKS = 6
 IDLE_HEARTBEAT_AFTER_CHECKS = 60
-IDLE_SILENT_AFTER_CHECKS = 72
 MAX_UNSENT_BYTES = 4 * 1024 * 1024
 
+_BEAT = 'heartbeat'
 _FROM_CALLER = (CallerRequest, CallerCancel, IdsWanted)
 _FROM_NODE = (Call, Cancel, Reply, Farewell, CallerReply, IdsGranted)
 
@@ -100,7 +102,7 @@
             for message in self._reader.feed(data):
                 self._take(message)
         except FrameError as error:
-            _log.warning('event=frame_refused cause={!r}', error.message)
+            _log.warning(key_values('frame_refused', cause=error.message))
             self.abort()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
@@ -117,7 +119,7 @@
             return
         frame = encode_frame(message)
         self._note_sent(message)
-        self.transport.write(frame)  # type: ignore[union-attr]
+        write_now(self.transport, frame)
         if self._is_paused:
             self._count_unsent(len(frame))
 
@@ -131,14 +133,11 @@
         """Look for silence; called each `CHECK_PERIOD_S`."""
         self._quiet_checks += 1
         waits = bool(self._awaited) or self._is_paused or self.peer is None
-        silent_after = (
-            SILENT_AFTER_CHECKS if waits else IDLE_SILENT_AFTER_CHECKS
-        )
         beat_after = (
             HEARTBEAT_AFTER_CHECKS if waits else IDLE_HEARTBEAT_AFTER_CHECKS
         )
-        if self._quiet_checks >= silent_after:
-            _log.warning('event=connection_silent peer={}', self.peer_name)
+        if waits and self._quiet_checks >= SILENT_AFTER_CHECKS:
+            _log.warning(key_values('connection_silent', peer=self.peer_name))
             self.abort()
         elif self._quiet_checks == beat_after:
             self._beat()
@@ -163,7 +162,7 @@
     def _count_unsent(self, size_bytes: int) -> None:
         self._unsent_bytes += size_bytes
         if self._unsent_bytes > MAX_UNSENT_BYTES:
-            _log.warning('event=connection_unread peer={}', self.peer_name)
+            _log.warning(key_values('connection_unread', peer=self.peer_name))
             self.abort()
 
     def _beat(self) -> None:
@@ -179,6 +178,8 @@
                 self._await(message.sequence)
             case IdsWanted():
                 self._await(message.service)
+            case Heartbeat():
+                self._await(_BEAT)
             case Cancel():
                 self._awaited.discard(message.call_id)
             case CallerCancel():
@@ -203,6 +204,7 @@
                 self._answer_beat(message)
                 return
             case HeartbeatAck():
+                self._awaited.discard(_BEAT)
                 self._owner.link_heard_epoch(self, message.id_epoch)
                 return
             case Hello():
@@ -220,7 +222,7 @@
             self._owner.link_received(self, message)
         except Exception:
             # One message's failure is not the other calls' on this link.
-            _log.exception('event=message_failed peer={}', self.peer_name)
+            _log.exception(key_values('message_failed', peer=self.peer_name))
 
     def _learn_peer(self, hello: Hello) -> None:
         if self.peer is not None:
--- a/src/rattanstile/process/limiter.py
+++ b/src/rattanstile/process/limiter.py
@@ -77,6 +77,7 @@
         self._before_suspicion: _Phase | None = None
         self._heard_s = now_s
         self._window = _Window(now_s)
+        self._settled_s = now_s
 
     @property
     def limit(self) -> int:
@@ -112,11 +113,13 @@
         self.in_flight = max(0, self.in_flight - 1)
         if ok:
             self._heard_s = now_s
-            self._window.successes += 1
-            self._window.latencies_s += latency_s
             self._observe(latency_s)
-        else:
+        self._settle(now_s)
+        if not ok:
             self._window.errors += 1
+        elif now_s - latency_s >= self._settled_s:
+            self._window.successes += 1
+            self._window.latencies_s += latency_s
         if self._window_is_over(now_s):
             self._close_window(now_s)
 
@@ -159,12 +162,14 @@
         self._warming = before.warming
         self._limit = before.limit
         self._window = _Window(now_s)
+        self._settled_s = now_s
 
     def _fall_back(self, now_s: float) -> None:
         self._cold_since_s = now_s
         self._warming = True
         self._limit = float(self.limits.cold_slots)
         self._window = _Window(now_s)
+        self._settled_s = now_s
 
     @property
     def _fewest(self) -> int:
@@ -179,6 +184,15 @@
         longest_s = max(SILENCE_S, SILENCE_LATENCIES * self.latency_s)
         return now_s - self._heard_s > longest_s
 
+    def _settle(self, now_s: float) -> None:
+        """Begin a window once a decrease of the limit has taken effect.
+
+        Calls sent before then have met the calls at once of earlier.
+        """
+        if math.isinf(self._settled_s) and self.in_flight <= self.limit:
+            self._settled_s = now_s
+            self._window = _Window(now_s, peak=self.in_flight)
+
     def _observe(self, latency_s: float) -> None:
         if self.latency_s:
             self.latency_s += LATENCY_GAIN * (latency_s - self.latency_s)
@@ -187,17 +201,21 @@
 
     def _window_is_over(self, now_s: float) -> bool:
         window = self._window
-        length_s = max(WINDOW_S, self.latency_s)
-        ended = window.successes + window.errors
         fewest = min(WINDOW_SAMPLES, self.limit)
-        return now_s - window.began_s >= length_s and ended >= fewest
+        if window.successes + window.errors < fewest:
+            return False
+        if window.successes and self._cold_start_is_over(now_s):
+            return True
+        return now_s - window.began_s >= max(WINDOW_S, self.latency_s)
 
     def _close_window(self, now_s: float) -> None:
         window = self._window
         self._window = _Window(now_s, peak=self.in_flight)
         if self._cold_since_s is not None:
-            self._leave_cold_start(now_s, window)
-            return
+            if not window.successes or not self._cold_start_is_over(now_s):
+                return
+            self._cold_since_s = None
+            self._before_suspicion = None
         seen = self._seen(window)
         if self._warming:
             self._warm_up(seen)
@@ -211,12 +229,11 @@
             mean_s = window.latencies_s / window.successes
         return WindowSeen(mean_s, window.errors * 2 > window.successes)
 
-    def _leave_cold_start(self, now_s: float, window: _Window) -> None:
-        if self._cold_since_s is None or not window.successes:
-            return
-        if now_s - self._cold_since_s >= self.limits.cold_start_s:
-            self._cold_since_s = None
-            self._before_suspicion = None
+    def _cold_start_is_over(self, now_s: float) -> bool:
+        since_s = self._cold_since_s
+        if since_s is None:
+            return False
+        return now_s - since_s >= self.limits.cold_start_s
 
     def _warm_up(self, seen: WindowSeen) -> None:
         if self._controller.is_congested(seen):
@@ -231,4 +248,7 @@
     def _adjust(self, seen: WindowSeen) -> None:
         slots = self.limits.slots
         wanted = self._controller.adjust(self._limit, slots, seen)
-        self._limit = min(max(wanted, float(self._fewest)), float(slots))
+        found = min(max(wanted, float(self._fewest)), float(slots))
+        if found < self._limit:
+            self._settled_s = math.inf
+        self._limit = found
--- a/src/rattanstile/process/membership.py
+++ b/src/rattanstile/process/membership.py
@@ -137,6 +137,11 @@
         """Return a digest of what is known of a failure domain."""
         return self._table.domain_digest(domain)
 
+    def member(self, node_id: NodeId) -> Member | None:
+        """Return what is known of a node, live or not."""
+        entry = self._table.get(node_id)
+        return entry.member if entry else None
+
     def wants_log(self) -> bool:
         """Tell whether this node has to read the stream `members` now.
 
--- a/src/rattanstile/process/messages.py
+++ b/src/rattanstile/process/messages.py
@@ -100,10 +100,12 @@
         parent: The running call.
         pressure: The larger of the child's own and subtree pressure; for a
             child refused at this entry, the pressure that refused it.
+        ceiling: The ceiling that belongs to it; 0 when not told.
     """
 
     parent: CallId
     pressure: float
+    ceiling: float = 0.0
 
 
 ServingInput = (
@@ -182,6 +184,8 @@
     """Set for a child call; the route's own where it is None."""
     shed_draw: float = -1.0
     """`Call.shed_draw` of the parent; negative for a root call."""
+    shed_pressure: float = 0.0
+    """`Call.shed_pressure` of the parent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,6 +210,14 @@
     connected: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptUnsent:
+    """No byte of this one attempt left this node, and none ever will."""
+
+    call_id: CallId
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class HomeSeen:
     """A node told who it is, in a greeting or a heartbeat.
@@ -265,6 +277,7 @@
     CallRequested
     | ReplyArrived
     | PeerLost
+    | AttemptUnsent
     | HomeSeen
     | HomeGone
     | Bound
--- a/tests/test_rate_borrower.py
+++ b/tests/test_rate_borrower.py
@@ -101,11 +101,11 @@
     def test_grant_for_an_earlier_request_is_ignored(self):
         machine = borrower()
         first = self.waiting(machine)
-        outputs = machine.step(10.035, Ticked()) + machine.step(10.2, Ticked())
+        outputs = machine.step(10.0 + HOLD_S, Ticked())
         self.assertTrue(any(isinstance(one, Denied) for one in outputs))
-        self.waiting(machine, 10.3, 2)
-        machine.step(10.3, grant(first, 4))
-        self.assertEqual(machine.loans(10.3), 0)
+        self.waiting(machine, 11.0, 2)
+        machine.step(11.0, grant(first, 4))
+        self.assertEqual(machine.loans(11.0), 0)
 
     def test_waiting_call_is_denied_after_the_hold(self):
         machine = borrower()
