End the grant of a home that leaves a call unanswered

Cause: calls that run once went on to a paused home for as long as its grant lasted, and the next grant could name the same home. Change: a grant ends when its oldest call waits for 0.5 s; the next request for ids names that home as one to avoid.

--- a/src/rattanstile/client.py
+++ b/src/rattanstile/client.py
@@ -279,7 +279,8 @@
         self._without_id.setdefault(service, []).append(call)
         if service not in self._asked:
             self._asked[service] = link
-            link.send(IdsWanted(service=service))
+            avoided = self._grants.doubted(self._timers.now_s(), service)
+            link.send(IdsWanted(service=service, avoided=avoided))
 
     def _take_grant(self, granted: IdsGranted) -> None:
         self._asked.pop(granted.service, None)
@@ -305,6 +306,7 @@
             return
         self._in_flight.pop(message.sequence)
         reply = message.reply
+        self._grants.answered(call.request.service, call.call_id)
         if reply.reason is not None and not reply.reason.is_overload:
             self._grants.drop(call.request.service)
         now_s = self._timers.now_s()
--- a/src/rattanstile/connection/frames.py
+++ b/src/rattanstile/connection/frames.py
@@ -119,9 +119,15 @@
 
 
 class IdsWanted(msgspec.Struct, frozen=True, kw_only=True, tag='ids-wanted'):
-    """The caller library asks for the right to issue call ids."""
+    """The caller library asks for the right to issue call ids.
+
+    Attributes:
+        avoided: A home that left the caller's calls unanswered; empty for
+            none.
+    """
 
     service: ServiceName
+    avoided: NodeId = NodeId('')
 
 
 class IdsGranted(msgspec.Struct, frozen=True, kw_only=True, tag='ids-granted'):
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -233,6 +233,27 @@
         self.assertEqual(len(self.results), 30)
         self.assertEqual(attempts, 30 + 10)
 
+    def test_home_that_leaves_a_call_unanswered_gets_no_further_one(self):
+        _, first = self.granted_call()
+        self.reactor.advance(0.4)
+        self.call('POST')
+        _, second = self.heard()
+        self.assertIsInstance(second, CallerRequest)
+        self.reactor.advance(0.2)
+        self.call('POST')
+        entry, wanted = self.heard()
+        self.assertEqual(wanted, IdsWanted(service='till', avoided='home'))
+        entry.grant('other-home')
+        _, third = self.heard()
+        self.assertTrue(third.call_id.startswith('other-home/'))
+
+    def test_home_that_answers_keeps_its_grant(self):
+        entry, first = self.granted_call()
+        entry.answer(first)
+        self.reactor.advance(1.0)
+        self.call('POST')
+        self.assertIsInstance(self.heard()[1], CallerRequest)
+
     def test_many_calls_lost_at_once_are_all_sent_again(self):
         for _ in range(40):
             self.call('POST')
