--- a/bench/configuration_schedules.py
+++ b/bench/configuration_schedules.py
@@ -207,16 +207,20 @@
     def _fault_lag(
         self, began_s: float, over_s: float, name: NodeId, domain: str
     ) -> None:
-        """Let a failure domain read an old replica."""
-        lag = self.random.randint(1, 3)
+        """Let a failure domain read an old replica, or one that stopped."""
+        lag = self.random.randint(0, 3)
+        log = self.fleet.log
 
         def begin() -> None:
             for node, its_domain in SMALL.items():
-                if its_domain == domain:
-                    self.fleet.log.lag_records[NodeId(node)] = lag
-
-        if not self.fleet.log.lag_records:
-            self.fleet.at(began_s, begin)
+                if its_domain != domain:
+                    continue
+                if lag:
+                    log.lag_records[NodeId(node)] = lag
+                else:
+                    log.stopped_at[NodeId(node)] = len(log.records)
+
+        self.fleet.at(began_s, begin)
 
     def _heal(self) -> None:
         self.fleet.heal()
--- a/bench/relay_fleet.py
+++ b/bench/relay_fleet.py
@@ -48,6 +48,7 @@
     down: bool = False
     delay_s: float = 0.0
     lag_records: dict[NodeId, int] = field(default_factory=dict)
+    stopped_at: dict[NodeId, int] = field(default_factory=dict)
     waiting: list[Callable[[], None]] = field(default_factory=list)
 
     def append(self, record: Record) -> int | None:
@@ -63,8 +64,8 @@
 
     def end_for(self, node: NodeId) -> int:
         """Return the end of the stream that a node's replica shows."""
-        lag = self.lag_records.get(node, 0)
-        return max(self.oldest, len(self.records) - lag)
+        end = len(self.records) - self.lag_records.get(node, 0)
+        return max(self.oldest, min(end, self.stopped_at.get(node, end)))
 
 
 @dataclass(slots=True)
@@ -179,6 +180,7 @@
         self.log.down = False
         self.log.delay_s = 0.0
         self.log.lag_records.clear()
+        self.log.stopped_at.clear()
 
     def is_cut(self, one: FleetNode, other: FleetNode | None) -> bool:
         """Tell whether two nodes, or a node and the log, are cut."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -151,6 +151,41 @@
         fleet.run(7)
         self.assertEqual(versions(fleet), {2})
 
+    def test_old_replica_is_found_out_also_when_no_other_domain_is_heard(self):
+        fleet = fleet_with_a_version()
+        near = ('a0', 'a1', 'a2')
+        for name in near:
+            fleet.log.stopped_at[name] = 1
+        fleet.cut('a', 'b')
+        fleet.cut('a', 'c')
+        fleet.log.append(change_record('two', 1, WITHDRAWAL))
+        fleet.run(7)
+        self.assertFalse(open_nodes(fleet) & set(near))
+        self.assertEqual(open_nodes(fleet), set(fleet.nodes) - set(near))
+
+    def restarted_after_retention(self, with_snapshot):
+        fleet = fleet_with_a_version()
+        fleet.log.append(change_record('two', 1, WITHDRAWAL))
+        fleet.run(4)
+        if with_snapshot:
+            fold = fleet.nodes['a0'].relay.fold
+            fleet.log.append(fold.snapshot('snap'))
+        fleet.log.oldest = 2
+        for name in fleet.nodes:
+            fleet.restart(name)
+        fleet.run(8)
+        return fleet
+
+    def test_all_nodes_started_anew_take_the_snapshot_of_the_log(self):
+        fleet = self.restarted_after_retention(with_snapshot=True)
+        self.assertEqual(versions(fleet), {2})
+        self.assertEqual(open_nodes(fleet), set(fleet.nodes))
+
+    def test_all_nodes_started_anew_without_a_snapshot_refuse(self):
+        fleet = self.restarted_after_retention(with_snapshot=False)
+        verified = [node.relay.fold.verified for node in fleet.nodes.values()]
+        self.assertFalse(any(verified))
+
     def test_random_schedules_keep_the_version_and_the_key(self):
         for seed in range(12):
             seen = Trial(seed, Relay).run()
