Relay: the choice of a source and the kept records in modules of their own

Change: process/relay_source.py and version/kept.py; the source is kept while the candidates stay the same; the memory of silent nodes is bounded.

--- a/src/rattanstile/process/relay.py
+++ b/src/rattanstile/process/relay.py
@@ -8,7 +8,6 @@
 ask the other failure domains whether they do.
 """
 
-from collections import deque
 from math import ceil
 from random import Random
 
@@ -42,15 +41,16 @@
     VersionAccepted,
     VersionPush,
 )
+from rattanstile.process.relay_source import Source
 from rattanstile.process.relay_tree import RelayTree
 from rattanstile.process.snapshot_timer import SnapshotTimer
 from rattanstile.request.ids import (
     FailureDomainId,
     NodeId,
     RecordId,
-    VersionNumber,
 )
 from rattanstile.version.fold import Fold
+from rattanstile.version.kept import KeptRecords
 from rattanstile.version.records import AcceptedRecord, SnapshotRecord
 
 TICK_S = 0.1
@@ -59,13 +59,8 @@
 ASKED_LATELY_S = 2.0
 STALE_AFTER_S = 2.8
 READER_STALE_AFTER_S = 1.3
-SILENT_QUERIES = 1
-RETURN_MIN_S = 6.0
-RETURN_MAX_S = 12.0
 ISOLATED_AFTER_S = 1.2
 ISOLATED_JITTER_S = 0.6
-MAX_KEPT = 256
-MAX_HANDED_ON = 32
 
 _log = Logger('relay')
 
@@ -100,14 +95,13 @@
         self._tree = RelayTree(own.node_id, ())
         self._elsewhere = Elsewhere(own.failure_domain, random)
         self._member_domains: frozenset[FailureDomainId] = frozenset()
-        self._source = 0
-        self._return_s = NEVER_S
         self._queries = Queries()
+        self._source = Source(self._queries, random)
         self._next_query_s = NEVER_S
         self._next_check_s = NEVER_S
         self._useful_s: float | None = None
         self._isolation_s = ISOLATED_AFTER_S
-        self._kept: deque[AcceptedRecord] = deque(maxlen=MAX_KEPT)
+        self._kept = KeptRecords()
         self._asked_s: dict[NodeId, float] = {}
 
     @property
@@ -160,7 +154,7 @@
             member.failure_domain for member in members
         )
         self._know_domains()
-        self._source = 0
+        self._source.set_candidates(self._tree.sources())
 
     def _know_domains(self) -> None:
         """Take the declared domains as known, also when none is heard.
@@ -199,7 +193,7 @@
 
     def _ask(self, now_s: float) -> list[RelayOutput]:
         if not self._tree.reads_log:
-            return self._ask_source(now_s)
+            return [self._query(now_s, self._source.choose(now_s))]
         if now_s - self.freshness.log_heard_s < READER_STALE_AFTER_S:
             return []
         asked = [*self._elsewhere.next_round(), *self._tree.readers]
@@ -212,26 +206,6 @@
         self._next_check_s = now_s + CROSS_CHECK_PERIOD_S
         return [self._query(now_s, node) for node in self._elsewhere.one()]
 
-    def _ask_source(self, now_s: float) -> list[RelayOutput]:
-        sources = self._tree.sources()
-        if self._source and now_s >= self._return_s:
-            self._source = 0
-            self._queries.forget(sources[0])
-        source = sources[self._source % len(sources)]
-        if self._queries.unanswered(source) >= SILENT_QUERIES:
-            self._queries.forget(source)
-            self._turn_away(now_s)
-            source = sources[self._source % len(sources)]
-            _log.info('event=parent_silent next={}', source)
-        return [self._query(now_s, source)]
-
-    def _turn_away(self, now_s: float) -> None:
-        if not self._source:
-            self._return_s = now_s + self._random.uniform(
-                RETURN_MIN_S, RETURN_MAX_S
-            )
-        self._source += 1
-
     def _query(self, now_s: float, receiver: NodeId) -> SendControl:
         version = self.fold.version if self.fold.verified else UNVERIFIED
         query = FreshnessQuery(
@@ -274,7 +248,11 @@
 
     def _reply_to(self, now_s: float, query: FreshnessQuery) -> FreshnessReply:
         behind = self.fold.verified and query.version < self.fold.version
-        accepted = self._accepted_since(query.version) if behind else ()
+        accepted = (
+            self._kept.between(query.version, self.fold.version)
+            if behind
+            else ()
+        )
         snapshot = None
         if behind and not accepted:
             snapshot = self._snapshot()
@@ -295,15 +273,6 @@
             snapshot=snapshot,
         )
 
-    def _accepted_since(
-        self, version: VersionNumber
-    ) -> tuple[AcceptedRecord, ...]:
-        lacking = tuple(
-            kept for kept in self._kept if kept.accepted.version > version
-        )
-        complete = len(lacking) == self.fold.version - version
-        return lacking if complete and len(lacking) <= MAX_HANDED_ON else ()
-
     def _replied(
         self, now_s: float, sender: NodeId, reply: FreshnessReply
     ) -> list[RelayOutput]:
@@ -352,7 +321,7 @@
                 0, ISOLATED_JITTER_S
             )
         elif not self._tree.reads_log:
-            self._turn_away(now_s)
+            self._source.turn_away(now_s)
 
     def _note_read(self, sender: NodeId, sent_s: float, age_s: float) -> None:
         if self._elsewhere.domain_of(sender) == self._own.failure_domain:
--- a/src/rattanstile/process/relay_contacts.py
+++ b/src/rattanstile/process/relay_contacts.py
@@ -9,6 +9,7 @@
 from rattanstile.request.ids import FailureDomainId, NodeId
 
 MAX_OPEN_QUERIES = 128
+MAX_SILENT_NODES = 512
 DOMAINS_A_ROUND = 9
 
 
@@ -28,6 +29,8 @@
         self._unanswered[receiver] = self.unanswered(receiver) + 1
         if len(self._open) > MAX_OPEN_QUERIES:
             self._open.pop(next(iter(self._open)))
+        if len(self._unanswered) > MAX_SILENT_NODES:
+            self._unanswered.pop(next(iter(self._unanswered)))
         return self._sequence
 
     def answered(self, sender: NodeId, sequence: int) -> float | None:
