--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -6,6 +6,7 @@
 import tracemalloc
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 import msgspec
@@ -13,7 +14,12 @@
 from bench.membership_sample import SampledFleet, update_of
 from bench.membership_world import VirtualMember, member_of
 from bench.rates_demand import Demand, organisations_of
-from rattanstile.process.control_messages import LogRecordRead
+from bench.rates_world import World
+from rattanstile.process.control_messages import (
+    ControlArrived,
+    LogRecordRead,
+    SendControl,
+)
 from rattanstile.process.home_table import HomeTable
 from rattanstile.process.members import MemberTable
 from rattanstile.process.messages import Ticked
@@ -43,6 +49,9 @@
 WARM_S = 10.0
 BORROWERS = (14, 140, 1400, 14_000)
 ORGANISATIONS = (8, 80, 800)
+ENTRY_ORGANISATIONS = (1, 8, 80)
+CALLS_PER_S = 280.0
+LINK_S = 0.003
 REPEATS = 2000
 ME = ProcessId(node_id=NodeId('node-00000'), incarnation=Incarnation(1))
 
@@ -292,7 +301,8 @@
 def entry() -> list[Slope]:
     """Return time and messages of the entry node's side of the rates."""
     slopes = [_admission(count) for count in ORGANISATIONS]
-    return [*slopes, _loans_per_call()]
+    loans = [_loans(count) for count in ENTRY_ORGANISATIONS]
+    return [*slopes, *loans, _loans_per_call()]
 
 
 def _admission(count: int) -> Slope:
@@ -312,6 +322,62 @@
     )
 
 
+def _loans(count: int) -> Slope:
+    """Count the loans of one entry node whose owners have plenty."""
+    machine = Borrower(ME, Random(1))
+    organisations = organisations_of(tuple(1e6 for _ in range(count)))
+    machine.configure(0.0, organisations, 64, is_first_version=True)
+    for shard in range(shard_count(64)):
+        machine.step(0.0, LogRecordRead('rates', _claim(shard)))
+    world = World(Random(2))
+    moved = [0, 0]
+
+    def carry(outputs) -> None:
+        for output in outputs:
+            if isinstance(output, SendControl):
+                answer = _granted(output.message)
+                moved[0] += 1
+                moved[1] += _size(output.message) + _size(answer)
+                arrived = ControlArrived(output.receiver, answer)
+                world.after(LINK_S, partial(take, arrived))
+
+    def take(message) -> None:
+        carry(machine.step(world.now_s, message))
+
+    def call() -> None:
+        world.after(world.random.expovariate(CALLS_PER_S), call)
+        name = world.random.choice(organisations).name
+        machine.admit(world.now_s, name, 1)
+        carry(machine.take_outputs())
+
+    def tick() -> None:
+        world.after(TICK_S, tick)
+        take(Ticked())
+
+    call()
+    tick()
+    world.run(COUNTED_S)
+    loans_per_s = moved[0] / COUNTED_S
+    return Slope(
+        'entry',
+        f'{CALLS_PER_S:.0f} calls/s of {count} organisations',
+        f'{loans_per_s:.0f} loans/s, {moved[1] / COUNTED_S:.0f} B/s',
+    )
+
+
+def _granted(request: LoanRequest) -> LoanGrant:
+    return LoanGrant(
+        shard=request.shard,
+        epoch=request.epoch,
+        organisation=request.organisation,
+        sequence=request.sequence,
+        extended=request.held > 0,
+        granted=request.wanted,
+        left=1000,
+        retry_after_ms=0,
+    )
+
+
 def _loans_per_call() -> Slope:
     demand = Demand(1, 8, organisations_of((120.0, 80.0, 60.0, 20.0)))
     demand.run(20.0)
