--- a/src/rattanstile/client.py
+++ b/src/rattanstile/client.py
@@ -45,6 +45,7 @@
 from rattanstile.connection.id_grants import IdGrants
 from rattanstile.connection.link import PeerProtocol
 from rattanstile.process.edge_bucket import EdgeBuckets
+from rattanstile.process.logs import key_values
 from rattanstile.process.reactor import Reactor, installed_reactor
 from rattanstile.process.timers import Timer, TimerService
 from rattanstile.request.call_id import CallIdIssuer
@@ -278,7 +279,8 @@
         self._without_id.setdefault(service, []).append(call)
         if service not in self._asked:
             self._asked[service] = link
-            link.send(IdsWanted(service=service))
+            avoided = self._grants.doubted(self._timers.now_s(), service)
+            link.send(IdsWanted(service=service, avoided=avoided))
 
     def _take_grant(self, granted: IdsGranted) -> None:
         self._asked.pop(granted.service, None)
@@ -300,10 +302,11 @@
     def _take_reply(self, link: PeerProtocol, message: CallerReply) -> None:
         call = self._in_flight.get(message.sequence)
         if call is None or call.link is not link:
-            _log.info('event=reply_ignored sequence={}', message.sequence)
+            _log.info(key_values('reply_ignored', sequence=message.sequence))
             return
         self._in_flight.pop(message.sequence)
         reply = message.reply
+        self._grants.answered(call.request.service, call.call_id)
         if reply.reason is not None and not reply.reason.is_overload:
             self._grants.drop(call.request.service)
         now_s = self._timers.now_s()
--- a/src/rattanstile/connection/frames.py
+++ b/src/rattanstile/connection/frames.py
@@ -119,9 +119,15 @@
 
 
 class IdsWanted(msgspec.Struct, frozen=True, kw_only=True, tag='ids-wanted'):
-    """The caller library asks for the right to issue call ids."""
+    """The caller library asks for the right to issue call ids.
+
+    Attributes:
+        avoided: A home that left the caller's calls unanswered; empty for
+            none.
+    """
 
     service: ServiceName
+    avoided: NodeId = NodeId('')
 
 
 class IdsGranted(msgspec.Struct, frozen=True, kw_only=True, tag='ids-granted'):
@@ -130,12 +136,14 @@
     Attributes:
         home: The node that alone may run the calls; empty when none serves.
         id_epoch: The home's id epoch, as the entry node last heard it.
+        issuer: Name that the entry node gives the caller, for its logs.
     """
 
     service: ServiceName
     home: NodeId
     incarnation: int = 0
     id_epoch: int = 0
+    issuer: str = ''
 
 
 Message = (
--- a/src/rattanstile/process/directory.py
+++ b/src/rattanstile/process/directory.py
@@ -8,13 +8,14 @@
 from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from heapq import nsmallest
 from random import Random
 
 import msgspec
 import xxhash
 
 from rattanstile.process.control_messages import SendControl
-from rattanstile.process.members import Entry, MemberTable
+from rattanstile.process.members import Entry, MemberTable, part_of
 from rattanstile.process.membership_messages import (
     DomainMembers,
     DomainRequest,
@@ -33,11 +34,11 @@
 SUMMARY_ROUND = 3
 """Seconds in which each other domain gets a summary from each directory."""
 CHANGES_TOLD = 8
-CHANGE_TOLD_S = 12.0
-DOMAIN_SILENT_S = 1.5
-DOMAIN_LOST_S = 3.0
+CHANGE_TOLD_S = 6.0
+DOMAIN_SILENT_S = 1.0
+DOMAIN_LOST_S = 2.0
 REQUEST_EVERY_S = 5.0
-SUBSCRIPTION_S = 12.0
+SUBSCRIPTION_S = 75.0
 PAGE_MEMBERS = 64
 PROBES = 2
 
@@ -69,16 +70,24 @@
     )
     _asked_s: dict[FailureDomainId, float] = field(default_factory=dict)
     _requested_s: dict[FailureDomainId, float] = field(default_factory=dict)
+    _directories: dict[FailureDomainId, tuple[int, list[NodeId]]] = field(
+        default_factory=dict
+    )
     _subscriptions: dict[NodeId, _Subscription] = field(default_factory=dict)
 
     def of_domain(self, domain: FailureDomainId) -> list[NodeId]:
         """Return the directories of a failure domain, as known here."""
-        alive = (
-            entry.member.node_id
-            for entry in self.table.in_domain(domain)
-            if entry.state is MemberState.ALIVE
-        )
-        return sorted(alive, key=_weight)[:DIRECTORIES]
+        change = self.table.change_of(domain)
+        known = self._directories.get(domain)
+        if known is None or known[0] != change:
+            alive = (
+                entry.member.node_id
+                for entry in self.table.in_domain(domain)
+                if entry.state is MemberState.ALIVE
+            )
+            known = (change, nsmallest(DIRECTORIES, alive, key=_weight))
+            self._directories[domain] = known
+        return known[1]
 
     def is_one(self) -> bool:
         """Tell whether this node is a directory of its domain."""
@@ -129,15 +138,27 @@
         is_early = now_s < requested_s + REQUEST_EVERY_S
         if self.is_one() and not is_known and not is_early:
             self._requested_s[message.domain] = now_s
-            sends.append(SendControl(sender, DomainRequest(message.domain)))
+            parts = self.table.part_digests(message.domain)
+            request = DomainRequest(message.domain, parts)
+            sends.append(SendControl(sender, request))
         return sends
 
     def request_arrived(
         self, sender: NodeId, message: DomainRequest
     ) -> list[SendControl]:
-        """Send every member of a domain, in pages."""
-        entries = self.table.in_domain(message.domain)
-        updates = [entry.update(with_member=True) for entry in entries]
+        """Send the members that the sender may have wrong, in pages."""
+        own = self.table.part_digests(message.domain)
+        asked = message.digests
+        differing = {
+            part
+            for part, digest in enumerate(own)
+            if part >= len(asked) or asked[part] != digest
+        }
+        updates = [
+            entry.update(with_member=True)
+            for entry in self.table.in_domain(message.domain)
+            if part_of(entry.member.node_id) in differing
+        ]
         pages = paged(updates)
         return [
             SendControl(
@@ -155,13 +176,12 @@
         self._subscriptions[sender] = _Subscription(
             message.services, now_s + SUBSCRIPTION_S
         )
-        sends = [
-            SendControl(sender, self._service(service))
-            for service, digest in zip(
-                message.services, message.digests, strict=True
+        sends: list[SendControl] = []
+        if self.table.services_digest(message.services) != message.digest:
+            sends.extend(
+                SendControl(sender, self._service(service))
+                for service in message.services
             )
-            if self.table.service_digest(service) != digest
-        ]
         if is_new:
             for domain in sorted(self.lost_domains):
                 sends.append(SendControl(sender, DomainState(domain, True)))
--- a/src/rattanstile/process/members.py
+++ b/src/rattanstile/process/members.py
@@ -12,7 +12,9 @@
 
 LEFT_KEPT_S = 600.0
 """How long it is known that an incarnation left: older news is gone by then."""
+DOMAIN_PARTS = 64
 _MASK = 0xFFFFFFFF
+_PART_MASK = 0xFFFF
 
 
 @dataclass(slots=True)
@@ -46,6 +48,7 @@
     _entries: dict[NodeId, Entry] = field(default_factory=dict)
     _by_domain: dict[FailureDomainId, set[NodeId]] = field(default_factory=dict)
     _by_service: dict[ServiceName, set[NodeId]] = field(default_factory=dict)
+    _changes: dict[FailureDomainId, int] = field(default_factory=dict)
     _digests: dict[FailureDomainId | ServiceName, int] = field(
         default_factory=dict
     )
@@ -99,6 +102,22 @@
             self._digests[service] = digest_of(self.of_service(service))
         return self._digests[service]
 
+    def part_digests(self, domain: FailureDomainId) -> tuple[int, ...]:
+        """Return a digest of each part of a domain's members."""
+        totals = [0 for _ in range(DOMAIN_PARTS)]
+        for entry in self.in_domain(domain):
+            if entry.state is not MemberState.LEFT:
+                totals[part_of(entry.member.node_id)] += _entry_digest(entry)
+        return tuple(total & _PART_MASK for total in totals)
+
+    def services_digest(self, services: Iterable[ServiceName]) -> int:
+        """Return one digest over several services."""
+        return sum(map(self.service_digest, services)) & _MASK
+
+    def change_of(self, domain: FailureDomainId) -> int:
+        """Return a number that grows with each change in a domain."""
+        return self._changes.get(domain, 0)
+
     def all_entries(self) -> Iterator[Entry]:
         """Yield every entry."""
         return iter(tuple(self._entries.values()))
@@ -136,11 +155,18 @@
     def _digest_changed(self, member: Member) -> None:
         self._digests.pop(member.failure_domain, None)
         self._digests.pop(member.service, None)
+        domain = member.failure_domain
+        self._changes[domain] = self._changes.get(domain, 0) + 1
 
     def _entries_of(self, node_ids: Iterable[NodeId]) -> Iterator[Entry]:
         return (self._entries[node_id] for node_id in tuple(node_ids))
 
 
+def part_of(node_id: NodeId) -> int:
+    """Return the part of its domain that a node belongs to."""
+    return xxhash.xxh32_intdigest(node_id.encode()) % DOMAIN_PARTS
+
+
 def digest_of(entries: Iterable[Entry]) -> int:
     """Return a digest of nodes, incarnations and states, in any order."""
     total = 0
--- a/src/rattanstile/process/membership_messages.py
+++ b/src/rattanstile/process/membership_messages.py
@@ -96,11 +96,11 @@
     """A node names the services that its own calls.
 
     Attributes:
-        digests: Of the live members that the sender knows of each service.
+        digest: Of the members that the sender knows of all of them.
     """
 
     services: tuple[ServiceName, ...]
-    digests: tuple[int, ...]
+    digest: int
 
 
 class ServiceMembers(msgspec.Struct, frozen=True, array_like=True, tag='mm'):
@@ -131,13 +131,19 @@
 
 
 class DomainRequest(msgspec.Struct, frozen=True, array_like=True, tag='mq'):
-    """A directory whose view of a domain differs asks for the members."""
+    """A directory whose view of a domain differs asks for the members.
+
+    Attributes:
+        digests: Of parts of the domain's members, by a hash of the node id;
+            only the parts that differ are answered.
+    """
 
     domain: FailureDomainId
+    digests: tuple[int, ...]
 
 
 class DomainMembers(msgspec.Struct, frozen=True, array_like=True, tag='mf'):
-    """All members of a failure domain, page by page."""
+    """Members of a failure domain that the asker may have wrong."""
 
     domain: FailureDomainId
     page: int
--- a/src/rattanstile/process/relay.py
+++ b/src/rattanstile/process/relay.py
@@ -8,7 +8,6 @@
 ask the other failure domains whether they do.
 """
 
-from collections import deque
 from math import ceil
 from random import Random
 
@@ -16,7 +15,11 @@
 
 from rattanstile.process.freshness import NEVER_S, Freshness
 from rattanstile.process.log_follower import LogFollower
-from rattanstile.process.relay_contacts import Elsewhere, Queries
+from rattanstile.process.relay_contacts import (
+    Elsewhere,
+    FellowReaders,
+    Queries,
+)
 from rattanstile.process.relay_messages import (
     NO_AGE,
     UNVERIFIED,
@@ -26,6 +29,7 @@
     LogRead,
     LogReadFailed,
     LogReadTooOld,
+    MarkAppended,
     MembersChanged,
     RelayInput,
     RelayMember,
@@ -37,27 +41,26 @@
     VersionAccepted,
     VersionPush,
 )
+from rattanstile.process.relay_source import Source
 from rattanstile.process.relay_tree import RelayTree
 from rattanstile.process.snapshot_timer import SnapshotTimer
 from rattanstile.request.ids import (
+    FailureDomainId,
     NodeId,
     RecordId,
-    VersionNumber,
 )
 from rattanstile.version.fold import Fold
+from rattanstile.version.kept import KeptRecords
 from rattanstile.version.records import AcceptedRecord, SnapshotRecord
 
 TICK_S = 0.1
 POLL_PERIOD_S = 0.5
-CROSS_CHECK_PERIOD_S = 0.9
+CROSS_CHECK_PERIOD_S = 0.4
 ASKED_LATELY_S = 2.0
 STALE_AFTER_S = 2.8
 READER_STALE_AFTER_S = 1.3
-SILENT_QUERIES = 1
 ISOLATED_AFTER_S = 1.2
 ISOLATED_JITTER_S = 0.6
-MAX_KEPT = 256
-MAX_HANDED_ON = 32
 
 _log = Logger('relay')
 
@@ -86,19 +89,19 @@
         self.freshness = freshness or Freshness(own.failure_domain)
         self._own = own
         self._random = random
-        self._follower = LogFollower(
-            own.failure_domain, self.fold, self.freshness, random
-        )
+        self._follower = LogFollower(self.fold, self.freshness, random)
+        self._fellows = FellowReaders()
         self._snapshots = SnapshotTimer(random)
         self._tree = RelayTree(own.node_id, ())
         self._elsewhere = Elsewhere(own.failure_domain, random)
-        self._source = 0
+        self._member_domains: frozenset[FailureDomainId] = frozenset()
         self._queries = Queries()
+        self._source = Source(self._queries, random)
         self._next_query_s = NEVER_S
         self._next_check_s = NEVER_S
         self._useful_s: float | None = None
         self._isolation_s = ISOLATED_AFTER_S
-        self._kept: deque[AcceptedRecord] = deque(maxlen=MAX_KEPT)
+        self._kept = KeptRecords()
         self._asked_s: dict[NodeId, float] = {}
 
     @property
@@ -112,6 +115,7 @@
         verified = self.fold.verified
         outputs = self._step(now_s, relay_input)
         if self.fold.version != version or self.fold.verified != verified:
+            self._know_domains()
             _log.info('event=version_in_force version={}', self.fold.version)
             outputs.append(
                 VersionAccepted(self.fold.version, self.fold.declaration)
@@ -130,6 +134,8 @@
                 self._follower.on_too_old(now_s, relay_input)
             case LogReadFailed():
                 self._follower.on_failed(now_s, relay_input)
+            case MarkAppended():
+                self._follower.on_mark(relay_input)
             case MembersChanged(members=members):
                 self._members_changed(members)
         return []
@@ -144,10 +150,24 @@
         ]
         self._tree = RelayTree(self._own.node_id, near)
         self._elsewhere.set_members(members)
-        self.freshness.know_domains(
-            frozenset(member.failure_domain for member in members)
+        self._member_domains = frozenset(
+            member.failure_domain for member in members
         )
-        self._source = 0
+        self._know_domains()
+        self._source.set_candidates(self._tree.sources())
+
+    def _know_domains(self) -> None:
+        """Take the declared domains as known, also when none is heard.
+
+        Membership forgets a failure domain that is cut off; whether it hears
+        the log still matters.
+        """
+        declared = self.fold.declaration.failure_domains
+        taken_out = {one.name for one in declared if not one.in_service}
+        known = self._member_domains | {one.name for one in declared}
+        known = frozenset(known - taken_out)
+        self.freshness.know_domains(known)
+        self._follower.need_voucher(bool(known - {self._own.failure_domain}))
 
     # time
 
@@ -156,6 +176,9 @@
         if self._useful_s is None:
             self._useful_s = now_s
             self._next_query_s = now_s
+        if self._tree.reads_log:
+            outputs.extend(self._cross_check(now_s))
+            self._note_own_outage()
         if now_s >= self._next_query_s:
             self._next_query_s = now_s + self._random.uniform(
                 POLL_PERIOD_S * 0.9, POLL_PERIOD_S * 1.1
@@ -163,19 +186,17 @@
             outputs.extend(self._ask(now_s))
         if self._reads_now(now_s):
             outputs.extend(self._follower.tick(now_s))
+            outputs.extend(self._follower.mark(now_s))
         if self._tree.reads_log and self._snapshots.is_due(now_s, self.fold):
             outputs.append(AppendSnapshot(self._snapshot()))
         return outputs
 
     def _ask(self, now_s: float) -> list[RelayOutput]:
         if not self._tree.reads_log:
-            return self._ask_source(now_s)
+            return [self._query(now_s, self._source.choose(now_s))]
         if now_s - self.freshness.log_heard_s < READER_STALE_AFTER_S:
-            return self._cross_check(now_s)
-        asked = self._elsewhere.next_round()
-        fellows = self._tree.readers
-        if fellows:
-            asked.append(self._random.choice(fellows))
+            return []
+        asked = [*self._elsewhere.next_round(), *self._tree.readers]
         return [self._query(now_s, node) for node in asked]
 
     def _cross_check(self, now_s: float) -> list[RelayOutput]:
@@ -185,16 +206,6 @@
         self._next_check_s = now_s + CROSS_CHECK_PERIOD_S
         return [self._query(now_s, node) for node in self._elsewhere.one()]
 
-    def _ask_source(self, now_s: float) -> list[RelayOutput]:
-        sources = self._tree.sources()
-        source = sources[self._source % len(sources)]
-        if self._queries.unanswered(source) >= SILENT_QUERIES:
-            self._queries.forget(source)
-            self._source += 1
-            source = sources[self._source % len(sources)]
-            _log.info('event=parent_silent next={}', source)
-        return [self._query(now_s, source)]
-
     def _query(self, now_s: float, receiver: NodeId) -> SendControl:
         version = self.fold.version if self.fold.verified else UNVERIFIED
         query = FreshnessQuery(
@@ -225,7 +236,8 @@
     def _asked(
         self, now_s: float, sender: NodeId, query: FreshnessQuery
     ) -> list[RelayOutput]:
-        self._asked_s[sender] = now_s
+        if self._elsewhere.domain_of(sender) == self._own.failure_domain:
+            self._asked_s[sender] = now_s
         outputs: list[RelayOutput] = [
             SendControl(sender, self._reply_to(now_s, query))
         ]
@@ -236,7 +248,11 @@
 
     def _reply_to(self, now_s: float, query: FreshnessQuery) -> FreshnessReply:
         behind = self.fold.verified and query.version < self.fold.version
-        accepted = self._accepted_since(query.version) if behind else ()
+        accepted = (
+            self._kept.between(query.version, self.fold.version)
+            if behind
+            else ()
+        )
         snapshot = None
         if behind and not accepted:
             snapshot = self._snapshot()
@@ -248,6 +264,8 @@
             sequence=query.sequence,
             version=self.fold.version if verified else UNVERIFIED,
             log_age_ms=_age_ms(now_s, freshness.log_heard_s),
+            domain_read_ms=_age_ms(now_s, freshness.domain_read_s),
+            own_outage_ms=_age_ms(now_s, self._own_outage_s()),
             domain_outage_ms=_age_ms(now_s, freshness.domain_outage_s),
             fleet_outage_ms=_age_ms(now_s, freshness.fleet_outage_s),
             log_end=self.fold.read_end,
@@ -255,15 +273,6 @@
             snapshot=snapshot,
         )
 
-    def _accepted_since(
-        self, version: VersionNumber
-    ) -> tuple[AcceptedRecord, ...]:
-        lacking = tuple(
-            kept for kept in self._kept if kept.accepted.version > version
-        )
-        complete = len(lacking) == self.fold.version - version
-        return lacking if complete and len(lacking) <= MAX_HANDED_ON else ()
-
     def _replied(
         self, now_s: float, sender: NodeId, reply: FreshnessReply
     ) -> list[RelayOutput]:
@@ -291,7 +300,13 @@
     ) -> None:
         if reply.log_age_ms != NO_AGE:
             self.freshness.hear_log(sent_s - reply.log_age_ms / 1000)
-        if reply.domain_outage_ms != NO_AGE:
+        if reply.domain_read_ms != NO_AGE:
+            self._note_read(sender, sent_s, reply.domain_read_ms / 1000)
+        if reply.own_outage_ms != NO_AGE:
+            self._fellows.see_outage(
+                sender, sent_s - reply.own_outage_ms / 1000
+            )
+        if reply.domain_outage_ms != NO_AGE and self._may_tell(sender):
             self.freshness.see_domain_outage(
                 self._elsewhere.domain_of(sender),
                 sent_s - reply.domain_outage_ms / 1000,
@@ -305,8 +320,32 @@
             self._isolation_s = ISOLATED_AFTER_S + self._random.uniform(
                 0, ISOLATED_JITTER_S
             )
-        else:
-            self._source += 1
+        elif not self._tree.reads_log:
+            self._source.turn_away(now_s)
+
+    def _note_read(self, sender: NodeId, sent_s: float, age_s: float) -> None:
+        if self._elsewhere.domain_of(sender) == self._own.failure_domain:
+            self.freshness.read_log(sent_s - age_s)
+        elif age_s <= STALE_AFTER_S:
+            self._follower.vouch(sent_s)
+
+    def _may_tell(self, sender: NodeId) -> bool:
+        """Tell whether a sender may speak for its failure domain here."""
+        domain = self._elsewhere.domain_of(sender)
+        return not (self.reads_log and domain == self._own.failure_domain)
+
+    def _own_outage_s(self) -> float:
+        return self._follower.outage_s if self.reads_log else NEVER_S
+
+    def _note_own_outage(self) -> None:
+        """Speak for the failure domain once most of its readers agree."""
+        if self._follower.outage_s <= self.freshness.domain_outage_s:
+            return
+        agreed_s = self._fellows.agreed_s(
+            self._follower.outage_s, self._tree.readers
+        )
+        if agreed_s != NEVER_S:
+            self.freshness.see_domain_outage(self._own.failure_domain, agreed_s)
 
     def _take(
         self,
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -178,6 +178,16 @@
         self.assertTrue(second.call_id.startswith('other-home/'))
         self.assertEqual(second.attempt, 1)
 
+    def test_refused_attempt_goes_on_through_another_entry(self):
+        for _ in range(8):
+            self.call()
+            entry, request = self.heard()
+            entry.answer(request, Outcome.NOT_RUN, Reason.NO_TARGET)
+            self.reactor.advance(0.1)
+            other, again = self.heard()
+            self.assertIsNot(other, entry)
+            other.answer(again)
+
     def test_refusal_after_a_lost_attempt_stays_unknown(self):
         self.call()
         entry, _ = self.heard()
@@ -223,6 +233,43 @@
         self.assertEqual(len(self.results), 30)
         self.assertEqual(attempts, 30 + 10)
 
+    def test_home_that_leaves_a_call_unanswered_gets_no_further_one(self):
+        _, first = self.granted_call()
+        self.reactor.advance(0.4)
+        self.call('POST')
+        _, second = self.heard()
+        self.assertIsInstance(second, CallerRequest)
+        self.reactor.advance(0.2)
+        self.call('POST')
+        entry, wanted = self.heard()
+        self.assertEqual(wanted, IdsWanted(service='till', avoided='home'))
+        entry.grant('other-home')
+        _, third = self.heard()
+        self.assertTrue(third.call_id.startswith('other-home/'))
+
+    def test_home_that_answers_keeps_its_grant(self):
+        entry, first = self.granted_call()
+        entry.answer(first)
+        self.reactor.advance(1.0)
+        self.call('POST')
+        self.assertIsInstance(self.heard()[1], CallerRequest)
+
+    def test_many_calls_lost_at_once_are_all_sent_again(self):
+        for _ in range(40):
+            self.call('POST')
+            entry, message = self.heard()
+            if isinstance(message, IdsWanted):
+                entry.grant()
+                self.heard()
+        lose(self.entries[0].link)
+        self.reactor.advance(0.1)
+        again = self.entries[1].heard()
+        self.assertGreater(len(again), 10)
+        self.assertEqual(self.results, [])
+        for request in again:
+            self.entries[1].answer(request)
+        self.assertEqual(len(self.results), len(again))
+
     def test_final_refusals_and_failures_are_not_retried(self):
         for outcome, reason, kind in (
             (Outcome.NOT_RUN, Reason.KEY_REFUSED, NotRunError),
