Peers: a changed address takes the queue along; a closed peer reports nothing

Cause: when a member's address changed while the connection to the old one was still pending, its refusal was reported as 'nothing was sent' for the whole node. Change: the queue goes to the new connection; only the loss of an open one is reported by a closed peer; refused messages are kept apart from the queue. Shown: the new test fails on the version before (PeerLost reported).

--- a/src/rattanstile/connection/peer.py
+++ b/src/rattanstile/connection/peer.py
@@ -135,9 +135,7 @@
         """
         peer = self._outbound.get(member.node_id)
         if peer is None or peer.member.address != member.address:
-            self.forget(member.node_id)
-            peer = _OutboundPeer(self, member)
-            self._outbound[member.node_id] = peer
+            peer = self._replace(member)
         peer.send(message)
 
     def reply(self, node_id: NodeId, message: Message) -> bool:
@@ -156,8 +154,18 @@
     def forget(self, node_id: NodeId) -> None:
         """Close the connection to a node, such as one that has left."""
         peer = self._outbound.pop(node_id, None)
-        if peer is not None:
-            peer.close()
+        if peer is not None and peer.close():
+            self.handler(PeerLost(node_id, connected=False))
+
+    def _replace(self, member: Member) -> '_OutboundPeer':
+        """Connect to another address; what was not sent goes there."""
+        earlier = self._outbound.pop(member.node_id, None)
+        unsent = earlier.close() if earlier else ()
+        peer = _OutboundPeer(self, member)
+        self._outbound[member.node_id] = peer
+        for message in unsent:
+            peer.send(message)
+        return peer
 
     def say_farewell(self) -> None:
         """Tell every end that opened a connection that this node drains."""
@@ -196,6 +204,7 @@
         self._pool = pool
         self._link: PeerProtocol | None = None
         self._queued: deque[Message] = deque()
+        self._refused: deque[Message] = deque()
         self._is_ready = False
         self._is_connecting = False
         self._is_closed = False
@@ -205,8 +214,8 @@
 
     def send(self, message: Message) -> None:
         if self._is_failing:
-            return
-        if self._is_ready:
+            self._refused.append(message)
+        elif self._is_ready:
             cast(PeerProtocol, self._link).send(message)
         elif len(self._queued) >= MAX_QUEUED_MESSAGES:
             self._fail_later()
@@ -218,10 +227,19 @@
         if self._link is not None:
             self._link.check()
 
-    def close(self) -> None:
+    def close(self) -> tuple[Message, ...]:
+        """Close for good and return the messages that were never sent.
+
+        From now on nothing but the loss of an open connection is reported: a
+        report that nothing was sent would cover what its successor sends.
+        """
         self._is_closed = True
+        unsent = (*self._refused, *self._queued)
+        self._refused.clear()
+        self._queued.clear()
         if self._link is not None:
             self._link.abort()
+        return unsent
 
     def connect_failed(self) -> None:
         self._is_connecting = False
@@ -293,6 +311,7 @@
         # A sender never hears back from inside its own call of `send`; until
         # then nothing is sent, so that "unconnected" is true of all it covers.
         self._is_failing = True
+        self._refused.extend(self._queued)
         self._queued.clear()
         self._pool.timers.after(0, lambda now_s: self._report_unsent())
 
@@ -302,7 +321,10 @@
             self._report_unsent()
 
     def _report_unsent(self) -> None:
+        if self._is_closed:
+            return
         self._is_failing = False
+        self._refused.clear()
         self._pool.handler(PeerLost(self.member.node_id, connected=False))
 
 
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+import msgspec
+
 from rattanstile.connection import peer as peers
 from rattanstile.connection.frames import (
     CallerRequest,
@@ -175,6 +177,15 @@
         self.assertEqual(self.caller.events, [unsent, unsent])
         self.assertEqual(len(self.caller.clock.factories), 1)
 
+    def test_new_address_takes_the_queue_and_the_old_one_reports_nothing(self):
+        moved = msgspec.structs.replace(PEER, address='127.0.0.1:10')
+        self.caller.pool.send(PEER, call(1))
+        self.caller.pool.send(moved, call(2))
+        self.caller.clock.refuse(0)
+        self.assertEqual(self.caller.events, [])
+        self.join()
+        self.assertEqual(self.server.arrived(), [call(1), call(2)])
+
     def test_back_off_grows_and_ends_with_a_connection(self):
         for _ in range(6):
             self.caller.clock.advance(peers.MAX_BACKOFF_S)
