Close target connections that a past peak left idle

Cause: the connection used last is used again first, so that those opened for a peak stayed open for good. The new test fails without the change.

--- a/src/rattanstile/connection/target_http.py
+++ b/src/rattanstile/connection/target_http.py
@@ -125,6 +125,7 @@
             connection.abort()
         else:
             self._idle.append(connection)
+            self._close_oldest(connection.answered_s - MAX_IDLE_S)
 
     def connection_dropped(self, connection: '_TargetConnection') -> None:
         """Give a connection no further call."""
@@ -159,6 +160,12 @@
             connection.abort()
         return None
 
+    def _close_oldest(self, since_s: float) -> None:
+        # The first idle connection is the one that answered longest ago.
+        oldest = self._idle[0]
+        if oldest.answered_s < since_s:
+            oldest.abort()
+
     def _connect_for_waiting(self) -> None:
         if len(self._waiting) <= self._connecting:
             return
--- a/tests/test_target_http.py
+++ b/tests/test_target_http.py
@@ -210,6 +210,19 @@
         self.assertTrue(connection.transport.aborted)
         self.assertEqual(len(self.reactor.factories), 2)
 
+    def test_idle_connections_of_a_past_peak_are_closed(self):
+        self.run_call()
+        self.run_call()
+        spare, busy = self.reactor.dialled(0), self.reactor.dialled(1)
+        spare.dataReceived(OK + b'ok')
+        busy.dataReceived(OK + b'ok')
+        for _ in range(3):
+            self.reactor.advance(target_http.MAX_IDLE_S / 2)
+            self.run_call()
+            busy.dataReceived(OK + b'ok')
+        self.assertTrue(spare.transport.aborted)
+        self.assertFalse(busy.transport.aborted)
+
     def test_cancelled_call_closes_its_connection(self):
         result = self.run_call()
         connection = self.reactor.dialled()
