--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,6 +15,7 @@
 from bench.membership_world import VirtualMember, member_of
 from bench.rates_demand import Demand, organisations_of
 from bench.rates_world import World
+from bench.relay_fleet import Fleet
 from rattanstile.process.control_messages import (
     ControlArrived,
     LogRecordRead,
@@ -36,6 +37,10 @@
 )
 from rattanstile.process.rate_owner import TICK_S, RateOwner
 from rattanstile.process.rate_shares import Share, shard_count
+from rattanstile.process.relay import TICK_S as RELAY_TICK_S
+from rattanstile.process.relay import Relay
+from rattanstile.process.relay_messages import ReadLog
+from rattanstile.process.relay_tree import MAX_READERS
 from rattanstile.request.call_id import CallIdIssuer
 from rattanstile.request.envelope import Call, Reply
 from rattanstile.request.ids import Incarnation, NodeId
@@ -48,6 +53,7 @@
 COUNTED_S = 30.0
 WARM_S = 10.0
 BORROWERS = (14, 140, 1400, 14_000)
+RELAY_SIZES = ((14, 3), (1400, 18), (14_000, 18))
 ORGANISATIONS = (8, 80, 800)
 ENTRY_ORGANISATIONS = (1, 8, 80)
 CALLS_PER_S = 280.0
@@ -394,6 +400,57 @@
     )
 
 
+def relay() -> list[Slope]:
+    """Return time, reads and appends of relay nodes and log readers."""
+    slopes = []
+    for nodes, domains in RELAY_SIZES:
+        near = [f'node-{place:05}' for place in range(-(-nodes // domains))]
+        places = dict.fromkeys(near, 'd0')
+        for domain in range(1, domains):
+            for place in range(MAX_READERS):
+                places[f'far-{domain}-{place}'] = f'd{domain}'
+        fleet = Fleet(places, Random(nodes), RELAY_TICK_S)
+        fleet.run(WARM_S)
+        meters = [_RelayMeter(node.relay) for node in fleet.nodes.values()]
+        marks = fleet.marks
+        fleet.run(WARM_S + COUNTED_S)
+        shares = {True: [0.0], False: [0.0]}
+        for meter in meters:
+            share = meter.spent_s / COUNTED_S
+            shares[meter.relay.reads_log].append(share)
+        reads = sum(meter.reads for meter in meters) / COUNTED_S
+        slopes.append(
+            Slope(
+                'relay',
+                f'{nodes} nodes, no change of the configuration',
+                f'{max(shares[False]):.3%} of a core at the busiest node,'
+                f' {max(shares[True]):.3%} at a log reader;'
+                f' fleet: {reads:.0f} reads/s of the log,'
+                f' {(fleet.marks - marks) / COUNTED_S:.1f} appends/s',
+            )
+        )
+    return slopes
+
+
+class _RelayMeter:
+    """Counts what one relay spends, and its reads, from now on."""
+
+    def __init__(self, relay: Relay) -> None:
+        """Wrap the machine."""
+        self.relay = relay
+        self.spent_s = 0.0
+        self.reads = 0
+        self._step = relay.step
+        relay.step = self._timed  # type: ignore[method-assign]
+
+    def _timed(self, now_s, relay_input):
+        started_s = time.perf_counter()
+        outputs = self._step(now_s, relay_input)
+        self.spent_s += time.perf_counter() - started_s
+        self.reads += sum(isinstance(one, ReadLog) for one in outputs)
+        return outputs
+
+
 def home() -> list[Slope]:
     """Return time and memory of a home's table."""
     ids = CallIdIssuer(NodeId('node-00000'), Incarnation(1_700_000_000_000))
@@ -476,7 +533,7 @@
     Returns:
         0.
     """
-    for measure in (membership, owner, entry, home, version):
+    for measure in (membership, relay, owner, entry, home, version):
         for slope in measure():
             print(f'{slope.role:14} | {slope.size:48} | {slope.figure}')
     return 0
