Claim shards also while versions change

Cause: no process claimed a shard within 5 s of a change of any rate, so with frequent changes a lost owner was never replaced. Now only a process that has itself had a version for less than 5 s leaves claims to others.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -312,9 +312,19 @@
     return [*slopes, *loans, _loans_per_call()]
 
 
+def _organisations(count: int) -> tuple[Organisation, ...]:
+    """Return organisations with plenty, and names of the usual length."""
+    return tuple(
+        Organisation(
+            name=f'organisation-{index}', rate_per_s=1e6, burst_calls=1_000_000
+        )
+        for index in range(count)
+    )
+
+
 def _admission(count: int) -> Slope:
     machine = Borrower(ME, Random(1))
-    organisations = organisations_of(tuple(1e6 for _ in range(count)))
+    organisations = _organisations(count)
     machine.configure(0.0, organisations, 64, is_first_version=True)
     machine.step(0.0, StaticSlotSet(0))
     clock = _Clock(0.01)
@@ -332,7 +342,7 @@
 def _loans(count: int) -> Slope:
     """Count the loans of one entry node whose owners have plenty."""
     machine = Borrower(ME, Random(1))
-    organisations = organisations_of(tuple(1e6 for _ in range(count)))
+    organisations = _organisations(count)
     machine.configure(0.0, organisations, 64, is_first_version=True)
     for shard in range(shard_count(64)):
         machine.step(0.0, LogRecordRead('rates', _claim(shard)))
--- a/src/rattanstile/process/rate_owner.py
+++ b/src/rattanstile/process/rate_owner.py
@@ -136,7 +136,7 @@
 
     def _scan(self, now_s: float) -> list[OwnerOutput]:
         outputs: list[OwnerOutput] = []
-        if not self._schedule.is_settled(now_s):
+        if not self._schedule.is_ready(now_s):
             return outputs
         for number in range(self._shard_count):
             shard = ShardId(number)
--- a/src/rattanstile/process/rate_shares.py
+++ b/src/rattanstile/process/rate_shares.py
@@ -136,6 +136,7 @@
     _earlier: list[tuple[float, dict[OrganisationId, Split]]] = field(
         default_factory=list
     )
+    _ready_s: float | None = None
 
     def replace(
         self,
@@ -154,14 +155,17 @@
             is_first_version: Whether the fleet had no version before.
         """
         splits = {one.name: split_of(one, max_nodes) for one in organisations}
+        self._earlier = [one for one in self._earlier if now_s < one[0]]
         if not is_first_version and splits != self._current:
             self._earlier.append((now_s + RAISE_DELAY_S, self._current))
+        if self._ready_s is None:
+            delay_s = 0.0 if is_first_version else RAISE_DELAY_S
+            self._ready_s = now_s + delay_s
         self._current = splits
 
-    def is_settled(self, now_s: float) -> bool:
-        """Tell whether no earlier version bounds a share any more."""
-        self._earlier = [one for one in self._earlier if now_s < one[0]]
-        return not self._earlier
+    def is_ready(self, now_s: float) -> bool:
+        """Tell whether this process has had a version long enough to lend."""
+        return self._ready_s is not None and now_s >= self._ready_s
 
     def names(self) -> tuple[OrganisationId, ...]:
         """Return every organisation of the version in force."""
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -83,6 +83,18 @@
         schedule.replace(0.0, [organisation()], 16, is_first_version=False)
         self.assertEqual(self.rate(schedule, 1.0), 0.0)
 
+    def test_changes_of_others_leave_a_part_as_it_is(self):
+        schedule = self.schedule(0.0, 100.0)
+        before = self.rate(schedule, 10.0)
+        for change in range(20):
+            now_s = 10.0 + change
+            others = organisation(50.0 + change, name='other')
+            schedule.replace(
+                now_s, [organisation(), others], 16, is_first_version=False
+            )
+            self.assertEqual(self.rate(schedule, now_s), before)
+            self.assertTrue(schedule.is_ready(now_s))
+
     def test_removed_organisation_has_no_part(self):
         schedule = self.schedule(0.0, 100.0)
         shard = schedule.shards_of('o')[0]
