Leave an entry's loans alone between asks; end waits of a removed organisation

Cause: calls that waited for an organisation that a version removed were never answered. Each call summed all loans even where none could be asked.

--- a/src/rattanstile/process/rate_borrower.py
+++ b/src/rattanstile/process/rate_borrower.py
@@ -140,8 +140,11 @@
         self._schedule.replace(
             now_s, organisations, max_nodes, is_first_version=is_first_version
         )
-        for name in self._schedule.names():
+        names = self._schedule.names()
+        for name in names:
             self._purses.setdefault(name, _Purse())
+        for name in self._purses.keys() - set(names):
+            self._deny_all(now_s, self._purses.pop(name))
 
     def admit(
         self, now_s: float, organisation: OrganisationId, request_id: int
@@ -258,6 +261,9 @@
     def _ask(
         self, now_s: float, organisation: OrganisationId, purse: _Purse
     ) -> None:
+        is_early = now_s < purse.ahead_after_s
+        if is_early and not purse.waiting:
+            return
         missing = purse.demand.wanted(
             now_s, purse.valid(now_s) + purse.awaited(), len(purse.waiting)
         )
@@ -265,7 +271,7 @@
             return
         awaited = purse.awaited_needed()
         needed = max(0, len(purse.waiting) - awaited - purse.valid(now_s))
-        if needed == 0 and now_s < purse.ahead_after_s:
+        if needed == 0 and is_early:
             return
         account = self._best_account(now_s, organisation, purse)
         if account is None:
--- a/tests/test_rate_borrower.py
+++ b/tests/test_rate_borrower.py
@@ -128,6 +128,14 @@
         returned = asked(machine.step(10.0 + LOAN_TERM_S - 0.05, Ticked()))
         self.assertEqual((returned.held, returned.spent), (0, 1))
 
+    def test_removed_organisation_ends_its_waits(self):
+        machine = borrower()
+        self.waiting(machine)
+        machine.configure(10.1, [], 16, is_first_version=False)
+        (denied,) = machine.take_outputs()
+        self.assertIsInstance(denied, Denied)
+        self.assertIsInstance(machine.admit(10.1, 'o', 2), OverRate)
+
     def test_unknown_organisation_is_over_its_rate(self):
         self.assertIsInstance(borrower().admit(1.0, 'x', 1), OverRate)
 
