--- a/src/rattanstile/process/rate_shares.py
+++ b/src/rattanstile/process/rate_shares.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import reduce
 
 import xxhash
 
@@ -180,25 +181,23 @@
         self, now_s: float, name: OrganisationId, slot: int
     ) -> Share:
         """Return the static part of a slot now."""
-        share = NO_SHARE
-        if name in self._current:
-            share = self._current[name].of_slot(slot)
-        for splits in self._bounding(now_s):
-            bound = splits[name].of_slot(slot) if name in splits else NO_SHARE
-            share = share.at_most(bound)
-        return share
+        parts = [
+            splits[name].of_slot(slot) if name in splits else NO_SHARE
+            for splits in self._bounding(now_s)
+        ]
+        return reduce(Share.at_most, parts)
 
     def shard_share(
         self, now_s: float, name: OrganisationId, shard: ShardId
     ) -> Share:
         """Return the part of a shard now."""
-        share = NO_SHARE
-        if name in self._current:
-            share = self._current[name].of_shard(shard)
-        for splits in self._bounding(now_s):
-            bound = splits[name].of_shard(shard) if name in splits else NO_SHARE
-            share = share.at_most(bound)
-        return share
+        parts = [
+            splits[name].of_shard(shard) if name in splits else NO_SHARE
+            for splits in self._bounding(now_s)
+        ]
+        return reduce(Share.at_most, parts)
 
     def _bounding(self, now_s: float) -> list[dict[OrganisationId, Split]]:
-        return [splits for until_s, splits in self._earlier if now_s < until_s]
+        """Return the splits that bound a part: the one in force first."""
+        earlier = [one for end_s, one in self._earlier if now_s < end_s]
+        return [self._current, *earlier]
