--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+import msgspec
+
 from rattanstile.connection import peer as peers
 from rattanstile.connection.frames import (
     CallerRequest,
@@ -136,11 +138,24 @@
         self.server.pool.reply('a', reply(1))
         wire.pump()
         wire.is_cut = True
-        self.caller.check(10)
+        self.caller.check(240)
         self.assertNotIn(PeerLost('b'), self.caller.events)
         self.caller.check(60)
         self.assertEqual(self.caller.events[-1], PeerLost('b'))
 
+    def test_next_call_on_a_silent_idle_connection_finds_it_in_two_seconds(
+        self,
+    ):
+        self.caller.pool.send(PEER, call(1))
+        wire = self.join()
+        self.server.pool.reply('a', reply(1))
+        wire.pump()
+        wire.is_cut = True
+        self.caller.check(30)
+        self.caller.pool.send(PEER, call(2))
+        self.caller.check(7)
+        self.assertEqual(self.caller.events[-1], PeerLost('b'))
+
     def test_pause_of_the_own_process_blames_nobody(self):
         self.caller.pool.send(PEER, call(1))
         wire = self.join()
@@ -162,6 +177,15 @@
         self.assertEqual(self.caller.events, [unsent, unsent])
         self.assertEqual(len(self.caller.clock.factories), 1)
 
+    def test_new_address_takes_the_queue_and_the_old_one_reports_nothing(self):
+        moved = msgspec.structs.replace(PEER, address='127.0.0.1:10')
+        self.caller.pool.send(PEER, call(1))
+        self.caller.pool.send(moved, call(2))
+        self.caller.clock.refuse(0)
+        self.assertEqual(self.caller.events, [])
+        self.join()
+        self.assertEqual(self.server.arrived(), [call(1), call(2)])
+
     def test_back_off_grows_and_ends_with_a_connection(self):
         for _ in range(6):
             self.caller.clock.advance(peers.MAX_BACKOFF_S)
