--- a/src/rattanstile/process/rate_lease.py
+++ b/src/rattanstile/process/rate_lease.py
@@ -6,6 +6,11 @@
 moment the owner asked. A successor has the earlier claims' witnesses sealed,
 then waits until no vouch and no loan given before can still be in force. No
 two clocks are compared.
+
+A lease renewed in the log would end in its first outage. An owner that went
+on because no peer hears the log would lend beside its successor where the two
+are cut off from each other. Witnesses keep no data, need no operator, and
+who they are is agreed in the log; restarted ones vouch for nothing earlier.
 """
 
 from dataclasses import dataclass, field
