--- a/src/rattanstile/process/caller_links.py
+++ b/src/rattanstile/process/caller_links.py
@@ -61,8 +61,8 @@
                 answer = self._open.get(link, {}).get(sequence)
                 if answer is not None:
                     answer.cancel()
-            case IdsWanted(service=service):
-                self._grants.grant(service, link.send)
+            case IdsWanted(service=service, avoided=avoided):
+                self._grants.grant(service, link.send, avoided)
 
     def _run(self, link: PeerProtocol, request: CallerRequest) -> None:
         open_requests = self._open.setdefault(link, {})
--- a/src/rattanstile/process/contexts.py
+++ b/src/rattanstile/process/contexts.py
@@ -39,6 +39,7 @@
         tries: Retry budget lent to the child.
         parent: The call that makes this one.
         shed_draw: See `Call.shed_draw`; one draw for the whole tree.
+        shed_pressure: See `Call.shed_pressure`.
     """
 
     organisation: OrganisationId
@@ -49,6 +50,7 @@
     tries: int
     parent: CallId
     shed_draw: float
+    shed_pressure: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +126,7 @@
                 tries=context.budget.lend(),
                 parent=context.call.call_id,
                 shed_draw=context.call.shed_draw,
+                shed_pressure=context.call.shed_pressure,
             )
         )
 
--- a/src/rattanstile/process/entry_service.py
+++ b/src/rattanstile/process/entry_service.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count
 
 import logbook
@@ -15,6 +15,7 @@
     AskHome,
     BindingWanted,
     CallRequested,
+    ChildEnded,
     EntryInput,
     EntryOutput,
     Finished,
@@ -25,6 +26,7 @@
 )
 from rattanstile.process.metrics import CallCounters
 from rattanstile.process.rate_service import Admission, RateService
+from rattanstile.process.serving_call import child_end
 from rattanstile.process.shedding import SheddingEntry
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Header, Reply
@@ -65,6 +67,7 @@
     began_s: float
     answer: 'Deferred[Reply]'
     passed: Passed | None = None
+    call: CallRequested | None = None
     is_placed: bool = False
 
 
@@ -80,7 +83,7 @@
     """
 
     send: Callable[[SendCall | SendCancel | AskHome | BindingWanted], None]
-    child_ended: Callable[[CallId, float], None]
+    child_ended: Callable[[ChildEnded], None]
     knows_members: Callable[[ServiceName], bool]
     follow_members: Callable[[ServiceName], None]
 
@@ -176,6 +179,13 @@
             return
         passed = checked.unwrap()
         pending.passed = passed
+        judged = self._shedding.judge(
+            now_s, _call_of(number, pending.request, passed)
+        )
+        if isinstance(judged, Finished):
+            self._finish(number, judged.reply)
+            return
+        pending.call = judged
         if self._draining and passed.share is None:
             self._refuse(number, Reason.DRAINING)
         elif not self._ports.knows_members(pending.request.asked.service):
@@ -211,34 +221,13 @@
                 self._refuse(number, Reason.OVER_RATE, retry_after_ms)
 
     def _place(self, number: int, pending: _Pending) -> None:
-        passed = pending.passed
-        if passed is None:
+        call = pending.call
+        if call is None:
             return
         pending.is_placed = True
-        request = pending.request
-        asked = request.asked
         waited_ms = int((self._timers.now_s() - pending.began_s) * MS_PER_S)
-        self.step(
-            CallRequested(
-                request_id=number,
-                call_id=request.call_id,
-                attempt=request.attempt,
-                organisation=passed.organisation,
-                key_digest=passed.key_digest,
-                service=asked.service,
-                method=asked.method,
-                path=asked.path,
-                headers=request.headers,
-                body=request.body,
-                route=passed.route,
-                remaining_ms=passed.remaining_ms - waited_ms,
-                tries_left=passed.tries,
-                hops=passed.hops,
-                idempotency_key=request.idempotency_key,
-                priority=passed.priority,
-                shed_draw=passed.shed_draw,
-            )
-        )
+        left_ms = call.remaining_ms - waited_ms
+        self.step(replace(call, remaining_ms=left_ms))
 
     # The end of a request
 
@@ -305,10 +294,35 @@
             reply.tries_unspent,
             whole=reply.outcome is Outcome.WHOLE,
         )
-        pressure = max(reply.pressure, reply.subtree_pressure)
-        self._ports.child_ended(passed.share.parent, pressure)
+        self._ports.child_ended(child_end(passed.share.parent, reply))
 
     def _abandon(self, number: int) -> None:
         pending = self._pending.pop(number, None)
         if pending is not None and pending.is_placed:
             self.step(RequestAbandoned(number))
+
+
+def _call_of(
+    number: int, request: EntryRequest, passed: Passed
+) -> CallRequested:
+    asked = request.asked
+    return CallRequested(
+        request_id=number,
+        call_id=request.call_id,
+        attempt=request.attempt,
+        organisation=passed.organisation,
+        key_digest=passed.key_digest,
+        service=asked.service,
+        method=asked.method,
+        path=asked.path,
+        headers=request.headers,
+        body=request.body,
+        route=passed.route,
+        remaining_ms=passed.remaining_ms,
+        tries_left=passed.tries,
+        hops=passed.hops,
+        idempotency_key=request.idempotency_key,
+        priority=passed.priority,
+        shed_draw=passed.shed_draw,
+        shed_pressure=passed.shed_pressure,
+    )
--- a/src/rattanstile/process/gate.py
+++ b/src/rattanstile/process/gate.py
@@ -50,6 +50,7 @@
         tries: Retry budget of the call tree, or of the share lent to it.
         hops: Calls above this one.
         shed_draw: See `rattanstile.request.envelope.Call`.
+        shed_pressure: See there too.
         share: What the parent lent; None for a root call.
     """
 
@@ -61,6 +62,7 @@
     tries: int
     hops: int
     shed_draw: float
+    shed_pressure: float = 0.0
     share: ChildShare | None = None
 
     @property
@@ -159,6 +161,7 @@
                 tries=share.tries,
                 hops=share.hops,
                 shed_draw=share.shed_draw,
+                shed_pressure=share.shed_pressure,
                 share=share,
             )
         )
--- a/src/rattanstile/process/home_grants.py
+++ b/src/rattanstile/process/home_grants.py
@@ -15,6 +15,7 @@
 )
 
 ASK_TIMEOUT_S = 1.0
+NO_HOME = NodeId('')
 
 Answer = Callable[[IdsGranted], None]
 
@@ -49,10 +50,20 @@
         self._heard: dict[NodeId, tuple[float, HomeSeen]] = {}
         self._waiting: dict[NodeId, list[_Asked]] = {}
 
-    def grant(self, service: ServiceName, answer: Answer) -> None:
-        """Answer with a home, or with an empty one when none is heard."""
+    def grant(
+        self,
+        service: ServiceName,
+        answer: Answer,
+        avoided: NodeId = NO_HOME,
+    ) -> None:
+        """Answer with a home, or with an empty one when none is heard.
+
+        Args:
+            avoided: A home that left a call of the caller unanswered.
+        """
         now_s = self._timers.now_s()
-        home = self._chooser.choose(now_s, service, frozenset(), self._rng)
+        excluded = frozenset((avoided,))
+        home = self._chooser.choose(now_s, service, excluded, self._rng)
         if home is None:
             answer(IdsGranted(service=service, home=NodeId('')))
             return
--- a/src/rattanstile/process/serving_service.py
+++ b/src/rattanstile/process/serving_service.py
@@ -75,9 +75,9 @@
         """Take word that nobody waits for an attempt."""
         self._step(CancelArrived(cancel, sender))
 
-    def child_ended(self, parent: CallId, pressure: float) -> None:
+    def child_ended(self, ended: ChildEnded) -> None:
         """Learn that a call made by a running call has ended."""
-        self._step(ChildEnded(parent, pressure))
+        self._step(ended)
 
     def drain(self) -> None:
         """Refuse new work from now on."""
--- a/src/rattanstile/process/settings.py
+++ b/src/rattanstile/process/settings.py
@@ -48,14 +48,10 @@
     Attributes:
         max_callers: Callers' connections at once.
         max_target_connections: Connections to the target at once.
-        max_body_bytes: Longest request or answer body.
-        silent_s: A connection that says nothing for longer is closed.
     """
 
     max_callers: int = 1200
     max_target_connections: int = 1200
-    max_body_bytes: int = 1_048_576
-    silent_s: float = 2.0
 
 
 class NodeSettings(
@@ -215,8 +211,6 @@
             '$.connections.max_target_connections',
             settings.connections.max_target_connections,
         ),
-        ('$.connections.max_body_bytes', settings.connections.max_body_bytes),
-        ('$.connections.silent_s', settings.connections.silent_s),
     )
     for field, found in bounded:
         if found <= 0:
--- a/src/rattanstile/process/shedding.py
+++ b/src/rattanstile/process/shedding.py
@@ -93,7 +93,7 @@
         """Take one input and return what follows from it."""
         match entry_input:
             case CallRequested():
-                tested = self._tested(now_s, entry_input)
+                tested = self.judge(now_s, entry_input)
                 if isinstance(tested, Finished):
                     return [tested]
                 entry_input = tested
@@ -111,10 +111,13 @@
             self._book.forget(now_s)
         return self._book.pressure(now_s, asked)
 
-    def _tested(
+    def judge(
         self, now_s: float, request: CallRequested
     ) -> CallRequested | Finished:
-        """Return the request with its draw and test, or its refusal."""
+        """Return the request with its draw and test, or its refusal.
+
+        Asked before the rate is charged too: what is shed costs no token.
+        """
         draw = request.shed_draw
         if draw < 0:
             draw = self._rng.random()
--- a/src/rattanstile/trial/scenarios.py
+++ b/src/rattanstile/trial/scenarios.py
@@ -33,8 +33,9 @@
 from rattanstile.trial.run import TrialRun
 
 FAULT_S = 3.0
-CLEAR_S = 8.0
-LENGTH_S = 12.0
+FAULT_LENGTH_S = 5.0
+SURGE_LENGTH_S = 12.0
+REST_S = 4.0
 SEED = 11
 LAST_BUCKET_S = 1.0
 LIBRARY_SHARE = 2
@@ -53,7 +54,7 @@
     """A load, the faults in the middle of it, and who is compared.
 
     Attributes:
-        faults: Begun at `FAULT_S` and ended at `CLEAR_S`.
+        faults: Begun at `FAULT_S` and ended `fault_length_s` later.
         retries: Further tries that callers make at once, each time.
         has_baseline: Whether the baseline can meet the faults at all.
     """
@@ -62,6 +63,7 @@
     faults: Callable[[Deployment], tuple[Fault, ...]]
     retries: int = 0
     has_baseline: bool = True
+    fault_length_s: float = FAULT_LENGTH_S
 
 
 def _deepest(deployment: Deployment) -> str:
@@ -75,6 +77,7 @@
         'surge',
         lambda fleet: (Surge(4.0), SlowService(_deepest(fleet), 5.0)),
         retries=3,
+        fault_length_s=SURGE_LENGTH_S,
     ),
     Scenario(
         'greedy',
@@ -148,12 +151,13 @@
             await run.sleep(FAULT_S)
             for fault in faults:
                 await begin(run, load, fault, notes)
-            await run.sleep(max(0.0, CLEAR_S - load.elapsed_s()))
+            planned_s = FAULT_S + scenario.fault_length_s
+            await run.sleep(max(0.0, planned_s - load.elapsed_s()))
             for ending in faults:
                 await end(run, load, ending, notes)
             clear_s = load.elapsed_s()
-            until_s = clear_s + LENGTH_S - CLEAR_S
-            await run.sleep(until_s - clear_s)
+            until_s = clear_s + REST_S
+            await run.sleep(REST_S)
         await run.last_calls(load)
     broken = await run.count_broken(load)
     window = Window(clear_s, until_s)
