Leaving is not ending; owners bounded without the log; faster news of a loss

Cause 1: a member that left was told as ended while it still finished its calls and might still vouch or lend. It now only gets no new work; ended is one whose node runs with a larger incarnation. Cause 2: with a shard's witnesses gone for good no successor could start. An owner now stops 1200 s after it sent the last claim that it read back (it claims anew each 240 s, so an outage of 10 minutes does not stop it), and a claimant may pass over witnesses after that time. News of a loss now goes to the directories at once and from them to all domains within 0.3 s, probes go out each 0.4 s, suspicion lasts 1.5 s.

--- a/bench/membership_sample.py
+++ b/bench/membership_sample.py
@@ -30,6 +30,7 @@
 """Restarts come in waves: the churn is that of ten times the day's mean."""
 NEWS_S = 15.0
 LIVE = 20
+RESTART_S = 4.0
 
 
 def update_of(member: Member) -> Update:
@@ -115,7 +116,13 @@
                 address=member.address,
                 control_address=member.control_address,
             )
-            self.news.append((self.world.now_s, update_of(newer)))
+            joined = update_of(newer)
+            left = Update(member.node_id, member.incarnation, MemberState.LEFT)
+            self.news.append((self.world.now_s, left))
+            self.world.after(
+                RESTART_S, lambda: self.news.append((self.world.now_s, joined))
+            )
+            self.fakes[member.node_id] = newer
 
     def updates(self) -> tuple[Update, ...]:
         """Return the news that the other nodes now carry."""
--- a/src/rattanstile/process/directory.py
+++ b/src/rattanstile/process/directory.py
@@ -31,6 +31,7 @@
 
 DIRECTORIES = 3
 SUMMARY_EVERY_S = 1.0
+URGENT_WITHIN_S = 0.3
 SUMMARY_ROUND = 3
 """Seconds in which each other domain gets a summary from each directory."""
 CHANGES_TOLD = 8
@@ -65,6 +66,8 @@
     lost_domains: set[FailureDomainId] = field(default_factory=set)
     _next_s: float = 0.0
     _turn: int = 0
+    _is_urgent: bool = False
+    """Whether other domains may send work to a member that is gone."""
     _changes: deque[tuple[float, Update]] = field(
         default_factory=lambda: deque(maxlen=CHANGES_TOLD)
     )
@@ -108,8 +111,11 @@
         due = [
             domain
             for index, domain in enumerate(others)
-            if index % SUMMARY_ROUND == self._turn or domain in self._asked_s
+            if self._is_urgent
+            or index % SUMMARY_ROUND == self._turn
+            or domain in self._asked_s
         ]
+        self._is_urgent = False
         self._turn = (self._turn + 1) % SUMMARY_ROUND
         sends = [send for domain in due for send in self._ask(now_s, domain)]
         return sends + self._find_lost(now_s)
@@ -119,6 +125,10 @@
         update = entry.update(with_member=True)
         if entry.member.failure_domain == self.me.failure_domain:
             self._changes.appendleft((now_s, update))
+            is_worse = entry.state in {MemberState.LOST, MemberState.LEFT}
+            if is_worse:
+                self._is_urgent = True
+                self._next_s = min(self._next_s, now_s + URGENT_WITHIN_S)
         news = ServiceMembers(entry.member.service, False, (update,))
         return [
             SendControl(node_id, news)
--- a/src/rattanstile/process/gossip.py
+++ b/src/rattanstile/process/gossip.py
@@ -14,8 +14,8 @@
 from rattanstile.process.membership_messages import Update
 from rattanstile.request.ids import NodeId
 
-PROBE_EVERY_S = 0.5
-ANSWER_WITHIN_S = 0.2
+PROBE_EVERY_S = 0.4
+ANSWER_WITHIN_S = 0.15
 INDIRECT_PROBES = 3
 UPDATES_PER_MESSAGE = 6
 SPREAD_FACTOR = 3
--- a/src/rattanstile/process/membership.py
+++ b/src/rattanstile/process/membership.py
@@ -100,6 +100,7 @@
         self._sends: list[MembershipOutput] = []
         self._relayed: dict[int, tuple[NodeId, int]] = {}
         self._refutation = 0
+        self._accused: set[NodeId] = set()
         self._state = MemberState.ALIVE
         self._last_s: float | None = None
         self._due_s: dict[str, float] = {}
@@ -222,6 +223,9 @@
             self._sends.extend(self._directory.tick(now_s))
         for node_id in self._suspicions.due(now_s):
             self._judge(now_s, node_id, MemberState.LOST)
+            if node_id in self._accused:
+                self._accused.discard(node_id)
+                self._tell_directories()
         if self._is_due(now_s, 'sweep', SWEEP_EVERY_S):
             self._sweep(now_s)
 
@@ -259,11 +263,17 @@
             return
         if self._prober.probe is not None:
             subject = self._prober.probe.subject
+            self._accused.add(subject)
             self._judge(now_s, subject, MemberState.SUSPECT)
         probe = self._prober.begin(now_s, self._probed())
         if probe is not None:
             self._ping(probe.subject, probe.sequence)
 
+    def _tell_directories(self) -> None:
+        """Spread the latest news at once, where it matters most."""
+        for receiver in self.directories():
+            self._ping(receiver, self._prober.next_sequence())
+
     def _probe_indirectly(self) -> None:
         probe = self._prober.probe
         if probe is None:
@@ -302,6 +312,7 @@
             )
 
     def _heard(self, node_id: NodeId) -> None:
+        self._accused.discard(node_id)
         self._prober.heard(node_id)
         self._suspicions.heard(node_id)
 
@@ -335,8 +346,8 @@
             self._suspicions.begin(now_s, node_id)
             return
         self._suspicions.end(node_id)
-        if entry.state is not MemberState.ALIVE:
-            self._lose(entry.member, ended=entry.state is MemberState.LEFT)
+        if entry.state is MemberState.LOST:
+            self._lose(entry.member, ended=False)
 
     def _lose(self, member: Member, *, ended: bool) -> None:
         self._lost.append(MemberLost(member.node_id, member.incarnation, ended))
--- a/src/rattanstile/process/membership_messages.py
+++ b/src/rattanstile/process/membership_messages.py
@@ -218,11 +218,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberLost:
-    """No call of this incarnation is to be waited for.
+    """An incarnation does not answer, or has ended.
+
+    A member that leaves is not lost: it takes no new work, which
+    `MembersChanged` tells, but finishes what it has.
 
     Attributes:
-        ended: Whether it has ended for certain: it left, or its node runs
-            with a larger incarnation. A lost one may be heard again.
+        ended: Whether it has ended for certain, as its node runs with a
+            larger incarnation. A lost one may be heard again.
     """
 
     node_id: NodeId
--- a/src/rattanstile/process/rate_candidate.py
+++ b/src/rattanstile/process/rate_candidate.py
@@ -50,6 +50,7 @@
     _gone: set[ProcessId] = field(default_factory=set)
     _seen_s: dict[ShardId, float] = field(default_factory=dict)
     _tried_s: dict[ShardId, float] = field(default_factory=dict)
+    _sent_s: dict[tuple[ShardId, Epoch], float] = field(default_factory=dict)
 
     def set_peers(self, peers: tuple[RatePeer, ...]) -> None:
         """Take the live nodes known here, this one left out."""
@@ -78,6 +79,7 @@
             return None
         self._tried_s[shard] = now_s
         epoch = self.claims.next_epoch(shard)
+        self._sent_s.setdefault((shard, epoch), now_s)
         return OwnerClaimRecord(
             record_id=_record_id(self.me, shard, epoch),
             shard=shard,
@@ -86,6 +88,14 @@
             witnesses=self._witnesses(shard),
         )
 
+    def sent_s(self, claim: OwnerClaimRecord) -> float:
+        """Return when a claim of this process was first sent to the log."""
+        sent_s = self._sent_s.get((claim.shard, claim.epoch), float('-inf'))
+        for key in tuple(self._sent_s):
+            if key[0] == claim.shard and key[1] <= claim.epoch:
+                self._sent_s.pop(key)
+        return sent_s
+
     def can_replace(self, witness: ProcessId) -> bool:
         """Tell whether a claim made now would leave the witness out."""
         return all(peer.process != witness for peer in self._peers)
--- a/src/rattanstile/process/rate_lease.py
+++ b/src/rattanstile/process/rate_lease.py
@@ -35,6 +35,10 @@
 SEAL_EVERY_S = 0.1
 TAKEOVER_WAIT_S = (LEASE_S + LOAN_TERM_S) * 1.03
 REQUESTS_KEPT = 8
+WITHOUT_LOG_MAX_S = 1200.0
+"""How long an owner goes on after the last claim that it read back."""
+TAKEOVER_UNSEALED_S = (WITHOUT_LOG_MAX_S + LOAN_TERM_S) * 1.03
+"""After it a claimant need not hear of witnesses that are gone for good."""
 
 
 def bounding_witnesses(claim: OwnerClaimRecord) -> tuple[ProcessId, ...]:
@@ -104,9 +108,15 @@
 
 @dataclass(slots=True)
 class Sealing:
-    """Has the witnesses of earlier claims sealed, before taking over."""
+    """Has the witnesses of earlier claims sealed, before taking over.
+
+    Attributes:
+        claims: The claims whose owners may still hold a lease.
+        read_s: When the claim that follows them was read.
+    """
 
     claims: tuple[OwnerClaimRecord, ...]
+    read_s: float
     _sealed: dict[ProcessId, Epoch] = field(default_factory=dict)
     _sealed_s: float | None = None
 
@@ -138,7 +148,7 @@
 
     def is_done(self, now_s: float) -> bool:
         """Tell whether no earlier lease or loan can still be in force."""
-        if not self.claims:
+        if not self.claims or now_s >= self.read_s + TAKEOVER_UNSEALED_S:
             return True
         return (
             self._sealed_s is not None
--- a/src/rattanstile/process/rate_owner.py
+++ b/src/rattanstile/process/rate_owner.py
@@ -13,7 +13,7 @@
 from rattanstile.process.messages import Ticked
 from rattanstile.process.rate_candidate import Candidate
 from rattanstile.process.rate_claims import ClaimFold
-from rattanstile.process.rate_lease import Witness
+from rattanstile.process.rate_lease import Sealing, Witness
 from rattanstile.process.rate_messages import (
     LeaseRequest,
     LeaseVouched,
@@ -27,7 +27,7 @@
     Sealed,
     SealRequest,
 )
-from rattanstile.process.rate_role import Role, refusal, role_of
+from rattanstile.process.rate_role import Role, refusal
 from rattanstile.process.rate_shares import SplitSchedule, shard_count
 from rattanstile.request.ids import FailureDomainId, NodeId
 from rattanstile.version.declaration import Organisation
@@ -42,8 +42,9 @@
 TICK_S = 0.02
 """How often the machine wants `Ticked`."""
 SCAN_EVERY_S = 0.1
-RECLAIM_EVERY_S = 600.0
-"""Far below the log's retention: a shard's claim is always in the log."""
+RECLAIM_EVERY_S = 240.0
+"""Far below the log's retention and the time that an owner goes on without
+the log: it lasts through an outage of ten minutes."""
 WITNESS_SILENT_S = 3.0
 
 
@@ -191,10 +192,15 @@
             return
         role = self._roles.get(claim.shard)
         if role is not None and role.started:
-            role.extend(claim)
+            role.extend(claim, self._candidate.sent_s(claim))
             return
         earlier = self._claims.before(claim.shard, claim.epoch)
-        self._roles[claim.shard] = role_of(claim, earlier, self._schedule)
+        self._roles[claim.shard] = Role(
+            claim,
+            self._schedule,
+            Sealing(earlier, now_s),
+            proved_s=self._candidate.sent_s(claim),
+        )
 
     def _gone(self, now_s: float, process: ProcessId) -> None:
         self._candidate.process_gone(process)
--- a/src/rattanstile/process/rate_role.py
+++ b/src/rattanstile/process/rate_role.py
@@ -10,6 +10,7 @@
 from rattanstile.process.rate_lease import (
     RENEW_EVERY_S,
     SEAL_EVERY_S,
+    WITHOUT_LOG_MAX_S,
     Lease,
     Sealing,
 )
@@ -39,6 +40,8 @@
 
     Attributes:
         claim: The claim whose lease is in use or asked for.
+        proved_s: When the latest claim of this process that the log holds
+            was sent: no other claim was in the log before.
         started: Whether the process has lent, or may lend, tokens.
     """
 
@@ -46,6 +49,7 @@
     schedule: SplitSchedule
     sealing: Sealing
     lease: Lease = field(init=False)
+    proved_s: float = 0.0
     started: bool = False
     _next: Lease | None = None
     _first_epoch: Epoch = field(init=False)
@@ -85,9 +89,10 @@
                 if bucket.share != share:
                     bucket.set_share(now_s, share)
 
-    def extend(self, claim: OwnerClaimRecord) -> None:
+    def extend(self, claim: OwnerClaimRecord, proved_s: float) -> None:
         """Go on under a further claim of this process, with its witnesses."""
         self._next = Lease(claim)
+        self.proved_s = proved_s
 
     def vouched(self, sender: NodeId, message: LeaseVouched) -> None:
         """Hand a vouch to the lease that asked for it."""
@@ -101,7 +106,10 @@
 
     def holds(self, now_s: float) -> bool:
         """Tell whether the process may lend now."""
-        return self.started and now_s < self.lease.until_s()
+        lends_until_s = min(
+            self.lease.until_s(), self.proved_s + WITHOUT_LOG_MAX_S
+        )
+        return self.started and now_s < lends_until_s
 
     def lend(
         self, now_s: float, sender: NodeId, request: LoanRequest
@@ -177,15 +185,6 @@
     )
 
 
-def role_of(
-    claim: OwnerClaimRecord,
-    earlier: tuple[OwnerClaimRecord, ...],
-    schedule: SplitSchedule,
-) -> Role:
-    """Return the role of a process that has read its claim in the log."""
-    return Role(claim, schedule, Sealing(earlier))
-
-
 def _sends(
     requests: Sequence[tuple[NodeId, msgspec.Struct]],
 ) -> list[OwnerOutput]:
--- a/src/rattanstile/process/suspicion.py
+++ b/src/rattanstile/process/suspicion.py
@@ -4,7 +4,7 @@
 
 from rattanstile.request.ids import NodeId
 
-SUSPICION_S = 2.0
+SUSPICION_S = 1.5
 """How long a suspected member has to refute."""
 
 
--- a/tests/test_rate_owner.py
+++ b/tests/test_rate_owner.py
@@ -5,7 +5,12 @@
 from bench.rates_demand import organisations_of
 from bench.rates_faults import Schedule
 from bench.rates_world import Fleet, most_above
+from rattanstile.process.rate_lease import WITHOUT_LOG_MAX_S, Sealing
+from rattanstile.process.rate_messages import LeaseVouched
+from rattanstile.process.rate_role import Role
+from rattanstile.process.rate_shares import SplitSchedule
 from rattanstile.version.declaration import Organisation
+from rattanstile.version.rate_records import OwnerClaimRecord, ProcessId
 
 
 def fleet():
@@ -69,6 +74,22 @@
         one.world.run(65.0)
         self.assertEqual(owners(one), {0: 1, 1: 1, 2: 1})
 
+    def test_owner_without_log_stops_before_it_can_be_passed_over(self):
+        claim = OwnerClaimRecord(
+            record_id='c',
+            shard=0,
+            epoch=1,
+            owner=ProcessId(node_id='o', incarnation=1),
+            witnesses=(ProcessId(node_id='w', incarnation=1),),
+        )
+        role = Role(claim, SplitSchedule(), Sealing((), 0.0), proved_s=100.0)
+        role.started = True
+        ends_s = 100.0 + WITHOUT_LOG_MAX_S
+        role.lease.ask(ends_s - 0.1)
+        role.lease.vouched('w', LeaseVouched(shard=0, epoch=1, sequence=1))
+        self.assertTrue(role.holds(ends_s - 0.05))
+        self.assertFalse(role.holds(ends_s))
+
     def test_lowered_rate_bounds_within_four_seconds(self):
         one = fleet()
         lowered = (Organisation(name='o0', rate_per_s=6.0, burst_calls=6),)
