Trial: an answer after the caller's deadline is late, not whole

Cause: hard-retrying callers counted answers after up to 12 s as whole. Change: whole means within 3.3 s of the intended start; retries end there too.

--- a/src/rattanstile/trial/callers.py
+++ b/src/rattanstile/trial/callers.py
@@ -16,6 +16,7 @@
     NotRunError,
 )
 from rattanstile.process.reactor import Reactor
+from rattanstile.process.timers import TimerService
 from rattanstile.request.outcome import Outcome
 from rattanstile.trial.load import DueCall, Seen
 from rattanstile.trial.plain_http import PlainHttp
@@ -129,8 +130,11 @@
     A call that is not idempotent is tried again only where it did not run.
     """
 
-    def __init__(self, caller: HttpCaller, tries: int) -> None:
+    def __init__(
+        self, caller: HttpCaller, tries: int, timers: TimerService
+    ) -> None:
         """Keep the caller behind."""
+        self._timers = timers
         self._caller = caller
         self._tries = tries
 
@@ -139,11 +143,14 @@
         return Deferred.fromCoroutine(self._call(due))
 
     async def _call(self, due: DueCall) -> Seen:
+        until_s = self._timers.now_s() + DEADLINE_S
         seen = await self._caller.call(due)
         for _ in range(self._tries):
             may_repeat = not due.is_write or seen.outcome is Outcome.NOT_RUN
             if seen.outcome is Outcome.WHOLE or not may_repeat:
                 break
+            if self._timers.now_s() > until_s:
+                break
             seen = await self._caller.call(due)
         return seen
 
--- a/src/rattanstile/trial/load.py
+++ b/src/rattanstile/trial/load.py
@@ -21,6 +21,7 @@
 
 MS_PER_S = 1000
 STEP_S = 0.005
+LATEST_S = 3.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,6 +171,8 @@
     def _end(self, seen: Seen, due: DueCall) -> None:
         client_ms = 2 * self.deployment.client_delay_ms
         spent_s = self.elapsed_s() - due.due_s
+        if seen.outcome is Outcome.WHOLE and spent_s > LATEST_S:
+            seen = Seen(Outcome.FAILED, 'late')
         answered = seen.body.split(b' ', 1)[0].decode('ascii', 'replace')
         self.tally.add(
             Ended(
--- a/src/rattanstile/trial/scenarios.py
+++ b/src/rattanstile/trial/scenarios.py
@@ -170,7 +170,7 @@
     plain = run.http_caller()
     http: Caller = plain
     if scenario.retries:
-        http = HardRetries(plain, scenario.retries)
+        http = HardRetries(plain, scenario.retries, run.timers)
     if side is Side.BASELINE:
         return lambda _: http
     library = stack.enter_context(run.library_caller())
