--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,7 +25,7 @@
 
 
 def _rows(name: str) -> list[Row]:
-    found: list[Row] = importlib.import_module(f'bench.{name}').rows()
+    found = list(importlib.import_module(f'bench.{name}').rows())
     return found
 
 
