--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Every target works on a fresh machine with Python 3.11 and make.
 PYTHON ?= python3
 VENV ?= .venv
+DEPLOYMENT ?= vedlott
+OUTPUT ?=
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
@@ -24,7 +26,7 @@
 	$(BIN)/python -m bench
 
 trial: install
-	$(BIN)/rattanstile trial all --deployment vedlott
+	$(BIN)/rattanstile trial all --deployment $(DEPLOYMENT) --output '$(OUTPUT)'
 
 slopes: install
 	$(BIN)/python -m bench.slopes
