A first attempt at a home that is gone is not run, and may move on

Cause: after a rolling replacement 19 writes of the caller library ended unknown, home-gone: its id named an incarnation that had ended, and the entry could not tell that no attempt had left. Change: an entry that never sent the call, and whose caller says that it is the first attempt, says not-run: the home never answers again, so the id can neither have run nor run later. The library then takes a new id.

--- a/src/rattanstile/process/entry.py
+++ b/src/rattanstile/process/entry.py
@@ -238,7 +238,10 @@
         self, now_s: float, call: EntryCall, parsed: ParsedCallId
     ) -> Iterable[EntryOutput]:
         if self._homes.is_gone(parsed):
-            call.may_run = True
+            # Its home never answers again: a first attempt that went no
+            # further is also the last that could have run.
+            call.never_runs = call.is_first_and_unsent
+            call.may_run = not call.never_runs
             return self._refuse(call, Reason.HOME_GONE)
         return self._send(now_s, call, parsed.home)
 
--- a/src/rattanstile/process/entry_call.py
+++ b/src/rattanstile/process/entry_call.py
@@ -63,6 +63,8 @@
         may_run: Whether an attempt may have run or may still run. For a call
             that is not idempotent this is about its current id only: an
             earlier id was proved to be never run before it was replaced.
+        never_runs: Whether its id, of which no attempt was sent, names a
+            home that is gone.
         moving: Whether its id was proved to be never run, so that it waits
             for a new id and a new home.
         lent: Retry budget that the outstanding attempt holds.
@@ -88,6 +90,7 @@
     failures: int = 0
     unsent: int = 0
     may_run: bool = False
+    never_runs: bool = False
     moving: bool = False
     fresh_binding: bool = False
     rebound: bool = False
@@ -109,6 +112,13 @@
         """
         return self.is_idempotent or self.source is IdSource.ENTRY
 
+    @property
+    def is_first_and_unsent(self) -> bool:
+        """Tell whether no attempt under a caller's id can have left a node."""
+        is_unsent = self.attempt == 0 and not self.may_run
+        is_first = self.request.attempt == 1
+        return is_unsent and is_first and self.source is IdSource.CALLER
+
     @property
     def is_sole_attempt(self) -> bool:
         """Tell whether no other attempt of the caller's can run the call.
@@ -116,7 +126,7 @@
         The caller's own word is taken for its first attempt, but not for a
         call id that it can send through another entry node at any time.
         """
-        if self.is_idempotent:
+        if self.is_idempotent or self.never_runs:
             return self.request.attempt == 1
         return self.request.attempt == 1 and (
             self.source is not IdSource.CALLER and not self.rebound
