--- a/src/rattanstile/process/serving_service.py
+++ b/src/rattanstile/process/serving_service.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-import logbook
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
@@ -14,7 +13,6 @@
     TargetSessions,
 )
 from rattanstile.process.contexts import CallContexts
-from rattanstile.process.logs import key_values
 from rattanstile.process.messages import (
     CallArrived,
     CancelArrived,
@@ -38,8 +36,6 @@
 TICK_S = 0.05
 MS_PER_S = 1000
 
-_log = logbook.Logger('serving-service')
-
 
 class ServingService:
     """Performs what the serving machine decides.
@@ -113,14 +109,6 @@
             failed = TargetFailed(call.call_id, TargetFailure.NOT_SENT)
             self._timers.after(0, lambda _: self._step(failed))
             return
-        _log.info(
-            key_values(
-                'call_dispatched',
-                call=call.call_id,
-                attempt=call.attempt,
-                organisation=call.organisation or '-',
-            )
-        )
         running = self._sessions.run(
             TargetRequest(
                 method=call.method,
