--- a/src/rattanstile/connection/caller_http.py
+++ b/src/rattanstile/connection/caller_http.py
@@ -104,20 +104,30 @@
     def check(self) -> None:
         """Look for a caller that is slow or gone; once `CHECK_PERIOD_S`."""
         self._checks += 1
-        if self._is_unread:
-            if self._checks >= UNREAD_CHECKS:
-                self._abort()
-        elif self._is_over and self._is_free():
-            if self._checks >= LINGER_CHECKS:
-                self._abort()
-        elif self._running is not None:
+        if self._running is not None and not self._is_unread:
             self._checks = 0
-        elif self._parser.is_mid_request:
-            if self._checks >= REQUEST_CHECKS:
-                self._refuse_slow()
-        elif self._checks >= IDLE_CHECKS:
+        elif self._checks >= self._checks_allowed():
+            self._give_up()
+
+    def _checks_allowed(self) -> int:
+        if self._lingers():
+            return LINGER_CHECKS
+        if self._is_unread:
+            return UNREAD_CHECKS
+        if self._parser.is_mid_request:
+            return REQUEST_CHECKS
+        return IDLE_CHECKS
+
+    def _give_up(self) -> None:
+        is_slow = self._parser.is_mid_request and not self._is_unread
+        if is_slow and not self._lingers():
+            self._refuse_slow()
+        else:
             self._abort()
 
+    def _lingers(self) -> bool:
+        return self._is_over and self._is_free()
+
     def pauseProducing(self) -> None:  # noqa: N802
         """Learn that the caller reads more slowly than it is answered."""
         self._is_unread = True
--- a/src/rattanstile/process/entry_service.py
+++ b/src/rattanstile/process/entry_service.py
@@ -228,7 +228,7 @@
             return
         pending.is_placed = True
         waited_ms = int((self._timers.now_s() - pending.began_s) * MS_PER_S)
-        if waited_ms:
+        if waited_ms > 0:
             left_ms = call.remaining_ms - waited_ms
             call = replace(call, remaining_ms=left_ms)
         self.step(call)
--- a/src/rattanstile/process/node.py
+++ b/src/rattanstile/process/node.py
@@ -494,11 +494,12 @@
         core.ports.peer = stack.enter_context(
             listening_for_peers(reactor, address.host, address.port, pool)
         )
-        built.append(Node(core, control, pool))
-        _listen_for_operators(stack, built[0])
-        stack.enter_context(built[0].running())
-        _await_version(stack, built[0], core.timers.now_s() + VERIFIED_WITHIN_S)
-        yield built[0]
+        node = Node(core, control, pool)
+        built.append(node)
+        _listen_for_operators(stack, node)
+        stack.enter_context(node.running())
+        _await_version(stack, node, core.timers.now_s() + VERIFIED_WITHIN_S)
+        yield node
 
 
 def _opened_bus(
--- a/src/rattanstile/standin/target.py
+++ b/src/rattanstile/standin/target.py
@@ -304,8 +304,10 @@
         self.finish()
 
     def _body(self) -> bytes:
-        start = (self.getHeader('trial-id') or '').encode() + b' '
-        return start.ljust(self.target.profile.answer_bytes, b'a')
+        trial_id = self.getHeader('trial-id') or ''
+        return f'{trial_id} '.encode().ljust(
+            self.target.profile.answer_bytes, b'a'
+        )
 
     def _stop(self, failure: Failure) -> None:
         self._running = None
