--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     'overload',
     'rates',
     'membership',
+    'loans',
 )
 PROCESSES = 4
 FAILED = 'FAILED'
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -6,20 +6,23 @@
 import tracemalloc
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
 from random import Random
 
-import msgspec
-
+from bench.loans import (
+    CALLS_PER_S,
+    COUNTED_S,
+    ME,
+    claim_of,
+    loan_traffic,
+    rich_organisations,
+    size_bytes,
+)
 from bench.membership_sample import SampledFleet, update_of
 from bench.membership_world import VirtualMember, member_of
 from bench.rates_demand import Demand, organisations_of
-from bench.rates_world import World
 from bench.relay_fleet import Fleet
 from rattanstile.process.control_messages import (
-    ControlArrived,
     LogRecordRead,
-    SendControl,
 )
 from rattanstile.process.home_table import HomeTable
 from rattanstile.process.members import MemberTable
@@ -47,20 +50,15 @@
 from rattanstile.request.outcome import Outcome
 from rattanstile.version.declaration import Declaration, Organisation
 from rattanstile.version.in_force import VersionInForce
-from rattanstile.version.rate_records import OwnerClaimRecord, ProcessId
+from rattanstile.version.rate_records import ProcessId
 
 MEMBERSHIP_SIZES = ((14, 3, 4), (140, 3, 8), (1400, 18, 66), (14_000, 18, 660))
-COUNTED_S = 30.0
 WARM_S = 10.0
 BORROWERS = (14, 140, 1400, 14_000)
 RELAY_SIZES = ((14, 3), (1400, 18), (14_000, 18))
 ORGANISATIONS = (8, 80, 800)
 ENTRY_ORGANISATIONS = (1, 8, 80)
-CALLS_PER_S = 280.0
-LINK_S = 0.003
-PLENTY = 1_000_000
 REPEATS = 2000
-ME = ProcessId(node_id=NodeId('node-00000'), incarnation=Incarnation(1))
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,8 +261,8 @@
     )
     lease = LeaseRequest(shard=100, epoch=20, sequence=1000, witness=ME)
     vouch = LeaseVouched(shard=100, epoch=20, sequence=1000)
-    loan_bytes = _size(_request(1000)) + _size(grant)
-    lease_bytes = _size(lease) + _size(vouch)
+    loan_bytes = size_bytes(_request(1000)) + size_bytes(grant)
+    lease_bytes = size_bytes(lease) + size_bytes(vouch)
     owner_bytes = lease_bytes * WITNESSES_MAX / RENEW_EVERY_S
     return [
         Slope('rate owner', 'a loan', f'{loan_bytes} B asked and granted'),
@@ -277,10 +275,6 @@
     ]
 
 
-def _size(message: msgspec.Struct) -> int:
-    return len(msgspec.msgpack.encode(message))
-
-
 def _idle_owner() -> Slope:
     max_nodes = 16_384
     machine = RateOwner(ME, 'domain-00')
@@ -288,7 +282,7 @@
         0.0, organisations_of((100.0,)), max_nodes, is_first_version=True
     )
     for shard in range(shard_count(max_nodes)):
-        machine.step(0.0, LogRecordRead('rates', _claim(shard)))
+        machine.step(0.0, LogRecordRead('rates', claim_of(shard)))
     clock = _Clock(TICK_S)
     cost_us = spent_us(lambda: machine.step(clock.next_s(), Ticked()))
     return Slope(
@@ -298,13 +292,6 @@
     )
 
 
-def _claim(shard: int) -> OwnerClaimRecord:
-    other = ProcessId(node_id=NodeId('other'), incarnation=Incarnation(1))
-    return OwnerClaimRecord(
-        record_id=f'c{shard}', shard=shard, epoch=1, owner=other, witnesses=()
-    )
-
-
 def entry() -> list[Slope]:
     """Return time and messages of the entry node's side of the rates."""
     slopes = [_admission(count) for count in ORGANISATIONS]
@@ -312,19 +299,9 @@
     return [*slopes, *loans, _loans_per_call()]
 
 
-def _organisations(count: int) -> tuple[Organisation, ...]:
-    """Return organisations with plenty, and names of the usual length."""
-    return tuple(
-        Organisation(
-            name=f'organisation-{index}', rate_per_s=1e6, burst_calls=1_000_000
-        )
-        for index in range(count)
-    )
-
-
 def _admission(count: int) -> Slope:
     machine = Borrower(ME, Random(1))
-    organisations = _organisations(count)
+    organisations = rich_organisations(count)
     machine.configure(0.0, organisations, 64, is_first_version=True)
     machine.step(0.0, StaticSlotSet(0))
     clock = _Clock(0.01)
@@ -340,58 +317,11 @@
 
 
 def _loans(count: int) -> Slope:
-    """Count the loans of one entry node whose owners have plenty."""
-    machine = Borrower(ME, Random(1))
-    organisations = _organisations(count)
-    machine.configure(0.0, organisations, 64, is_first_version=True)
-    for shard in range(shard_count(64)):
-        machine.step(0.0, LogRecordRead('rates', _claim(shard)))
-    world = World(Random(2))
-    moved = [0, 0]
-
-    def carry(outputs) -> None:
-        for output in outputs:
-            if isinstance(output, SendControl):
-                answer = _granted(output.message)
-                moved[0] += 1
-                moved[1] += _size(output.message) + _size(answer)
-                arrived = ControlArrived(output.receiver, answer)
-                world.after(LINK_S, partial(take, arrived))
-
-    def take(message) -> None:
-        carry(machine.step(world.now_s, message))
-
-    def call() -> None:
-        world.after(world.random.expovariate(CALLS_PER_S), call)
-        name = world.random.choice(organisations).name
-        machine.admit(world.now_s, name, 1)
-        carry(machine.take_outputs())
-
-    def tick() -> None:
-        world.after(TICK_S, tick)
-        take(Ticked())
-
-    call()
-    tick()
-    world.run(COUNTED_S)
-    loans_per_s = moved[0] / COUNTED_S
+    found = loan_traffic(count)
     return Slope(
         'entry',
         f'{CALLS_PER_S:.0f} calls/s of {count} organisations',
-        f'{loans_per_s:.0f} loans/s, {moved[1] / COUNTED_S:.0f} B/s',
-    )
-
-
-def _granted(request: LoanRequest) -> LoanGrant:
-    return LoanGrant(
-        shard=request.shard,
-        epoch=request.epoch,
-        organisation=request.organisation,
-        sequence=request.sequence,
-        extended=request.held > 0,
-        granted=request.wanted,
-        left=PLENTY,
-        retry_after_ms=0,
+        f'{found.loans_per_s:.0f} loans/s, {found.bytes_per_s:.0f} B/s',
     )
 
 
@@ -533,7 +463,7 @@
     return Slope(
         'every node',
         f'version of {count} organisations with 2 keys each',
-        f'{_size(declared)} B encoded, {held / 1024:.0f} KiB of indexes',
+        f'{size_bytes(declared)} B encoded, {held / 1024:.0f} KiB of indexes',
     )
 
 
