--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(BIN)/python -m nose2 --config unittest.cfg
 
 bench: install
-	$(BIN)/python -m bench
+	PYTHONHASHSEED=0 $(BIN)/python -m bench
 
 trial: install
 	$(BIN)/rattanstile trial all --deployment $(DEPLOYMENT) --output '$(OUTPUT)'
--- a/src/rattanstile/process/node.py
+++ b/src/rattanstile/process/node.py
@@ -82,6 +82,7 @@
 FLUSH_S = 0.3
 NEVER_HEARD_S = 86_400.0
 VERIFIED_WITHIN_S = 3.0
+SHORTEST_DRAIN_S = 2.0
 MOST_SERVICES_FOLLOWED = 32
 
 StreamHandler = Callable[[StreamEvent], None]
@@ -178,6 +179,7 @@
         """Build the parts and join them."""
         self.state = NodeState.STARTING
         self.on_serving: list[Callable[[], None]] = []
+        self.on_verified: Callable[[], None] = _nothing
         self.core = core
         self.pool = pool
         self.control = control
@@ -267,8 +269,15 @@
         self.pool.say_farewell()
         self.serving.drain()
         self.entry.drain()
-        timeout_s = self.core.settings.drain_timeout_s
-        self._await_idle(self.core.timers.now_s() + timeout_s, done)
+        now_s = self.core.timers.now_s()
+        # What peers send before they know that this node leaves must still
+        # be refused by word; a closed connection would leave it unknown.
+        self.core.timers.after(
+            SHORTEST_DRAIN_S,
+            lambda _: self._await_idle(
+                now_s + self.core.settings.drain_timeout_s, done
+            ),
+        )
 
     def status(self) -> NodeStatus:
         """Return what the node tells operators of itself."""
@@ -426,6 +435,8 @@
     def _version_changed(self, version: VersionInForce) -> None:
         self.entry.machine.adopt(version)
         self.rates.adopt(version)
+        if self.configuration.relay.fold.verified:
+            self.on_verified()
         services = version.declaration.services
         if len(services) <= MOST_SERVICES_FOLLOWED:
             self.members.follow(frozenset(one.name for one in services))
@@ -465,6 +476,10 @@
         timers.after(DRAIN_CHECK_S, lambda _: self._await_idle(until_s, done))
 
 
+def _nothing() -> None:
+    """Do nothing."""
+
+
 def _process_of(member: Member) -> ProcessId:
     return ProcessId(
         node_id=member.node_id, incarnation=Incarnation(member.incarnation)
@@ -497,8 +512,8 @@
         node = Node(core, control, pool)
         built.append(node)
         _listen_for_operators(stack, node)
+        _open_callers_once(stack, node)
         stack.enter_context(node.running())
-        _await_version(stack, node, core.timers.now_s() + VERIFIED_WITHIN_S)
         yield node
 
 
@@ -511,14 +526,19 @@
     )
 
 
-def _await_version(stack: ExitStack, node: Node, until_s: float) -> None:
-    """Listen for callers once there is a version, or after some seconds."""
-    timers = node.core.timers
-    is_verified = node.configuration.relay.fold.verified
-    if is_verified or timers.now_s() > until_s:
-        _listen_for_callers(stack, node)
-        return
-    timers.after(DRAIN_CHECK_S, lambda _: _await_version(stack, node, until_s))
+def _open_callers_once(stack: ExitStack, node: Node) -> None:
+    """Listen for callers from the first verified version, or after a while.
+
+    Not a moment later than the target may get calls: its own calls to further
+    services come in here.
+    """
+
+    def open_callers(_: float = 0) -> None:
+        if node.state is NodeState.STARTING:
+            _listen_for_callers(stack, node)
+
+    node.on_verified = open_callers
+    node.core.timers.after(VERIFIED_WITHIN_S, open_callers)
 
 
 def _listen_for_callers(stack: ExitStack, node: Node) -> None:
--- a/src/rattanstile/trial/faults.py
+++ b/src/rattanstile/trial/faults.py
@@ -14,7 +14,6 @@
 from rattanstile.version.declaration import Declaration
 
 IN_FORCE_WITHIN_S = 4.0
-REPLACE_GAP_S = 0.3
 STOP_TIMEOUT_S = 10.0
 
 
@@ -223,7 +222,6 @@
         if code != 0:
             raise UnavailableError(f'{worker.name} ended with {code}')
         await deferToThread(run.start_again, worker)
-        await run.sleep(REPLACE_GAP_S)
 
 
 async def _withdraw(
--- a/src/rattanstile/trial/scenarios.py
+++ b/src/rattanstile/trial/scenarios.py
@@ -35,7 +35,7 @@
 FAULT_S = 3.0
 FAULT_LENGTH_S = 5.0
 SURGE_LENGTH_S = 12.0
-REST_S = 4.0
+REST_S = 3.0
 SEED = 11
 LAST_BUCKET_S = 1.0
 
