A starting node runs nothing until its target's own calls can come in

Cause: 27 calls failed in a rolling replacement: peers sent calls to a node whose gate still refused keyed calls, so that the child calls of its target were refused not-verified. Change: callers open once keyed calls are admitted, or after 3 s; until then the serving machine sees no version and refuses not-verified, which entries try elsewhere.

--- a/src/rattanstile/process/call_checks.py
+++ b/src/rattanstile/process/call_checks.py
@@ -33,6 +33,8 @@
         identity: The serving node.
         version: The version in force.
     """
+    if version.number == 0:
+        return Reason.NOT_VERIFIED
     is_own = call.service == identity.service
     if not is_own or version.service(call.service) is None:
         return Reason.NO_SUCH_SERVICE
--- a/src/rattanstile/process/node.py
+++ b/src/rattanstile/process/node.py
@@ -73,7 +73,9 @@
     NodeId,
     ServiceName,
     TargetId,
+    VersionNumber,
 )
+from rattanstile.version.declaration import Declaration
 from rattanstile.version.in_force import VersionInForce
 from rattanstile.version.records import MEMBERS_STREAM
 
@@ -83,6 +85,7 @@
 NEVER_HEARD_S = 86_400.0
 VERIFIED_WITHIN_S = 3.0
 SHORTEST_DRAIN_S = 2.0
+NO_VERSION = VersionInForce(VersionNumber(0), Declaration())
 MOST_SERVICES_FOLLOWED = 32
 
 StreamHandler = Callable[[StreamEvent], None]
@@ -179,7 +182,6 @@
         """Build the parts and join them."""
         self.state = NodeState.STARTING
         self.on_serving: list[Callable[[], None]] = []
-        self.on_verified: Callable[[], None] = _nothing
         self.core = core
         self.pool = pool
         self.control = control
@@ -363,7 +365,10 @@
             service=core.service,
         )
         machine = ServingMachine(
-            identity, self._in_force, core.timers.now_s(), core.home_table
+            identity,
+            self._in_force_when_serving,
+            core.timers.now_s(),
+            core.home_table,
         )
         sessions = TargetSessions(
             core.reactor,
@@ -426,6 +431,12 @@
     def _in_force(self) -> VersionInForce:
         return self.configuration.in_force
 
+    def _in_force_when_serving(self) -> VersionInForce:
+        """Return no version while callers, and so child calls, can't come."""
+        if self.state is NodeState.STARTING:
+            return NO_VERSION
+        return self.configuration.in_force
+
     def _staleness_s(self) -> float:
         return min(self.configuration.staleness_s(), NEVER_HEARD_S)
 
@@ -435,8 +446,6 @@
     def _version_changed(self, version: VersionInForce) -> None:
         self.entry.machine.adopt(version)
         self.rates.adopt(version)
-        if self.configuration.relay.fold.verified:
-            self.on_verified()
         services = version.declaration.services
         if len(services) <= MOST_SERVICES_FOLLOWED:
             self.members.follow(frozenset(one.name for one in services))
@@ -476,10 +485,6 @@
         timers.after(DRAIN_CHECK_S, lambda _: self._await_idle(until_s, done))
 
 
-def _nothing() -> None:
-    """Do nothing."""
-
-
 def _process_of(member: Member) -> ProcessId:
     return ProcessId(
         node_id=member.node_id, incarnation=Incarnation(member.incarnation)
@@ -529,16 +534,20 @@
 def _open_callers_once(stack: ExitStack, node: Node) -> None:
     """Listen for callers from the first verified version, or after a while.
 
-    Not a moment later than the target may get calls: its own calls to further
+    Until then the target gets no calls either: its own calls to further
     services come in here.
     """
 
-    def open_callers(_: float = 0) -> None:
-        if node.state is NodeState.STARTING:
+    timers = node.core.timers
+    until_s = timers.now_s() + VERIFIED_WITHIN_S
+
+    def open_callers(now_s: float) -> None:
+        if node.configuration.admits_keyed() or now_s > until_s:
             _listen_for_callers(stack, node)
+        else:
+            timers.after(DRAIN_CHECK_S, open_callers)
 
-    node.on_verified = open_callers
-    node.core.timers.after(VERIFIED_WITHIN_S, open_callers)
+    open_callers(timers.now_s())
 
 
 def _listen_for_callers(stack: ExitStack, node: Node) -> None:
