Tests on processes give up after a bounded number of tries

Cause: their loops would have waited for good for a node that never follows. Change: 600 tries, then a failure.

--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -18,6 +18,8 @@
 from rattanstile.version.keys import digest_of
 
 WAIT_S = 30
+TRIES = 600
+PAUSE_S = 0.05
 ONE_WORKER = msgspec.structs.replace(
     VEDLOTT,
     services=(
@@ -50,6 +52,15 @@
     return done.returncode, done.stdout + done.stderr
 
 
+def wait_until(is_so):
+    """Ask again until it is so; give up after some hundred times."""
+    for _ in range(TRIES):
+        if is_so():
+            return
+        time.sleep(PAUSE_S)
+    raise AssertionError('it never became so')
+
+
 def put_in_force(fleet):
     """Plan and confirm the declaration, and wait for the node."""
     declared = declaration_of(
@@ -61,10 +72,9 @@
     assert code == 0, printed
     plan_id = printed.split()[-1]
     confirmed = command('confirm', plan_id, '--log', fleet.log_address)
-    while not fleet.status(fleet.workers[0])['admits_keyed_calls']:
-        time.sleep(0.05)
-    while fleet.status(fleet.workers[0])['version'] != 1:
-        time.sleep(0.05)
+    worker = fleet.workers[0]
+    wait_until(lambda: fleet.status(worker)['version'] == 1)
+    wait_until(lambda: fleet.status(worker)['admits_keyed_calls'])
     return plan_id, confirmed
 
 
@@ -113,8 +123,7 @@
                     '/map-quotas/',
                     **{'Authorization': 'Bearer hedmark', 'Trial-Id': 't'},
                 )
-                while worker.stats().received == 0:
-                    time.sleep(0.02)
+                wait_until(lambda: worker.stats().received)
                 worker.running_node.signal(SIGTERM)
                 status, headers, body = running.result(WAIT_S)
             self.assertEqual(status, 200)
