--- a/src/rattanstile/__init__.py
+++ b/src/rattanstile/__init__.py
@@ -1,17 +1,22 @@
 """An overload control layer for service call graphs."""
 
-from rattanstile.client import (
-    Answer,
-    BlockingClient,
-    CallError,
-    Client,
-    FailedError,
-    NotRunError,
-    UnknownError,
-    blocking_client,
-)
+from importlib import import_module
+from typing import TYPE_CHECKING
+
 from rattanstile.errors import RattanstileError
 
+if TYPE_CHECKING:
+    from rattanstile.client import (
+        Answer,
+        BlockingClient,
+        CallError,
+        Client,
+        FailedError,
+        NotRunError,
+        UnknownError,
+        blocking_client,
+    )
+
 __version__ = '0.1.0'
 
 __all__ = (
@@ -26,3 +31,10 @@
     '__version__',
     'blocking_client',
 )
+
+
+def __getattr__(name: str) -> object:
+    """Import the caller library when it is asked for: nodes need none."""
+    if name in __all__:
+        return getattr(import_module('rattanstile.client'), name)
+    raise AttributeError(name)
--- a/src/rattanstile/connection/caller_http.py
+++ b/src/rattanstile/connection/caller_http.py
@@ -29,7 +29,7 @@
     RequestParser,
     RequestRefused,
 )
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Reply
 from rattanstile.request.ids import CallId
--- a/src/rattanstile/connection/entry_links.py
+++ b/src/rattanstile/connection/entry_links.py
@@ -11,7 +11,7 @@
 
 from rattanstile.connection.frames import Farewell, Hello, Message, Role
 from rattanstile.connection.link import CHECK_PERIOD_S, LinkOwner, PeerProtocol
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 from rattanstile.process.timers import TimerService
 
 CONNECT_TIMEOUT_S = 1.0
--- /dev/null
+++ b/src/rattanstile/connection/http_exchange.py
@@ -0,0 +1,120 @@
+"""Calls to one HTTP server, each with a time limit, on kept connections."""
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTCP
+
+from rattanstile.connection.http_client import (
+    ExchangeFailure,
+    HttpClientConnection,
+    connect_http,
+)
+from rattanstile.connection.http_messages import HttpResponse
+from rattanstile.process.timers import TimerService
+
+CONNECT_TIMEOUT_S = 1.0
+MOST_IDLE = 2
+LONGEST_IDLE_S = 8.0
+
+ExchangeResult = HttpResponse | ExchangeFailure
+
+
+class HttpExchanger:
+    """Sends calls to one address.
+
+    Args:
+        reactor: Opens the connections.
+        timers: Gives the time.
+        address: Host and port.
+    """
+
+    def __init__(
+        self, reactor: IReactorTCP, timers: TimerService, address: str
+    ) -> None:
+        """Begin without connections."""
+        self.address = address
+        self._reactor = reactor
+        self._timers = timers
+        self._idle: list[HttpClientConnection] = []
+
+    def send(
+        self, written: bytes, timeout_s: float
+    ) -> 'Deferred[ExchangeResult]':
+        """Send a call; the Deferred never fails."""
+        call = _Call(self, written)
+        call.timer = self._timers.after(timeout_s, lambda _: call.time_out())
+        connection = self._take_idle()
+        if connection is None:
+            connect_http(
+                self._reactor,
+                self.address,
+                CONNECT_TIMEOUT_S,
+                call.connected,
+                self._lost,
+            )
+        else:
+            call.connected(connection)
+        return call.result
+
+    def freed(self, connection: HttpClientConnection) -> None:
+        """Keep a connection for the next call."""
+        if connection.is_usable and len(self._idle) < MOST_IDLE:
+            connection.idle_since_s = self._timers.now_s()
+            self._idle.append(connection)
+        else:
+            connection.abort()
+
+    def _take_idle(self) -> HttpClientConnection | None:
+        now_s = self._timers.now_s()
+        while self._idle:
+            connection = self._idle.pop()
+            idle_s = now_s - connection.idle_since_s
+            if connection.is_usable and idle_s < LONGEST_IDLE_S:
+                return connection
+            connection.abort()
+        return None
+
+    def _lost(self, connection: HttpClientConnection) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+
+class _Call:
+    """One call until its result is given."""
+
+    def __init__(self, owner: HttpExchanger, written: bytes) -> None:
+        self.result: Deferred[ExchangeResult] = Deferred()
+        self.timer: object = None
+        self._owner = owner
+        self._written = written
+        self._connection: HttpClientConnection | None = None
+        self._is_over = False
+
+    def connected(self, connection: HttpClientConnection | None) -> None:
+        if connection is None:
+            self._end(ExchangeFailure.UNSENT)
+        elif self._is_over:
+            connection.abort()
+        else:
+            self._connection = connection
+            connection.send(self._written, self._ended)
+
+    def time_out(self) -> None:
+        if self._is_over:
+            return
+        if self._connection is None:
+            self._end(ExchangeFailure.UNSENT)
+        else:
+            self._connection.abandon()
+
+    def _ended(self, end: ExchangeResult) -> None:
+        connection = self._connection
+        if connection is not None and isinstance(end, HttpResponse):
+            self._owner.freed(connection)
+        self._end(end)
+
+    def _end(self, end: ExchangeResult) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        self.timer.cancel()  # type: ignore[attr-defined]
+        self.result.callback(end)
--- a/src/rattanstile/connection/link.py
+++ b/src/rattanstile/connection/link.py
@@ -29,7 +29,7 @@
     Role,
     encode_frame,
 )
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 from rattanstile.request.envelope import Call, Cancel, Reply
 
 CHECK_PERIOD_S = 0.25
--- a/src/rattanstile/connection/peer.py
+++ b/src/rattanstile/connection/peer.py
@@ -27,7 +27,7 @@
     LinkOwner,
     PeerProtocol,
 )
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 from rattanstile.process.messages import PeerLost
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Member
--- /dev/null
+++ b/src/rattanstile/connection/peer_messages.py
@@ -0,0 +1,239 @@
+"""Messages between nodes of a fleet, and their frames.
+
+A frame is a length of four bytes, big-endian, and one MessagePack message.
+Messages are arrays without field names: their bytes between failure domains
+are what the fleet pays most for.
+"""
+
+from collections.abc import Iterator
+from struct import Struct
+
+import msgspec
+
+from rattanstile.errors import RattanstileError
+from rattanstile.request.exchange import (
+    ServedCall,
+    ServiceNeed,
+    WholeAnswer,
+)
+from rattanstile.request.ids import (
+    FailureDomainId,
+    NodeId,
+    OrganisationId,
+    ServiceName,
+)
+
+MAX_FRAME_BYTES = 72 * 1024 * 1024
+"""The largest body that operators allow, and its head."""
+
+_LENGTH = Struct('>I')
+
+
+class PeerFrameError(RattanstileError):
+    """The bytes received are no frame; the connection can't go on."""
+
+
+class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
+    """How a target and the queue before it are.
+
+    Attributes:
+        is_usable: Whether the target takes new calls.
+        held: Calls on the target and in the queue.
+        limit: Calls at once that the target bears.
+        service_us: Microseconds that a call takes on it, in the mean.
+        wait_us: Microseconds that a new call would wait.
+        pressure_milli: Thousandths of `ServiceNeed.pressure`.
+    """
+
+    is_usable: bool = False
+    held: int = 0
+    limit: int = 1
+    service_us: int = 0
+    wait_us: int = 0
+    pressure_milli: int = 0
+
+
+class PeerHello(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """First message of both ends.
+
+    Attributes:
+        incarnation: Differs between two runs of the process.
+        offset: See `ConfigNotice`.
+    """
+
+    node_id: NodeId
+    address: str
+    service: ServiceName
+    domain: FailureDomainId
+    incarnation: int
+    offset: int
+    load: TargetLoad
+
+
+class CallSent(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """One attempt; `sequence` counts the attempts of the sender."""
+
+    sequence: int
+    call: ServedCall
+
+
+class CallCancelled(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Nobody waits for the attempt any more."""
+
+    sequence: int
+
+
+class CallEnded(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The end of an attempt.
+
+    Attributes:
+        answer: The target's, or None.
+        not_run: Number of a `NotRunReason`; 0 for none.
+        unknown: Number of an `UnknownReason`; 0 for none.
+        needs: What a run of the route takes; empty when told not long ago.
+    """
+
+    sequence: int
+    answer: WholeAnswer | None
+    not_run: int
+    unknown: int
+    load: TargetLoad
+    needs: tuple[ServiceNeed, ...] = ()
+
+
+class StatusTold(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """The sender's target has changed."""
+
+    service: ServiceName
+    load: TargetLoad
+
+
+class ConfigNotice(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """The sender knows the operators' log up to this offset."""
+
+    offset: int
+
+
+class ConfigWanted(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """The sender can't read the operators' log itself."""
+
+    offset: int
+
+
+class ConfigTold(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """What operators state, as of an offset of their log."""
+
+    offset: int
+    document: bytes
+    evacuated: tuple[FailureDomainId, ...]
+
+
+class RatesReported(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Requests a second of each organisation at the sender.
+
+    Attributes:
+        sequence: Larger in each later report.
+    """
+
+    sequence: int
+    demand_per_s: dict[OrganisationId, float]
+
+
+class RatesShared(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Parts of each organisation's rate that the receiver may hand out."""
+
+    sequence: int
+    parts: dict[OrganisationId, float]
+
+
+class Leaving(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """The sender's process is about to end."""
+
+
+class PeerPing(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Asks for a sign of life."""
+
+
+class PeerPong(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Answers a ping."""
+
+
+class PeerMember(msgspec.Struct, frozen=True, array_like=True):
+    """Where a node is reached, and what it serves."""
+
+    node_id: NodeId
+    address: str
+    service: ServiceName
+    domain: FailureDomainId
+
+
+class MembersTold(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Nodes that the sender is connected to."""
+
+    members: tuple[PeerMember, ...]
+
+
+PeerMessage = (
+    PeerHello
+    | CallSent
+    | CallCancelled
+    | CallEnded
+    | StatusTold
+    | ConfigNotice
+    | ConfigWanted
+    | ConfigTold
+    | RatesReported
+    | RatesShared
+    | Leaving
+    | PeerPing
+    | PeerPong
+    | MembersTold
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[PeerMessage] = msgspec.msgpack.Decoder(
+    PeerMessage
+)
+
+
+def encode_peer_frame(message: PeerMessage) -> bytes:
+    """Return the frame of a message."""
+    payload = _encoder.encode(message)
+    return _LENGTH.pack(len(payload)) + payload
+
+
+class PeerFrameReader:
+    """Cuts the bytes of one connection into messages."""
+
+    def __init__(self) -> None:
+        """Begin with nothing received."""
+        self._pending = bytearray()
+
+    def feed(self, received: bytes) -> Iterator[PeerMessage]:
+        """Yield each message that the bytes complete.
+
+        Raises:
+            PeerFrameError: A length or payload is wrong.
+        """
+        pending: bytes | bytearray = received
+        if self._pending:
+            self._pending += received
+            pending = self._pending
+        start = 0
+        while len(pending) - start >= _LENGTH.size:
+            (size_bytes,) = _LENGTH.unpack_from(pending, start)
+            if size_bytes > MAX_FRAME_BYTES:
+                raise PeerFrameError(f'a frame of {size_bytes} bytes')
+            begin = start + _LENGTH.size
+            if len(pending) < begin + size_bytes:
+                break
+            start = begin + size_bytes
+            yield _decode(bytes(pending[begin:start]))
+        self._pending = bytearray(pending[start:])
+
+
+def _decode(payload: bytes) -> PeerMessage:
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise PeerFrameError(f'no known message: {error}') from error
--- a/src/rattanstile/connection/target_http.py
+++ b/src/rattanstile/connection/target_http.py
@@ -17,7 +17,7 @@
     AnswerReader,
     TargetAnswer,
 )
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 from rattanstile.process.messages import TargetFailure
 from rattanstile.process.timers import Timer, TimerService
 from rattanstile.request.envelope import Header
--- /dev/null
+++ b/src/rattanstile/connection/target_pool.py
@@ -0,0 +1,216 @@
+"""Connections to the target beside the node, one call at a time on each."""
+
+from collections import deque
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IReactorTCP
+
+from rattanstile.connection.http_client import (
+    ExchangeEnd,
+    ExchangeFailure,
+    HttpClientConnection,
+    ResponseCheck,
+    connect_http,
+)
+from rattanstile.connection.http_messages import HttpResponse
+from rattanstile.process.timers import TimerService
+
+CONNECT_TIMEOUT_S = 1.0
+UNTOLD_KEEP_ALIVE_S = 4.0
+"""Idle time of a connection whose target states none."""
+KEEP_ALIVE_MARGIN_S = 1.0
+"""The time is stated in whole seconds, and a request may cross the close."""
+
+
+class TargetExchange:
+    """One request to the target.
+
+    Args:
+        written: Its bytes.
+        ended: Told the response or the failure, once.
+    """
+
+    def __init__(
+        self,
+        written: bytes,
+        ended: ExchangeEnd,
+        *,
+        is_head: bool,
+        is_own: ResponseCheck | None,
+    ) -> None:
+        """Begin unsent."""
+        self.written = written
+        self.ended = ended
+        self.is_head = is_head
+        self.is_own = is_own
+        self.connection: HttpClientConnection | None = None
+        self.is_over = False
+
+    @property
+    def is_sent(self) -> bool:
+        """Tell whether bytes may have reached the target."""
+        return self.connection is not None
+
+
+class TargetPool:
+    """Sends requests to one address.
+
+    Args:
+        reactor: Opens the connections.
+        timers: Gives the time.
+        address: Host and port of the target.
+    """
+
+    def __init__(
+        self, reactor: IReactorTCP, timers: TimerService, address: str
+    ) -> None:
+        """Begin without connections."""
+        self.opened = 0
+        self.most_connections = 64
+        self._reactor = reactor
+        self._timers = timers
+        self._address = address
+        self._open: set[HttpClientConnection] = set()
+        self._idle: list[HttpClientConnection] = []
+        self._waiting: deque[TargetExchange] = deque()
+        self._connecting = 0
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._open)
+
+    def send(
+        self,
+        written: bytes,
+        ended: ExchangeEnd,
+        *,
+        is_head: bool = False,
+        is_own: ResponseCheck | None = None,
+    ) -> TargetExchange:
+        """Send a request on a free connection, or on a new one."""
+        exchange = TargetExchange(
+            written, ended, is_head=is_head, is_own=is_own
+        )
+        connection = self._take_idle()
+        if connection is None:
+            self._waiting.append(exchange)
+            self._connect_for_waiting()
+        else:
+            self._begin(connection, exchange)
+        return exchange
+
+    def abandon(self, exchange: TargetExchange) -> None:
+        """Drop a request and the connection that carries it."""
+        if exchange.is_over:
+            return
+        if exchange.connection is not None:
+            exchange.connection.abandon()
+            return
+        exchange.is_over = True
+        self._waiting.remove(exchange)
+        exchange.ended(ExchangeFailure.UNSENT)
+
+    def drop_idle(self) -> None:
+        """Close the connections that carry nothing."""
+        for connection in tuple(self._idle):
+            connection.abort()
+        self._idle.clear()
+
+    def check(self, now_s: float) -> None:
+        """Close connections that the target is about to close."""
+        kept = []
+        for connection in self._idle:
+            if self._is_fresh(connection, now_s):
+                kept.append(connection)
+            else:
+                connection.abort()
+        self._idle = kept
+
+    def _take_idle(self) -> HttpClientConnection | None:
+        now_s = self._timers.now_s()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable and self._is_fresh(connection, now_s):
+                return connection
+            connection.abort()
+        return None
+
+    def _is_fresh(
+        self, connection: HttpClientConnection, now_s: float
+    ) -> bool:
+        keep_alive_s = connection.keep_alive_s
+        if keep_alive_s is None:
+            keep_alive_s = UNTOLD_KEEP_ALIVE_S
+        longest_s = max(
+            keep_alive_s - KEEP_ALIVE_MARGIN_S, keep_alive_s / 2
+        )
+        return now_s - connection.idle_since_s < longest_s
+
+    def _connect_for_waiting(self) -> None:
+        while (
+            self._connecting < len(self._waiting)
+            and len(self._open) + self._connecting < self.most_connections
+        ):
+            self._connecting += 1
+            self.opened += 1
+            connect_http(
+                self._reactor,
+                self._address,
+                CONNECT_TIMEOUT_S,
+                self._connected,
+                self._lost,
+            )
+
+    def _connected(self, connection: HttpClientConnection | None) -> None:
+        self._connecting -= 1
+        if connection is None:
+            self._fail_waiting()
+            return
+        self._open.add(connection)
+        self._freed(connection)
+
+    def _fail_waiting(self) -> None:
+        """Tell those that wait: none of their bytes were sent."""
+        while len(self._waiting) > self._connecting:
+            exchange = self._waiting.popleft()
+            exchange.is_over = True
+            exchange.ended(ExchangeFailure.UNSENT)
+
+    def _lost(self, connection: HttpClientConnection) -> None:
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._connect_for_waiting()
+
+    def _freed(self, connection: HttpClientConnection) -> None:
+        if self._waiting:
+            self._begin(connection, self._waiting.popleft())
+        else:
+            connection.idle_since_s = self._timers.now_s()
+            self._idle.append(connection)
+
+    def _begin(
+        self, connection: HttpClientConnection, exchange: TargetExchange
+    ) -> None:
+        exchange.connection = connection
+        connection.send(
+            exchange.written,
+            self._ending(connection, exchange),
+            is_head=exchange.is_head,
+            is_own=exchange.is_own,
+        )
+
+    def _ending(
+        self, connection: HttpClientConnection, exchange: TargetExchange
+    ) -> Callable[[HttpResponse | ExchangeFailure], None]:
+        def ended(end: HttpResponse | ExchangeFailure) -> None:
+            exchange.is_over = True
+            if isinstance(end, HttpResponse):
+                if end.keeps_alive and connection.is_usable:
+                    self._freed(connection)
+                else:
+                    connection.abort()
+            exchange.ended(end)
+
+        return ended
--- /dev/null
+++ b/src/rattanstile/platform/headers.py
@@ -0,0 +1,33 @@
+"""Header names of the platform, in lower case."""
+
+REQUEST_ID = b'request-id'
+DEADLINE_MS = b'request-deadline-ms'
+AUTHORIZATION = b'authorization'
+HOST = b'host'
+EXPECT = b'expect'
+RETRY_AFTER = b'retry-after'
+TARGET_ID_EXPECTED = b'expect-instance'
+TARGET_ID = b'instance-id'
+CALLER_SERVICE = b'caller-service'
+ORGANISATION = b'tenant'
+SIGNATURE = b'response-signature'
+NOT_RUN = b'not-executed'
+COLD_MS = b'cold-ms'
+CONTENT_ENCODING = b'content-encoding'
+
+KEY_SCHEME = 'token '
+"""What stands before a key in `AUTHORIZATION`."""
+
+SET_BY_NODE = frozenset(
+    (
+        REQUEST_ID,
+        DEADLINE_MS,
+        AUTHORIZATION,
+        HOST,
+        EXPECT,
+        TARGET_ID_EXPECTED,
+        CALLER_SERVICE,
+        ORGANISATION,
+    ),
+)
+"""Headers that aren't passed on as the caller sent them."""
--- /dev/null
+++ b/src/rattanstile/platform/operators.py
@@ -0,0 +1,176 @@
+"""Configurations as operators publish them, decoded into the product's."""
+
+import msgspec
+
+from rattanstile.process.mesh.settings import duration_s
+from rattanstile.request.ids import OrganisationId, ServiceName
+from rattanstile.version.fleet_config import (
+    CallerLimits,
+    FleetConfig,
+    FleetRoute,
+    FleetService,
+    Organisation,
+    Share,
+)
+
+
+class _Wire(msgspec.Struct, rename='camel'):
+    """Fields on the wire are in camel case."""
+
+
+class _Split(_Wire):
+    """One service of a split."""
+
+    service: str
+    weight: float
+
+
+class _Route(_Wire):
+    """A route; `service` or `traffic_split` is given."""
+
+    name: str
+    host: str
+    path_prefix: str
+    route_type: str
+    timeout: str
+    target_latency: str = '0ms'
+    priority: int = 0
+    service: str = ''
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+
+
+class _Service(_Wire):
+    """A service; `cold_per_s` is what a cold target bears."""
+
+    name: str
+    health_path: str = '/'
+    max_connections: int = 64
+    cold_start: str = '0ms'
+    cold_per_s: float = 0
+
+
+class _Limits(_Wire):
+    """What callers may send."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 8 * 1024 * 1024
+    header_timeout: str = '3s'
+    idle_timeout: str = '15s'
+
+
+class _Tenant(_Wire):
+    """An organisation."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+class _Config(_Wire):
+    """A whole configuration."""
+
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+_MAY_REPEAT = 'safe'
+_decoder = msgspec.json.Decoder(_Config)
+
+
+def decode_fleet_config(document: bytes) -> FleetConfig:
+    """Return the configuration in a document.
+
+    Raises:
+        msgspec.MsgspecError: The document is no configuration.
+        ValueError: A duration can't be read.
+    """
+    config = _decoder.decode(document)
+    routes: dict[str, list[FleetRoute]] = {}
+    for route in config.routes:
+        routes.setdefault(route.host.lower(), []).append(_route(route))
+    organisations: dict[str, Organisation] = {}
+    for tenant in config.tenants:
+        organisation = _organisation(tenant)
+        for key in tenant.api_keys:
+            organisations[key] = organisation
+    return FleetConfig(
+        number=config.version,
+        routes={
+            host: tuple(
+                sorted(found, key=lambda one: -len(one.path_prefix))
+            )
+            for host, found in routes.items()
+        },
+        services={
+            ServiceName(service.name): _service(service)
+            for service in config.services
+        },
+        organisations=organisations,
+        limits=_limits(config.limits),
+    )
+
+
+def _route(route: _Route) -> FleetRoute:
+    if route.traffic_split:
+        shares = tuple(
+            Share(ServiceName(split.service), split.weight)
+            for split in route.traffic_split
+        )
+    else:
+        shares = (Share(ServiceName(route.service), 1),)
+    timeout_s = _seconds(route.timeout)
+    return FleetRoute(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        shares=shares,
+        idempotent=route.route_type == _MAY_REPEAT,
+        timeout_s=timeout_s,
+        aim_s=_seconds(route.target_latency) or timeout_s,
+        priority=route.priority,
+        most_attempts=route.max_attempts,
+        open_to_all=route.public,
+    )
+
+
+def _service(service: _Service) -> FleetService:
+    return FleetService(
+        name=ServiceName(service.name),
+        health_path=service.health_path,
+        max_connections=service.max_connections,
+        cold_start_s=_seconds(service.cold_start),
+        cold_calls_per_s=service.cold_per_s,
+    )
+
+
+def _organisation(tenant: _Tenant) -> Organisation:
+    return Organisation(
+        name=OrganisationId(tenant.name),
+        keys=frozenset(tenant.api_keys),
+        rate_per_s=tenant.rate_per_s,
+        burst_calls=tenant.burst,
+        priority=tenant.priority,
+    )
+
+
+def _limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        head_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        head_timeout_s=_seconds(limits.header_timeout),
+        idle_timeout_s=_seconds(limits.idle_timeout),
+    )
+
+
+def _seconds(text: str) -> float:
+    found = duration_s(text)
+    if found is None:
+        raise ValueError(f'no duration: {text}')
+    return found
--- a/src/rattanstile/process/call_router.py
+++ b/src/rattanstile/process/call_router.py
@@ -20,7 +20,7 @@
     PeerReady,
 )
 from rattanstile.process.entry_service import EntryService
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 from rattanstile.process.messages import (
     AskHome,
     AttemptUnsent,
--- a/src/rattanstile/process/caller_links.py
+++ b/src/rattanstile/process/caller_links.py
@@ -19,7 +19,7 @@
 from rattanstile.process.entry_service import EntryRequest
 from rattanstile.process.gate import Asked
 from rattanstile.process.home_grants import HomeGrants
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 from rattanstile.request.envelope import Reply
 from rattanstile.request.outcome import Outcome, Reason
 
--- a/src/rattanstile/process/control_service.py
+++ b/src/rattanstile/process/control_service.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from rattanstile.connection.control_bus import ControlBus
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 from rattanstile.process.membership_messages import MembershipMessage
 from rattanstile.process.rate_messages import RateMessage
 from rattanstile.process.relay_messages import RelayMessage
--- a/src/rattanstile/process/entry_service.py
+++ b/src/rattanstile/process/entry_service.py
@@ -10,7 +10,7 @@
 
 from rattanstile.process.entry import EntryMachine
 from rattanstile.process.gate import Asked, Gate, Passed
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 from rattanstile.process.messages import (
     AskHome,
     BindingWanted,
--- a/src/rattanstile/process/logs.py
+++ b/src/rattanstile/process/logs.py
@@ -8,16 +8,6 @@
 
 from rattanstile.process.settings import LogSettings
 
-_QUOTED = frozenset(' "=\n\r\t')
-
-
-def key_values(event: str, **fields: object) -> str:
-    """Return the event and its fields as one line of key=value pairs."""
-    pairs = [f'event={event}']
-    for name, found in fields.items():
-        pairs.append(f'{name}={_quoted(str(found))}')
-    return ' '.join(pairs)
-
 
 @contextmanager
 def logging_to(settings: LogSettings) -> Iterator[None]:
@@ -45,10 +35,3 @@
     if settings.destination == 'none':
         return logbook.NullHandler()
     return logbook.FileHandler(settings.destination, level=level)
-
-
-def _quoted(text: str) -> str:
-    if text and not _QUOTED.intersection(text):
-        return text
-    escaped = text.replace('\\', r'\\').replace('"', r'\"')
-    return '"{0}"'.format(escaped.replace('\n', r'\n').replace('\r', r'\r'))
--- a/src/rattanstile/process/member_service.py
+++ b/src/rattanstile/process/member_service.py
@@ -18,7 +18,7 @@
     StreamEvent,
     StreamRecords,
 )
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 from rattanstile.process.membership import TICK_S, Membership
 from rattanstile.process.membership_messages import (
     InterestChanged,
--- /dev/null
+++ b/src/rattanstile/process/mesh/caller_service.py
@@ -0,0 +1,58 @@
+"""Joins the connections of callers and the entry desk."""
+
+from result import Err
+
+from rattanstile.connection.http_messages import HttpRequest
+from rattanstile.connection.http_server import (
+    HttpServerConnection,
+    Received,
+)
+from rattanstile.process.mesh.entry_call import EntryCall, Phase
+from rattanstile.process.mesh.entry_desk import EntryDesk
+from rattanstile.process.mesh.ports import CallerDialect
+from rattanstile.request.exchange import Ending
+
+
+class CallerService:
+    """Hands callers' requests to the desk, and their ends back.
+
+    Args:
+        dialect: How callers speak.
+        desk: Takes the requests.
+    """
+
+    def __init__(self, dialect: CallerDialect, desk: EntryDesk) -> None:
+        """Keep both."""
+        self._dialect = dialect
+        self._desk = desk
+
+    def request_received(
+        self, connection: HttpServerConnection, request: Received
+    ) -> None:
+        """Take a request."""
+        decoded = self._dialect.decode(request)
+        is_head = isinstance(request, HttpRequest) and request.method == 'HEAD'
+        if isinstance(decoded, Err):
+            written = self._dialect.encode(
+                '', decoded.err_value, closes=True, is_head=is_head
+            )
+            connection.respond(written, closes=True)
+            return
+        asked = decoded.ok_value
+
+        def ended(ending: Ending) -> None:
+            closes = connection.closes_next
+            written = self._dialect.encode(
+                asked.request_id, ending, closes=closes, is_head=is_head
+            )
+            connection.respond(written, closes=closes)
+
+        call = self._desk.begin(asked, ended)
+        if call is not None and call.phase is not Phase.OVER:
+            connection.answering = call
+
+    def connection_lost(self, connection: HttpServerConnection) -> None:
+        """Drop the request that nobody waits for."""
+        call = connection.answering
+        if isinstance(call, EntryCall):
+            self._desk.abandon(call)
--- /dev/null
+++ b/src/rattanstile/process/mesh/placement.py
@@ -0,0 +1,113 @@
+"""Choice of the node that serves an attempt.
+
+The load pattern it answers: some targets of a service are slow, nearly full
+or far away. The own failure domain serves as long as it does so promptly:
+bytes between domains cost most. Beyond that the target with the shortest
+expected time is chosen, of a random few (power of choices, Mitzenmacher,
+2001), so that nodes that all heard the same news don't all choose the same.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from rattanstile.connection.peer_messages import TargetLoad
+from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
+
+NEAR_WAIT_SHARE = 0.1
+"""Part of the aim that a call may wait to stay in its failure domain."""
+MOST_COMPARED = 6
+FAR_S = 0.004
+"""Both ways between failure domains."""
+SHORTEST_SERVICE_S = 0.002
+UNKNOWN_SERVICE_S = 0.03
+
+
+@dataclass(eq=False, slots=True)
+class Candidate:
+    """A node that serves, as this node knows it.
+
+    Attributes:
+        load: What the node last told.
+        sent_since: Attempts sent to it since then and not ended.
+        is_quiet: Whether it owes a sign of life.
+    """
+
+    node_id: NodeId
+    service: ServiceName
+    domain: FailureDomainId
+    load: TargetLoad
+    sent_since: int = 0
+    outstanding: int = 0
+    is_quiet: bool = False
+
+    def told(self, load: TargetLoad) -> None:
+        """Take what the node tells of its target."""
+        self.load = load
+        self.sent_since = 0
+
+    def sent(self) -> None:
+        """Count an attempt as sent."""
+        self.sent_since += 1
+        self.outstanding += 1
+
+    def ended(self) -> None:
+        """Count an attempt as ended."""
+        self.outstanding -= 1
+
+    def expected_wait_s(self) -> float:
+        """Return how long a call sent now would wait there."""
+        load = self.load
+        wait_s = load.wait_us / 1e6
+        free = load.limit - load.held - self.sent_since
+        if free > 0:
+            return wait_s
+        service_s = load.service_us / 1e6 or UNKNOWN_SERVICE_S
+        return wait_s + self.sent_since * service_s / max(load.limit, 1)
+
+    def expected_s(self, own: FailureDomainId) -> float:
+        """Return how long a call sent now would take."""
+        service_s = load_service_s(self.load)
+        used = (self.load.held + self.sent_since) / max(self.load.limit, 1)
+        far_s = 0 if self.domain == own else FAR_S
+        return self.expected_wait_s() + service_s * (1 + used) + far_s
+
+
+def load_service_s(load: TargetLoad) -> float:
+    """Return the mean time of a call on the target."""
+    service_s = load.service_us / 1e6 or UNKNOWN_SERVICE_S
+    return max(service_s, SHORTEST_SERVICE_S)
+
+
+def choose(
+    candidates: Iterable[Candidate],
+    own: FailureDomainId,
+    aim_s: float,
+    chance: Random,
+) -> Candidate | None:
+    """Return the candidate to send to, or None when there is none.
+
+    Args:
+        candidates: Those that may be sent to.
+        own: This node's failure domain.
+        aim_s: Time within which an answer has its worth.
+        chance: Draws the few that are compared.
+    """
+    usable = list(candidates)
+    lively = [each for each in usable if not each.is_quiet] or usable
+    if not lively:
+        return None
+    near = [each for each in lively if each.domain == own]
+    if near:
+        best = _quickest(near, own, chance)
+        if best.expected_wait_s() <= aim_s * NEAR_WAIT_SHARE:
+            return best
+    return _quickest(lively, own, chance)
+
+
+def _quickest(
+    pool: list[Candidate], own: FailureDomainId, chance: Random
+) -> Candidate:
+    if len(pool) > MOST_COMPARED:
+        pool = chance.sample(pool, MOST_COMPARED)
+    return min(pool, key=lambda each: (each.expected_s(own), chance.random()))
--- /dev/null
+++ b/src/rattanstile/process/mesh/serving_desk.py
@@ -0,0 +1,420 @@
+"""Serves the calls of all nodes on the target beside this one."""
+
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass
+
+from rattanstile.connection.http_client import ExchangeFailure
+from rattanstile.connection.http_messages import HttpResponse
+from rattanstile.connection.peer_messages import TargetLoad
+from rattanstile.connection.target_pool import TargetExchange, TargetPool
+from rattanstile.process.decision_log import DecisionLog, Kind
+from rattanstile.process.mesh.call_tree import CallTree
+from rattanstile.process.mesh.counters import Counters
+from rattanstile.process.mesh.ports import (
+    RunAnswered,
+    RunFailed,
+    RunRefused,
+    TargetDialect,
+    TargetLeft,
+)
+from rattanstile.process.mesh.service_needs import ServiceNeeds, with_own
+from rattanstile.process.mesh.target_gate import TargetGate, WaitingCall
+from rattanstile.process.mesh.target_watch import (
+    Announcement,
+    Heard,
+    TargetWatch,
+)
+from rattanstile.process.timers import TimerService
+from rattanstile.request.exchange import (
+    Answered,
+    Ending,
+    EndingHandler,
+    NotRun,
+    NotRunReason,
+    ServedCall,
+    ServiceNeed,
+    Unknown,
+    UnknownReason,
+)
+from rattanstile.request.ids import FailureDomainId
+from rattanstile.version.fleet_config import FleetState
+
+SPARE_CONNECTIONS = 8
+"""Connections beyond the limit, for those that are about to close."""
+CONNECTION_SHARE = 0.9
+MS_PER_S = 1000
+
+
+@dataclass(eq=False, slots=True)
+class _Served:
+    """A call in hand."""
+
+    waiting: WaitingCall
+    ended: EndingHandler
+    exchange: TargetExchange | None = None
+
+
+class ServingDesk:
+    """Takes calls in, runs them on the target and tells how they ended.
+
+    Args:
+        domain: The node's failure domain.
+        state: Gives what operators state.
+        pool: Carries the calls.
+        dialect: How the target is spoken to.
+        status_changed: Called when other nodes are to be told the load.
+    """
+
+    def __init__(
+        self,
+        domain: FailureDomainId,
+        watch: TargetWatch,
+        state: Callable[[], FleetState],
+        pool: TargetPool,
+        dialect: TargetDialect,
+        timers: TimerService,
+        log: DecisionLog,
+        counters: Counters,
+        status_changed: Callable[[], None],
+    ) -> None:
+        """Begin without calls."""
+        self.watch = watch
+        self.gate = TargetGate()
+        self.tree = CallTree()
+        self.is_stopping = False
+        self._domain = domain
+        self._state = state
+        self._pool = pool
+        self._dialect = dialect
+        self._timers = timers
+        self._log = log
+        self._counters = counters
+        self._status_changed = status_changed
+        self._served: dict[Hashable, _Served] = {}
+        self._was_usable = False
+        self._is_probing = False
+        self._was_evacuated = False
+
+    # What others are told
+
+    def load(self) -> TargetLoad:
+        """Return how the target and the queue before it are."""
+        now_s = self._timers.now_s()
+        is_cold = self.watch.is_cold(now_s)
+        gate = self.gate
+        limit = gate.limit
+        if is_cold:
+            limit = max(1, int(gate.cold_calls_per_s * gate.service_s))
+        wait_s = max(0.0, gate.expected_wait_s(is_cold=is_cold))
+        return TargetLoad(
+            is_usable=self.is_usable,
+            held=gate.in_flight + gate.waiting,
+            limit=limit,
+            service_us=int(gate.service_s * 1e6),
+            wait_us=int(wait_s * 1e6),
+            pressure_milli=int(
+                gate.pressure(now_s, is_cold=is_cold) * MS_PER_S
+            ),
+        )
+
+    def needs(
+        self, route: str, load: TargetLoad, below: ServiceNeeds
+    ) -> tuple[ServiceNeed, ...]:
+        """Return what a run of a route takes, of this service and others."""
+        own = ServiceNeed(
+            self.watch.service, 1.0, load.pressure_milli / MS_PER_S
+        )
+        now_s = self._timers.now_s()
+        deeper = below.below(now_s, self.tree.calls_of(route))
+        return with_own(own, deeper)
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether new calls are taken."""
+        return (
+            self.watch.is_usable
+            and not self.is_stopping
+            and self._domain not in self._state().evacuated
+        )
+
+    @property
+    def in_hand(self) -> int:
+        """Return how many calls wait or run."""
+        return len(self._served)
+
+    # Calls
+
+    def begin(
+        self, key: Hashable, call: ServedCall, ended: EndingHandler
+    ) -> None:
+        """Take a call; `ended` is told once, and not after `cancel`."""
+        now_s = self._timers.now_s()
+        reason = self._reason_not_to_take(call)
+        waiting = WaitingCall(
+            key, call, now_s, now_s + call.remaining_ms / MS_PER_S
+        )
+        if reason is None:
+            reason = self.gate.offer(
+                now_s, waiting, is_cold=self.watch.is_cold(now_s)
+            )
+        if reason is not None:
+            self._log_refused(call, reason)
+            ended(NotRun(reason))
+            return
+        self._served[key] = _Served(waiting, ended)
+        self.pump()
+
+    def cancel(self, key: Hashable) -> None:
+        """Drop a call: nobody waits for it any more."""
+        served = self._served.pop(key, None)
+        if served is None:
+            return
+        if served.exchange is None:
+            self.gate.cancel(served.waiting)
+            return
+        self._pool.abandon(served.exchange)
+
+    def keys_of(self, owner: Hashable) -> list[Hashable]:
+        """Return the keys of the calls that came in on one connection."""
+        return [
+            key
+            for key in self._served
+            if isinstance(key, tuple) and key[0] is owner
+        ]
+
+    def pump(self) -> None:
+        """Send the calls that may be sent now."""
+        now_s = self._timers.now_s()
+        if not self.watch.is_usable:
+            return
+        is_cold = self.watch.is_cold(now_s)
+        while True:
+            waiting = self.gate.take(now_s, is_cold=is_cold)
+            if waiting is None:
+                return
+            self._run(now_s, waiting)
+
+    def check(self, now_s: float) -> None:
+        """Do what time brings: expiry, pace, probes."""
+        for waiting in self.gate.expired(now_s):
+            self._refuse(waiting, NotRunReason.DEADLINE)
+        self._check_evacuation(now_s)
+        if not self.watch.is_usable and self.gate.waiting:
+            self._bounce()
+        self._tell_if_changed()
+        self.pump()
+        if self.watch.wants_probe(now_s):
+            self._probe()
+
+    # The target
+
+    def announced(self, told: Announcement) -> Heard:
+        """Take the target's word of itself."""
+        heard = self.watch.announced(self._timers.now_s(), told)
+        self._heard(heard, 'announcement')
+        return heard
+
+    def left(self, told: TargetLeft) -> Heard:
+        """Take the target's word that it goes."""
+        heard = self.watch.left(told.target_id)
+        self._heard(heard, 'deregistration')
+        return heard
+
+    def config_changed(self) -> None:
+        """Take the declared limits of the target's service."""
+        config = self._state().config
+        service = (
+            config.services.get(self.watch.service) if config else None
+        )
+        if service is None:
+            return
+        self.gate.cold_calls_per_s = service.cold_calls_per_s
+        self._pool.most_connections = min(
+            max(8, int(service.max_connections * CONNECTION_SHARE)),
+            max(8, self.gate.limit + SPARE_CONNECTIONS),
+        )
+
+    def _heard(self, heard: Heard, source: str) -> None:
+        now_s = self._timers.now_s()
+        if heard in {Heard.NEW, Heard.LEAVING}:
+            self._log.write(
+                Kind.TARGET,
+                f'target_{heard.value}',
+                target=self.watch.target_id,
+                service=self.watch.service,
+                source=source,
+                slots=self.watch.slots,
+                cold_s=round(max(0, self.watch.cold_until_s - now_s), 2),
+            )
+        if self.watch.slots:
+            self.gate.slots = self.watch.slots
+        self.config_changed()
+        if heard is Heard.LEAVING:
+            self._bounce()
+        self._tell_if_changed()
+        self.pump()
+
+    def _check_evacuation(self, now_s: float) -> None:
+        is_evacuated = self._domain in self._state().evacuated
+        if is_evacuated and not self._was_evacuated:
+            self._bounce()
+        if self._was_evacuated and not is_evacuated:
+            # Targets of a domain that comes back are cold.
+            self.watch.suspect(now_s)
+        self._was_evacuated = is_evacuated
+
+    def _tell_if_changed(self) -> None:
+        usable = self.is_usable
+        if usable != self._was_usable:
+            self._was_usable = usable
+            self._status_changed()
+
+    def _bounce(self) -> None:
+        for waiting in self.gate.emptied():
+            self._refuse(waiting, NotRunReason.TARGET_LEAVING)
+
+    def _probe(self) -> None:
+        config = self._state().config
+        service = (
+            config.services.get(self.watch.service) if config else None
+        )
+        if service is None or self._is_probing:
+            return
+        self._is_probing = True
+        self._counters.probes += 1
+        exchange = self._pool.send(
+            self._dialect.encode_probe(service.health_path), self._probed
+        )
+        self._timers.after(
+            1.0, lambda _: self._pool.abandon(exchange)
+        )
+
+    def _probed(self, end: HttpResponse | ExchangeFailure) -> None:
+        self._is_probing = False
+        if isinstance(end, ExchangeFailure):
+            return
+        probed = self._dialect.decode_probe(end)
+        heard = self.watch.probed(self._timers.now_s(), probed)
+        self._heard(heard, 'probe')
+
+    # Runs
+
+    def _run(self, now_s: float, waiting: WaitingCall) -> None:
+        served = self._served[waiting.key]
+        call = waiting.call
+        remaining_ms = max(1, int((waiting.deadline_s - now_s) * MS_PER_S))
+        self.tree.began(now_s, call.route)
+        served.exchange = self._pool.send(
+            self._dialect.encode_call(
+                call, self.watch.target_id, remaining_ms
+            ),
+            lambda end: self._ran(served, end),
+            is_head=call.method == 'HEAD',
+            is_own=lambda response: self._dialect.is_answer_to(
+                call, response
+            ),
+        )
+
+    def _ran(
+        self, served: _Served, end: HttpResponse | ExchangeFailure
+    ) -> None:
+        now_s = self._timers.now_s()
+        waiting = served.waiting
+        run_end = (
+            RunFailed(end)
+            if isinstance(end, ExchangeFailure)
+            else self._dialect.decode_answer(end)
+        )
+        self.gate.ended(
+            now_s, waiting, ran=isinstance(run_end, RunAnswered)
+        )
+        self.tree.ended(now_s, waiting.call.route)
+        is_wanted = self._served.pop(waiting.key, None) is not None
+        if is_wanted:
+            served.ended(self._ending(now_s, waiting, run_end))
+        self.pump()
+
+    def _ending(
+        self,
+        now_s: float,
+        waiting: WaitingCall,
+        run_end: RunAnswered | RunRefused | RunFailed,
+    ) -> Ending:
+        match run_end:
+            case RunAnswered(answer):
+                self._counters.runs += 1
+                return Answered(answer)
+            case RunRefused(is_other_target):
+                if is_other_target:
+                    self._suspect(now_s, 'other_target')
+                self._log_refused(waiting.call, NotRunReason.TARGET_REFUSED)
+                return NotRun(NotRunReason.TARGET_REFUSED)
+            case RunFailed(failure):
+                return self._failed(now_s, waiting, failure)
+
+    def _failed(
+        self, now_s: float, waiting: WaitingCall, failure: ExchangeFailure
+    ) -> Ending:
+        if failure is ExchangeFailure.UNSENT:
+            self._suspect(now_s, failure.value)
+            return NotRun(NotRunReason.TARGET_UNREACHED)
+        if failure is ExchangeFailure.RESET and not self._pool.open_connections:
+            self._suspect(now_s, failure.value)
+        self._log.write(
+            Kind.FAILED,
+            'run_failed',
+            request=waiting.call.request_id,
+            route=waiting.call.route,
+            target=self.watch.target_id,
+            failure=failure.value,
+            ran_s=round(now_s - (waiting.started_s or now_s), 3),
+        )
+        if failure in {ExchangeFailure.RESET, ExchangeFailure.CUT}:
+            return Unknown(UnknownReason.ANSWER_LOST)
+        return Unknown(UnknownReason.ANSWER_SPOILED)
+
+    def _suspect(self, now_s: float, why: str) -> None:
+        if self.watch.is_verified:
+            self._log.write(
+                Kind.TARGET,
+                'target_suspected',
+                target=self.watch.target_id,
+                why=why,
+            )
+        self.watch.suspect(now_s)
+        self._bounce()
+        self._tell_if_changed()
+
+    # Refusals
+
+    def _reason_not_to_take(self, call: ServedCall) -> NotRunReason | None:
+        if call.service != self.watch.service:
+            return NotRunReason.NO_TARGET
+        if self.watch.is_leaving or self.is_stopping:
+            return NotRunReason.TARGET_LEAVING
+        if not self.is_usable:
+            return NotRunReason.NO_TARGET
+        return None
+
+    def _refuse(self, waiting: WaitingCall, reason: NotRunReason) -> None:
+        served = self._served.pop(waiting.key, None)
+        if served is None:
+            return
+        self._log_refused(waiting.call, reason)
+        served.ended(NotRun(reason))
+
+    def _log_refused(self, call: ServedCall, reason: NotRunReason) -> None:
+        self._counters.refused_here += 1
+        if not self._log.takes(Kind.REFUSED):
+            return
+        self._log.append(
+            'call_not_taken',
+            request=call.request_id,
+            route=call.route,
+            reason=reason.name.lower(),
+            waiting=self.gate.waiting,
+            in_flight=self.gate.in_flight,
+            limit=self.gate.limit,
+            service_ms=round(self.gate.service_s * MS_PER_S, 1),
+            left_ms=call.remaining_ms,
+        )
--- /dev/null
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -0,0 +1,142 @@
+"""Follows the operators' log, and finds the other nodes, in the store."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import TypeVar
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from rattanstile.connection.peer_messages import PeerMember
+from rattanstile.process.decision_log import DecisionLog, Kind
+from rattanstile.process.mesh.operator_words import OperatorWords
+from rattanstile.process.mesh.ports import (
+    FleetStore,
+    HistoryGoneError,
+    StoreError,
+)
+
+LONG_READ_S = 25.0
+"""Below the longest wait that the store allows."""
+SETTLE_S = 0.3
+"""Pause after a change, so that a storm of them costs few reads; a small
+part of the time within which a version is to be in force."""
+FIRST_PAUSE_S = 0.15
+LONGEST_PAUSE_S = 1.0
+"""A store that is back is noticed within a second."""
+
+_Found = TypeVar('_Found')
+
+
+class StoreFollower:
+    """Keeps this node up to date with the store.
+
+    Args:
+        store: The platform's.
+        words: Takes the operators' records.
+        member: This node.
+        found: Told each node that has announced itself.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        store: FleetStore,
+        words: OperatorWords,
+        member: Callable[[], PeerMember],
+        found: Callable[[PeerMember], None],
+        log: DecisionLog,
+        chance: Random,
+    ) -> None:
+        """Begin without having read anything."""
+        self.is_reachable = False
+        self._clock = clock
+        self._store = store
+        self._words = words
+        self._member = member
+        self._found = found
+        self._log = log
+        self._chance = chance
+        self._is_running = True
+        self._tasks: list[Deferred[None]] = []
+
+    def start(self) -> None:
+        """Begin to read."""
+        for task in (self._follow(), self._join()):
+            self._tasks.append(Deferred.fromCoroutine(task))
+
+    def stop(self) -> None:
+        """Read nothing more."""
+        self._is_running = False
+
+    async def withdraw(self) -> None:
+        """Tell later nodes not to look for this one; once, unanswered."""
+        await self._store.withdraw(self._member().node_id)
+
+    async def _join(self) -> None:
+        member = self._member()
+        await self._until_done(lambda: self._store.announce(member))
+        members = await self._until_done(self._store.members)
+        for found in members.values() if members else ():
+            if found.node_id != member.node_id:
+                self._found(found)
+        self._log.write(
+            Kind.PEER, 'members_read', count=len(members) if members else 0
+        )
+
+    async def _follow(self) -> None:
+        is_known = False
+        pause_s = FIRST_PAUSE_S
+        while self._is_running:
+            if is_known:
+                read = await self._store.words_after(
+                    self._words.state.offset, LONG_READ_S
+                )
+            else:
+                read = await self._store.newest_words()
+            if isinstance(read, Err):
+                is_known = self._failed(read.err_value) and is_known
+                await self._sleep(pause_s)
+                pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
+                continue
+            self._reached()
+            pause_s = FIRST_PAUSE_S
+            if is_known:
+                self._words.take(read.ok_value, 'store')
+                if read.ok_value.records:
+                    await self._sleep(SETTLE_S)
+            else:
+                self._words.take_newest(read.ok_value, 'store')
+            is_known = True
+
+    def _failed(self, error: StoreError) -> bool:
+        """Note a failure; tell whether the offset can be kept."""
+        if self.is_reachable:
+            self._log.write(Kind.STORE, 'store_lost', why=error.message)
+        self.is_reachable = False
+        return not isinstance(error, HistoryGoneError)
+
+    def _reached(self) -> None:
+        if not self.is_reachable:
+            self._log.write(
+                Kind.STORE, 'store_regained', offset=self._words.state.offset
+            )
+        self.is_reachable = True
+
+    async def _until_done(
+        self, call: Callable[[], Awaitable[Result[_Found, StoreError]]]
+    ) -> _Found | None:
+        pause_s = FIRST_PAUSE_S
+        while self._is_running:
+            done = await call()
+            if isinstance(done, Ok):
+                return done.ok_value
+            await self._sleep(pause_s)
+            pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
+        return None
+
+    async def _sleep(self, pause_s: float) -> None:
+        spread = self._chance.uniform(0.7, 1)
+        await deferLater(self._clock, pause_s * spread)
--- /dev/null
+++ b/src/rattanstile/process/mesh/target_watch.py
@@ -0,0 +1,169 @@
+"""What a node knows of the target beside it, from announcements and probes.
+
+A target that has not been heard since this node started, or since its
+connections broke, is not used until it announces itself or answers a probe:
+it may be another incarnation, and cold.
+"""
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from rattanstile.request.ids import ServiceName, TargetId
+
+PROBE_PERIOD_S = 0.25
+"""A target that is back is used within a quarter of a second."""
+LONGEST_PROBE_PERIOD_S = 1.0
+
+
+@unique
+class TargetState(Enum):
+    """What a target says of itself."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a target tells the node beside it.
+
+    Attributes:
+        target_id: Differs between incarnations, mostly.
+        born_ms: Start of the incarnation, as the target's clock gives it.
+        sequence: Larger in each later announcement of an incarnation.
+        cold_s: How much longer it stays cold.
+    """
+
+    target_id: TargetId
+    service: ServiceName
+    address: str
+    slots: int
+    state: TargetState
+    sequence: int
+    cold_s: float
+    born_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """What a target answered to a probe.
+
+    Attributes:
+        target_id: Empty when it named none.
+        cold_s: None when it said nothing of being cold.
+    """
+
+    target_id: TargetId
+    is_healthy: bool
+    cold_s: float | None
+
+
+@unique
+class Heard(Enum):
+    """What an announcement or probe changed."""
+
+    NOTHING = 'nothing'
+    RENEWED = 'renewed'
+    NEW = 'new'
+    LEAVING = 'leaving'
+
+
+class TargetWatch:
+    """Follows the incarnations of one target.
+
+    Attributes:
+        target_id: The incarnation in use; empty for none.
+        slots: Calls at once that it takes.
+        cold_until_s: Monotonic time at which it is warm.
+    """
+
+    def __init__(self, service: ServiceName) -> None:
+        """Begin without a target."""
+        self.target_id = TargetId('')
+        self.service = service
+        self.slots = 0
+        self.cold_until_s = 0.0
+        self.is_leaving = False
+        self.is_verified = False
+        self._born_ms = 0
+        self._sequence = -1
+        self._left: set[TargetId] = set()
+        self._probe_due_s = 0.0
+        self._probe_period_s = PROBE_PERIOD_S
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether calls may be sent to the target."""
+        return self.is_verified and not self.is_leaving
+
+    def is_cold(self, now_s: float) -> bool:
+        """Tell whether the target bears its cold rate only."""
+        return now_s < self.cold_until_s
+
+    def announced(self, now_s: float, told: Announcement) -> Heard:
+        """Take an announcement; late ones change nothing."""
+        order = (told.born_ms, told.sequence)
+        is_same = (
+            told.target_id == self.target_id and told.born_ms == self._born_ms
+        )
+        if order <= (self._born_ms, self._sequence):
+            return Heard.NOTHING
+        self._born_ms, self._sequence = order
+        if not is_same:
+            self._begin(told.target_id)
+        self.service = told.service
+        self.slots = told.slots
+        self.cold_until_s = now_s + told.cold_s
+        if told.state is TargetState.DRAINING:
+            return self._leave()
+        self.is_verified = True
+        self._probe_period_s = PROBE_PERIOD_S
+        return Heard.RENEWED if is_same else Heard.NEW
+
+    def left(self, target_id: TargetId) -> Heard:
+        """Take a target's word that it goes."""
+        if self.target_id not in {target_id, TargetId('')}:
+            return Heard.NOTHING
+        self.target_id = target_id
+        return self._leave()
+
+    def probed(self, now_s: float, probed: Probed) -> Heard:
+        """Take the answer to a probe."""
+        if not probed.is_healthy or not probed.target_id:
+            return Heard.NOTHING
+        if probed.target_id != self.target_id:
+            if probed.target_id in self._left:
+                return Heard.NOTHING
+            self._begin(probed.target_id)
+        was_verified = self.is_verified
+        self.is_verified = True
+        self.cold_until_s = now_s + (probed.cold_s or 0)
+        self._probe_period_s = PROBE_PERIOD_S
+        return Heard.RENEWED if was_verified else Heard.NEW
+
+    def suspect(self, now_s: float) -> None:
+        """Stop using the target until it is heard again."""
+        if self.is_verified:
+            self.is_verified = False
+            self._probe_due_s = now_s
+
+    def wants_probe(self, now_s: float) -> bool:
+        """Tell, once a period, whether the target is to be probed."""
+        if self.is_verified or self.is_leaving or now_s < self._probe_due_s:
+            return False
+        self._probe_due_s = now_s + self._probe_period_s
+        self._probe_period_s = min(
+            self._probe_period_s * 1.5, LONGEST_PROBE_PERIOD_S
+        )
+        return True
+
+    def _begin(self, target_id: TargetId) -> None:
+        if self.is_leaving and self.target_id:
+            self._left.add(self.target_id)
+        self.target_id = target_id
+        self.is_leaving = False
+
+    def _leave(self) -> Heard:
+        was_leaving = self.is_leaving
+        self.is_leaving = True
+        return Heard.NOTHING if was_leaving else Heard.LEAVING
--- a/src/rattanstile/process/rate_service.py
+++ b/src/rattanstile/process/rate_service.py
@@ -13,7 +13,7 @@
     LogRecordRead,
     SendControl,
 )
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 from rattanstile.process.messages import Ticked
 from rattanstile.process.rate_borrower import Borrower
 from rattanstile.process.rate_messages import (
--- a/src/rattanstile/process/timers.py
+++ b/src/rattanstile/process/timers.py
@@ -4,17 +4,17 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-import logbook
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
+from twisted.logger import Logger
+
+_log = Logger('timers')
 
 TICK_S = 0.05
 EARLY_S = 0.001
 
 TickHandler = Callable[[float], None]
 
-_log = logbook.Logger('timers')
-
 
 class TimerService:
     """Hands time to subscribers, from a reactor or from a virtual clock.
@@ -94,7 +94,7 @@
     try:
         handler(now_s)
     except Exception:
-        _log.exception('event=timer_handler_failed')
+        _log.failure('event=timer_handler_failed')
 
 
 class Timer:
--- a/src/rattanstile/ready.py
+++ b/src/rattanstile/ready.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 
 
 def print_ready(**addresses: str) -> None:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rattanstile.process.logs import key_values
+from rattanstile.process.key_values import key_values
 
 
 class KeyValuesTest(unittest.TestCase):
