Root admission by demand and capacity of each service

Change: targets tell offered calls and capacity; each entry node estimates the demand and lets in what the capacity serves, by priority and by what a request takes. A quota hands out 1.06 of the rate; new targets are tried at once.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -42,7 +42,8 @@
         limit: Calls at once that the target bears.
         service_us: Microseconds that a call takes on it, in the mean.
         wait_us: Microseconds that a new call would wait.
-        pressure_milli: Thousandths of `ServiceNeed.pressure`.
+        offered_per_10s: Calls that arrive in 10 s, those refused included.
+        capacity_per_10s: Calls that the target serves in 10 s.
     """
 
     is_usable: bool = False
@@ -50,7 +51,8 @@
     limit: int = 1
     service_us: int = 0
     wait_us: int = 0
-    pressure_milli: int = 0
+    offered_per_10s: int = 0
+    capacity_per_10s: int = 0
 
 
 class PeerHello(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/src/rattanstile/process/mesh/entry_call.py
+++ b/src/rattanstile/process/mesh/entry_call.py
@@ -93,6 +93,7 @@
             request_id=asked.request_id,
             route=self.route.name,
             service=self.service,
+            moves=self.moves,
             inner=self.is_inner,
             idempotent=self.route.idempotent,
             priority=self.priority,
--- a/src/rattanstile/process/mesh/entry_desk.py
+++ b/src/rattanstile/process/mesh/entry_desk.py
@@ -17,7 +17,10 @@
 from rattanstile.process.mesh.placement import Candidate, choose
 from rattanstile.process.mesh.rate_keeper import RateKeeper
 from rattanstile.process.mesh.rerun_budget import RerunBudget
-from rattanstile.process.mesh.root_admission import RootAdmission
+from rattanstile.process.mesh.root_admission import (
+    RootAdmission,
+    ServiceView,
+)
 from rattanstile.process.mesh.service_needs import ServiceNeeds
 from rattanstile.process.mesh.serving_desk import ServingDesk
 from rattanstile.process.mesh.splitter import Splitter
@@ -183,10 +186,9 @@
                 )
                 return False
         verdict = self.admission.decide(
-            now_s,
             call.route.name,
             call.route.priority,
-            self.needs.of(now_s, call.route.name),
+            self.needs.of(call.route.name),
             call.deadline_s - now_s,
         )
         if verdict.is_admitted:
@@ -197,8 +199,8 @@
                 request=call.asked.request_id,
                 route=call.route.name,
                 service=verdict.service,
-                level=verdict.level,
-                rank=verdict.rank,
+                part=verdict.part,
+                let_in=verdict.let_in,
                 retry_after_s=round(verdict.retry_after_s, 2),
             )
         self._end(call, NotRun(NotRunReason.OVERLOADED, verdict.retry_after_s))
@@ -311,8 +313,7 @@
         self._own.outstanding -= 1
         if call is None:
             return
-        load = self._serving.load()
-        needs = self._serving.needs(call.route.name, load, self.needs)
+        needs = self._serving.needs(call.route.name, self.needs)
         self.needs.told(self._timers.now_s(), call.route.name, needs)
         self._attempt_ended(call, ending)
 
@@ -398,6 +399,15 @@
         if self._held:
             self.check(self._timers.now_s())
 
+    def service_views(self) -> dict[ServiceName, ServiceView]:
+        """Return each service as its nodes told of their targets."""
+        self._own.service = self._serving.watch.service
+        self._own.load = self._serving.load()
+        sums: dict[ServiceName, list[TargetLoad]] = {}
+        for each in (*self.candidates.values(), self._own):
+            sums.setdefault(each.service, []).append(each.load)
+        return {name: _view(loads) for name, loads in sums.items()}
+
     def check_quiet(self, now_s: float, silent_s: float) -> None:
         """Find the peers that owe a sign of life for too long."""
         for candidate in self.candidates.values():
@@ -477,6 +487,17 @@
         )
 
 
+def _view(loads: list[TargetLoad]) -> ServiceView:
+    usable = [load for load in loads if load.is_usable]
+    capacity = sum(load.capacity_per_10s for load in usable)
+    waits = sum(load.wait_us * load.capacity_per_10s for load in usable)
+    return ServiceView(
+        offered_per_s=sum(load.offered_per_10s for load in loads) / 10,
+        capacity_per_s=capacity / 10,
+        wait_s=waits / capacity / 1e6 if capacity else 0,
+    )
+
+
 def _described(ending: Ending) -> tuple[str, Kind]:
     match ending:
         case Answered(answer):
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -48,6 +48,7 @@
 from rattanstile.process.mesh.ports import Surroundings
 from rattanstile.process.mesh.rate_keeper import RateKeeper, RateSharer
 from rattanstile.process.mesh.rerun_budget import RerunBudget
+from rattanstile.process.mesh.root_admission import STEP_S
 from rattanstile.process.mesh.serving_desk import ServingDesk
 from rattanstile.process.mesh.settings import MeshSettings
 from rattanstile.process.mesh.store_follower import StoreFollower
@@ -64,6 +65,8 @@
 RATES_PERIOD_S = 0.5
 RELAY_PATIENCE_S = 0.4
 """A node reads the store itself, unless a peer is ahead for so long."""
+BUSY_SHARE = 0.6
+"""From this part of its capacity on, a target's load is told to all nodes."""
 NEEDS_PERIOD_S = 0.2
 """How often a peer is told what a route takes."""
 SHORTEST_DRAIN_S = 2.3
@@ -150,7 +153,9 @@
         )
         self._ready_state = self._server_state(ReadyService(self))
         self._metrics_state = self._server_state(MetricsService(self))
+        self._admission_due_s = 0.0
         self._slow_due_s = 0.0
+        self._is_busy_told = False
         self._rates_due_s = 0.0
         self._rates_sequence = 0
         self._needs_told: dict[tuple[NodeId, str], float] = {}
@@ -228,6 +233,9 @@
     def _tick(self, now_s: float) -> None:
         self.serving.check(now_s)
         self.entry.check(now_s)
+        if now_s >= self._admission_due_s:
+            self._admission_due_s = now_s + STEP_S - TICK_S / 2
+            self.entry.admission.step(self.entry.service_views())
         if now_s >= self._slow_due_s:
             self._slow_due_s = now_s + SLOW_TICK_S
             self._slow_tick(now_s)
@@ -245,12 +253,21 @@
         ):
             state.check(now_s)
         self._target_pool.check(now_s)
+        self._tell_if_busy()
         self.log.flush()
         self._ask_those_ahead(now_s)
         if now_s >= self._rates_due_s:
             self._rates_due_s = now_s + RATES_PERIOD_S
             self._report_rates(now_s)
 
+    def _tell_if_busy(self) -> None:
+        """Tell all nodes the load while the target is nearly overloaded."""
+        load = self.serving.load()
+        is_busy = load.offered_per_10s > load.capacity_per_10s * BUSY_SHARE
+        if is_busy or self._is_busy_told:
+            self._is_busy_told = is_busy
+            self._status_changed()
+
     def _check_drained(self, now_s: float) -> None:
         passed_s = now_s - self._drain_since_s
         if self.in_hand:
@@ -462,7 +479,7 @@
             load = self.serving.load()
             needs = ()
             if self._is_needs_due(link.node_id, call.route):
-                needs = self.serving.needs(call.route, load, self.entry.needs)
+                needs = self.serving.needs(call.route, self.entry.needs)
             link.send(ended_message(message.sequence, ending, load, needs))
 
         self.serving.begin((link, message.sequence), call, ended)
--- a/src/rattanstile/process/mesh/placement.py
+++ b/src/rattanstile/process/mesh/placement.py
@@ -20,7 +20,11 @@
 FAR_S = 0.004
 """Both ways between failure domains."""
 SHORTEST_SERVICE_S = 0.002
-UNKNOWN_SERVICE_S = 0.03
+UNKNOWN_SERVICE_S = 0.002
+"""A target that has run nothing yet is tried soon."""
+TRIED_SHARE = 0.02
+"""Part of the calls that go to any near target, so that one which was slow
+once is found to be quick again."""
 
 
 @dataclass(eq=False, slots=True)
@@ -98,6 +102,8 @@
     if not lively:
         return None
     near = [each for each in lively if each.domain == own]
+    if near and chance.random() < TRIED_SHARE:
+        return chance.choice(near)
     if near:
         best = _quickest(near, own, chance)
         if best.expected_wait_s() <= aim_s * NEAR_WAIT_SHARE:
--- a/src/rattanstile/process/mesh/rate_keeper.py
+++ b/src/rattanstile/process/mesh/rate_keeper.py
@@ -16,9 +16,11 @@
 DEMAND_WINDOW_S = 1.0
 EVEN_SHARE = 0.15
 """Part of each rate that is spread evenly, for demand that just begins."""
-BURST_SHARE = 1.15
+RATE_SHARE = 1.06
+BURST_SHARE = 1.1
 SPARE_CALLS = 16.0
-"""Calls beyond rate and burst that the fleet may admit in a window."""
+"""A little more than rate and burst is handed out: what is spread over many
+nodes is never used up everywhere, and the fleet may admit a tenth more."""
 SHORTEST_RETRY_S = 0.2
 LONGEST_RETRY_S = 2.0
 NODE_FORGOTTEN_S = 20.0
@@ -120,7 +122,8 @@
             bucket.part = 1 / self._nodes
         passed_s = now_s - bucket.filled_s
         bucket.filled_s = now_s
-        bucket.tokens += passed_s * bucket.part * organisation.rate_per_s
+        rate_per_s = organisation.rate_per_s * RATE_SHARE
+        bucket.tokens += passed_s * bucket.part * rate_per_s
         deepest = (
             bucket.part * organisation.burst_calls * BURST_SHARE
             + SPARE_CALLS / self._nodes
--- a/src/rattanstile/process/mesh/root_admission.py
+++ b/src/rattanstile/process/mesh/root_admission.py
@@ -1,47 +1,82 @@
 """Refusal of root requests whose trees an overloaded service can't finish.
 
 The load pattern it answers: the deepest service of the call trees is asked
-for more than it serves. Work refused there wastes all the work above it, so
-the excess is refused where the trees begin, before any of it has run. For
-each service a level says how many of the requests that need it are refused:
-the least urgent first, and among equals those that need most of it. The level
-follows the pressure that answers tell, as an integral controller.
+for more than it serves, by a surge or because its targets are cold. Work
+refused there wastes all the work above it, so the excess is refused where
+the trees begin, before any of it has run.
+
+For each service the demand is estimated as what is offered to it now over
+the part that was let in a moment ago, when that work began. The part let in
+follows at once when the capacity changes. It is given to the most urgent
+requests first, and among equals to those that take least of the service;
+each kind keeps a small part, so that none starves.
 """
 
+from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from random import Random
 
 from rattanstile.request.exchange import ServiceNeed
 from rattanstile.request.ids import ServiceName
 
-RISE_PER_S = 1.0
-"""Ranks refused in a second of twice the allowed wait."""
-FALL_PER_S = 0.6
-MOST_PRESSURE = 2.0
-"""Excess beyond this moves the level no faster."""
-MOST_REFUSED = 0.85
-"""Even the last rank keeps a part: no kind of request starves."""
-STALE_S = 1.0
-RANK_FORGET_S = 5.0
+STEP_S = 0.1
+"""How often the parts are worked out anew."""
+LAG_STEPS = 4
+"""Steps from letting a root request in to its calls at the deepest service."""
+DEMAND_GAIN = 0.25
+"""Weight of a new estimate of the demand; a time constant of 0.4 s."""
+FULL_USE = 1.0
+"""Part of the capacity that is used while calls wait a short time."""
+DRAINING_USE = 0.85
+"""Part of the capacity that is used while they wait too long."""
+LONGEST_WAIT_S = 0.12
+LEAST_LET_IN = 0.04
+RATE_GAIN = 0.1
+"""Weight of a step in the rate of each kind; a time constant of 1 s."""
+KEPT_SHARE = 0.15
+"""Part of each kind of request that is let in before any other."""
+FORGOTTEN_PER_S = 0.05
 SHORTEST_RETRY_S = 0.3
-LONGEST_RETRY_S = 1.5
-RETRY_SHARE = 0.3
+RETRY_SHARE = 0.2
 """Part of the time left within which a caller can come back and be served."""
 
+Kind = tuple[int, str]
+"""Priority, 0 for the most urgent, and the name of the route."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceView:
+    """A service, as its nodes told of their targets.
+
+    Attributes:
+        offered_per_s: Calls that arrive, those refused included.
+        capacity_per_s: Calls that its targets serve.
+        wait_s: How long calls wait there, in the mean.
+    """
+
+    offered_per_s: float
+    capacity_per_s: float
+    wait_s: float
+
 
 @dataclass(slots=True)
-class _Rank:
-    """Requests of one rank: priority, then what they take."""
+class _Asked:
+    """Requests of one kind that need a service, at this node."""
 
-    needed: float
-    seen_s: float
+    runs: float
+    since_step: int = 0
+    per_s: float = 0.0
 
 
 @dataclass(slots=True)
-class _Level:
-    level: float = 0.0
-    updated_s: float = 0.0
-    ranks: dict[tuple[int, str], _Rank] = field(default_factory=dict)
+class _Service:
+    kinds: dict[Kind, _Asked] = field(default_factory=dict)
+    let_in: deque[float] = field(
+        default_factory=lambda: deque([1.0], maxlen=LAG_STEPS)
+    )
+    demand_per_s: float = 0.0
+    parts: dict[Kind, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,37 +85,36 @@
 
     Attributes:
         service: The overloaded service; empty when none is.
-        level: How many ranks are refused.
-        rank: The request's own, from the least urgent.
+        part: Part of the requests of this kind that are let in.
+        let_in: Part of all work for that service that is.
     """
 
     is_admitted: bool
     service: ServiceName
-    level: float
-    rank: int
+    part: float
+    let_in: float
     retry_after_s: float = 0
 
 
 ADMITTED = Verdict(
-    is_admitted=True, service=ServiceName(''), level=0, rank=0
+    is_admitted=True, service=ServiceName(''), part=1, let_in=1
 )
 
 
 class RootAdmission:
-    """Levels of one node, by service.
+    """What one node lets in, by service.
 
     Args:
-        chance: Draws which requests of the marginal rank are refused.
+        chance: Draws which requests are refused.
     """
 
     def __init__(self, chance: Random) -> None:
-        """Begin with everything admitted."""
-        self._levels: dict[ServiceName, _Level] = {}
+        """Begin with everything let in."""
+        self._services: dict[ServiceName, _Service] = {}
         self._chance = chance
 
     def decide(
         self,
-        now_s: float,
         route: str,
         priority: int,
         needs: tuple[ServiceNeed, ...],
@@ -89,72 +123,92 @@
         """Decide on one root request.
 
         Args:
-            now_s: Monotonic seconds.
             route: Name of its route.
             priority: 0 is the most urgent.
             needs: What its tree takes.
             left_s: Time that its caller still waits.
         """
-        verdict = ADMITTED
+        kind = (priority, route)
+        least = 1.0
+        tight: ServiceName | None = None
         for need in needs:
-            level = self._follow(now_s, route, priority, need)
-            if level.level <= 0 or not verdict.is_admitted:
-                continue
-            rank = _rank_of(level, (priority, route))
-            share = min(MOST_REFUSED, max(0.0, level.level - rank))
-            if share > 0 and self._chance.random() < share:
-                verdict = Verdict(
-                    is_admitted=False,
-                    service=need.service,
-                    level=round(level.level, 2),
-                    rank=rank,
-                    retry_after_s=self._retry_after_s(left_s),
-                )
-        return verdict
-
-    def highest(self) -> float:
-        """Return the highest level of all services."""
-        return max(
-            (level.level for level in self._levels.values()), default=0.0
+            service = self._services.setdefault(need.service, _Service())
+            asked = service.kinds.setdefault(kind, _Asked(need.runs))
+            asked.runs = need.runs
+            asked.since_step += 1
+            part = service.parts.get(kind, service.let_in[-1])
+            if part < least:
+                least = part
+                tight = need.service
+        if tight is None or self._chance.random() < least:
+            return ADMITTED
+        return Verdict(
+            is_admitted=False,
+            service=tight,
+            part=round(least, 3),
+            let_in=round(self._services[tight].let_in[-1], 3),
+            retry_after_s=self._retry_after_s(left_s),
         )
 
-    def _follow(
-        self, now_s: float, route: str, priority: int, need: ServiceNeed
-    ) -> _Level:
-        level = self._levels.get(need.service)
-        if level is None:
-            level = _Level(updated_s=now_s)
-            self._levels[need.service] = level
-        level.ranks[priority, route] = _Rank(need.runs, now_s)
-        passed_s = min(now_s - level.updated_s, STALE_S)
-        level.updated_s = now_s
-        excess = min(need.pressure - 1, MOST_PRESSURE)
-        gain = RISE_PER_S if excess > 0 else FALL_PER_S
-        moved = level.level + gain * excess * passed_s
-        if moved < 0 or passed_s >= STALE_S:
-            moved = max(0.0, min(moved, level.level))
-        level.level = min(moved, float(_count_ranks(level, now_s)))
-        return level
+    def step(self, views: Mapping[ServiceName, ServiceView]) -> None:
+        """Work the parts out anew; called each `STEP_S`."""
+        for name, service in self._services.items():
+            view = views.get(name)
+            if view is not None:
+                _follow(service, view)
+            _measure(service)
+            service.parts = _parts(service)
+
+    def let_in(self) -> dict[ServiceName, float]:
+        """Return the part of the work for each service that is let in."""
+        return {
+            name: service.let_in[-1]
+            for name, service in self._services.items()
+        }
 
     def _retry_after_s(self, left_s: float) -> float:
-        longest_s = max(
-            SHORTEST_RETRY_S, min(LONGEST_RETRY_S, left_s * RETRY_SHARE)
-        )
+        longest_s = max(2 * SHORTEST_RETRY_S, left_s * RETRY_SHARE)
         return self._chance.uniform(SHORTEST_RETRY_S, longest_s)
 
 
-def _count_ranks(level: _Level, now_s: float) -> int:
-    for key, rank in tuple(level.ranks.items()):
-        if now_s - rank.seen_s > RANK_FORGET_S:
-            level.ranks.pop(key)
-    return len(level.ranks)
-
-
-def _rank_of(level: _Level, key: tuple[int, str]) -> int:
-    """Return how many ranks are refused before this one."""
-    own = level.ranks[key]
-    return sum(
-        1
-        for other, rank in level.ranks.items()
-        if (other[0], rank.needed, other[1]) > (key[0], own.needed, key[1])
+def _follow(service: _Service, view: ServiceView) -> None:
+    """Estimate the demand, and let in what the capacity serves of it."""
+    demand_per_s = view.offered_per_s / service.let_in[0]
+    service.demand_per_s += DEMAND_GAIN * (demand_per_s - service.demand_per_s)
+    use = DRAINING_USE if view.wait_s > LONGEST_WAIT_S else FULL_USE
+    served_per_s = use * view.capacity_per_s
+    let_in = 1.0
+    if service.demand_per_s > served_per_s:
+        let_in = max(LEAST_LET_IN, served_per_s / service.demand_per_s)
+    service.let_in.append(let_in)
+
+
+def _measure(service: _Service) -> None:
+    for kind, asked in tuple(service.kinds.items()):
+        seen_per_s = asked.since_step / STEP_S
+        asked.since_step = 0
+        asked.per_s += RATE_GAIN * (seen_per_s - asked.per_s)
+        if asked.per_s < FORGOTTEN_PER_S:
+            service.kinds.pop(kind)
+
+
+def _parts(service: _Service) -> dict[Kind, float]:
+    """Return the part of each kind that is let in."""
+    let_in = service.let_in[-1]
+    if let_in >= 1:
+        return {}
+    work = {
+        kind: asked.per_s * asked.runs for kind, asked in service.kinds.items()
+    }
+    kept = min(KEPT_SHARE, let_in)
+    left = (let_in - kept) * sum(work.values())
+    parts: dict[Kind, float] = {}
+    order = sorted(
+        work, key=lambda kind: (kind[0], service.kinds[kind].runs, kind[1])
     )
+    for kind in order:
+        wanted = (1 - kept) * work[kind]
+        given = min(left, wanted)
+        left -= given
+        parts[kind] = kept + (given / work[kind] if work[kind] else 1 - kept)
+    return parts
--- a/src/rattanstile/process/mesh/service_needs.py
+++ b/src/rattanstile/process/mesh/service_needs.py
@@ -1,8 +1,8 @@
 """What a run of each route takes of which services, down to the deepest.
 
 Serving nodes tell it on the answers of calls; each adds what its own target's
-calls were told. So the node where a tree begins learns how the deepest
-service of the tree fares within a few answers.
+calls were told. So the node where a tree begins learns what it takes
+of the deepest service within a few answers.
 """
 
 from dataclasses import dataclass
@@ -11,15 +11,14 @@
 from rattanstile.request.ids import ServiceName
 
 NEED_GAIN = 0.3
-FRESH_S = 2.0
-"""Needs that were told longer ago say nothing of pressure."""
+FRESH_S = 30.0
+"""Needs that were told longer ago are replaced, not averaged with."""
 MOST_NEEDS = 12
 
 
 @dataclass(slots=True)
 class _Need:
     runs: float
-    pressure: float
     told_s: float
 
 
@@ -38,47 +37,32 @@
         for need in needs:
             earlier = known.get(need.service)
             if earlier is None or now_s - earlier.told_s > FRESH_S:
-                known[need.service] = _Need(need.runs, need.pressure, now_s)
+                known[need.service] = _Need(need.runs, now_s)
                 continue
             earlier.runs += NEED_GAIN * (need.runs - earlier.runs)
-            earlier.pressure += NEED_GAIN * (need.pressure - earlier.pressure)
             earlier.told_s = now_s
 
-    def of(self, now_s: float, route: str) -> tuple[ServiceNeed, ...]:
-        """Return what a run of a route takes; old pressure counts as none."""
+    def of(self, route: str) -> tuple[ServiceNeed, ...]:
+        """Return what a run of a route takes."""
         known = self._routes.get(route)
         if known is None:
             return ()
         return tuple(
-            ServiceNeed(
-                service,
-                round(need.runs, 2),
-                round(need.pressure, 2)
-                if now_s - need.told_s <= FRESH_S
-                else 0.0,
-            )
+            ServiceNeed(service, round(need.runs, 2))
             for service, need in known.items()
         )
 
     def below(
-        self, now_s: float, calls: dict[str, float]
+        self, calls: dict[str, float]
     ) -> dict[ServiceName, ServiceNeed]:
-        """Return what these calls take together.
-
-        Args:
-            now_s: Monotonic seconds.
-            calls: Number of calls by route.
-        """
+        """Return what these calls, counted by route, take together."""
         found: dict[ServiceName, ServiceNeed] = {}
         for route, count in calls.items():
-            for need in self.of(now_s, route):
+            for need in self.of(route):
                 earlier = found.get(need.service)
                 runs = count * need.runs + (earlier.runs if earlier else 0)
-                pressure = max(
-                    need.pressure, earlier.pressure if earlier else 0
-                )
                 found[need.service] = ServiceNeed(
-                    need.service, round(runs, 2), pressure
+                    need.service, round(runs, 2)
                 )
         return found
 
@@ -90,8 +74,6 @@
     deeper = below.pop(own.service, None)
     if deeper is not None:
         own = ServiceNeed(
-            own.service,
-            round(own.runs + deeper.runs, 2),
-            max(own.pressure, deeper.pressure),
+            own.service, round(own.runs + deeper.runs, 2)
         )
     return (own, *tuple(below.values())[: MOST_NEEDS - 1])
--- a/src/rattanstile/process/mesh/serving_desk.py
+++ b/src/rattanstile/process/mesh/serving_desk.py
@@ -110,23 +110,18 @@
             is_usable=self.is_usable,
             held=gate.in_flight + gate.waiting,
             limit=limit,
-            service_us=int(gate.service_s * 1e6),
+            service_us=int(gate.service_s * 1e6) if gate.ran else 0,
             wait_us=int(wait_s * 1e6),
-            pressure_milli=int(
-                gate.pressure(now_s, is_cold=is_cold) * MS_PER_S
-            ),
+            offered_per_10s=int(gate.offered_per_s(now_s) * 10),
+            capacity_per_10s=int(gate.capacity_per_s(is_cold=is_cold) * 10),
         )
 
     def needs(
-        self, route: str, load: TargetLoad, below: ServiceNeeds
+        self, route: str, below: ServiceNeeds
     ) -> tuple[ServiceNeed, ...]:
         """Return what a run of a route takes, of this service and others."""
-        own = ServiceNeed(
-            self.watch.service, 1.0, load.pressure_milli / MS_PER_S
-        )
-        now_s = self._timers.now_s()
-        deeper = below.below(now_s, self.tree.calls_of(route))
-        return with_own(own, deeper)
+        own = ServiceNeed(self.watch.service, 1.0)
+        return with_own(own, below.below(self.tree.calls_of(route)))
 
     @property
     def is_usable(self) -> bool:
--- a/src/rattanstile/process/mesh/target_gate.py
+++ b/src/rattanstile/process/mesh/target_gate.py
@@ -14,15 +14,12 @@
 
 from rattanstile.request.exchange import NotRunReason, ServedCall
 
-USED_SLOTS = 0.94
+USED_SLOTS = 0.95
 """Targets slow down when nearly full; a new connection holds a slot too."""
-FIRST_SERVICE_S = 0.05
+FIRST_SERVICE_S = 0.03
 SERVICE_GAIN = 0.05
-WAIT_SHARE = 0.15
-"""Part of the shortest aim among its routes that calls may wait here."""
-AIM_GAIN = 0.02
-WAIT_GAIN_S = 0.1
-"""Time constant of the wait that pressure tells."""
+OFFERED_WINDOW_S = 0.3
+"""Time constant of the rate at which calls arrive."""
 MOST_WAITING = 3000
 PRIORITY_STEP = 0.25
 """A step of priority puts a call behind by this part of its aim."""
@@ -75,12 +72,12 @@
         self.in_flight = 0
         self.waiting = 0
         self.service_s = FIRST_SERVICE_S
+        self.ran = 0
         self._heap: list[_Place] = []
         self._sequence = 0
         self._cold_sent: deque[float] = deque()
-        self._wait_s = 0.0
-        self._wait_at_s = 0.0
-        self._aim_s = 0.0
+        self._offered_per_s = 0.0
+        self._offered_at_s = 0.0
 
     @property
     def limit(self) -> int:
@@ -91,6 +88,10 @@
         self, now_s: float, waiting: WaitingCall, *, is_cold: bool
     ) -> NotRunReason | None:
         """Take a call in, or tell why it can't be served in time."""
+        if not waiting.call.moves:
+            self._offered_per_s = (
+                self.offered_per_s(now_s) + 1 / OFFERED_WINDOW_S
+            )
         left_s = waiting.deadline_s - now_s
         expected_s = self.expected_wait_s(is_cold=is_cold)
         allowed_s = left_s - min(self.service_s, left_s / 2)
@@ -154,7 +155,9 @@
         self.in_flight -= 1
         if ran and waiting.started_s is not None:
             took_s = now_s - waiting.started_s
-            self.service_s += SERVICE_GAIN * (took_s - self.service_s)
+            self.ran += 1
+            gain = max(SERVICE_GAIN, 1 / self.ran)
+            self.service_s += gain * (took_s - self.service_s)
 
     def expected_wait_s(self, *, is_cold: bool) -> float:
         """Return how long a call that arrives now would wait."""
@@ -165,16 +168,19 @@
             return 0
         return (self.waiting + 1) * self.service_s / self.limit
 
-    def pressure(self, now_s: float, *, is_cold: bool) -> float:
-        """Return the wait over the wait that is allowed, smoothed."""
-        wait_s = max(0, self.expected_wait_s(is_cold=is_cold))
-        passed_s = now_s - self._wait_at_s
-        self._wait_at_s = now_s
-        part = 1 - math.exp(-passed_s / WAIT_GAIN_S)
-        self._wait_s += part * (wait_s - self._wait_s)
-        if not self._aim_s:
-            return 0
-        return self._wait_s / (self._aim_s * WAIT_SHARE)
+    def offered_per_s(self, now_s: float) -> float:
+        """Return the rate at which calls arrive, those refused included."""
+        passed_s = now_s - self._offered_at_s
+        self._offered_at_s = now_s
+        self._offered_per_s *= math.exp(-passed_s / OFFERED_WINDOW_S)
+        return self._offered_per_s
+
+    def capacity_per_s(self, *, is_cold: bool) -> float:
+        """Return the calls a second that the target serves."""
+        warm_per_s = self.limit / max(self.service_s, SHORTEST_CALL_S)
+        if is_cold:
+            return min(warm_per_s, self.cold_calls_per_s * COLD_SHARE)
+        return warm_per_s
 
     def next_cold_s(self) -> float | None:
         """Return when the next call may go to a cold target."""
@@ -194,11 +200,6 @@
         self._cold_sent.append(now_s)
         while self._cold_sent[0] <= now_s - COLD_WINDOW_S:
             self._cold_sent.popleft()
-        aim_s = waiting.call.aim_ms / 1000
-        if not self._aim_s or aim_s < self._aim_s:
-            self._aim_s = aim_s
-        else:
-            self._aim_s += AIM_GAIN * AIM_GAIN * (aim_s - self._aim_s)
 
 
 def _patience_s(call: ServedCall) -> float:
--- a/src/rattanstile/request/exchange.py
+++ b/src/rattanstile/request/exchange.py
@@ -137,6 +137,7 @@
 
     Attributes:
         route: Name of the route that was chosen.
+        moves: Nodes that it was offered to before, and that did not take it.
         inner: Whether a target made the request while it ran another.
         idempotent: Whether it may run more than once.
         priority: 0 is the most urgent.
@@ -149,6 +150,7 @@
     request_id: str
     route: str
     service: ServiceName
+    moves: int
     inner: bool
     idempotent: bool
     priority: int
@@ -164,14 +166,11 @@
 
 
 class ServiceNeed(msgspec.Struct, frozen=True, array_like=True):
-    """What one run of a route takes of a service, and how that service is.
+    """What one run of a route takes of a service.
 
     Attributes:
         runs: Runs of the service for one run of the route, in the mean.
-        pressure: Time that calls wait there over the time they may wait;
-            above 1 the service is overloaded.
     """
 
     service: ServiceName
     runs: float
-    pressure: float
