--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -135,17 +135,27 @@
 
     Attributes:
         sequence: Larger in each later report.
+        calls_per_s: Calls of each service that the sender's root requests
+            would make, if all were let in.
     """
 
     sequence: int
     demand_per_s: dict[OrganisationId, float]
+    calls_per_s: dict[ServiceName, float]
 
 
 class RatesShared(msgspec.Struct, frozen=True, array_like=True, tag=10):
-    """Parts of each organisation's rate that the receiver may hand out."""
+    """Parts of each organisation's rate that the receiver may hand out.
+
+    Attributes:
+        calls_per_s: What all reporting nodes said of each service.
+        nodes: How many nodes there are.
+    """
 
     sequence: int
     parts: dict[OrganisationId, float]
+    calls_per_s: dict[ServiceName, float]
+    nodes: int
 
 
 class Leaving(msgspec.Struct, frozen=True, array_like=True, tag=11):
--- a/src/rattanstile/process/decision_log.py
+++ b/src/rattanstile/process/decision_log.py
@@ -33,6 +33,7 @@
     SERVED = 9
     PLACED = 10
     SLOW = 11
+    ADMISSION = 12
 
 
 LINES_PER_S = {
@@ -47,6 +48,7 @@
     Kind.SERVED: 4,
     Kind.PLACED: 4,
     Kind.SLOW: 20,
+    Kind.ADMISSION: 8,
 }
 """Failures and refusals go before successes."""
 
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -63,10 +63,14 @@
 """A tenth of the slack within which a timeout is to be kept."""
 SLOW_TICK_S = 0.25
 RATES_PERIOD_S = 0.5
+TIGHT_RATES_PERIOD_S = 0.25
+"""While a service is nearly asked for what it serves."""
 RELAY_PATIENCE_S = 0.4
 """A node reads the store itself, unless a peer is ahead for so long."""
 BUSY_SHARE = 0.6
 """From this part of its capacity on, a target's load is told to all nodes."""
+CHANGED_SHARE = 0.3
+"""A capacity that changes by more is told, as when a target gets warm."""
 NEEDS_PERIOD_S = 0.2
 """How often a peer is told what a route takes."""
 SHORTEST_DRAIN_S = 2.3
@@ -156,6 +160,7 @@
         self._admission_due_s = 0.0
         self._slow_due_s = 0.0
         self._is_busy_told = False
+        self._capacity_told = 0
         self._rates_due_s = 0.0
         self._rates_sequence = 0
         self._needs_told: dict[tuple[NodeId, str], float] = {}
@@ -257,15 +262,42 @@
         self.log.flush()
         self._ask_those_ahead(now_s)
         if now_s >= self._rates_due_s:
-            self._rates_due_s = now_s + RATES_PERIOD_S
+            is_tight = self.entry.admission.is_tight
+            period_s = TIGHT_RATES_PERIOD_S if is_tight else RATES_PERIOD_S
+            self._rates_due_s = now_s + period_s - TICK_S / 2
             self._report_rates(now_s)
+            self._log_tight()
+
+    def _log_tight(self) -> None:
+        for tight in self.entry.admission.tight_services():
+            if not self.log.takes(Kind.ADMISSION):
+                return
+            runs = ','.join(
+                f'{route}:{count}' for route, count in tight.runs.items()
+            )
+            self.log.append(
+                'service_tight',
+                service=tight.service,
+                let_in=tight.let_in,
+                trim=tight.trim,
+                offered_per_s=round(tight.view.offered_per_s, 1),
+                demand_per_s=tight.demand_per_s,
+                own_per_s=tight.own_per_s,
+                capacity_per_s=round(tight.view.capacity_per_s, 1),
+                wait_ms=round(tight.view.wait_s * 1000, 1),
+                runs=runs,
+            )
 
     def _tell_if_busy(self) -> None:
         """Tell all nodes the load while the target is nearly overloaded."""
         load = self.serving.load()
-        is_busy = load.offered_per_10s > load.capacity_per_10s * BUSY_SHARE
-        if is_busy or self._is_busy_told:
+        capacity = load.capacity_per_10s
+        is_busy = load.offered_per_10s > capacity * BUSY_SHARE
+        change = abs(capacity - self._capacity_told)
+        is_changed = change > CHANGED_SHARE * self._capacity_told
+        if is_busy or self._is_busy_told or is_changed:
             self._is_busy_told = is_busy
+            self._capacity_told = capacity
             self._status_changed()
 
     def _check_drained(self, now_s: float) -> None:
@@ -334,24 +366,31 @@
         self._rates.nodes_known(fleet)
         self._reruns.nodes_known(fleet)
         demand = self._rates.demand(now_s)
+        calls = self.entry.admission.own_demand()
         connected = [one.node_id for one in self.peers.connected()]
         sharer = min([*connected, self.settings.node_id])
         if sharer == self.settings.node_id:
-            self._sharer.reported(now_s, sharer, demand)
+            self._sharer.reported(now_s, sharer, demand, calls)
             parts = self._sharer.parts_of(now_s, sharer, fleet)
             self._rates.shared(now_s, parts)
+            self.entry.admission.fleet_demand(
+                self._sharer.calls_per_s(), fleet
+            )
             return
         link = self.peers.link_to(sharer)
-        if link is not None and demand:
+        if link is not None and (demand or calls):
             self._rates_sequence += 1
-            link.send(RatesReported(self._rates_sequence, demand))
+            link.send(RatesReported(self._rates_sequence, demand, calls))
 
     def _share_rates(self, link: PeerLink, message: RatesReported) -> None:
         now_s = self.timers.now_s()
-        self._sharer.reported(now_s, link.node_id, message.demand_per_s)
+        self._sharer.reported(
+            now_s, link.node_id, message.demand_per_s, message.calls_per_s
+        )
         fleet = len(self.peers.known()) + 1
         parts = self._sharer.parts_of(now_s, link.node_id, fleet)
-        link.send(RatesShared(message.sequence, parts))
+        calls = self._sharer.calls_per_s()
+        link.send(RatesShared(message.sequence, parts, calls, fleet))
 
     # Peers
 
@@ -440,6 +479,9 @@
                 self._share_rates(link, message)
             case RatesShared():
                 self._rates.shared(self.timers.now_s(), message.parts)
+                self.entry.admission.fleet_demand(
+                    message.calls_per_s, message.nodes
+                )
             case Leaving():
                 self._peer_leaving(link)
             case MembersTold(members):
--- a/src/rattanstile/process/mesh/rate_keeper.py
+++ b/src/rattanstile/process/mesh/rate_keeper.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from rattanstile.request.ids import NodeId, OrganisationId
+from rattanstile.request.ids import NodeId, OrganisationId, ServiceName
 from rattanstile.version.fleet_config import Organisation
 
 PART_LASTS_S = 4.0
@@ -16,9 +16,9 @@
 DEMAND_WINDOW_S = 1.0
 EVEN_SHARE = 0.15
 """Part of each rate that is spread evenly, for demand that just begins."""
-RATE_SHARE = 1.06
+RATE_SHARE = 1.03
 BURST_SHARE = 1.1
-SPARE_CALLS = 16.0
+SPARE_CALLS = 12.0
 """A little more than rate and burst is handed out: what is spread over many
 nodes is never used up everywhere, and the fleet may admit a tenth more."""
 SHORTEST_RETRY_S = 0.2
@@ -135,6 +135,7 @@
 @dataclass(slots=True)
 class _Report:
     demand_per_s: dict[OrganisationId, float]
+    calls_per_s: dict[ServiceName, float]
     told_s: float
 
 
@@ -150,9 +151,18 @@
         now_s: float,
         node_id: NodeId,
         demand_per_s: dict[OrganisationId, float],
+        calls_per_s: dict[ServiceName, float],
     ) -> None:
         """Take what a node is asked."""
-        self._reports[node_id] = _Report(demand_per_s, now_s)
+        self._reports[node_id] = _Report(demand_per_s, calls_per_s, now_s)
+
+    def calls_per_s(self) -> dict[ServiceName, float]:
+        """Return what all reports together say of each service."""
+        totals: dict[ServiceName, float] = {}
+        for report in self._reports.values():
+            for name, calls in report.calls_per_s.items():
+                totals[name] = round(totals.get(name, 0.0) + calls, 1)
+        return totals
 
     def parts_of(
         self, now_s: float, node_id: NodeId, nodes_known: int
--- a/src/rattanstile/process/mesh/root_admission.py
+++ b/src/rattanstile/process/mesh/root_admission.py
@@ -5,14 +5,15 @@
 refused there wastes all the work above it, so the excess is refused where
 the trees begin, before any of it has run.
 
-For each service the demand is estimated as what is offered to it now over
-the part that was let in a moment ago, when that work began. The part let in
-follows at once when the capacity changes. It is given to the most urgent
-requests first, and among equals to those that take least of the service;
-each kind keeps a small part, so that none starves.
+The part that is let in is the capacity of the service over what all root
+requests of the fleet would take of it. Neither is measured behind the
+decision, so the part follows a change at once and doesn't swing. What waits
+at the service is drained by letting in less, and what comes against what was
+expected corrects the demand slowly. The part is given to the most
+urgent requests first, and among equals to those that take least of the
+service; each kind keeps a small part, so that none starves.
 """
 
-from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from random import Random
@@ -22,21 +23,27 @@
 
 STEP_S = 0.1
 """How often the parts are worked out anew."""
-LAG_STEPS = 4
-"""Steps from letting a root request in to its calls at the deepest service."""
-DEMAND_GAIN = 0.25
-"""Weight of a new estimate of the demand; a time constant of 0.4 s."""
-FULL_USE = 1.0
-"""Part of the capacity that is used while calls wait a short time."""
-DRAINING_USE = 0.85
-"""Part of the capacity that is used while they wait too long."""
-LONGEST_WAIT_S = 0.12
-LEAST_LET_IN = 0.04
-RATE_GAIN = 0.1
-"""Weight of a step in the rate of each kind; a time constant of 1 s."""
+RATE_GAIN = 0.2
+"""Weight of a step in the rate of each kind; a time constant of 0.5 s."""
+ALLOWED_WAIT_S = 0.03
+"""About two runs of a short call: enough that slots are never idle."""
+DRAIN_S = 0.4
+"""Time within which calls that wait longer are to be served."""
+EXPECTED_GAIN = 0.25
+"""A time constant of 0.4 s: the way from a root to the deepest service."""
+TRIM_GAIN = 0.07
+TRIM_FALL = 0.05
+"""Time constants of about 1.5 s and 2 s."""
+MOST_RATIO = 2.0
+MOST_TRIM = 3.0
+FEWEST_EXPECTED_PER_S = 5.0
+LEAST_USE = 0.25
+LEAST_LET_IN = 0.03
 KEPT_SHARE = 0.15
 """Part of each kind of request that is let in before any other."""
 FORGOTTEN_PER_S = 0.05
+TIGHT_SHARE = 0.7
+"""From this part of its capacity on, a service's demand is watched closely."""
 SHORTEST_RETRY_S = 0.3
 RETRY_SHARE = 0.2
 """Part of the time left within which a caller can come back and be served."""
@@ -67,17 +74,36 @@
     runs: float
     since_step: int = 0
     per_s: float = 0.0
+    weight: float = 0.0
+
+    def step(self) -> None:
+        """Take the requests since the last step into the rate."""
+        self.weight += RATE_GAIN * (1 - self.weight)
+        seen_per_s = self.since_step / STEP_S
+        self.since_step = 0
+        self.per_s += RATE_GAIN * (seen_per_s - self.per_s)
+
+    @property
+    def rate_per_s(self) -> float:
+        """Return the rate; right from the first step on."""
+        return self.per_s / self.weight if self.weight else 0.0
 
 
 @dataclass(slots=True)
 class _Service:
     kinds: dict[Kind, _Asked] = field(default_factory=dict)
-    let_in: deque[float] = field(
-        default_factory=lambda: deque([1.0], maxlen=LAG_STEPS)
-    )
+    let_in: float = 1.0
+    is_tight: bool = False
+    view: ServiceView | None = None
     demand_per_s: float = 0.0
+    trim: float = 1.0
+    expected_per_s: float = 0.0
     parts: dict[Kind, float] = field(default_factory=dict)
 
+    def own_per_s(self) -> float:
+        """Return the calls a second that this node's requests would take."""
+        return sum(one.rate_per_s * one.runs for one in self.kinds.values())
+
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
@@ -96,6 +122,26 @@
     retry_after_s: float = 0
 
 
+@dataclass(frozen=True, slots=True)
+class TightService:
+    """Why a part of the work for a service is refused; one log line.
+
+    Attributes:
+        demand_per_s: Calls that all nodes' requests would make.
+        own_per_s: Calls that this node's would.
+        trim: Factor found between what was expected and what came.
+        runs: Runs of the service for each request, by route.
+    """
+
+    service: ServiceName
+    let_in: float
+    demand_per_s: float
+    own_per_s: float
+    trim: float
+    view: ServiceView
+    runs: Mapping[str, float]
+
+
 ADMITTED = Verdict(
     is_admitted=True, service=ServiceName(''), part=1, let_in=1
 )
@@ -111,8 +157,15 @@
     def __init__(self, chance: Random) -> None:
         """Begin with everything let in."""
         self._services: dict[ServiceName, _Service] = {}
+        self._fleet_per_s: Mapping[ServiceName, float] = {}
+        self._nodes = 1
         self._chance = chance
 
+    @property
+    def is_tight(self) -> bool:
+        """Tell whether a service is nearly asked for what it serves."""
+        return any(service.is_tight for service in self._services.values())
+
     def decide(
         self,
         route: str,
@@ -136,7 +189,7 @@
             asked = service.kinds.setdefault(kind, _Asked(need.runs))
             asked.runs = need.runs
             asked.since_step += 1
-            part = service.parts.get(kind, service.let_in[-1])
+            part = service.parts.get(kind, service.let_in)
             if part < least:
                 least = part
                 tight = need.service
@@ -146,59 +199,109 @@
             is_admitted=False,
             service=tight,
             part=round(least, 3),
-            let_in=round(self._services[tight].let_in[-1], 3),
+            let_in=round(self._services[tight].let_in, 3),
             retry_after_s=self._retry_after_s(left_s),
         )
 
+    def own_demand(self) -> dict[ServiceName, float]:
+        """Return the calls a second that this node's requests would take."""
+        return {
+            name: round(service.own_per_s(), 1)
+            for name, service in self._services.items()
+        }
+
+    def fleet_demand(
+        self, demand_per_s: Mapping[ServiceName, float], nodes: int
+    ) -> None:
+        """Take the calls a second that all nodes' requests would take.
+
+        Args:
+            demand_per_s: By service; one that is missing is estimated.
+            nodes: How many nodes there are.
+        """
+        self._fleet_per_s = demand_per_s
+        self._nodes = nodes
+
     def step(self, views: Mapping[ServiceName, ServiceView]) -> None:
         """Work the parts out anew; called each `STEP_S`."""
         for name, service in self._services.items():
+            for kind, asked in tuple(service.kinds.items()):
+                asked.step()
+                if asked.rate_per_s < FORGOTTEN_PER_S:
+                    service.kinds.pop(kind)
+            own_per_s = service.own_per_s()
+            fleet_per_s = self._fleet_per_s.get(name, own_per_s * self._nodes)
+            fleet_per_s = max(fleet_per_s, own_per_s)
             view = views.get(name)
             if view is not None:
-                _follow(service, view)
-            _measure(service)
+                _follow(service, view, fleet_per_s)
             service.parts = _parts(service)
 
-    def let_in(self) -> dict[ServiceName, float]:
-        """Return the part of the work for each service that is let in."""
-        return {
-            name: service.let_in[-1]
+    def tight_services(self) -> list[TightService]:
+        """Return the services that are nearly asked for what they serve."""
+        return [
+            TightService(
+                name,
+                round(service.let_in, 3),
+                round(service.demand_per_s, 1),
+                round(service.own_per_s(), 1),
+                round(service.trim, 2),
+                service.view,
+                {
+                    kind[1]: asked.runs
+                    for kind, asked in service.kinds.items()
+                },
+            )
             for name, service in self._services.items()
-        }
+            if service.is_tight and service.view is not None
+        ]
 
     def _retry_after_s(self, left_s: float) -> float:
         longest_s = max(2 * SHORTEST_RETRY_S, left_s * RETRY_SHARE)
         return self._chance.uniform(SHORTEST_RETRY_S, longest_s)
 
 
-def _follow(service: _Service, view: ServiceView) -> None:
-    """Estimate the demand, and let in what the capacity serves of it."""
-    demand_per_s = view.offered_per_s / service.let_in[0]
-    service.demand_per_s += DEMAND_GAIN * (demand_per_s - service.demand_per_s)
-    use = DRAINING_USE if view.wait_s > LONGEST_WAIT_S else FULL_USE
+def _follow(
+    service: _Service, view: ServiceView, demand_per_s: float
+) -> None:
+    service.trim = _trimmed(service, view)
+    demand_per_s *= service.trim
+    service.view = view
+    service.demand_per_s = demand_per_s
+    excess_s = max(0.0, view.wait_s - ALLOWED_WAIT_S)
+    use = max(LEAST_USE, 1 - excess_s / DRAIN_S)
+    service.is_tight = demand_per_s > TIGHT_SHARE * view.capacity_per_s
     served_per_s = use * view.capacity_per_s
-    let_in = 1.0
-    if service.demand_per_s > served_per_s:
-        let_in = max(LEAST_LET_IN, served_per_s / service.demand_per_s)
-    service.let_in.append(let_in)
+    service.let_in = 1.0
+    if demand_per_s > served_per_s:
+        service.let_in = max(LEAST_LET_IN, served_per_s / demand_per_s)
+    expected_per_s = service.let_in * demand_per_s
+    service.expected_per_s += EXPECTED_GAIN * (
+        expected_per_s - service.expected_per_s
+    )
+
 
+def _trimmed(service: _Service, view: ServiceView) -> float:
+    """Return the factor by which the demand is worked out wrong.
 
-def _measure(service: _Service) -> None:
-    for kind, asked in tuple(service.kinds.items()):
-        seen_per_s = asked.since_step / STEP_S
-        asked.since_step = 0
-        asked.per_s += RATE_GAIN * (seen_per_s - asked.per_s)
-        if asked.per_s < FORGOTTEN_PER_S:
-            service.kinds.pop(kind)
+    What a request takes is learnt, and may be wrong for some seconds.
+    """
+    if service.let_in >= 1 or service.expected_per_s < FEWEST_EXPECTED_PER_S:
+        return service.trim + TRIM_FALL * (1 - service.trim)
+    ratio = view.offered_per_s / service.expected_per_s
+    ratio = min(MOST_RATIO, max(1 / MOST_RATIO, ratio))
+    trim = service.trim * ratio**TRIM_GAIN
+    return min(MOST_TRIM, max(1 / MOST_TRIM, trim))
 
 
 def _parts(service: _Service) -> dict[Kind, float]:
     """Return the part of each kind that is let in."""
-    let_in = service.let_in[-1]
+    let_in = service.let_in
     if let_in >= 1:
         return {}
     work = {
-        kind: asked.per_s * asked.runs for kind, asked in service.kinds.items()
+        kind: asked.rate_per_s * asked.runs
+        for kind, asked in service.kinds.items()
     }
     kept = min(KEPT_SHARE, let_in)
     left = (let_in - kept) * sum(work.values())
--- a/src/rattanstile/process/mesh/serving_desk.py
+++ b/src/rattanstile/process/mesh/serving_desk.py
@@ -191,6 +191,7 @@
 
     def check(self, now_s: float) -> None:
         """Do what time brings: expiry, pace, probes."""
+        self.tree.step(now_s)
         for waiting in self.gate.expired(now_s):
             self._refuse(waiting, NotRunReason.DEADLINE)
         self._check_evacuation(now_s)
