A pool of each rate, asked when a node's own part is used up

Change: 0.6 of each rate is spread by demand, 0.4 is a pool at the node that shares out, one token a message; buckets fill from the configuration's arrival on.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -185,6 +185,21 @@
     members: tuple[PeerMember, ...]
 
 
+class TokenWanted(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """The sender's part of an organisation's rate is used up."""
+
+    sequence: int
+    organisation: OrganisationId
+
+
+class TokenGiven(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """Answers `TokenWanted`; without a token, when there may be one."""
+
+    sequence: int
+    is_granted: bool
+    wait_ms: int
+
+
 PeerMessage = (
     PeerHello
     | CallSent
@@ -200,6 +215,8 @@
     | PeerPing
     | PeerPong
     | MembersTold
+    | TokenWanted
+    | TokenGiven
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/rattanstile/process/mesh/entry_call.py
+++ b/src/rattanstile/process/mesh/entry_call.py
@@ -26,6 +26,7 @@
 class Phase(Enum):
     """Where a request stands."""
 
+    ASKING = 'asking'
     HELD = 'held'
     SENT = 'sent'
     OVER = 'over'
--- a/src/rattanstile/process/mesh/entry_desk.py
+++ b/src/rattanstile/process/mesh/entry_desk.py
@@ -15,7 +15,8 @@
 from rattanstile.process.mesh.counters import Counters
 from rattanstile.process.mesh.entry_call import EntryCall, Phase
 from rattanstile.process.mesh.placement import Candidate, choose
-from rattanstile.process.mesh.rate_keeper import RateKeeper
+from rattanstile.process.mesh.rate_keeper import RateVerdict
+from rattanstile.process.mesh.rate_service import RateService
 from rattanstile.process.mesh.rerun_budget import RerunBudget
 from rattanstile.process.mesh.root_admission import (
     RootAdmission,
@@ -79,14 +80,15 @@
         timers: TimerService,
         log: DecisionLog,
         counters: Counters,
-        rates: RateKeeper,
+        rates: RateService,
+        admission: RootAdmission,
         reruns: RerunBudget,
         chance: Random,
     ) -> None:
         """Begin without requests."""
         self.candidates: dict[NodeId, Candidate] = {}
         self.needs = ServiceNeeds()
-        self.admission = RootAdmission(chance)
+        self.admission = admission
         self._node_id = node_id
         self._domain = domain
         self._state = state
@@ -131,12 +133,12 @@
             if config.needs_keys:
                 return self._refuse(asked, ended, NotRunReason.KEY_REFUSED)
         call = self._entry_call(now_s, asked, ended, route, organisation)
+        self._add_deadline(call)
         if call.is_inner:
             self._serving.tree.called(now_s, route.name)
-        elif not self._is_admitted(now_s, call):
-            return None
-        self._add_deadline(call)
-        self._place(now_s, call)
+            self._place(now_s, call)
+        else:
+            self._check_rate(now_s, call)
         return call
 
     def abandon(self, call: EntryCall) -> None:
@@ -176,15 +178,40 @@
             deadline_s=now_s + patience_s,
         )
 
-    def _is_admitted(self, now_s: float, call: EntryCall) -> bool:
+    def _check_rate(self, now_s: float, call: EntryCall) -> None:
         organisation = call.organisation
-        if organisation is not None:
-            rate = self._rates.take(now_s, organisation)
-            if not rate.is_admitted:
-                self._end(
-                    call, NotRun(NotRunReason.OVER_RATE, rate.retry_after_s)
-                )
-                return False
+        if organisation is None:
+            self._check_load(now_s, call)
+            return
+        rate = self._rates.keeper.take(now_s, organisation)
+        if rate.is_admitted:
+            self._check_load(now_s, call)
+        elif rate.may_ask:
+            call.phase = Phase.ASKING
+            self._rates.ask(
+                organisation,
+                lambda is_granted: self._token_answered(
+                    call, rate, is_granted=is_granted
+                ),
+            )
+        else:
+            self._over_rate(call, rate)
+
+    def _token_answered(
+        self, call: EntryCall, rate: RateVerdict, *, is_granted: bool
+    ) -> None:
+        if call.phase is Phase.OVER:
+            if is_granted and call.organisation is not None:
+                self._rates.keeper.give_back(call.organisation)
+        elif is_granted:
+            self._check_load(self._timers.now_s(), call)
+        else:
+            self._over_rate(call, rate)
+
+    def _over_rate(self, call: EntryCall, rate: RateVerdict) -> None:
+        self._end(call, NotRun(NotRunReason.OVER_RATE, rate.retry_after_s))
+
+    def _check_load(self, now_s: float, call: EntryCall) -> None:
         verdict = self.admission.decide(
             call.route.name,
             call.route.priority,
@@ -192,7 +219,8 @@
             call.deadline_s - now_s,
         )
         if verdict.is_admitted:
-            return True
+            self._place(now_s, call)
+            return
         if self._log.takes(Kind.REFUSED):
             self._log.append(
                 'request_shed',
@@ -204,7 +232,6 @@
                 retry_after_s=round(verdict.retry_after_s, 2),
             )
         self._end(call, NotRun(NotRunReason.OVERLOADED, verdict.retry_after_s))
-        return False
 
     def _refuse(
         self, asked: CallerAsked, ended: EndingHandler, reason: NotRunReason
@@ -458,7 +485,7 @@
             if call.organisation is not None and (
                 ending.reason is not NotRunReason.OVER_RATE
             ):
-                self._rates.give_back(call.organisation)
+                self._rates.keeper.give_back(call.organisation)
         self._log_end(call, ending)
         call.ended(ending)
 
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -26,6 +26,8 @@
     RatesShared,
     StatusTold,
     TargetLoad,
+    TokenGiven,
+    TokenWanted,
 )
 from rattanstile.connection.peer_pool import (
     SILENT_S,
@@ -46,9 +48,9 @@
 from rattanstile.process.mesh.operator_words import OperatorWords
 from rattanstile.process.mesh.placement import Candidate
 from rattanstile.process.mesh.ports import Surroundings
-from rattanstile.process.mesh.rate_keeper import RateKeeper, RateSharer
+from rattanstile.process.mesh.rate_service import RateService
 from rattanstile.process.mesh.rerun_budget import RerunBudget
-from rattanstile.process.mesh.root_admission import STEP_S
+from rattanstile.process.mesh.root_admission import STEP_S, RootAdmission
 from rattanstile.process.mesh.serving_desk import ServingDesk
 from rattanstile.process.mesh.settings import MeshSettings
 from rattanstile.process.mesh.store_follower import StoreFollower
@@ -125,8 +127,10 @@
             self.counters,
             self._status_changed,
         )
-        self._rates = RateKeeper()
-        self._sharer = RateSharer()
+        admission = RootAdmission(chance)
+        self._rates = RateService(
+            settings.node_id, self.state, self.peers, self.timers, admission
+        )
         self._reruns = RerunBudget(settings.rerun_ratio, settings.rerun_slack)
         self.entry = EntryDesk(
             settings.node_id,
@@ -138,6 +142,7 @@
             log,
             self.counters,
             self._rates,
+            admission,
             self._reruns,
             chance,
         )
@@ -162,7 +167,6 @@
         self._is_busy_told = False
         self._capacity_told = 0
         self._rates_due_s = 0.0
-        self._rates_sequence = 0
         self._needs_told: dict[tuple[NodeId, str], float] = {}
         self._ahead_since_s: dict[NodeId, float] = {}
         self._drain_since_s = 0.0
@@ -265,7 +269,8 @@
             is_tight = self.entry.admission.is_tight
             period_s = TIGHT_RATES_PERIOD_S if is_tight else RATES_PERIOD_S
             self._rates_due_s = now_s + period_s - TICK_S / 2
-            self._report_rates(now_s)
+            self._rates.report(now_s)
+            self._reruns.nodes_known(self._rates.fleet)
             self._log_tight()
 
     def _log_tight(self) -> None:
@@ -325,6 +330,7 @@
 
     def _config_changed(self, before: FleetState) -> None:
         self.serving.config_changed()
+        self._rates.config_changed()
         self.peers.broadcast(ConfigNotice(self.state().offset))
         self.entry.peers_changed()
 
@@ -358,40 +364,6 @@
                 )
             )
 
-    # Rates
-
-    def _report_rates(self, now_s: float) -> None:
-        members = self.peers.known()
-        fleet = len(members) + 1
-        self._rates.nodes_known(fleet)
-        self._reruns.nodes_known(fleet)
-        demand = self._rates.demand(now_s)
-        calls = self.entry.admission.own_demand()
-        connected = [one.node_id for one in self.peers.connected()]
-        sharer = min([*connected, self.settings.node_id])
-        if sharer == self.settings.node_id:
-            self._sharer.reported(now_s, sharer, demand, calls)
-            parts = self._sharer.parts_of(now_s, sharer, fleet)
-            self._rates.shared(now_s, parts)
-            self.entry.admission.fleet_demand(
-                self._sharer.calls_per_s(), fleet
-            )
-            return
-        link = self.peers.link_to(sharer)
-        if link is not None and (demand or calls):
-            self._rates_sequence += 1
-            link.send(RatesReported(self._rates_sequence, demand, calls))
-
-    def _share_rates(self, link: PeerLink, message: RatesReported) -> None:
-        now_s = self.timers.now_s()
-        self._sharer.reported(
-            now_s, link.node_id, message.demand_per_s, message.calls_per_s
-        )
-        fleet = len(self.peers.known()) + 1
-        parts = self._sharer.parts_of(now_s, link.node_id, fleet)
-        calls = self._sharer.calls_per_s()
-        link.send(RatesShared(message.sequence, parts, calls, fleet))
-
     # Peers
 
     def hello(self) -> PeerHello:
@@ -475,13 +447,10 @@
                     frozenset(message.evacuated),
                     f'peer:{link.node_id}',
                 )
-            case RatesReported():
-                self._share_rates(link, message)
-            case RatesShared():
-                self._rates.shared(self.timers.now_s(), message.parts)
-                self.entry.admission.fleet_demand(
-                    message.calls_per_s, message.nodes
-                )
+            case RatesReported() | RatesShared():
+                self._rates.message(link, message)
+            case TokenWanted() | TokenGiven():
+                self._rates.message(link, message)
             case Leaving():
                 self._peer_leaving(link)
             case MembersTold(members):
--- a/src/rattanstile/process/mesh/rate_keeper.py
+++ b/src/rattanstile/process/mesh/rate_keeper.py
@@ -3,44 +3,83 @@
 Each node holds a part of each organisation's rate, as a fraction that is in
 force for whatever rate operators set. One node of those that are connected
 collects what is asked where and shares the fractions out anew, in proportion
-to demand. A node that hears nothing for a while goes back to an even part.
+to demand. It also keeps a pool, of which a node asks a token when its own
+part is used up: so an organisation gets its whole rate wherever its requests
+come in, however few they are. A node that hears nothing for a while goes
+back to an even part; a pool grows only with the part of the fleet that its
+node reaches, so that two halves of a partition together hand out no more.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-from rattanstile.request.ids import NodeId, OrganisationId, ServiceName
+from rattanstile.request.ids import OrganisationId
 from rattanstile.version.fleet_config import Organisation
 
 PART_LASTS_S = 4.0
 """How long a part is kept without news."""
 DEMAND_WINDOW_S = 1.0
-EVEN_SHARE = 0.15
-"""Part of each rate that is spread evenly, for demand that just begins."""
+LOCAL_SHARE = 0.6
+"""Part of each rate that nodes hold; the rest is in the pool."""
 RATE_SHARE = 1.03
-BURST_SHARE = 1.1
-SPARE_CALLS = 12.0
+BURST_SHARE = 1.08
+SPARE_CALLS = 10.0
 """A little more than rate and burst is handed out: what is spread over many
 nodes is never used up everywhere, and the fleet may admit a tenth more."""
 SHORTEST_RETRY_S = 0.2
 LONGEST_RETRY_S = 2.0
-NODE_FORGOTTEN_S = 20.0
+LONGEST_DRY_S = 0.25
+"""A pool that was dry is asked again after this time at the latest."""
+LEAST_DEMAND_PER_S = 0.05
 
 
 @dataclass(slots=True)
 class _Bucket:
-    tokens: float
+    """Tokens of one organisation.
+
+    Attributes:
+        part: Part of the rate that fills it.
+        dry_until_s: Until when the pool needn't be asked.
+    """
+
     filled_s: float
     part: float
+    tokens: float = 0.0
     part_until_s: float = 0.0
     asked: float = 0.0
     demand_per_s: float = 0.0
+    dry_until_s: float = 0.0
+
+    def fill(
+        self, now_s: float, organisation: Organisation, spare_calls: float
+    ) -> None:
+        """Add what time has brought, up to the burst."""
+        passed_s = now_s - self.filled_s
+        self.filled_s = now_s
+        rate_per_s = organisation.rate_per_s * RATE_SHARE * self.part
+        burst_calls = organisation.burst_calls * BURST_SHARE * self.part
+        self.tokens = min(
+            self.tokens + passed_s * rate_per_s, burst_calls + spare_calls
+        )
+
+    def wait_s(self, organisation: Organisation) -> float:
+        """Return when the next token comes."""
+        rate_per_s = organisation.rate_per_s * RATE_SHARE * self.part
+        return (1 - self.tokens) / max(rate_per_s, 1 / LONGEST_RETRY_S)
 
 
 @dataclass(frozen=True, slots=True)
 class RateVerdict:
-    """Whether a request is within its organisation's rate here."""
+    """Whether a request is within its organisation's rate here.
+
+    Attributes:
+        may_ask: Whether the pool may have a token for it.
+        tokens: What is left of the node's part.
+        part: The node's part of the rate.
+    """
 
     is_admitted: bool
+    may_ask: bool
     tokens: float
     part: float
     retry_after_s: float = 0
@@ -59,28 +98,42 @@
         """Learn how many nodes share each rate."""
         self._nodes = max(1, count)
 
+    def know(self, now_s: float, organisations: Iterable[Organisation]) -> None:
+        """Begin to collect tokens: a new process begins with none."""
+        for organisation in organisations:
+            self._bucket(now_s, organisation)
+
     def take(self, now_s: float, organisation: Organisation) -> RateVerdict:
         """Admit a request, if the node's part of the rate allows it."""
         if not organisation.rate_per_s:
-            return RateVerdict(is_admitted=True, tokens=0, part=1)
+            return RateVerdict(
+                is_admitted=True, may_ask=False, tokens=0, part=1
+            )
         bucket = self._filled(now_s, organisation)
         bucket.asked += 1
         if bucket.tokens >= 1:
             bucket.tokens -= 1
             return RateVerdict(
-                is_admitted=True, tokens=bucket.tokens, part=bucket.part
+                is_admitted=True,
+                may_ask=False,
+                tokens=bucket.tokens,
+                part=bucket.part,
             )
-        rate_per_s = max(bucket.part * organisation.rate_per_s, 0.1)
-        wait_s = (1 - bucket.tokens) / rate_per_s
         return RateVerdict(
             is_admitted=False,
+            may_ask=now_s >= bucket.dry_until_s,
             tokens=bucket.tokens,
             part=bucket.part,
-            retry_after_s=min(
-                LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_s)
-            ),
+            retry_after_s=_bounded(bucket.wait_s(organisation)),
         )
 
+    def pool_was_dry(
+        self, now_s: float, organisation: Organisation, wait_s: float
+    ) -> None:
+        """Note that the pool has no token for a while."""
+        bucket = self._bucket(now_s, organisation)
+        bucket.dry_until_s = now_s + min(wait_s, LONGEST_DRY_S)
+
     def give_back(self, organisation: Organisation) -> None:
         """Return what a request took that has not run."""
         bucket = self._buckets.get(organisation.name)
@@ -99,7 +152,7 @@
             seen_per_s = bucket.asked / passed_s
             bucket.asked = 0
             bucket.demand_per_s += gain * (seen_per_s - bucket.demand_per_s)
-            if bucket.demand_per_s > 0.05:  # noqa: PLR2004
+            if bucket.demand_per_s > LEAST_DEMAND_PER_S:
                 found[name] = round(bucket.demand_per_s, 2)
         return found
 
@@ -110,91 +163,75 @@
         for name, part in parts.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
-                bucket.part = part
+                bucket.part = part * LOCAL_SHARE
                 bucket.part_until_s = now_s + PART_LASTS_S
 
-    def _filled(self, now_s: float, organisation: Organisation) -> _Bucket:
+    def _bucket(self, now_s: float, organisation: Organisation) -> _Bucket:
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
-            bucket = _Bucket(tokens=1, filled_s=now_s, part=1 / self._nodes)
+            bucket = _Bucket(filled_s=now_s, part=LOCAL_SHARE / self._nodes)
             self._buckets[organisation.name] = bucket
+        return bucket
+
+    def _filled(self, now_s: float, organisation: Organisation) -> _Bucket:
+        bucket = self._bucket(now_s, organisation)
         if now_s > bucket.part_until_s:
-            bucket.part = 1 / self._nodes
-        passed_s = now_s - bucket.filled_s
-        bucket.filled_s = now_s
-        rate_per_s = organisation.rate_per_s * RATE_SHARE
-        bucket.tokens += passed_s * bucket.part * rate_per_s
-        deepest = (
-            bucket.part * organisation.burst_calls * BURST_SHARE
-            + SPARE_CALLS / self._nodes
-        )
-        bucket.tokens = min(bucket.tokens, max(1.0, deepest))
+            bucket.part = LOCAL_SHARE / self._nodes
+        bucket.fill(now_s, organisation, SPARE_CALLS / self._nodes)
         return bucket
 
 
-@dataclass(slots=True)
-class _Report:
-    demand_per_s: dict[OrganisationId, float]
-    calls_per_s: dict[ServiceName, float]
-    told_s: float
+@dataclass(frozen=True, slots=True)
+class PoolVerdict:
+    """Whether the pool had a token, and when it has the next one."""
+
+    is_granted: bool
+    wait_s: float = 0
 
 
-class RateSharer:
-    """Shares the rates out among the nodes that report to this one."""
+class RatePool:
+    """The part of all rates that is handed out token by token."""
 
     def __init__(self) -> None:
-        """Begin without reports."""
-        self._reports: dict[NodeId, _Report] = {}
+        """Begin with empty pools."""
+        self._buckets: dict[OrganisationId, _Bucket] = {}
 
-    def reported(
+    def know(
         self,
         now_s: float,
-        node_id: NodeId,
-        demand_per_s: dict[OrganisationId, float],
-        calls_per_s: dict[ServiceName, float],
+        organisations: Iterable[Organisation],
+        reachable: float,
     ) -> None:
-        """Take what a node is asked."""
-        self._reports[node_id] = _Report(demand_per_s, calls_per_s, now_s)
-
-    def calls_per_s(self) -> dict[ServiceName, float]:
-        """Return what all reports together say of each service."""
-        totals: dict[ServiceName, float] = {}
-        for report in self._reports.values():
-            for name, calls in report.calls_per_s.items():
-                totals[name] = round(totals.get(name, 0.0) + calls, 1)
-        return totals
-
-    def parts_of(
-        self, now_s: float, node_id: NodeId, nodes_known: int
-    ) -> dict[OrganisationId, float]:
-        """Return the parts of the rates that a node may hand out.
-
-        Nodes that are known and don't report may go on with an even part.
-        """
-        self._forget(now_s)
-        fleet = max(nodes_known, len(self._reports))
-        reachable = len(self._reports) / fleet
-        own = self._reports[node_id].demand_per_s
-        totals: dict[OrganisationId, float] = {}
-        for report in self._reports.values():
-            for name, demand in report.demand_per_s.items():
-                totals[name] = totals.get(name, 0.0) + demand
-        return {
-            name: round(
-                _part(own.get(name, 0.0), total, fleet, reachable), 4
-            )
-            for name, total in totals.items()
-        }
+        """Fill the pools.
 
-    def _forget(self, now_s: float) -> None:
-        for node_id, report in tuple(self._reports.items()):
-            if now_s - report.told_s > PART_LASTS_S:
-                self._reports.pop(node_id)
+        Args:
+            now_s: Monotonic seconds.
+            organisations: Those with a rate.
+            reachable: Part of the fleet that reports to this node.
+        """
+        for organisation in organisations:
+            bucket = self._buckets.get(organisation.name)
+            if bucket is None:
+                bucket = _Bucket(filled_s=now_s, part=0)
+                self._buckets[organisation.name] = bucket
+            bucket.fill(now_s, organisation, 0)
+            bucket.part = (1 - LOCAL_SHARE) * reachable
+
+    def stop(self) -> None:
+        """Empty the pools: another node shares the rates out now."""
+        self._buckets.clear()
+
+    def take(self, now_s: float, organisation: Organisation) -> PoolVerdict:
+        """Take a token, if there is one."""
+        bucket = self._buckets.get(organisation.name)
+        if bucket is None:
+            return PoolVerdict(is_granted=False, wait_s=LONGEST_DRY_S)
+        bucket.fill(now_s, organisation, 0)
+        if bucket.tokens >= 1:
+            bucket.tokens -= 1
+            return PoolVerdict(is_granted=True)
+        return PoolVerdict(is_granted=False, wait_s=bucket.wait_s(organisation))
 
 
-def _part(
-    demand: float, total: float, fleet: int, reachable: float
-) -> float:
-    even = EVEN_SHARE / fleet
-    by_demand = (1 - EVEN_SHARE) * reachable * demand / total
-    return even + by_demand
+def _bounded(wait_s: float) -> float:
+    return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_s))
