A node recalls which target left, and serves on for most of its drain

Change: the last target that left stands in the node's record in the store, written before the acknowledgement and read before a probe is believed.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -21,6 +21,7 @@
     NodeId,
     OrganisationId,
     ServiceName,
+    TargetId,
 )
 
 MAX_FRAME_BYTES = 72 * 1024 * 1024
@@ -171,12 +172,17 @@
 
 
 class PeerMember(msgspec.Struct, frozen=True, array_like=True):
-    """Where a node is reached, and what it serves."""
+    """Where a node is reached, and what it serves.
+
+    Attributes:
+        left: The last target of the node that said that it goes.
+    """
 
     node_id: NodeId
     address: str
     service: ServiceName
     domain: FailureDomainId
+    left: TargetId = TargetId('')
 
 
 class MembersTold(msgspec.Struct, frozen=True, array_like=True, tag=14):
--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's store: a log of records, and newest by key."""
 
-from collections.abc import Mapping
 from struct import Struct
 from typing import TypeVar
 from urllib.parse import quote
@@ -105,7 +104,7 @@
 
     async def members(
         self,
-    ) -> Result[Mapping[NodeId, PeerMember], StoreError]:
+    ) -> Result[dict[NodeId, PeerMember], StoreError]:
         """Return all nodes that have announced themselves."""
         newest = await self._newest(_MEMBER_TOPIC)
         if isinstance(newest, Err):
--- a/src/rattanstile/process/mesh/entry_desk.py
+++ b/src/rattanstile/process/mesh/entry_desk.py
@@ -14,7 +14,12 @@
 from rattanstile.process.decision_log import DecisionLog, Kind
 from rattanstile.process.mesh.counters import Counters
 from rattanstile.process.mesh.entry_call import EntryCall, Phase
-from rattanstile.process.mesh.placement import Candidate, choose
+from rattanstile.process.mesh.placement import (
+    INNER_NEAR_WAIT_SHARE,
+    ROOT_NEAR_WAIT_SHARE,
+    Candidate,
+    choose,
+)
 from rattanstile.process.mesh.rate_keeper import RateVerdict
 from rattanstile.process.mesh.rate_service import RateService
 from rattanstile.process.mesh.rerun_budget import RerunBudget
@@ -252,8 +257,14 @@
     # Placing
 
     def _place(self, now_s: float, call: EntryCall) -> None:
+        share = ROOT_NEAR_WAIT_SHARE
+        if call.is_inner:
+            share = INNER_NEAR_WAIT_SHARE
         chosen = choose(
-            self._usable(call), self._domain, call.route.aim_s, self._chance
+            self._usable(call),
+            self._domain,
+            call.route.aim_s * share,
+            self._chance,
         )
         if chosen is None:
             self._hold(now_s, call)
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -2,7 +2,7 @@
 
 import signal
 import time
-from collections.abc import Iterator
+from collections.abc import Awaitable, Iterator
 from contextlib import ExitStack, contextmanager
 from random import Random
 
@@ -77,6 +77,9 @@
 """How often a peer is told what a route takes."""
 SHORTEST_DRAIN_S = 2.3
 """Callers are sent elsewhere after two questions, a second apart, failed."""
+SERVE_ON_S = 1.4
+"""For so long the target goes on with calls of other nodes: it runs on, and
+is out of reach only while this process is away."""
 DRAIN_IDLE_S = 0.3
 GRACE_MARGIN_S = 0.6
 DEFAULT_LIMITS = CallerLimits()
@@ -152,6 +155,7 @@
             self._words,
             self._member,
             self.peers.know,
+            self.serving.watch.recall,
             log,
             chance,
         )
@@ -221,13 +225,16 @@
         """Return how many requests and calls have not ended."""
         return self.entry.in_hand + self.serving.in_hand
 
+    def keep_left(self) -> Awaitable[None]:
+        """Keep what the target said for later runs of this node."""
+        return self._follower.keep_member()
+
     def drain(self) -> None:
         """Take no new work, finish what runs, then stop the reactor."""
         if self.is_draining:
             return
         self.is_draining = True
         self._drain_since_s = self.timers.now_s()
-        self.serving.is_stopping = True
         self._caller_state.is_closing = True
         self.log.write(
             Kind.PROCESS,
@@ -235,7 +242,6 @@
             signal=signal.SIGTERM.name,
             in_hand=self.in_hand,
         )
-        self._status_changed()
 
     # Time
 
@@ -307,6 +313,9 @@
 
     def _check_drained(self, now_s: float) -> None:
         passed_s = now_s - self._drain_since_s
+        if passed_s >= SERVE_ON_S and not self.serving.is_stopping:
+            self.serving.is_stopping = True
+            self._status_changed()
         if self.in_hand:
             self._idle_since_s = None
         elif self._idle_since_s is None:
@@ -519,6 +528,7 @@
             self.settings.peer_address,
             self.serving.watch.service,
             self.settings.failure_domain,
+            self.serving.watch.last_left,
         )
 
     def _server_state(self, handler: object) -> ServerState:
--- a/src/rattanstile/process/mesh/node_addresses.py
+++ b/src/rattanstile/process/mesh/node_addresses.py
@@ -1,7 +1,10 @@
 """What answers on the node's small addresses."""
 
+from collections.abc import Awaitable
 from typing import Protocol
 
+from twisted.internet.defer import ensureDeferred
+
 from rattanstile.connection.http_messages import encode_response
 from rattanstile.connection.http_server import (
     HttpServerConnection,
@@ -13,13 +16,18 @@
     TargetLeft,
 )
 from rattanstile.process.mesh.serving_desk import ServingDesk
+from rattanstile.process.mesh.target_watch import Heard
+from rattanstile.process.timers import TimerService
 
+KEPT_TIMEOUT_S = 0.6
+"""Targets take an acknowledgement that comes within a second."""
 _READY = 200
 _NOT_READY = 503
 
 
 class _Node(Protocol):
     serving: ServingDesk
+    timers: TimerService
 
     @property
     def is_ready(self) -> bool:
@@ -28,6 +36,9 @@
     def metrics_text(self) -> str:
         """Return the counters."""
 
+    def keep_left(self) -> Awaitable[None]:
+        """Keep what the target said for later runs of this node."""
+
 
 class ReadyService:
     """Answers whether callers are served."""
@@ -73,6 +84,28 @@
         """Nothing is kept for a connection."""
 
 
+class _Acknowledgement:
+    """An acknowledgement that is sent once, unless its reader has left."""
+
+    def __init__(
+        self, dialect: AnnouncementDialect, connection: HttpServerConnection
+    ) -> None:
+        """Keep both."""
+        self.is_over = False
+        self._dialect = dialect
+        self._connection = connection
+
+    def send(self) -> None:
+        """Send it now."""
+        if self.is_over:
+            return
+        self.is_over = True
+        closes = self._connection.closes_next
+        self._connection.respond(
+            self._dialect.acknowledge(closes=closes), closes=closes
+        )
+
+
 class AnnouncementService:
     """Takes the announcements of the target beside the node."""
 
@@ -91,12 +124,29 @@
             case NotAnnounced():
                 written = self._dialect.reject(told, closes=closes)
             case TargetLeft():
-                self._node.serving.left(told)
-                written = self._dialect.acknowledge(closes=closes)
+                self._acknowledge(connection, self._node.serving.left(told))
+                return
             case _:
-                self._node.serving.announced(told)
-                written = self._dialect.acknowledge(closes=closes)
+                heard = self._node.serving.announced(told)
+                self._acknowledge(connection, heard)
+                return
         connection.respond(written, closes=closes)
 
+    def _acknowledge(
+        self, connection: HttpServerConnection, heard: Heard
+    ) -> None:
+        """Acknowledge; a target's leaving when a later run would know it."""
+        waiting = _Acknowledgement(self._dialect, connection)
+        if heard is not Heard.LEAVING:
+            waiting.send()
+            return
+        connection.answering = waiting
+        kept = ensureDeferred(self._node.keep_left())
+        kept.addCallback(lambda _: waiting.send())
+        self._node.timers.after(KEPT_TIMEOUT_S, lambda _: waiting.send())
+
     def connection_lost(self, connection: HttpServerConnection) -> None:
-        """Nothing is kept for a connection."""
+        """Acknowledge nothing: nobody reads it."""
+        waiting = connection.answering
+        if isinstance(waiting, _Acknowledgement):
+            waiting.is_over = True
--- a/src/rattanstile/process/mesh/placement.py
+++ b/src/rattanstile/process/mesh/placement.py
@@ -14,8 +14,10 @@
 from rattanstile.connection.peer_messages import TargetLoad
 from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
 
-NEAR_WAIT_SHARE = 0.1
-"""Part of the aim that a call may wait to stay in its failure domain."""
+INNER_NEAR_WAIT_SHARE = 0.1
+ROOT_NEAR_WAIT_SHARE = 0.3
+"""Parts of the aim that a call may wait to stay in its failure domain: the
+answers of root calls are long, and an inner call waits after others."""
 MOST_COMPARED = 6
 FAR_S = 0.004
 """Both ways between failure domains."""
@@ -86,7 +88,7 @@
 def choose(
     candidates: Iterable[Candidate],
     own: FailureDomainId,
-    aim_s: float,
+    near_wait_s: float,
     chance: Random,
 ) -> Candidate | None:
     """Return the candidate to send to, or None when there is none.
@@ -94,7 +96,7 @@
     Args:
         candidates: Those that may be sent to.
         own: This node's failure domain.
-        aim_s: Time within which an answer has its worth.
+        near_wait_s: How long a call may wait to stay near.
         chance: Draws the few that are compared.
     """
     usable = list(candidates)
@@ -106,7 +108,7 @@
         return chance.choice(near)
     if near:
         best = _quickest(near, own, chance)
-        if best.expected_wait_s() <= aim_s * NEAR_WAIT_SHARE:
+        if best.expected_wait_s() <= near_wait_s:
             return best
     return _quickest(lively, own, chance)
 
--- a/src/rattanstile/process/mesh/ports.py
+++ b/src/rattanstile/process/mesh/ports.py
@@ -1,6 +1,6 @@
 """What the node asks of its surroundings, whatever they speak."""
 
-from collections.abc import Awaitable, Mapping
+from collections.abc import Awaitable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -196,7 +196,7 @@
 
     def members(
         self,
-    ) -> Awaitable[Result[Mapping[NodeId, PeerMember], StoreError]]:
+    ) -> Awaitable[Result[dict[NodeId, PeerMember], StoreError]]:
         """Return all nodes that have announced themselves."""
 
     def announce(
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -17,6 +17,7 @@
     HistoryGoneError,
     StoreError,
 )
+from rattanstile.request.ids import TargetId
 
 LONG_READ_S = 25.0
 """Below the longest wait that the store allows."""
@@ -38,6 +39,8 @@
         words: Takes the operators' records.
         member: This node.
         found: Told each node that has announced itself.
+        recall: Told the target that left while an earlier run of this node
+            was beside it.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         words: OperatorWords,
         member: Callable[[], PeerMember],
         found: Callable[[PeerMember], None],
+        recall: Callable[[TargetId], None],
         log: DecisionLog,
         chance: Random,
     ) -> None:
@@ -57,6 +61,7 @@
         self._words = words
         self._member = member
         self._found = found
+        self._recall = recall
         self._log = log
         self._chance = chance
         self._is_running = True
@@ -71,19 +76,25 @@
         """Read nothing more."""
         self._is_running = False
 
+    async def keep_member(self) -> None:
+        """Write what later runs and other nodes are to know of this one."""
+        await self._until_done(lambda: self._store.announce(self._member()))
+
     async def withdraw(self) -> None:
         """Tell later nodes not to look for this one; once, unanswered."""
         await self._store.withdraw(self._member().node_id)
 
     async def _join(self) -> None:
-        member = self._member()
-        await self._until_done(lambda: self._store.announce(member))
-        members = await self._until_done(self._store.members)
-        for found in members.values() if members else ():
-            if found.node_id != member.node_id:
+        before = await self._until_done(self._store.members) or {}
+        earlier = before.get(self._member().node_id)
+        self._recall(TargetId('') if earlier is None else earlier.left)
+        await self.keep_member()
+        members = await self._until_done(self._store.members) or {}
+        for found in (before | members).values():
+            if found.node_id != self._member().node_id:
                 self._found(found)
         self._log.write(
-            Kind.PEER, 'members_read', count=len(members) if members else 0
+            Kind.PEER, 'members_read', count=len(members)
         )
 
     async def _follow(self) -> None:
--- a/src/rattanstile/process/mesh/target_watch.py
+++ b/src/rattanstile/process/mesh/target_watch.py
@@ -87,7 +87,8 @@
         self.is_verified = False
         self._born_ms = 0
         self._sequence = -1
-        self._left: set[TargetId] = set()
+        self.last_left = TargetId('')
+        self._may_probe = False
         self._probe_due_s = 0.0
         self._probe_period_s = PROBE_PERIOD_S
 
@@ -122,17 +123,31 @@
 
     def left(self, target_id: TargetId) -> Heard:
         """Take a target's word that it goes."""
+        self.last_left = target_id
         if self.target_id not in {target_id, TargetId('')}:
             return Heard.NOTHING
         self.target_id = target_id
         return self._leave()
 
+    def recall(self, left: TargetId) -> None:
+        """Learn what an earlier run of this node was told.
+
+        Until then a probe isn't believed: a target that said that it goes
+        may still answer that it is healthy.
+        """
+        self._may_probe = True
+        if left:
+            self.last_left = left
+            if self.target_id in {left, TargetId('')}:
+                self.target_id = left
+                self.is_leaving = True
+
     def probed(self, now_s: float, probed: Probed) -> Heard:
         """Take the answer to a probe."""
         if not probed.is_healthy or not probed.target_id:
             return Heard.NOTHING
         if probed.target_id != self.target_id:
-            if probed.target_id in self._left:
+            if probed.target_id == self.last_left:
                 return Heard.NOTHING
             self._begin(probed.target_id)
         was_verified = self.is_verified
@@ -149,7 +164,9 @@
 
     def wants_probe(self, now_s: float) -> bool:
         """Tell, once a period, whether the target is to be probed."""
-        if self.is_verified or self.is_leaving or now_s < self._probe_due_s:
+        if self.is_verified or not self._may_probe:
+            return False
+        if self.is_leaving or now_s < self._probe_due_s:
             return False
         self._probe_due_s = now_s + self._probe_period_s
         self._probe_period_s = min(
@@ -158,12 +175,11 @@
         return True
 
     def _begin(self, target_id: TargetId) -> None:
-        if self.is_leaving and self.target_id:
-            self._left.add(self.target_id)
         self.target_id = target_id
         self.is_leaving = False
 
     def _leave(self) -> Heard:
         was_leaving = self.is_leaving
         self.is_leaving = True
+        self.last_left = self.target_id
         return Heard.NOTHING if was_leaving else Heard.LEAVING
