--- a/src/rattanstile/connection/http_messages.py
+++ b/src/rattanstile/connection/http_messages.py
@@ -72,8 +72,11 @@
     return None
 
 
+NO_NAMES: frozenset[bytes] = frozenset()
+
+
 def passing_headers(
-    headers: tuple[RawHeader, ...], ending: frozenset[bytes] = frozenset()
+    headers: tuple[RawHeader, ...], ending: frozenset[bytes] = NO_NAMES
 ) -> tuple[RawHeader, ...]:
     """Return the headers that go on to the next hop.
 
--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -10,7 +10,8 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from enum import Enum, unique
-from typing import Any, Protocol as Interface
+from typing import Any
+from typing import Protocol as Interface
 
 import httptools
 from twisted.internet.interfaces import IReactorTCP
@@ -195,22 +196,23 @@
 
     def check(self, now_s: float) -> None:
         """Look for a caller that is slow or gone."""
-        limits = self._state.limits()
-        if self._is_unread:
-            if now_s - self._since_s > UNREAD_TIMEOUT_S:
-                self.abort()
-        elif self._is_busy:
-            return
-        elif self._is_over:
-            if now_s - self._since_s > UNREAD_TIMEOUT_S:
+        quiet_s = now_s - self._since_s
+        if self._is_unread or (self._is_over and not self._is_busy):
+            if quiet_s > UNREAD_TIMEOUT_S:
                 self.abort()
-        elif self._head_since_s is not None:
-            if now_s - self._head_since_s > self._patience_s(limits):
-                self._refuse(BadRequest.TOO_SLOW)
-                self._run_next()
-        elif now_s - self._since_s > limits.idle_timeout_s:
-            self._is_over = True
-            self.transport.loseConnection()  # type: ignore[union-attr]
+        elif not self._is_busy:
+            self._check_waiting(now_s, quiet_s)
+
+    def _check_waiting(self, now_s: float, quiet_s: float) -> None:
+        """Look at a connection on which a request is awaited."""
+        limits = self._state.limits()
+        if self._head_since_s is None:
+            if quiet_s > limits.idle_timeout_s:
+                self._is_over = True
+                self.transport.loseConnection()  # type: ignore[union-attr]
+        elif now_s - self._head_since_s > self._patience_s(limits):
+            self._refuse(BadRequest.TOO_SLOW)
+            self._run_next()
 
     def _patience_s(self, limits: CallerLimits) -> float:
         if self._is_in_head:
--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -43,8 +43,10 @@
         limit: Calls at once that the target bears.
         service_us: Microseconds that a call takes on it, in the mean.
         wait_us: Microseconds that a new call would wait.
-        offered_per_10s: Calls that arrive in 10 s, those refused included.
-        capacity_per_10s: Calls that the target serves in 10 s.
+        offered_deci_per_s: Tenths of calls a second that arrive, those
+            refused included.
+        capacity_deci_per_s: Tenths of calls a second that the target
+            serves.
     """
 
     is_usable: bool = False
@@ -52,8 +54,8 @@
     limit: int = 1
     service_us: int = 0
     wait_us: int = 0
-    offered_per_10s: int = 0
-    capacity_per_10s: int = 0
+    offered_deci_per_s: int = 0
+    capacity_deci_per_s: int = 0
 
 
 class PeerHello(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -256,7 +258,7 @@
             pending = self._pending
         start = 0
         while len(pending) - start >= _LENGTH.size:
-            (size_bytes,) = _LENGTH.unpack_from(pending, start)
+            size_bytes = _LENGTH.unpack_from(pending, start)[0]
             if size_bytes > MAX_FRAME_BYTES:
                 raise PeerFrameError(f'a frame of {size_bytes} bytes')
             begin = start + _LENGTH.size
--- a/src/rattanstile/connection/peer_pool.py
+++ b/src/rattanstile/connection/peer_pool.py
@@ -5,10 +5,11 @@
 again, with a growing pause, until the node is forgotten.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from random import Random
-from typing import Any, Protocol as Interface
+from typing import Any
+from typing import Protocol as Interface
 
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory
--- a/src/rattanstile/connection/target_pool.py
+++ b/src/rattanstile/connection/target_pool.py
@@ -136,15 +136,11 @@
             connection.abort()
         return None
 
-    def _is_fresh(
-        self, connection: HttpClientConnection, now_s: float
-    ) -> bool:
+    def _is_fresh(self, connection: HttpClientConnection, now_s: float) -> bool:
         keep_alive_s = connection.keep_alive_s
         if keep_alive_s is None:
             keep_alive_s = UNTOLD_KEEP_ALIVE_S
-        longest_s = max(
-            keep_alive_s - KEEP_ALIVE_MARGIN_S, keep_alive_s / 2
-        )
+        longest_s = max(keep_alive_s - KEEP_ALIVE_MARGIN_S, keep_alive_s / 2)
         return now_s - connection.idle_since_s < longest_s
 
     def _connect_for_waiting(self) -> None:
--- a/src/rattanstile/platform/__main__.py
+++ b/src/rattanstile/platform/__main__.py
@@ -4,9 +4,10 @@
 import signal
 import sys
 import time
-from random import SystemRandom, Random
+from random import Random, SystemRandom
 
-from twisted.logger import LogEvent, globalLogBeginner
+from twisted.logger import ILogObserver, LogEvent, globalLogBeginner
+from zope.interface import implementer
 
 from rattanstile.connection.http_exchange import HttpExchanger
 from rattanstile.errors import SettingsError
@@ -44,7 +45,7 @@
 def _run(reactor: Reactor, settings: MeshSettings, file_name: str) -> None:
     log = DecisionLog(settings.node_id, time.time)
     globalLogBeginner.beginLoggingTo(
-        [lambda event: _log_failure(log, event)], redirectStandardIO=False
+        (_FailureObserver(log),), redirectStandardIO=False
     )
     chance = Random(SystemRandom().getrandbits(64))
     exchanger = HttpExchanger(
@@ -81,19 +82,25 @@
     with node.running():
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, on_signal)
-        reactor.run(installSignalHandlers=False)
+        reactor.run(installSignalHandlers=False)  # type: ignore[call-arg]
 
 
-def _log_failure(log: DecisionLog, event: LogEvent) -> None:
-    """Write what Twisted, or a handler of time, reports as failed."""
-    failure = event.get('log_failure')
-    if failure is not None:
-        log.write(
-            Kind.PROCESS,
-            'unexpected_failure',
-            failure=failure.getErrorMessage(),
-            trace=failure.getTraceback(),
-        )
+@implementer(ILogObserver)
+class _FailureObserver:
+    """Writes what Twisted, or a handler of time, reports as failed."""
+
+    def __init__(self, log: DecisionLog) -> None:
+        self._log = log
+
+    def __call__(self, event: LogEvent) -> None:
+        failure = event.get('log_failure')
+        if failure is not None:
+            self._log.write(
+                Kind.PROCESS,
+                'unexpected_failure',
+                failure=failure.getErrorMessage(),
+                trace=failure.getTraceback(),
+            )
 
 
 if __name__ == '__main__':
--- a/src/rattanstile/platform/operators.py
+++ b/src/rattanstile/platform/operators.py
@@ -103,9 +103,7 @@
     return FleetConfig(
         number=config.version,
         routes={
-            host: tuple(
-                sorted(found, key=lambda one: -len(one.path_prefix))
-            )
+            host: tuple(sorted(found, key=_specificity, reverse=True))
             for host, found in routes.items()
         },
         services={
@@ -117,6 +115,10 @@
     )
 
 
+def _specificity(route: FleetRoute) -> int:
+    return len(route.path_prefix)
+
+
 def _route(route: _Route) -> FleetRoute:
     if route.traffic_split:
         shares = tuple(
--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store: a log of records, and newest by key."""
 
+from collections.abc import Callable
 from struct import Struct
 from typing import TypeVar
 from urllib.parse import quote
@@ -8,8 +9,8 @@
 from result import Err, Ok, Result
 
 from rattanstile.connection.http_client import ExchangeFailure
-from rattanstile.connection.http_messages import HttpResponse, encode_request
 from rattanstile.connection.http_exchange import HttpExchanger
+from rattanstile.connection.http_messages import HttpResponse, encode_request
 from rattanstile.connection.peer_messages import PeerMember
 from rattanstile.platform.operators import decode_fleet_config
 from rattanstile.process.mesh.ports import (
@@ -118,9 +119,7 @@
 
     async def announce(self, member: PeerMember) -> Result[None, StoreError]:
         """Let later nodes find this one."""
-        return await self._put(
-            member.node_id, msgspec.msgpack.encode(member)
-        )
+        return await self._put(member.node_id, msgspec.msgpack.encode(member))
 
     async def withdraw(self, node_id: NodeId) -> Result[None, StoreError]:
         """Let later nodes not look for a node any more."""
@@ -135,9 +134,7 @@
         except (msgspec.MsgspecError, ValueError) as error:
             return Err(ConfigUnreadableError(str(error)))
 
-    async def _put(
-        self, key: str, content: bytes
-    ) -> Result[None, StoreError]:
+    async def _put(self, key: str, content: bytes) -> Result[None, StoreError]:
         name = key.encode()
         record = bytes((len(name),)) + name + content
         put = await self._call(
@@ -175,9 +172,7 @@
         body: bytes = b'',
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> Result[HttpResponse, StoreError]:
-        written = encode_request(
-            method, path, ((b'host', b'store'),), body
-        )
+        written = encode_request(method, path, ((b'host', b'store'),), body)
         end = await self._exchanger.send(written, timeout_s)
         if isinstance(end, ExchangeFailure):
             return Err(StoreUnavailableError(f'{path}: {end.value}'))
@@ -189,10 +184,12 @@
 
 
 def _decoded(
-    decode: 'object', response: HttpResponse, offset: int
+    decode: Callable[[bytes, int], _Found],
+    response: HttpResponse,
+    offset: int,
 ) -> Result[_Found, StoreError]:
     try:
-        return Ok(decode(response.body, offset))  # type: ignore[operator]
+        return Ok(decode(response.body, offset))
     except (msgspec.MsgspecError, ValueError) as error:
         return Err(StoreUnavailableError(f'unreadable answer: {error}'))
 
@@ -214,7 +211,7 @@
     start = _ENDS.size
     found: list[OperatorRecord] = []
     while start < len(body):
-        (size_bytes,) = _LENGTH.unpack_from(body, start)
+        size_bytes = _LENGTH.unpack_from(body, start)[0]
         start += _LENGTH.size
         record = body[start : start + size_bytes]
         if len(record) < size_bytes:
--- a/src/rattanstile/process/decision_log.py
+++ b/src/rattanstile/process/decision_log.py
@@ -32,7 +32,7 @@
     FAILED = 8
     SERVED = 9
     PLACED = 10
-    SLOW = 11
+    PLACED_AGAIN = 11
     ADMISSION = 12
 
 
@@ -47,7 +47,7 @@
     Kind.FAILED: 40,
     Kind.SERVED: 4,
     Kind.PLACED: 4,
-    Kind.SLOW: 20,
+    Kind.PLACED_AGAIN: 20,
     Kind.ADMISSION: 8,
 }
 """Failures and refusals go before successes."""
--- a/src/rattanstile/process/member_service.py
+++ b/src/rattanstile/process/member_service.py
@@ -12,13 +12,13 @@
     LogRecordRead,
     SendControl,
 )
+from rattanstile.process.key_values import key_values
 from rattanstile.process.log_client import LogClient
 from rattanstile.process.log_reader import (
     LogReader,
     StreamEvent,
     StreamRecords,
 )
-from rattanstile.process.key_values import key_values
 from rattanstile.process.membership import TICK_S, Membership
 from rattanstile.process.membership_messages import (
     InterestChanged,
--- a/src/rattanstile/process/mesh/call_tree.py
+++ b/src/rattanstile/process/mesh/call_tree.py
@@ -117,7 +117,9 @@
             for name, called in self._called.items()
         }
         return {
-            name: calls for name, calls in found.items() if calls >= FEWEST_CALLS
+            name: calls
+            for name, calls in found.items()
+            if calls >= FEWEST_CALLS
         }
 
     def _end_window(self, now_s: float) -> None:
--- a/src/rattanstile/process/mesh/entry_call.py
+++ b/src/rattanstile/process/mesh/entry_call.py
@@ -12,10 +12,11 @@
     Unknown,
     UnknownReason,
 )
-from rattanstile.request.ids import NodeId, ServiceName
+from rattanstile.request.ids import NodeId, OrganisationId, ServiceName
 from rattanstile.version.fleet_config import FleetRoute, Organisation
 
 MS_PER_S = 1000
+NO_ONE = OrganisationId('')
 ROOT_HOLD_SHARE = 0.125
 """Part of its aim that a root request may wait for a target to be fit."""
 INNER_HOLD_SHARE = 0.5
@@ -101,7 +102,7 @@
             aim_ms=int(self.route.aim_s * MS_PER_S),
             remaining_ms=max(1, int((self.deadline_s - now_s) * MS_PER_S)),
             caller_service=own,
-            organisation=organisation.name if organisation else '',  # type: ignore[arg-type]
+            organisation=organisation.name if organisation else NO_ONE,
             method=asked.method,
             host=asked.host,
             path=asked.path,
--- /dev/null
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -0,0 +1,68 @@
+"""Counters and gauges of a node, as the text that Prometheus reads."""
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from rattanstile.process.mesh.counters import LATENCY_BOUNDS_S, Latencies
+
+if TYPE_CHECKING:
+    from rattanstile.process.mesh.node import MeshNode
+
+PREFIX = 'rattanstile'
+
+
+def metrics_text(node: 'MeshNode') -> str:
+    """Return all counters, gauges and histograms, one a line."""
+    lines = [*_counters(node), *_gauges(node), *_histograms(node)]
+    return '\n'.join((*lines, ''))
+
+
+def _counters(node: 'MeshNode') -> Iterator[str]:
+    counters = node.context.counters
+    for name, count in sorted(counters.endings.items()):
+        yield _line('requests_total', count, outcome=name)
+    for name, count in sorted(counters.not_taken.items()):
+        yield _line('calls_not_taken_total', count, reason=name)
+    yield _line('runs_total', counters.runs)
+    yield _line('reruns_total', counters.reruns)
+    yield _line('moves_total', counters.moves)
+    yield _line('probes_total', counters.probes)
+
+
+def _gauges(node: 'MeshNode') -> Iterator[str]:
+    now_s = node.timers.now_s()
+    serving = node.serving
+    state = node.context.state()
+    yield _line('version_in_force', node.context.version)
+    yield _line('operator_log_offset', state.offset)
+    yield _line('requests_in_hand', node.entry.in_hand)
+    yield _line('calls_waiting', serving.gate.waiting)
+    yield _line('calls_in_flight', serving.gate.in_flight)
+    yield _line('target_limit', serving.gate.limit)
+    yield _line('target_usable', int(serving.is_usable))
+    yield _line('target_cold', int(serving.watch.is_cold(now_s)))
+    yield _line('members_known', len(node.peers.known()))
+    yield _line('members_connected', len(node.peers.connected()))
+    for tight in node.admission.tight_services():
+        yield _line('let_in', tight.let_in, service=tight.service)
+
+
+def _histograms(node: 'MeshNode') -> Iterator[str]:
+    for route, latencies in sorted(node.context.counters.latencies.items()):
+        yield from _histogram(route, latencies)
+
+
+def _histogram(route: str, latencies: Latencies) -> Iterator[str]:
+    total = 0
+    bounds = [str(bound_s) for bound_s in LATENCY_BOUNDS_S]
+    for bound, count in zip((*bounds, '+Inf'), latencies.counts, strict=True):
+        total += count
+        yield _line('request_seconds_bucket', total, route=route, le=bound)
+    yield _line('request_seconds_sum', latencies.total_s, route=route)
+    yield _line('request_seconds_count', total, route=route)
+
+
+def _line(name: str, amount: float, **labels: str) -> str:
+    written = ','.join(f'{key}="{text}"' for key, text in labels.items())
+    named = f'{{{written}}}' if written else ''
+    return f'{PREFIX}_{name}{named} {amount:g}'
--- a/src/rattanstile/process/mesh/node_addresses.py
+++ b/src/rattanstile/process/mesh/node_addresses.py
@@ -1,9 +1,9 @@
 """What answers on the node's small addresses."""
 
-from collections.abc import Awaitable
-from typing import Protocol
+from collections.abc import Coroutine
+from typing import Any, Protocol
 
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred
 
 from rattanstile.connection.http_messages import encode_response
 from rattanstile.connection.http_server import (
@@ -36,7 +36,7 @@
     def metrics_text(self) -> str:
         """Return the counters."""
 
-    def keep_left(self) -> Awaitable[None]:
+    def keep_left(self) -> Coroutine[Any, Any, None]:
         """Keep what the target said for later runs of this node."""
 
 
@@ -141,7 +141,7 @@
             waiting.send()
             return
         connection.answering = waiting
-        kept = ensureDeferred(self._node.keep_left())
+        kept: Deferred[None] = Deferred.fromCoroutine(self._node.keep_left())
         kept.addCallback(lambda _: waiting.send())
         self._node.timers.after(KEPT_TIMEOUT_S, lambda _: waiting.send())
 
--- /dev/null
+++ b/src/rattanstile/process/mesh/peer_desk.py
@@ -0,0 +1,230 @@
+"""Takes what other nodes send, and tells them of this one."""
+
+from rattanstile.connection.peer_messages import (
+    CallCancelled,
+    CallEnded,
+    CallSent,
+    ConfigNotice,
+    ConfigTold,
+    ConfigWanted,
+    Leaving,
+    MembersTold,
+    PeerHello,
+    PeerMember,
+    PeerMessage,
+    RatesReported,
+    RatesShared,
+    StatusTold,
+    TargetLoad,
+    TokenGiven,
+    TokenWanted,
+)
+from rattanstile.connection.peer_pool import PeerLink, PeerPool
+from rattanstile.process.decision_log import Kind
+from rattanstile.process.mesh.call_endings import ended_message
+from rattanstile.process.mesh.config_relay import ConfigRelay
+from rattanstile.process.mesh.context import NodeContext
+from rattanstile.process.mesh.entry_desk import EntryDesk
+from rattanstile.process.mesh.placement import Candidate
+from rattanstile.process.mesh.rate_service import RateService
+from rattanstile.process.mesh.serving_desk import ServingDesk
+from rattanstile.request.exchange import Ending, ServiceNeed
+from rattanstile.request.ids import NodeId
+
+NEEDS_PERIOD_S = 0.2
+"""How often a peer is told what a route takes."""
+BUSY_SHARE = 0.6
+"""From this part of its capacity on, a target's load is told to all nodes."""
+CHANGED_SHARE = 0.3
+"""A capacity that changes by more is told, as when a target gets warm."""
+INCARNATION_BITS = 48
+
+
+class PeerDesk:
+    """The node as its peers see it.
+
+    Args:
+        context: What the parts of the node share.
+        address: Where peers reach this node.
+    """
+
+    def __init__(self, context: NodeContext, address: str) -> None:
+        """Begin without parts; `join` is called before anything runs."""
+        self._context = context
+        self._address = address
+        self._incarnation = context.chance.getrandbits(INCARNATION_BITS)
+        self._needs_told_s: dict[tuple[NodeId, str], float] = {}
+        self._is_busy_told = False
+        self._capacity_told = 0
+
+    def join(
+        self,
+        peers: PeerPool,
+        entry: EntryDesk,
+        serving: ServingDesk,
+        rates: RateService,
+        relay: ConfigRelay,
+    ) -> None:
+        """Learn the other parts of the node."""
+        self._peers = peers
+        self._entry = entry
+        self._serving = serving
+        self._rates = rates
+        self._relay = relay
+
+    # What peers are told
+
+    def hello(self) -> PeerHello:
+        """Return this node's first message."""
+        return PeerHello(
+            node_id=self._context.node_id,
+            address=self._address,
+            service=self._serving.watch.service,
+            domain=self._context.domain,
+            incarnation=self._incarnation,
+            offset=self._context.state().offset,
+            load=self._serving.load(),
+        )
+
+    def member(self) -> PeerMember:
+        """Return what later nodes are to know of this one."""
+        watch = self._serving.watch
+        return PeerMember(
+            self._context.node_id,
+            self._address,
+            watch.service,
+            self._context.domain,
+            watch.last_left,
+        )
+
+    def status_changed(self) -> None:
+        """Tell all nodes that the target has changed."""
+        self._peers.broadcast(
+            StatusTold(self._serving.watch.service, self._serving.load())
+        )
+        self._entry.peers_changed()
+
+    def tell_if_busy(self) -> None:
+        """Tell all nodes the load while they need it to admit requests."""
+        load = self._serving.load()
+        capacity = load.capacity_deci_per_s
+        is_busy = load.offered_deci_per_s > capacity * BUSY_SHARE
+        change = abs(capacity - self._capacity_told)
+        is_changed = change > CHANGED_SHARE * self._capacity_told
+        if is_busy or self._is_busy_told or is_changed:
+            self._is_busy_told = is_busy
+            self._capacity_told = capacity
+            self.status_changed()
+
+    # Connections
+
+    def peer_ready(self, link: PeerLink) -> None:
+        """Serve with a peer from now on."""
+        hello = link.hello
+        if hello is None:
+            return
+        candidate = Candidate(
+            hello.node_id, hello.service, hello.domain, TargetLoad()
+        )
+        candidate.told(hello.load, self._context.timers.now_s())
+        self._entry.attempts.candidates[hello.node_id] = candidate
+        self._context.log.write(
+            Kind.PEER,
+            'peer_ready',
+            peer=hello.node_id,
+            service=hello.service,
+            domain=hello.domain,
+            usable=hello.load.is_usable,
+        )
+        self._relay.noticed(hello.node_id, hello.offset)
+        self._entry.peers_changed()
+
+    def peer_lost(self, link: PeerLink) -> None:
+        """Serve without a peer from now on."""
+        self._entry.attempts.candidates.pop(link.node_id, None)
+        self._context.log.write(
+            Kind.PEER, 'peer_lost', peer=link.node_id, owed=link.owed
+        )
+        self._entry.attempts.peer_lost(link.node_id)
+
+    def peer_joined(self, link: PeerLink) -> None:
+        """Get to know a node that opened a connection to this one."""
+        hello = link.hello
+        if hello is None:
+            return
+        members = (*self._peers.known(), self.member())
+        self._peers.know(
+            PeerMember(
+                hello.node_id, hello.address, hello.service, hello.domain
+            )
+        )
+        self._peers.hurry(hello.node_id)
+        link.send(MembersTold(members))
+
+    def peer_left(self, link: PeerLink) -> None:
+        """Drop the calls of a node whose connection is gone."""
+        for key in self._serving.keys_of(link):
+            self._serving.cancel(key)
+
+    # Messages
+
+    def peer_message(self, link: PeerLink, message: PeerMessage) -> None:
+        """Take a message."""
+        match message:
+            case CallSent():
+                self._serve(link, message)
+            case CallEnded():
+                link.owed = max(0, link.owed - 1)
+                self._entry.attempts.peer_ended(link.node_id, message)
+            case CallCancelled(sequence):
+                self._serving.cancel((link, sequence))
+            case StatusTold():
+                self._status_told(link, message)
+            case ConfigNotice() | ConfigWanted() | ConfigTold():
+                self._relay.message(link, message)
+            case RatesReported() | RatesShared() | TokenWanted() | TokenGiven():
+                self._rates.message(link, message)
+            case Leaving():
+                self._told(link.node_id, TargetLoad())
+            case MembersTold(members):
+                self._members_told(members)
+
+    def _members_told(self, members: tuple[PeerMember, ...]) -> None:
+        known = {member.node_id for member in self._peers.known()}
+        known.add(self._context.node_id)
+        for member in members:
+            if member.node_id not in known:
+                self._peers.know(member)
+
+    def _status_told(self, link: PeerLink, message: StatusTold) -> None:
+        candidate = self._entry.attempts.candidates.get(link.node_id)
+        if candidate is not None:
+            candidate.service = message.service
+            self._told(link.node_id, message.load)
+            self._entry.peers_changed()
+
+    def _told(self, node_id: NodeId, load: TargetLoad) -> None:
+        candidate = self._entry.attempts.candidates.get(node_id)
+        if candidate is not None:
+            candidate.told(load, self._context.timers.now_s())
+
+    def _serve(self, link: PeerLink, message: CallSent) -> None:
+        route = message.call.route
+
+        def ended(ending: Ending) -> None:
+            load = self._serving.load()
+            needs = self._needs_due(link.node_id, route)
+            link.send(ended_message(message.sequence, ending, load, needs))
+
+        self._serving.begin((link, message.sequence), message.call, ended)
+
+    def _needs_due(
+        self, node_id: NodeId, route: str
+    ) -> tuple[ServiceNeed, ...]:
+        """Return what a route takes, if the peer wasn't told a moment ago."""
+        now_s = self._context.timers.now_s()
+        told_s = self._needs_told_s.get((node_id, route), float('-inf'))
+        if now_s - told_s < NEEDS_PERIOD_S:
+            return ()
+        self._needs_told_s[node_id, route] = now_s
+        return self._serving.needs(route, self._entry.attempts.needs)
--- a/src/rattanstile/process/mesh/placement.py
+++ b/src/rattanstile/process/mesh/placement.py
@@ -35,6 +35,7 @@
 
     Attributes:
         load: What the node last told.
+        told_s: When it told it.
         sent_since: Attempts sent to it since then and not ended.
         is_quiet: Whether it owes a sign of life.
     """
@@ -43,13 +44,15 @@
     service: ServiceName
     domain: FailureDomainId
     load: TargetLoad
+    told_s: float = 0.0
     sent_since: int = 0
     outstanding: int = 0
     is_quiet: bool = False
 
-    def told(self, load: TargetLoad) -> None:
+    def told(self, load: TargetLoad, now_s: float) -> None:
         """Take what the node tells of its target."""
         self.load = load
+        self.told_s = now_s
         self.sent_since = 0
 
     def sent(self) -> None:
--- a/src/rattanstile/process/mesh/ports.py
+++ b/src/rattanstile/process/mesh/ports.py
@@ -204,9 +204,7 @@
     ) -> Awaitable[Result[None, StoreError]]:
         """Let later nodes find this one."""
 
-    def withdraw(
-        self, node_id: NodeId
-    ) -> Awaitable[Result[None, StoreError]]:
+    def withdraw(self, node_id: NodeId) -> Awaitable[Result[None, StoreError]]:
         """Let later nodes not look for a node any more."""
 
     def decode_config(
--- a/src/rattanstile/process/mesh/rate_keeper.py
+++ b/src/rattanstile/process/mesh/rate_keeper.py
@@ -156,9 +156,7 @@
                 found[name] = round(bucket.demand_per_s, 2)
         return found
 
-    def shared(
-        self, now_s: float, parts: dict[OrganisationId, float]
-    ) -> None:
+    def shared(self, now_s: float, parts: dict[OrganisationId, float]) -> None:
         """Take the parts that this node holds from now on."""
         for name, part in parts.items():
             bucket = self._buckets.get(name)
--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rate_service.py
@@ -9,16 +9,15 @@
     TokenWanted,
 )
 from rattanstile.connection.peer_pool import PeerLink, PeerPool
+from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.rate_keeper import RateKeeper, RatePool
 from rattanstile.process.mesh.rate_sharer import RateSharer
 from rattanstile.process.mesh.root_admission import RootAdmission
-from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import NodeId, OrganisationId
-from rattanstile.version.fleet_config import FleetState, Organisation
+from rattanstile.version.fleet_config import Organisation
 
 ASK_TIMEOUT_S = 0.1
 """Many times the way to another failure domain and back."""
-NO_ORGANISATION = OrganisationId('')
 
 TokenHandler = Callable[[bool], None]
 
@@ -27,25 +26,24 @@
     """Reports demand, takes parts, and asks for tokens of the pool.
 
     Args:
-        node_id: This node.
-        state: Gives what operators state.
+        context: What the parts of the node share.
+        peers: Reaches the other nodes.
+        admission: Knows what root requests would take.
     """
 
     def __init__(
         self,
-        node_id: NodeId,
-        state: Callable[[], FleetState],
+        context: NodeContext,
         peers: PeerPool,
-        timers: TimerService,
         admission: RootAdmission,
     ) -> None:
         """Begin without parts."""
         self.keeper = RateKeeper()
         self.fleet = 1
-        self._node_id = node_id
-        self._state = state
+        self._node_id = context.node_id
+        self._state = context.state
         self._peers = peers
-        self._timers = timers
+        self._timers = context.timers
         self._admission = admission
         self._sharer = RateSharer()
         self._pool = RatePool()
@@ -141,9 +139,7 @@
         calls = self._sharer.calls_per_s()
         link.send(RatesShared(message.sequence, parts, calls, self.fleet))
 
-    def _give(
-        self, now_s: float, link: PeerLink, message: TokenWanted
-    ) -> None:
+    def _give(self, now_s: float, link: PeerLink, message: TokenWanted) -> None:
         organisation = self._organisations().get(message.organisation)
         if organisation is None:
             link.send(TokenGiven(message.sequence, False, 0))
@@ -168,7 +164,5 @@
         wait_s: float,
     ) -> None:
         if not is_granted:
-            self.keeper.pool_was_dry(
-                self._timers.now_s(), organisation, wait_s
-            )
+            self.keeper.pool_was_dry(self._timers.now_s(), organisation, wait_s)
         answered(is_granted)
--- a/src/rattanstile/process/mesh/rate_sharer.py
+++ b/src/rattanstile/process/mesh/rate_sharer.py
@@ -74,9 +74,7 @@
                 self._reports.pop(node_id)
 
 
-def _part(
-    demand: float, total: float, fleet: int, reachable: float
-) -> float:
+def _part(demand: float, total: float, fleet: int, reachable: float) -> float:
     even = EVEN_SHARE / fleet
     by_demand = (1 - EVEN_SHARE) * reachable * demand / total
     return even + by_demand
--- a/src/rattanstile/process/mesh/root_admission.py
+++ b/src/rattanstile/process/mesh/root_admission.py
@@ -141,10 +141,23 @@
     view: ServiceView
     runs: Mapping[str, float]
 
+    def fields(self) -> dict[str, object]:
+        """Return what the log line says."""
+        runs = ','.join(f'{name}:{runs}' for name, runs in self.runs.items())
+        return {
+            'service': self.service,
+            'let_in': self.let_in,
+            'demand_per_s': self.demand_per_s,
+            'own_per_s': self.own_per_s,
+            'offered_per_s': round(self.view.offered_per_s, 1),
+            'capacity_per_s': round(self.view.capacity_per_s, 1),
+            'wait_ms': round(self.view.wait_s * 1000, 1),
+            'trim': self.trim,
+            'runs': runs,
+        }
+
 
-ADMITTED = Verdict(
-    is_admitted=True, service=ServiceName(''), part=1, let_in=1
-)
+ADMITTED = Verdict(is_admitted=True, service=ServiceName(''), part=1, let_in=1)
 
 
 class RootAdmission:
@@ -247,10 +260,7 @@
                 round(service.own_per_s(), 1),
                 round(service.trim, 2),
                 service.view,
-                {
-                    kind[1]: asked.runs
-                    for kind, asked in service.kinds.items()
-                },
+                {kind[1]: asked.runs for kind, asked in service.kinds.items()},
             )
             for name, service in self._services.items()
             if service.is_tight and service.view is not None
@@ -261,9 +271,7 @@
         return self._chance.uniform(SHORTEST_RETRY_S, longest_s)
 
 
-def _follow(
-    service: _Service, view: ServiceView, demand_per_s: float
-) -> None:
+def _follow(service: _Service, view: ServiceView, demand_per_s: float) -> None:
     service.trim = _trimmed(service, view)
     demand_per_s *= service.trim
     service.view = view
@@ -291,7 +299,7 @@
     ratio = view.offered_per_s / service.expected_per_s
     ratio = min(MOST_RATIO, max(1 / MOST_RATIO, ratio))
     trim = service.trim * ratio**TRIM_GAIN
-    return min(MOST_TRIM, max(1 / MOST_TRIM, trim))
+    return float(min(MOST_TRIM, max(1 / MOST_TRIM, trim)))
 
 
 def _parts(service: _Service) -> dict[Kind, float]:
@@ -313,5 +321,7 @@
         wanted = (1 - kept) * work[kind]
         given = min(left, wanted)
         left -= given
-        parts[kind] = kept + (given / work[kind] if work[kind] else 1 - kept)
+        parts[kind] = 1.0
+        if work[kind]:
+            parts[kind] = kept + given / work[kind]
     return parts
--- a/src/rattanstile/process/mesh/service_needs.py
+++ b/src/rattanstile/process/mesh/service_needs.py
@@ -52,18 +52,16 @@
             for service, need in known.items()
         )
 
-    def below(
-        self, calls: dict[str, float]
-    ) -> dict[ServiceName, ServiceNeed]:
+    def below(self, calls: dict[str, float]) -> dict[ServiceName, ServiceNeed]:
         """Return what these calls, counted by route, take together."""
         found: dict[ServiceName, ServiceNeed] = {}
         for route, count in calls.items():
             for need in self.of(route):
                 earlier = found.get(need.service)
-                runs = count * need.runs + (earlier.runs if earlier else 0)
-                found[need.service] = ServiceNeed(
-                    need.service, round(runs, 2)
-                )
+                runs = count * need.runs
+                if earlier is not None:
+                    runs += earlier.runs
+                found[need.service] = ServiceNeed(need.service, round(runs, 2))
         return found
 
 
@@ -73,7 +71,5 @@
     """Return the needs of a route: the service that runs it and those below."""
     deeper = below.pop(own.service, None)
     if deeper is not None:
-        own = ServiceNeed(
-            own.service, round(own.runs + deeper.runs, 2)
-        )
+        own = ServiceNeed(own.service, round(own.runs + deeper.runs, 2))
     return (own, *tuple(below.values())[: MOST_NEEDS - 1])
--- a/src/rattanstile/process/mesh/serving_desk.py
+++ b/src/rattanstile/process/mesh/serving_desk.py
@@ -7,9 +7,9 @@
 from rattanstile.connection.http_messages import HttpResponse
 from rattanstile.connection.peer_messages import TargetLoad
 from rattanstile.connection.target_pool import TargetExchange, TargetPool
-from rattanstile.process.decision_log import DecisionLog, Kind
+from rattanstile.process.decision_log import Kind
 from rattanstile.process.mesh.call_tree import CallTree
-from rattanstile.process.mesh.counters import Counters
+from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.ports import (
     RunAnswered,
     RunFailed,
@@ -24,7 +24,6 @@
     Heard,
     TargetWatch,
 )
-from rattanstile.process.timers import TimerService
 from rattanstile.request.exchange import (
     Answered,
     Ending,
@@ -36,8 +35,6 @@
     Unknown,
     UnknownReason,
 )
-from rattanstile.request.ids import FailureDomainId
-from rattanstile.version.fleet_config import FleetState
 
 SPARE_CONNECTIONS = 8
 """Connections beyond the limit, for those that are about to close."""
@@ -58,8 +55,8 @@
     """Takes calls in, runs them on the target and tells how they ended.
 
     Args:
-        domain: The node's failure domain.
-        state: Gives what operators state.
+        context: What the parts of the node share.
+        watch: Follows the target.
         pool: Carries the calls.
         dialect: How the target is spoken to.
         status_changed: Called when other nodes are to be told the load.
@@ -67,28 +64,23 @@
 
     def __init__(
         self,
-        domain: FailureDomainId,
+        context: NodeContext,
         watch: TargetWatch,
-        state: Callable[[], FleetState],
         pool: TargetPool,
         dialect: TargetDialect,
-        timers: TimerService,
-        log: DecisionLog,
-        counters: Counters,
         status_changed: Callable[[], None],
     ) -> None:
         """Begin without calls."""
         self.watch = watch
         self.gate = TargetGate()
         self.tree = CallTree()
-        self.is_stopping = False
-        self._domain = domain
-        self._state = state
+        self._is_stopping = False
+        self._context = context
+        self._state = context.state
         self._pool = pool
         self._dialect = dialect
-        self._timers = timers
-        self._log = log
-        self._counters = counters
+        self._timers = context.timers
+        self._log = context.log
         self._status_changed = status_changed
         self._served: dict[Hashable, _Served] = {}
         self._was_usable = False
@@ -112,13 +104,11 @@
             limit=limit,
             service_us=int(gate.service_s * 1e6) if gate.ran else 0,
             wait_us=int(wait_s * 1e6),
-            offered_per_10s=int(gate.offered_per_s(now_s) * 10),
-            capacity_per_10s=int(gate.capacity_per_s(is_cold=is_cold) * 10),
+            offered_deci_per_s=int(gate.offered_per_s(now_s) * 10),
+            capacity_deci_per_s=int(gate.capacity_per_s(is_cold=is_cold) * 10),
         )
 
-    def needs(
-        self, route: str, below: ServiceNeeds
-    ) -> tuple[ServiceNeed, ...]:
+    def needs(self, route: str, below: ServiceNeeds) -> tuple[ServiceNeed, ...]:
         """Return what a run of a route takes, of this service and others."""
         own = ServiceNeed(self.watch.service, 1.0)
         return with_own(own, below.below(self.tree.calls_of(route)))
@@ -128,8 +118,8 @@
         """Tell whether new calls are taken."""
         return (
             self.watch.is_usable
-            and not self.is_stopping
-            and self._domain not in self._state().evacuated
+            and not self._is_stopping
+            and self._context.domain not in self._state().evacuated
         )
 
     @property
@@ -202,6 +192,13 @@
         if self.watch.wants_probe(now_s):
             self._probe()
 
+    def stop_taking(self) -> None:
+        """Take no new call, and give back those that wait."""
+        if not self._is_stopping:
+            self._is_stopping = True
+            self._bounce()
+            self._tell_if_changed()
+
     # The target
 
     def announced(self, told: Announcement) -> Heard:
@@ -219,9 +216,7 @@
     def config_changed(self) -> None:
         """Take the declared limits of the target's service."""
         config = self._state().config
-        service = (
-            config.services.get(self.watch.service) if config else None
-        )
+        service = config.services.get(self.watch.service) if config else None
         if service is None:
             return
         self.gate.cold_calls_per_s = service.cold_calls_per_s
@@ -251,7 +246,7 @@
         self.pump()
 
     def _check_evacuation(self, now_s: float) -> None:
-        is_evacuated = self._domain in self._state().evacuated
+        is_evacuated = self._context.domain in self._state().evacuated
         if is_evacuated and not self._was_evacuated:
             self._bounce()
         if self._was_evacuated and not is_evacuated:
@@ -271,19 +266,15 @@
 
     def _probe(self) -> None:
         config = self._state().config
-        service = (
-            config.services.get(self.watch.service) if config else None
-        )
+        service = config.services.get(self.watch.service) if config else None
         if service is None or self._is_probing:
             return
         self._is_probing = True
-        self._counters.probes += 1
+        self._context.counters.probes += 1
         exchange = self._pool.send(
             self._dialect.encode_probe(service.health_path), self._probed
         )
-        self._timers.after(
-            1.0, lambda _: self._pool.abandon(exchange)
-        )
+        self._timers.after(1.0, lambda _: self._pool.abandon(exchange))
 
     def _probed(self, end: HttpResponse | ExchangeFailure) -> None:
         self._is_probing = False
@@ -301,14 +292,10 @@
         remaining_ms = max(1, int((waiting.deadline_s - now_s) * MS_PER_S))
         self.tree.began(now_s, call.route)
         served.exchange = self._pool.send(
-            self._dialect.encode_call(
-                call, self.watch.target_id, remaining_ms
-            ),
+            self._dialect.encode_call(call, self.watch.target_id, remaining_ms),
             lambda end: self._ran(served, end),
             is_head=call.method == 'HEAD',
-            is_own=lambda response: self._dialect.is_answer_to(
-                call, response
-            ),
+            is_own=lambda response: self._dialect.is_answer_to(call, response),
         )
 
     def _ran(
@@ -321,9 +308,7 @@
             if isinstance(end, ExchangeFailure)
             else self._dialect.decode_answer(end)
         )
-        self.gate.ended(
-            now_s, waiting, ran=isinstance(run_end, RunAnswered)
-        )
+        self.gate.ended(now_s, waiting, ran=isinstance(run_end, RunAnswered))
         self.tree.ended(now_s, waiting.call.route)
         is_wanted = self._served.pop(waiting.key, None) is not None
         if is_wanted:
@@ -338,7 +323,7 @@
     ) -> Ending:
         match run_end:
             case RunAnswered(answer):
-                self._counters.runs += 1
+                self._context.counters.runs += 1
                 return Answered(answer)
             case RunRefused(is_other_target):
                 if is_other_target:
@@ -386,7 +371,7 @@
     def _reason_not_to_take(self, call: ServedCall) -> NotRunReason | None:
         if call.service != self.watch.service:
             return NotRunReason.NO_TARGET
-        if self.watch.is_leaving or self.is_stopping:
+        if self.watch.is_leaving or self._is_stopping:
             return NotRunReason.TARGET_LEAVING
         if not self.is_usable:
             return NotRunReason.NO_TARGET
@@ -400,7 +385,7 @@
         served.ended(NotRun(reason))
 
     def _log_refused(self, call: ServedCall, reason: NotRunReason) -> None:
-        self._counters.refused_here += 1
+        self._context.counters.not_taken[reason.name.lower()] += 1
         if not self._log.takes(Kind.REFUSED):
             return
         self._log.append(
--- a/src/rattanstile/process/mesh/splitter.py
+++ b/src/rattanstile/process/mesh/splitter.py
@@ -25,9 +25,7 @@
         best = route.shares[0].service
         for share in route.shares:
             held[share.service] = held.get(share.service, 0.0) + share.weight
-        best = max(
-            route.shares, key=lambda share: held[share.service]
-        ).service
+        best = max(route.shares, key=lambda share: held[share.service]).service
         held[best] -= total
         for service in tuple(held):
             if all(share.service != service for share in route.shares):
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -93,9 +93,7 @@
         for found in (before | members).values():
             if found.node_id != self._member().node_id:
                 self._found(found)
-        self._log.write(
-            Kind.PEER, 'members_read', count=len(members)
-        )
+        self._log.write(Kind.PEER, 'members_read', count=len(members))
 
     async def _follow(self) -> None:
         is_known = False
--- a/src/rattanstile/process/mesh/target_gate.py
+++ b/src/rattanstile/process/mesh/target_gate.py
@@ -148,9 +148,7 @@
             waiting.is_gone = True
             self.waiting -= 1
 
-    def ended(
-        self, now_s: float, waiting: WaitingCall, *, ran: bool
-    ) -> None:
+    def ended(self, now_s: float, waiting: WaitingCall, *, ran: bool) -> None:
         """Count the end of a call on the target."""
         self.in_flight -= 1
         if ran and waiting.started_s is not None:
--- a/src/rattanstile/process/mesh/target_watch.py
+++ b/src/rattanstile/process/mesh/target_watch.py
@@ -109,7 +109,8 @@
         )
         if order <= (self._born_ms, self._sequence):
             return Heard.NOTHING
-        self._born_ms, self._sequence = order
+        self._born_ms = told.born_ms
+        self._sequence = told.sequence
         if not is_same:
             self._begin(told.target_id)
         self.service = told.service
--- a/src/rattanstile/process/node.py
+++ b/src/rattanstile/process/node.py
@@ -35,9 +35,9 @@
 from rattanstile.process.gate import Asked, Gate
 from rattanstile.process.home_grants import HomeGrants
 from rattanstile.process.home_table import HomeTable
+from rattanstile.process.key_values import key_values
 from rattanstile.process.log_client import LogClient
 from rattanstile.process.log_reader import LogReader, StreamEvent
-from rattanstile.process.key_values import key_values
 from rattanstile.process.member_service import MemberPorts, MemberService
 from rattanstile.process.membership import Membership
 from rattanstile.process.membership_messages import MemberLost
