--- a/src/rattanstile/process/mesh/root_admission.py
+++ b/src/rattanstile/process/mesh/root_admission.py
@@ -97,7 +97,7 @@
     view: ServiceView | None = None
     demand_per_s: float = 0.0
     trim: float = 1.0
-    expected_per_s: float = 0.0
+    expected_per_s: float | None = None
     parts: dict[Kind, float] = field(default_factory=dict)
 
     def own_per_s(self) -> float:
@@ -284,8 +284,11 @@
     if demand_per_s > served_per_s:
         service.let_in = max(LEAST_LET_IN, served_per_s / demand_per_s)
     expected_per_s = service.let_in * demand_per_s
-    service.expected_per_s += EXPECTED_GAIN * (
-        expected_per_s - service.expected_per_s
+    earlier_per_s = service.expected_per_s
+    if earlier_per_s is None:
+        earlier_per_s = expected_per_s
+    service.expected_per_s = earlier_per_s + EXPECTED_GAIN * (
+        expected_per_s - earlier_per_s
     )
 
 
@@ -294,9 +297,10 @@
 
     What a request takes is learnt, and may be wrong for some seconds.
     """
-    if service.let_in >= 1 or service.expected_per_s < FEWEST_EXPECTED_PER_S:
+    expected_per_s = service.expected_per_s or 0
+    if service.let_in >= 1 or expected_per_s < FEWEST_EXPECTED_PER_S:
         return service.trim + TRIM_FALL * (1 - service.trim)
-    ratio = view.offered_per_s / service.expected_per_s
+    ratio = view.offered_per_s / expected_per_s
     ratio = min(MOST_RATIO, max(1 / MOST_RATIO, ratio))
     trim = service.trim * ratio**TRIM_GAIN
     return float(min(MOST_TRIM, max(1 / MOST_TRIM, trim)))
--- a/src/rattanstile/process/mesh/target_watch.py
+++ b/src/rattanstile/process/mesh/target_watch.py
@@ -147,9 +147,9 @@
         """Take the answer to a probe."""
         if not probed.is_healthy or not probed.target_id:
             return Heard.NOTHING
+        if probed.target_id == self.last_left:
+            return Heard.NOTHING
         if probed.target_id != self.target_id:
-            if probed.target_id == self.last_left:
-                return Heard.NOTHING
             self._begin(probed.target_id)
         was_verified = self.is_verified
         self.is_verified = True
