--- a/src/rattanstile/cli.py
+++ b/src/rattanstile/cli.py
@@ -6,6 +6,7 @@
 
 from rattanstile import __version__
 from rattanstile.errors import ExitCode, RattanstileError
+from rattanstile.explain_cli import add_explain_command
 from rattanstile.node_cli import add_node_command
 from rattanstile.operator_cli import add_operator_commands
 from rattanstile.standin_cli import add_standin_commands
@@ -20,6 +21,7 @@
   rattanstile key new                          make a key for an organisation
   rattanstile plan fleet.json --log ADDRESS    show what would change
   rattanstile confirm PLAN_ID --log ADDRESS    put the plan in force
+  rattanstile explain ID LOG...                why a request ended as it did
 
 Exit codes: 0 done, 1 failure, 2 usage or settings, 3 conflict,
 4 unavailable and nothing done, 5 may or may not have taken effect.
@@ -40,6 +42,7 @@
     subparsers = parser.add_subparsers(dest='command', required=True)
     add_node_command(subparsers)
     add_operator_commands(subparsers)
+    add_explain_command(subparsers)
     add_standin_commands(subparsers)
     add_demo_command(subparsers)
     add_trial_command(subparsers)
