Ends calls whose answers never come; serves on while callers come

A late response without a length ended its connection and left the exchange open; a call whose answer was lost kept its slot. Meanwhile offered calls of nodes that were out counted on, so the trim rose to 1.7 and a third of the requests were refused for nothing. Change: each exchange ends with its connection, each call 0.3 s past its deadline; only usable targets count; a draining node's target stays in reach while callers' requests come.

--- a/src/rattanstile/connection/http_client.py
+++ b/src/rattanstile/connection/http_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client connections: one request at a time, whole responses."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from enum import Enum, unique
 from typing import Any
 
@@ -59,6 +60,7 @@
         self._is_head = False
         self._is_lost = False
         self._is_spoiled = False
+        self._completed: HttpResponse | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._begin()
 
@@ -122,8 +124,8 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._finish(ExchangeFailure.SPOILED)
-            self.abort()
+            self._is_spoiled = True
+        self._hand_on()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """End the exchange; without a length, a clean close ends the body."""
@@ -131,12 +133,12 @@
         is_clean = reason is not None and reason.check(
             internet_error.ConnectionDone
         )
+        has_begun = bool(self._status)
         if self._is_until_close and is_clean and not self._is_spoiled:
-            self._deliver(keeps_alive=False)
-        elif self._status:
-            self._finish(ExchangeFailure.CUT)
-        else:
-            self._finish(ExchangeFailure.RESET)
+            self._complete(keeps_alive=False)
+            self._hand_on()
+        failure = ExchangeFailure.CUT if has_begun else ExchangeFailure.RESET
+        self._finish(failure)
         self._on_lost(self)
 
     # httptools
@@ -163,8 +165,7 @@
             and b'transfer-encoding' not in names
         )
         if self._is_head and self._status >= _FIRST_FINAL_STATUS:
-            self._is_spoiled = True
-            self._deliver(keeps_alive=False)
+            self._complete(keeps_alive=False)
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
@@ -178,26 +179,40 @@
         if self._status < _FIRST_FINAL_STATUS:
             self._begin()
             return
-        if self._ended is None:
-            self._is_spoiled = True
-            return
-        self._deliver(keeps_alive=self._parser.should_keep_alive())
+        self._complete(keeps_alive=self._parser.should_keep_alive())
 
-    def _deliver(self, *, keeps_alive: bool) -> None:
+    def _complete(self, *, keeps_alive: bool) -> None:
+        """Keep a response until all bytes that came with it are looked at."""
         response = HttpResponse(
             status=self._status,
             phrase=self._phrase,
             headers=tuple(self._headers),
             body=b''.join(self._body),
-            keeps_alive=keeps_alive and not self._is_spoiled,
+            keeps_alive=keeps_alive,
         )
         self._begin()
-        if self._is_own is not None and not self._is_own(response):
-            return
-        if not response.keeps_alive:
+        if self._completed is not None:
+            # A second response on one request: nobody asked for it.
             self._is_spoiled = True
+        elif self._is_own is None or self._is_own(response):
+            self._completed = response
+
+    def _hand_on(self) -> None:
+        """End the exchange with its response, or with the spoiled bytes."""
+        response = self._completed
+        if response is None:
+            if self._is_spoiled:
+                self._finish(ExchangeFailure.SPOILED)
+                self.abort()
+            return
+        self._completed = None
+        is_between = not (self._headers or self._status)
+        keeps_alive = (
+            response.keeps_alive and not self._is_spoiled and is_between
+        )
+        self._is_spoiled = not keeps_alive
         self._keep_timeout(response)
-        self._finish(response)
+        self._finish(replace(response, keeps_alive=keeps_alive))
 
     def _keep_timeout(self, response: HttpResponse) -> None:
         content = response.header(b'keep-alive')
--- a/src/rattanstile/process/mesh/attempts.py
+++ b/src/rattanstile/process/mesh/attempts.py
@@ -229,7 +229,7 @@
     capacity = sum(load.capacity_deci_per_s for load in usable)
     waits = sum(load.wait_us * load.capacity_deci_per_s for load in usable)
     return ServiceView(
-        offered_per_s=sum(load.offered_deci_per_s for load in loads) / 10,
+        offered_per_s=sum(load.offered_deci_per_s for load in usable) / 10,
         capacity_per_s=capacity / 10,
         wait_s=waits / capacity / 1e6 if capacity else 0,
     )
--- a/src/rattanstile/process/mesh/drain.py
+++ b/src/rattanstile/process/mesh/drain.py
@@ -10,6 +10,8 @@
 
 SERVE_ON_S = 1.4
 """For so long the target goes on with calls of other nodes."""
+LONGEST_FINISH_S = 2.5
+"""So much of the grace time is kept for what still runs."""
 SHORTEST_S = 2.3
 IDLE_S = 0.3
 """Time without any work in hand after which none is expected."""
@@ -40,17 +42,20 @@
         self._grace_s = grace_s
         self._idle_since_s: float | None = None
 
-    def step(self, now_s: float, in_hand: int) -> DrainStep:
+    def step(self, now_s: float, roots: int, in_hand: int) -> DrainStep:
         """Return what to do now.
 
         Args:
             now_s: Monotonic seconds.
-            in_hand: Requests and calls that have not ended.
+            roots: Callers' requests that have not ended.
+            in_hand: All requests and calls that have not ended.
         """
         passed_s = now_s - self.began_s
-        if passed_s >= self._grace_s - GRACE_MARGIN_S:
+        left_s = self._grace_s - passed_s
+        if left_s <= GRACE_MARGIN_S:
             return DrainStep.END
-        if passed_s < SERVE_ON_S:
+        if passed_s < SERVE_ON_S or (roots and left_s > LONGEST_FINISH_S):
+            self._idle_since_s = None
             return DrainStep.SERVE_ON
         if in_hand:
             self._idle_since_s = None
--- a/src/rattanstile/process/mesh/entry_desk.py
+++ b/src/rattanstile/process/mesh/entry_desk.py
@@ -44,6 +44,9 @@
 class EntryDesk:
     """Requests that came in at this node.
 
+    Attributes:
+        roots: Requests of callers that have not ended.
+
     Args:
         context: What the parts of the node share.
         serving: Serves those that this node's target runs.
@@ -70,6 +73,7 @@
         self._admission = admission
         self._reruns = reruns
         self._splitter = Splitter()
+        self.roots = 0
         self._arrivals = 0
         self._held: dict[EntryCall, None] = {}
         self._deadlines: list[tuple[float, int, EntryCall]] = []
@@ -96,6 +100,7 @@
             self._serving.tree.called(now_s, call.route.name)
             self._place(now_s, call)
         else:
+            self.roots += 1
             self._check_rate(now_s, call)
         return call
 
@@ -323,6 +328,7 @@
     def _over(self, call: EntryCall) -> None:
         call.phase = Phase.OVER
         self._held.pop(call, None)
+        self.roots -= not call.is_inner
 
     def _log_end(self, call: EntryCall, ending: Ending) -> None:
         end = described(ending)
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -246,7 +246,7 @@
             self._log_tight()
 
     def _drain_on(self, now_s: float, drain: Drain) -> None:
-        match drain.step(now_s, self.in_hand):
+        match drain.step(now_s, self.entry.roots, self.in_hand):
             case DrainStep.SERVE_ON:
                 return
             case DrainStep.FINISH:
--- a/src/rattanstile/process/mesh/serving_desk.py
+++ b/src/rattanstile/process/mesh/serving_desk.py
@@ -1,7 +1,8 @@
 """Serves the calls of all nodes on the target beside this one."""
 
+import heapq
 from collections.abc import Callable, Hashable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from rattanstile.connection.http_client import ExchangeFailure
 from rattanstile.connection.http_messages import HttpResponse
@@ -39,6 +40,8 @@
 SPARE_CONNECTIONS = 8
 """Connections beyond the limit, for those that are about to close."""
 CONNECTION_SHARE = 0.9
+OVERDUE_S = 0.3
+"""A target answers by itself at the deadline; its answer may be lost."""
 MS_PER_S = 1000
 
 
@@ -51,6 +54,14 @@
     exchange: TargetExchange | None = None
 
 
+@dataclass(order=True, slots=True)
+class _Overdue:
+    """When a call on the target is given up."""
+
+    at_s: float
+    served: _Served = field(compare=False)
+
+
 class ServingDesk:
     """Takes calls in, runs them on the target and tells how they ended.
 
@@ -83,6 +94,7 @@
         self._log = context.log
         self._status_changed = status_changed
         self._served: dict[Hashable, _Served] = {}
+        self._overdue: list[_Overdue] = []
         self._was_usable = False
         self._is_probing = False
         self._was_evacuated = False
@@ -184,6 +196,7 @@
         self.tree.step(now_s)
         for waiting in self.gate.expired(now_s):
             self._refuse(waiting, NotRunReason.DEADLINE)
+        self._end_overdue(now_s)
         self._check_evacuation(now_s)
         if not self.watch.is_usable and self.gate.waiting:
             self._bounce()
@@ -286,11 +299,25 @@
 
     # Runs
 
+    def _end_overdue(self, now_s: float) -> None:
+        """End calls that the target should have stopped by itself."""
+        while self._overdue and self._overdue[0].at_s <= now_s:
+            served = heapq.heappop(self._overdue).served
+            key = served.waiting.key
+            if self._served.get(key) is not served or served.exchange is None:
+                continue
+            self._served.pop(key)
+            self._log_failed(now_s, served.waiting, 'overdue')
+            self._pool.abandon(served.exchange)
+            served.ended(Unknown(UnknownReason.DEADLINE))
+
     def _run(self, now_s: float, waiting: WaitingCall) -> None:
         served = self._served[waiting.key]
         call = waiting.call
         remaining_ms = max(1, int((waiting.deadline_s - now_s) * MS_PER_S))
         self.tree.began(now_s, call.route)
+        overdue_s = waiting.deadline_s + OVERDUE_S
+        heapq.heappush(self._overdue, _Overdue(overdue_s, served))
         served.exchange = self._pool.send(
             self._dialect.encode_call(call, self.watch.target_id, remaining_ms),
             lambda end: self._ran(served, end),
@@ -341,18 +368,23 @@
             return NotRun(NotRunReason.TARGET_UNREACHED)
         if failure is ExchangeFailure.RESET and not self._pool.open_connections:
             self._suspect(now_s, failure.value)
+        self._log_failed(now_s, waiting, failure.value)
+        if failure in {ExchangeFailure.RESET, ExchangeFailure.CUT}:
+            return Unknown(UnknownReason.ANSWER_LOST)
+        return Unknown(UnknownReason.ANSWER_SPOILED)
+
+    def _log_failed(
+        self, now_s: float, waiting: WaitingCall, failure: str
+    ) -> None:
         self._log.write(
             Kind.FAILED,
             'run_failed',
             request=waiting.call.request_id,
             route=waiting.call.route,
             target=self.watch.target_id,
-            failure=failure.value,
+            failure=failure,
             ran_s=round(now_s - (waiting.started_s or now_s), 3),
         )
-        if failure in {ExchangeFailure.RESET, ExchangeFailure.CUT}:
-            return Unknown(UnknownReason.ANSWER_LOST)
-        return Unknown(UnknownReason.ANSWER_SPOILED)
 
     def _suspect(self, now_s: float, why: str) -> None:
         if self.watch.is_verified:
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -144,7 +144,7 @@
     def test_it_serves_on_and_ends_when_idle(self):
         """Not before callers can have been sent elsewhere."""
         drain = Drain(0, grace_s=6)
-        steps = [drain.step(tenth / 10, 0) for tenth in range(30)]
+        steps = [drain.step(tenth / 10, 0, 0) for tenth in range(30)]
         self.assertEqual(steps[13], DrainStep.SERVE_ON)
         self.assertEqual(steps[15], DrainStep.FINISH)
         self.assertEqual(steps.index(DrainStep.END), 23)
@@ -152,16 +152,22 @@
     def test_it_waits_for_what_runs(self):
         """Until shortly before it is killed."""
         drain = Drain(0, grace_s=6)
-        steps = [drain.step(tenth / 10, 1) for tenth in range(60)]
+        steps = [drain.step(tenth / 10, 0, 1) for tenth in range(60)]
         self.assertEqual(steps.index(DrainStep.END), 54)
 
+    def test_the_target_is_in_reach_while_callers_come(self):
+        """It was out of reach for 4 s of a drain of 5.4 s."""
+        drain = Drain(0, grace_s=6)
+        steps = [drain.step(tenth / 10, 1, 2) for tenth in range(60)]
+        self.assertEqual(steps.index(DrainStep.FINISH), 35)
+
     def test_idle_time_starts_anew_with_each_request(self):
         """A caller that still comes is served."""
         drain = Drain(0, grace_s=6)
-        drain.step(2.2, 0)
-        drain.step(2.4, 1)
-        self.assertEqual(drain.step(2.5, 0), DrainStep.FINISH)
-        self.assertEqual(drain.step(2.9, 0), DrainStep.END)
+        drain.step(2.2, 0, 0)
+        drain.step(2.4, 1, 1)
+        self.assertEqual(drain.step(2.5, 0, 0), DrainStep.FINISH)
+        self.assertEqual(drain.step(2.9, 0, 0), DrainStep.END)
 
 
 class SplitTest(unittest.TestCase):
--- /dev/null
+++ b/tests/test_serving_desk.py
@@ -0,0 +1,176 @@
+"""Calls of all nodes on the target beside this one."""
+
+import unittest
+from types import SimpleNamespace
+
+from mesh_samples import ANSWER, config, context, served
+from test_target_watch import told
+
+from rattanstile.connection.http_client import ExchangeFailure
+from rattanstile.connection.http_messages import HttpResponse
+from rattanstile.process.mesh.ports import RunAnswered, RunRefused, TargetLeft
+from rattanstile.process.mesh.serving_desk import ServingDesk
+from rattanstile.process.mesh.target_watch import TargetState, TargetWatch
+from rattanstile.request.exchange import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    UnknownReason,
+)
+from rattanstile.version.fleet_config import FleetState
+
+RESPONSE = HttpResponse(200, b'OK', (), b'')
+
+
+class Pool:
+    """Exchanges that the test ends."""
+
+    def __init__(self):
+        self.sent = []
+        self.most_connections = 64
+        self.open_connections = 1
+
+    def send(self, written, ended, is_head=False, is_own=None):
+        exchange = SimpleNamespace(written=written, ended=ended, over=False)
+        self.sent.append(exchange)
+        return exchange
+
+    def abandon(self, exchange):
+        if not exchange.over:
+            exchange.over = True
+            exchange.ended(ExchangeFailure.ABANDONED)
+
+
+class Dialect:
+    """Calls as their ids; the test says what a response means."""
+
+    meaning = RunAnswered(ANSWER)
+
+    def encode_call(self, call, target_id, remaining_ms):
+        return call.request_id
+
+    def encode_probe(self, health_path):
+        return 'probe'
+
+    def is_answer_to(self, call, response):
+        return True
+
+    def decode_answer(self, response):
+        return self.meaning
+
+
+class ServingDeskTest(unittest.TestCase):
+    """One call after another, and what may go wrong."""
+
+    def setUp(self):
+        state = FleetState(1, config(), b'', frozenset())
+        self.context, self.clock, self.kept = context(state)
+        self.pool = Pool()
+        self.dialect = Dialect()
+        self.told = []
+        self.ends = []
+        self.desk = ServingDesk(
+            self.context,
+            TargetWatch('registry'),
+            self.pool,
+            self.dialect,
+            lambda: self.told.append(self.desk.is_usable),
+        )
+        self.desk.watch.recall('')
+        self.desk.announced(told(slots=2))
+
+    def begin(self, name='a', **changes):
+        self.desk.begin(name, served(name, **changes), self.ends.append)
+
+    def test_an_answer_ends_the_call(self):
+        """And its slot is free again."""
+        self.begin()
+        self.pool.sent[0].ended(RESPONSE)
+        self.assertEqual(self.ends, [Answered(ANSWER)])
+        self.assertEqual(self.desk.gate.in_flight, 0)
+
+    def test_a_lost_answer_doesn_t_keep_its_slot(self):
+        """The target never answers; the call ends with its deadline."""
+        self.begin()
+        self.clock.advance(2.2)
+        self.desk.check(self.clock.seconds())
+        self.assertEqual(self.ends, [])
+        self.clock.advance(0.2)
+        self.desk.check(self.clock.seconds())
+        self.assertEqual(self.ends, [Unknown(UnknownReason.DEADLINE)])
+        self.assertEqual(self.desk.gate.in_flight, 0)
+        self.assertEqual(self.desk.in_hand, 0)
+
+    def test_a_cancelled_call_closes_its_connection(self):
+        """Nobody is told its end."""
+        self.begin()
+        self.desk.cancel('a')
+        self.assertTrue(self.pool.sent[0].over)
+        self.assertEqual(self.ends, [])
+        self.assertEqual(self.desk.gate.in_flight, 0)
+
+    def test_what_the_target_refuses_has_not_run(self):
+        """Another node may take it."""
+        self.dialect.meaning = RunRefused(is_other_target=False)
+        self.begin()
+        self.pool.sent[0].ended(RESPONSE)
+        self.assertEqual(self.ends, [NotRun(NotRunReason.TARGET_REFUSED)])
+
+    def test_another_target_at_the_address_is_not_used(self):
+        """Until it announces itself."""
+        self.dialect.meaning = RunRefused(is_other_target=True)
+        self.begin()
+        self.pool.sent[0].ended(RESPONSE)
+        self.assertFalse(self.desk.is_usable)
+
+    def test_a_refused_connection_has_run_nothing(self):
+        """What waits is given back, and others are told."""
+        for name in ('a', 'b', 'c'):
+            self.begin(name)
+        self.pool.sent[0].ended(ExchangeFailure.UNSENT)
+        reasons = [end.reason for end in self.ends]
+        self.assertIn(NotRunReason.TARGET_UNREACHED, reasons)
+        self.assertIn(NotRunReason.TARGET_LEAVING, reasons)
+        self.assertEqual(self.told[-1], False)
+
+    def test_a_reset_is_unknown(self):
+        """One that leaves other connections open is no restart."""
+        self.begin()
+        self.pool.sent[0].ended(ExchangeFailure.RESET)
+        self.assertEqual(self.ends, [Unknown(UnknownReason.ANSWER_LOST)])
+        self.assertTrue(self.desk.is_usable)
+
+    def test_a_leaving_target_gets_nothing_more(self):
+        """What runs goes on, what waits goes elsewhere."""
+        for name in ('a', 'b', 'c'):
+            self.begin(name)
+        drains = told(slots=2, sequence=2, state=TargetState.DRAINING)
+        self.desk.announced(drains)
+        self.assertEqual(len(self.ends), 2)
+        self.begin('d')
+        self.assertEqual(self.ends[-1], NotRun(NotRunReason.TARGET_LEAVING))
+        self.pool.sent[0].ended(RESPONSE)
+        self.assertEqual(self.ends[-1], Answered(ANSWER))
+
+    def test_a_deregistered_one_neither(self):
+        """It said nothing before."""
+        self.desk.left(TargetLeft('i-1', 0))
+        self.begin()
+        self.assertEqual(self.ends, [NotRun(NotRunReason.TARGET_LEAVING)])
+
+    def test_an_evacuated_domain_gets_nothing(self):
+        """And its target is probed before it is used again."""
+        self.kept.state = FleetState(2, config(), b'', frozenset(('east',)))
+        self.desk.check(0.1)
+        self.begin()
+        self.assertEqual(self.ends, [NotRun(NotRunReason.NO_TARGET)])
+        self.kept.state = FleetState(3, config(), b'', frozenset())
+        self.desk.check(0.2)
+        self.assertFalse(self.desk.is_usable)
+        self.assertEqual(self.pool.sent[-1].written, 'probe')
+
+    def test_another_service_s_call_is_not_taken(self):
+        """The address was used by another node."""
+        self.begin(service='other')
+        self.assertEqual(self.ends, [NotRun(NotRunReason.NO_TARGET)])
