--- a/bench/configuration_bytes.py
+++ b/bench/configuration_bytes.py
@@ -11,7 +11,7 @@
     first_record,
 )
 from bench.relay_fleet import Fleet
-from rattanstile.process.relay import TICK_S
+from rattanstile.process.configuration.relay import TICK_S
 from rattanstile.request.ids import KeyDigest, ServiceName
 from rattanstile.version.change import DeclarationChange, GrantedKey
 from rattanstile.version.declaration import (
--- a/bench/configuration_live.py
+++ b/bench/configuration_live.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from bench.row import Row
-from rattanstile.process.relay_tree import RelayTree
+from rattanstile.process.configuration.relay_tree import RelayTree
 from rattanstile.request.ids import NodeId, PlanId, RecordId, VersionNumber
 from rattanstile.trial.deployments import VEDLOTT, declaration_of
 from rattanstile.trial.fleet import Fleet, Worker, running_fleet
--- a/bench/configuration_races.py
+++ b/bench/configuration_races.py
@@ -10,12 +10,12 @@
 from twisted.internet.task import Clock
 
 from rattanstile.errors import ConflictError, UncertainError
-from rattanstile.process.log_client import (
+from rattanstile.process.configuration.log_client import (
     AppendUncertain,
     LogUnavailable,
     ReadBatch,
 )
-from rattanstile.process.operators import Confirmed, Operators
+from rattanstile.process.configuration.operators import Confirmed, Operators
 from rattanstile.request.ids import LogOffset, PlanId
 from rattanstile.version.declaration import Declaration
 from rattanstile.version.records import CONFIGURATION_STREAM
--- a/bench/configuration_schedules.py
+++ b/bench/configuration_schedules.py
@@ -6,9 +6,9 @@
 from random import Random
 
 from bench.relay_fleet import Fleet
-from rattanstile.process.freshness import Freshness
-from rattanstile.process.relay import Relay
-from rattanstile.process.relay_messages import RelayMember
+from rattanstile.process.configuration.freshness import Freshness
+from rattanstile.process.configuration.relay import Relay
+from rattanstile.process.configuration.relay_messages import RelayMember
 from rattanstile.request.ids import (
     KeyDigest,
     NodeId,
--- a/bench/loans.py
+++ b/bench/loans.py
@@ -15,10 +15,10 @@
     SendControl,
 )
 from rattanstile.process.messages import Ticked
-from rattanstile.process.rate_borrower import Borrower
-from rattanstile.process.rate_messages import LoanGrant, LoanRequest
-from rattanstile.process.rate_owner import TICK_S
-from rattanstile.process.rate_shares import shard_count
+from rattanstile.process.rates.rate_borrower import Borrower
+from rattanstile.process.rates.rate_messages import LoanGrant, LoanRequest
+from rattanstile.process.rates.rate_owner import TICK_S
+from rattanstile.process.rates.rate_shares import shard_count
 from rattanstile.request.ids import Incarnation, NodeId
 from rattanstile.version.declaration import Organisation
 from rattanstile.version.rate_records import OwnerClaimRecord, ProcessId
--- a/bench/membership_sample.py
+++ b/bench/membership_sample.py
@@ -8,10 +8,13 @@
 from random import Random
 
 from bench.membership_world import MemberFleet, VirtualMember, member_of
-from rattanstile.process.directory import paged
-from rattanstile.process.gossip import PROBE_EVERY_S, UPDATES_PER_MESSAGE
-from rattanstile.process.membership import SUBSCRIBE_EVERY_S
-from rattanstile.process.membership_messages import (
+from rattanstile.process.membership.directory import paged
+from rattanstile.process.membership.gossip import (
+    PROBE_EVERY_S,
+    UPDATES_PER_MESSAGE,
+)
+from rattanstile.process.membership.membership import SUBSCRIBE_EVERY_S
+from rattanstile.process.membership.membership_messages import (
     Ack,
     DomainSummary,
     InterestChanged,
--- a/bench/membership_world.py
+++ b/bench/membership_world.py
@@ -14,8 +14,8 @@
     LogRecordRead,
     SendControl,
 )
-from rattanstile.process.membership import TICK_S, Membership
-from rattanstile.process.membership_messages import (
+from rattanstile.process.membership.membership import TICK_S, Membership
+from rattanstile.process.membership.membership_messages import (
     InterestChanged,
     LeaveBegan,
     MemberLost,
--- a/bench/once_log.py
+++ b/bench/once_log.py
@@ -5,7 +5,7 @@
 from itertools import count
 from random import Random
 
-from rattanstile.process.binding import (
+from rattanstile.process.entry.binding import (
     Appended,
     AppendLost,
     AppendRecord,
--- a/bench/once_node.py
+++ b/bench/once_node.py
@@ -7,14 +7,14 @@
 from typing import Protocol
 
 from bench.once_log import Log, Loop
-from rattanstile.process.binding import (
+from rattanstile.process.entry.binding import (
     AppendRecord,
     BindingMachine,
     ReadStream,
 )
-from rattanstile.process.chooser import Chooser
-from rattanstile.process.entry import EntryIdentity, EntryMachine
-from rattanstile.process.home_table import HomeLimits, HomeTable
+from rattanstile.process.entry.chooser import Chooser
+from rattanstile.process.entry.entry import EntryIdentity, EntryMachine
+from rattanstile.process.membership.unreachable import UnreachableMemory
 from rattanstile.process.messages import (
     AskHome,
     BindingFailed,
@@ -32,8 +32,8 @@
     TargetFailure,
     Ticked,
 )
-from rattanstile.process.serving import ServingIdentity, ServingMachine
-from rattanstile.process.unreachable import UnreachableMemory
+from rattanstile.process.serving.home_table import HomeLimits, HomeTable
+from rattanstile.process.serving.serving import ServingIdentity, ServingMachine
 from rattanstile.request.envelope import Call, Member, Reply
 from rattanstile.request.outcome import Outcome
 from rattanstile.version.declaration import (
--- a/bench/once_world.py
+++ b/bench/once_world.py
@@ -14,13 +14,13 @@
     Operation,
     version_in_force,
 )
-from rattanstile.process.home_table import HomeLimits
 from rattanstile.process.messages import (
     CallRequested,
     DrainBegan,
     HomeGone,
     RequestAbandoned,
 )
+from rattanstile.process.serving.home_table import HomeLimits
 from rattanstile.request.call_id import CallIdIssuer
 from rattanstile.request.envelope import Member, Reply
 from rattanstile.request.outcome import Outcome
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -27,7 +27,7 @@
 )
 from bench.overload_model import Fleet, ServiceShape
 from bench.row import Row
-from rattanstile.process.limit_controller import Aimd, Gradient
+from rattanstile.process.serving.limit_controller import Aimd, Gradient
 
 COLD_START_S = 5.0
 LONG_SERVICE_S = 0.8
--- a/bench/overload_fleet.py
+++ b/bench/overload_fleet.py
@@ -5,17 +5,17 @@
 from bench.overload_baseline import PassThroughEntry, PassThroughServing
 from bench.overload_load import KEY
 from bench.overload_model import DOMAINS, Fleet, Node, ServiceShape
-from rattanstile.process.chooser import Chooser
-from rattanstile.process.entry import EntryIdentity, EntryMachine
-from rattanstile.process.home_table import HomeTable
-from rattanstile.process.limit_controller import (
+from rattanstile.process.entry.chooser import Chooser
+from rattanstile.process.entry.entry import EntryIdentity, EntryMachine
+from rattanstile.process.entry.shedding import SheddingEntry
+from rattanstile.process.membership.unreachable import UnreachableMemory
+from rattanstile.process.serving.home_table import HomeTable
+from rattanstile.process.serving.limit_controller import (
     DEFAULT_CONTROLLER,
     Controller,
 )
-from rattanstile.process.limiter import TargetLimiter
-from rattanstile.process.serving import ServingIdentity, ServingMachine
-from rattanstile.process.shedding import SheddingEntry
-from rattanstile.process.unreachable import UnreachableMemory
+from rattanstile.process.serving.limiter import TargetLimiter
+from rattanstile.process.serving.serving import ServingIdentity, ServingMachine
 from rattanstile.version.declaration import (
     Declaration,
     FailureDomain,
--- a/bench/overload_load.py
+++ b/bench/overload_load.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from bench.overload_model import Fleet
-from rattanstile.process.entry_call import own_refusal
+from rattanstile.process.entry.entry_call import own_refusal
 from rattanstile.process.messages import CallRequested
 from rattanstile.request.envelope import Reply
 from rattanstile.request.outcome import Outcome, Reason
--- a/bench/overload_model.py
+++ b/bench/overload_model.py
@@ -9,8 +9,7 @@
 from random import Random
 from typing import Any, Protocol
 
-from rattanstile.process.chooser import Chooser
-from rattanstile.process.home_table import HomeTable
+from rattanstile.process.entry.chooser import Chooser
 from rattanstile.process.messages import (
     AskHome,
     CallArrived,
@@ -33,7 +32,8 @@
     TargetFailure,
     Ticked,
 )
-from rattanstile.process.serving_call import child_end
+from rattanstile.process.serving.home_table import HomeTable
+from rattanstile.process.serving.serving_call import child_end
 from rattanstile.request.envelope import Call, Member, Reply
 from rattanstile.request.ids import NodeId
 from rattanstile.request.outcome import Outcome, Reason
--- a/bench/rates_world.py
+++ b/bench/rates_world.py
@@ -13,8 +13,8 @@
     SendControl,
 )
 from rattanstile.process.messages import Ticked
-from rattanstile.process.rate_borrower import Borrower
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rates.rate_borrower import Borrower
+from rattanstile.process.rates.rate_messages import (
     Admitted,
     Denied,
     Granted,
@@ -32,7 +32,7 @@
     SealRequest,
     StaticSlotSet,
 )
-from rattanstile.process.rate_owner import TICK_S, RateOwner
+from rattanstile.process.rates.rate_owner import TICK_S, RateOwner
 from rattanstile.request.ids import (
     FailureDomainId,
     Incarnation,
--- a/bench/relay_fleet.py
+++ b/bench/relay_fleet.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from rattanstile.process.relay import Relay
-from rattanstile.process.relay_messages import (
+from rattanstile.process.configuration.relay import Relay
+from rattanstile.process.configuration.relay_messages import (
     AppendMark,
     AppendSnapshot,
     LogRead,
--- a/bench/retries.py
+++ b/bench/retries.py
@@ -5,8 +5,8 @@
 from bench.retry_edge import Edge, EdgeCounts
 from bench.retry_tree import Counts, Faults, Tree
 from bench.row import Row
-from rattanstile.process.edge_bucket import EdgeBuckets
-from rattanstile.process.unreachable import UnreachableMemory
+from rattanstile.process.membership.unreachable import UnreachableMemory
+from rattanstile.process.rates.edge_bucket import EdgeBuckets
 from rattanstile.request.outcome import Outcome
 
 HOPS = 24
--- a/bench/retry_edge.py
+++ b/bench/retry_edge.py
@@ -6,9 +6,9 @@
 from random import Random
 
 from bench.once_log import Loop
-from rattanstile.process.chooser import Chooser
-from rattanstile.process.edge_bucket import EdgeBuckets
-from rattanstile.process.entry import EntryIdentity, EntryMachine
+from rattanstile.process.entry.chooser import Chooser
+from rattanstile.process.entry.entry import EntryIdentity, EntryMachine
+from rattanstile.process.membership.unreachable import UnreachableMemory
 from rattanstile.process.messages import (
     CallRequested,
     Finished,
@@ -17,7 +17,7 @@
     SendCall,
     Ticked,
 )
-from rattanstile.process.unreachable import UnreachableMemory
+from rattanstile.process.rates.edge_bucket import EdgeBuckets
 from rattanstile.request.envelope import Call, Member, Reply
 from rattanstile.request.outcome import Outcome, Reason
 from rattanstile.version.declaration import (
--- a/bench/retry_tree.py
+++ b/bench/retry_tree.py
@@ -8,10 +8,10 @@
 from random import Random
 
 from bench.once_log import Loop
-from rattanstile.process.chooser import Chooser
-from rattanstile.process.contexts import CallContexts, CallToken
-from rattanstile.process.edge_bucket import EdgeBuckets
-from rattanstile.process.entry import EntryIdentity, EntryMachine
+from rattanstile.process.entry.chooser import Chooser
+from rattanstile.process.entry.contexts import CallContexts, CallToken
+from rattanstile.process.entry.entry import EntryIdentity, EntryMachine
+from rattanstile.process.membership.unreachable import UnreachableMemory
 from rattanstile.process.messages import (
     CallRequested,
     Finished,
@@ -20,7 +20,7 @@
     SendCall,
     Ticked,
 )
-from rattanstile.process.unreachable import UnreachableMemory
+from rattanstile.process.rates.edge_bucket import EdgeBuckets
 from rattanstile.request.envelope import Call, Member, Reply
 from rattanstile.request.outcome import Outcome, Reason
 from rattanstile.version.declaration import (
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,29 +21,29 @@
 from bench.membership_world import VirtualMember, member_of
 from bench.rates_demand import Demand, organisations_of
 from bench.relay_fleet import Fleet
+from rattanstile.process.configuration.relay import TICK_S as RELAY_TICK_S
+from rattanstile.process.configuration.relay import Relay
+from rattanstile.process.configuration.relay_messages import ReadLog
+from rattanstile.process.configuration.relay_tree import MAX_READERS
 from rattanstile.process.control_messages import (
     LogRecordRead,
 )
-from rattanstile.process.home_table import HomeTable
-from rattanstile.process.members import MemberTable
+from rattanstile.process.membership.members import MemberTable
 from rattanstile.process.messages import Ticked
-from rattanstile.process.rate_borrower import Borrower
-from rattanstile.process.rate_bucket import LendingBucket
-from rattanstile.process.rate_candidate import WITNESSES_MAX
-from rattanstile.process.rate_lease import RENEW_EVERY_S
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rates.rate_borrower import Borrower
+from rattanstile.process.rates.rate_bucket import LendingBucket
+from rattanstile.process.rates.rate_candidate import WITNESSES_MAX
+from rattanstile.process.rates.rate_lease import RENEW_EVERY_S
+from rattanstile.process.rates.rate_messages import (
     LeaseRequest,
     LeaseVouched,
     LoanGrant,
     LoanRequest,
     StaticSlotSet,
 )
-from rattanstile.process.rate_owner import TICK_S, RateOwner
-from rattanstile.process.rate_shares import Share, shard_count
-from rattanstile.process.relay import TICK_S as RELAY_TICK_S
-from rattanstile.process.relay import Relay
-from rattanstile.process.relay_messages import ReadLog
-from rattanstile.process.relay_tree import MAX_READERS
+from rattanstile.process.rates.rate_owner import TICK_S, RateOwner
+from rattanstile.process.rates.rate_shares import Share, shard_count
+from rattanstile.process.serving.home_table import HomeTable
 from rattanstile.request.call_id import CallIdIssuer
 from rattanstile.request.envelope import Call, Reply
 from rattanstile.request.ids import Incarnation, NodeId
--- a/src/rattanstile/client.py
+++ b/src/rattanstile/client.py
@@ -44,8 +44,8 @@
 )
 from rattanstile.connection.id_grants import IdGrants
 from rattanstile.connection.link import PeerProtocol
-from rattanstile.process.edge_bucket import EdgeBuckets
 from rattanstile.process.key_values import key_values
+from rattanstile.process.rates.edge_bucket import EdgeBuckets
 from rattanstile.process.reactor import Reactor, installed_reactor
 from rattanstile.process.timers import Timer, TimerService
 from rattanstile.request.call_id import CallIdIssuer
--- a/src/rattanstile/connection/call_retries.py
+++ b/src/rattanstile/connection/call_retries.py
@@ -12,7 +12,7 @@
     UnknownError,
     error_of,
 )
-from rattanstile.process.edge_bucket import EdgeBuckets
+from rattanstile.process.rates.edge_bucket import EdgeBuckets
 from rattanstile.request.envelope import Reply
 from rattanstile.request.ids import ServiceName
 from rattanstile.request.outcome import Outcome, Reason
--- a/src/rattanstile/operator_cli.py
+++ b/src/rattanstile/operator_cli.py
@@ -19,9 +19,9 @@
     RattanstileError,
     SettingsError,
 )
-from rattanstile.process.log_client import LogClient
-from rattanstile.process.operators import Operators
-from rattanstile.process.stream_state import StreamState
+from rattanstile.process.configuration.log_client import LogClient
+from rattanstile.process.configuration.operators import Operators
+from rattanstile.process.configuration.stream_state import StreamState
 from rattanstile.request.ids import PlanId
 from rattanstile.version.checked_file import read_checked
 from rattanstile.version.checks import read_declaration
--- /dev/null
+++ b/src/rattanstile/process/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The declaration in force, and how it reaches each node."""
--- a/src/rattanstile/process/configuration.py
+++ b/src/rattanstile/process/configuration/configuration.py
@@ -8,14 +8,14 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 
-from rattanstile.process.log_client import (
+from rattanstile.process.configuration.log_client import (
     LogClient,
     OffsetTooOld,
     ReadBatch,
     ReadResult,
 )
-from rattanstile.process.relay import TICK_S, Relay
-from rattanstile.process.relay_messages import (
+from rattanstile.process.configuration.relay import TICK_S, Relay
+from rattanstile.process.configuration.relay_messages import (
     AppendMark,
     AppendSnapshot,
     LogRead,
--- a/src/rattanstile/process/log_follower.py
+++ b/src/rattanstile/process/configuration/log_follower.py
@@ -2,8 +2,8 @@
 
 from random import Random
 
-from rattanstile.process.freshness import NEVER_S, Freshness
-from rattanstile.process.relay_messages import (
+from rattanstile.process.configuration.freshness import NEVER_S, Freshness
+from rattanstile.process.configuration.relay_messages import (
     AppendMark,
     LogRead,
     LogReadFailed,
--- a/src/rattanstile/process/log_reader.py
+++ b/src/rattanstile/process/configuration/log_reader.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from rattanstile.process.log_client import (
+from rattanstile.process.configuration.log_client import (
     LogClient,
     LogUnavailable,
     OffsetTooOld,
--- a/src/rattanstile/process/operators.py
+++ b/src/rattanstile/process/configuration/operators.py
@@ -11,14 +11,14 @@
     UnavailableError,
     UncertainError,
 )
-from rattanstile.process.log_client import (
+from rattanstile.process.configuration.log_client import (
     AppendUncertain,
     LogClient,
     LogUnavailable,
     OffsetTooOld,
     ReadBatch,
 )
-from rattanstile.process.stream_state import (
+from rattanstile.process.configuration.stream_state import (
     HistoryEntry,
     PlacedRecord,
     StreamRead,
--- a/src/rattanstile/process/relay.py
+++ b/src/rattanstile/process/configuration/relay.py
@@ -13,14 +13,14 @@
 
 from logbook import Logger
 
-from rattanstile.process.freshness import NEVER_S, Freshness
-from rattanstile.process.log_follower import LogFollower
-from rattanstile.process.relay_contacts import (
+from rattanstile.process.configuration.freshness import NEVER_S, Freshness
+from rattanstile.process.configuration.log_follower import LogFollower
+from rattanstile.process.configuration.relay_contacts import (
     Elsewhere,
     FellowReaders,
     Queries,
 )
-from rattanstile.process.relay_messages import (
+from rattanstile.process.configuration.relay_messages import (
     NO_AGE,
     UNVERIFIED,
     AppendSnapshot,
@@ -41,9 +41,9 @@
     VersionAccepted,
     VersionPush,
 )
-from rattanstile.process.relay_source import Source
-from rattanstile.process.relay_tree import RelayTree
-from rattanstile.process.snapshot_timer import SnapshotTimer
+from rattanstile.process.configuration.relay_source import Source
+from rattanstile.process.configuration.relay_tree import RelayTree
+from rattanstile.process.configuration.snapshot_timer import SnapshotTimer
 from rattanstile.request.ids import (
     FailureDomainId,
     NodeId,
--- a/src/rattanstile/process/relay_contacts.py
+++ b/src/rattanstile/process/configuration/relay_contacts.py
@@ -4,8 +4,8 @@
 from math import ceil
 from random import Random
 
-from rattanstile.process.freshness import NEVER_S
-from rattanstile.process.relay_messages import RelayMember
+from rattanstile.process.configuration.freshness import NEVER_S
+from rattanstile.process.configuration.relay_messages import RelayMember
 from rattanstile.request.ids import FailureDomainId, NodeId
 
 MAX_OPEN_QUERIES = 128
--- a/src/rattanstile/process/relay_source.py
+++ b/src/rattanstile/process/configuration/relay_source.py
@@ -5,8 +5,8 @@
 
 from logbook import Logger
 
-from rattanstile.process.freshness import NEVER_S
-from rattanstile.process.relay_contacts import Queries
+from rattanstile.process.configuration.freshness import NEVER_S
+from rattanstile.process.configuration.relay_contacts import Queries
 from rattanstile.request.ids import NodeId
 
 SILENT_QUERIES = 1
--- a/src/rattanstile/process/snapshot_timer.py
+++ b/src/rattanstile/process/configuration/snapshot_timer.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from rattanstile.process.relay_messages import LogRead
+from rattanstile.process.configuration.relay_messages import LogRead
 from rattanstile.version.fold import Fold
 from rattanstile.version.records import SnapshotRecord
 
--- a/src/rattanstile/process/control_service.py
+++ b/src/rattanstile/process/control_service.py
@@ -8,10 +8,10 @@
 import msgspec
 
 from rattanstile.connection.control_bus import ControlBus
+from rattanstile.process.configuration.relay_messages import RelayMessage
 from rattanstile.process.key_values import key_values
-from rattanstile.process.membership_messages import MembershipMessage
-from rattanstile.process.rate_messages import RateMessage
-from rattanstile.process.relay_messages import RelayMessage
+from rattanstile.process.membership.membership_messages import MembershipMessage
+from rattanstile.process.rates.rate_messages import RateMessage
 from rattanstile.request.ids import NodeId
 
 _log = logbook.Logger('control-service')
--- /dev/null
+++ b/src/rattanstile/process/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Calls at the node where they came in."""
--- a/src/rattanstile/process/binding.py
+++ b/src/rattanstile/process/entry/binding.py
@@ -13,7 +13,7 @@
 import logbook
 import msgspec
 
-from rattanstile.process.binding_index import (
+from rattanstile.process.entry.binding_index import (
     BindingIndex,
     BindingRecord,
     key_digest_of,
--- a/src/rattanstile/process/binding_service.py
+++ b/src/rattanstile/process/entry/binding_service.py
@@ -6,7 +6,15 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 
-from rattanstile.process.binding import (
+from rattanstile.process.configuration.log_client import (
+    AppendResult,
+    LogClient,
+    LogUnavailable,
+    OffsetTooOld,
+    ReadBatch,
+    ReadResult,
+)
+from rattanstile.process.entry.binding import (
     Appended,
     AppendLost,
     AppendRecord,
@@ -18,14 +26,6 @@
     ReadStream,
     RecordsRead,
 )
-from rattanstile.process.log_client import (
-    AppendResult,
-    LogClient,
-    LogUnavailable,
-    OffsetTooOld,
-    ReadBatch,
-    ReadResult,
-)
 from rattanstile.process.messages import (
     BindingFailed,
     BindingWanted,
--- a/src/rattanstile/process/call_router.py
+++ b/src/rattanstile/process/entry/call_router.py
@@ -19,7 +19,7 @@
     PeerPool,
     PeerReady,
 )
-from rattanstile.process.entry_service import EntryService
+from rattanstile.process.entry.entry_service import EntryService
 from rattanstile.process.key_values import key_values
 from rattanstile.process.messages import (
     AskHome,
@@ -32,7 +32,7 @@
     SendCancel,
     SendReply,
 )
-from rattanstile.process.serving_service import ServingService
+from rattanstile.process.serving.serving_service import ServingService
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Call, Cancel, Member, Reply, refusal
 from rattanstile.request.ids import Incarnation, NodeId
--- a/src/rattanstile/process/caller_links.py
+++ b/src/rattanstile/process/entry/caller_links.py
@@ -16,10 +16,10 @@
 )
 from rattanstile.connection.link import PeerProtocol
 from rattanstile.connection.peer import CallerLost, CallerMessageArrived
-from rattanstile.process.entry_service import EntryRequest
-from rattanstile.process.gate import Asked
-from rattanstile.process.home_grants import HomeGrants
+from rattanstile.process.entry.entry_service import EntryRequest
+from rattanstile.process.entry.gate import Asked
 from rattanstile.process.key_values import key_values
+from rattanstile.process.serving.home_grants import HomeGrants
 from rattanstile.request.envelope import Reply
 from rattanstile.request.outcome import Outcome, Reason
 
--- a/src/rattanstile/process/calls_in_hand.py
+++ b/src/rattanstile/process/entry/calls_in_hand.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from heapq import heappop, heappush
 
-from rattanstile.process.entry_call import EntryCall
+from rattanstile.process.entry.entry_call import EntryCall
 from rattanstile.request.ids import CallId, NodeId
 
 _NOBODY = NodeId('')
--- a/src/rattanstile/process/chooser.py
+++ b/src/rattanstile/process/entry/chooser.py
@@ -13,7 +13,7 @@
 
 import logbook
 
-from rattanstile.process.ramp import assumed_limit
+from rattanstile.process.serving.ramp import assumed_limit
 from rattanstile.request.envelope import Member, Reply
 from rattanstile.request.ids import (
     FailureDomainId,
--- a/src/rattanstile/process/entry.py
+++ b/src/rattanstile/process/entry/entry.py
@@ -15,9 +15,8 @@
 
 import logbook
 
-from rattanstile.process.calls_in_hand import CallsInHand
-from rattanstile.process.edge_bucket import EdgeBuckets
-from rattanstile.process.entry_call import (
+from rattanstile.process.entry.calls_in_hand import CallsInHand
+from rattanstile.process.entry.entry_call import (
     EntryCall,
     IdSource,
     Phase,
@@ -25,7 +24,9 @@
     may_have_run,
     source_of,
 )
-from rattanstile.process.homes import Homes
+from rattanstile.process.entry.homes import Homes
+from rattanstile.process.entry.receivers import Chooser, Receivers
+from rattanstile.process.membership.unreachable import UnreachableMemory
 from rattanstile.process.messages import (
     AskHome,
     AttemptUnsent,
@@ -45,8 +46,7 @@
     SendCancel,
     Ticked,
 )
-from rattanstile.process.receivers import Chooser, Receivers
-from rattanstile.process.unreachable import UnreachableMemory
+from rattanstile.process.rates.edge_bucket import EdgeBuckets
 from rattanstile.request.budget import RetryBudget
 from rattanstile.request.call_id import (
     CallIdIssuer,
--- a/src/rattanstile/process/entry_service.py
+++ b/src/rattanstile/process/entry/entry_service.py
@@ -8,8 +8,9 @@
 import logbook
 from twisted.internet.defer import Deferred
 
-from rattanstile.process.entry import EntryMachine
-from rattanstile.process.gate import Asked, Gate, Passed
+from rattanstile.process.entry.entry import EntryMachine
+from rattanstile.process.entry.gate import Asked, Gate, Passed
+from rattanstile.process.entry.shedding import SheddingEntry
 from rattanstile.process.key_values import key_values
 from rattanstile.process.messages import (
     AskHome,
@@ -25,9 +26,8 @@
     Ticked,
 )
 from rattanstile.process.metrics import CallCounters
-from rattanstile.process.rate_service import Admission, RateService
-from rattanstile.process.serving_call import child_end
-from rattanstile.process.shedding import SheddingEntry
+from rattanstile.process.rates.rate_service import Admission, RateService
+from rattanstile.process.serving.serving_call import child_end
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Header, Reply
 from rattanstile.request.ids import CallId, OrganisationId, ServiceName
--- a/src/rattanstile/process/gate.py
+++ b/src/rattanstile/process/entry/gate.py
@@ -5,7 +5,11 @@
 
 from result import Err, Ok, Result
 
-from rattanstile.process.contexts import CallContexts, CallToken, ChildShare
+from rattanstile.process.entry.contexts import (
+    CallContexts,
+    CallToken,
+    ChildShare,
+)
 from rattanstile.request.ids import (
     KeyDigest,
     OrganisationId,
--- a/src/rattanstile/process/receivers.py
+++ b/src/rattanstile/process/entry/receivers.py
@@ -3,8 +3,8 @@
 from random import Random
 from typing import Protocol
 
+from rattanstile.process.membership.unreachable import UnreachableMemory
 from rattanstile.process.messages import PeerLost
-from rattanstile.process.unreachable import UnreachableMemory
 from rattanstile.request.envelope import Reply
 from rattanstile.request.ids import NodeId, ServiceName
 
--- a/src/rattanstile/process/shedding.py
+++ b/src/rattanstile/process/entry/shedding.py
@@ -13,7 +13,7 @@
 import logbook
 import msgspec
 
-from rattanstile.process.entry_call import own_refusal
+from rattanstile.process.entry.entry_call import own_refusal
 from rattanstile.process.messages import (
     CallRequested,
     EntryInput,
@@ -23,7 +23,12 @@
     SendCall,
     SendCancel,
 )
-from rattanstile.process.pressure import CallClass, PressureBook, Told, is_shed
+from rattanstile.process.serving.pressure import (
+    CallClass,
+    PressureBook,
+    Told,
+    is_shed,
+)
 from rattanstile.request.envelope import Call, Reply
 from rattanstile.request.ids import CallId
 from rattanstile.request.outcome import Reason
--- /dev/null
+++ b/src/rattanstile/process/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes there are."""
--- a/src/rattanstile/process/directory.py
+++ b/src/rattanstile/process/membership/directory.py
@@ -15,8 +15,8 @@
 import xxhash
 
 from rattanstile.process.control_messages import SendControl
-from rattanstile.process.members import Entry, MemberTable, part_of
-from rattanstile.process.membership_messages import (
+from rattanstile.process.membership.members import Entry, MemberTable, part_of
+from rattanstile.process.membership.membership_messages import (
     DomainMembers,
     DomainRequest,
     DomainState,
--- a/src/rattanstile/process/gossip.py
+++ b/src/rattanstile/process/membership/gossip.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from rattanstile.process.membership_messages import Update
+from rattanstile.process.membership.membership_messages import Update
 from rattanstile.request.ids import NodeId
 
 PROBE_EVERY_S = 0.4
--- a/src/rattanstile/process/member_service.py
+++ b/src/rattanstile/process/membership/member_service.py
@@ -6,6 +6,12 @@
 
 import logbook
 
+from rattanstile.process.configuration.log_client import LogClient
+from rattanstile.process.configuration.log_reader import (
+    LogReader,
+    StreamEvent,
+    StreamRecords,
+)
 from rattanstile.process.control_messages import (
     AppendRecord,
     ControlArrived,
@@ -13,14 +19,8 @@
     SendControl,
 )
 from rattanstile.process.key_values import key_values
-from rattanstile.process.log_client import LogClient
-from rattanstile.process.log_reader import (
-    LogReader,
-    StreamEvent,
-    StreamRecords,
-)
-from rattanstile.process.membership import TICK_S, Membership
-from rattanstile.process.membership_messages import (
+from rattanstile.process.membership.membership import TICK_S, Membership
+from rattanstile.process.membership.membership_messages import (
     InterestChanged,
     LeaveBegan,
     MemberLost,
--- a/src/rattanstile/process/members.py
+++ b/src/rattanstile/process/membership/members.py
@@ -6,7 +6,10 @@
 import msgspec
 import xxhash
 
-from rattanstile.process.membership_messages import MemberState, Update
+from rattanstile.process.membership.membership_messages import (
+    MemberState,
+    Update,
+)
 from rattanstile.request.envelope import Member
 from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
 
--- a/src/rattanstile/process/membership.py
+++ b/src/rattanstile/process/membership/membership.py
@@ -16,10 +16,10 @@
     LogRecordRead,
     SendControl,
 )
-from rattanstile.process.directory import Directory, paged
-from rattanstile.process.gossip import INDIRECT_PROBES, News, Prober
-from rattanstile.process.members import Entry, MemberTable
-from rattanstile.process.membership_messages import (
+from rattanstile.process.membership.directory import Directory, paged
+from rattanstile.process.membership.gossip import INDIRECT_PROBES, News, Prober
+from rattanstile.process.membership.members import Entry, MemberTable
+from rattanstile.process.membership.membership_messages import (
     Ack,
     DomainMembers,
     DomainRequest,
@@ -41,8 +41,8 @@
     Subscribe,
     Update,
 )
+from rattanstile.process.membership.suspicion import Suspicions
 from rattanstile.process.messages import Ticked
-from rattanstile.process.suspicion import Suspicions
 from rattanstile.request.envelope import Member
 from rattanstile.request.ids import (
     FailureDomainId,
--- a/src/rattanstile/process/mesh/serving_desk.py
+++ b/src/rattanstile/process/mesh/serving_desk.py
@@ -20,6 +20,7 @@
 )
 from rattanstile.process.mesh.service_needs import ServiceNeeds, with_own
 from rattanstile.process.mesh.target_gate import TargetGate, WaitingCall
+from rattanstile.process.mesh.target_prober import TargetProber
 from rattanstile.process.mesh.target_watch import (
     Announcement,
     Heard,
@@ -96,7 +97,13 @@
         self._served: dict[Hashable, _Served] = {}
         self._overdue: list[_Overdue] = []
         self._was_usable = False
-        self._is_probing = False
+        self._prober = TargetProber(
+            context,
+            watch,
+            pool,
+            dialect,
+            lambda heard: self._heard(heard, 'probe'),
+        )
         self._was_evacuated = False
 
     # What others are told
@@ -202,8 +209,7 @@
             self._bounce()
         self._tell_if_changed()
         self.pump()
-        if self.watch.wants_probe(now_s):
-            self._probe()
+        self._prober.check(now_s)
 
     def stop_taking(self) -> None:
         """Take no new call, and give back those that wait."""
@@ -277,26 +283,6 @@
         for waiting in self.gate.emptied():
             self._refuse(waiting, NotRunReason.TARGET_LEAVING)
 
-    def _probe(self) -> None:
-        config = self._state().config
-        service = config.services.get(self.watch.service) if config else None
-        if service is None or self._is_probing:
-            return
-        self._is_probing = True
-        self._context.counters.probes += 1
-        exchange = self._pool.send(
-            self._dialect.encode_probe(service.health_path), self._probed
-        )
-        self._timers.after(1.0, lambda _: self._pool.abandon(exchange))
-
-    def _probed(self, end: HttpResponse | ExchangeFailure) -> None:
-        self._is_probing = False
-        if isinstance(end, ExchangeFailure):
-            return
-        probed = self._dialect.decode_probe(end)
-        heard = self.watch.probed(self._timers.now_s(), probed)
-        self._heard(heard, 'probe')
-
     # Runs
 
     def _end_overdue(self, now_s: float) -> None:
--- a/src/rattanstile/process/node.py
+++ b/src/rattanstile/process/node.py
@@ -17,55 +17,58 @@
 from rattanstile.connection.http_request import CallerHttpRequest
 from rattanstile.connection.peer import PeerPool, listening_for_peers
 from rattanstile.connection.target_http import TargetSessions
-from rattanstile.process.binding import BindingMachine
-from rattanstile.process.binding_service import BindingService
-from rattanstile.process.call_router import CallRouter
-from rattanstile.process.caller_links import CallerLinks
-from rattanstile.process.chooser import Chooser
-from rattanstile.process.configuration import Configuration
-from rattanstile.process.contexts import CallContexts
+from rattanstile.process.configuration.configuration import Configuration
+from rattanstile.process.configuration.log_client import LogClient
+from rattanstile.process.configuration.log_reader import LogReader, StreamEvent
+from rattanstile.process.configuration.operator_http import (
+    NodeStatus,
+    listening_for_operators,
+)
+from rattanstile.process.configuration.relay_messages import RelayMember
 from rattanstile.process.control_messages import ControlArrived
 from rattanstile.process.control_service import ControlService, Family
-from rattanstile.process.entry import EntryIdentity, EntryMachine
-from rattanstile.process.entry_service import (
+from rattanstile.process.entry.binding import BindingMachine
+from rattanstile.process.entry.binding_service import BindingService
+from rattanstile.process.entry.call_router import CallRouter
+from rattanstile.process.entry.caller_links import CallerLinks
+from rattanstile.process.entry.chooser import Chooser
+from rattanstile.process.entry.contexts import CallContexts
+from rattanstile.process.entry.entry import EntryIdentity, EntryMachine
+from rattanstile.process.entry.entry_service import (
     EntryPorts,
     EntryRequest,
     EntryService,
 )
-from rattanstile.process.gate import Asked, Gate
-from rattanstile.process.home_grants import HomeGrants
-from rattanstile.process.home_table import HomeTable
+from rattanstile.process.entry.gate import Asked, Gate
+from rattanstile.process.entry.shedding import SheddingEntry
 from rattanstile.process.key_values import key_values
-from rattanstile.process.log_client import LogClient
-from rattanstile.process.log_reader import LogReader, StreamEvent
-from rattanstile.process.member_service import MemberPorts, MemberService
-from rattanstile.process.membership import Membership
-from rattanstile.process.membership_messages import MemberLost
+from rattanstile.process.membership.member_service import (
+    MemberPorts,
+    MemberService,
+)
+from rattanstile.process.membership.membership import Membership
+from rattanstile.process.membership.membership_messages import MemberLost
+from rattanstile.process.membership.unreachable import UnreachableMemory
 from rattanstile.process.messages import HomeGone
 from rattanstile.process.metrics import Metrics, opened_metrics
-from rattanstile.process.operator_http import (
-    NodeStatus,
-    listening_for_operators,
-)
-from rattanstile.process.rate_borrower import Borrower
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rates.rate_borrower import Borrower
+from rattanstile.process.rates.rate_messages import (
     ProcessGone,
     ProcessId,
     RateMessage,
     RatePeer,
     RatePeersChanged,
 )
-from rattanstile.process.rate_owner import RateOwner
-from rattanstile.process.rate_service import RateService
-from rattanstile.process.rate_stream import RateStream
+from rattanstile.process.rates.rate_owner import RateOwner
+from rattanstile.process.rates.rate_service import RateService
+from rattanstile.process.rates.rate_stream import RateStream
 from rattanstile.process.reactor import Reactor
-from rattanstile.process.relay_messages import RelayMember
-from rattanstile.process.serving import ServingIdentity, ServingMachine
-from rattanstile.process.serving_service import ServingService
+from rattanstile.process.serving.home_grants import HomeGrants
+from rattanstile.process.serving.home_table import HomeTable
+from rattanstile.process.serving.serving import ServingIdentity, ServingMachine
+from rattanstile.process.serving.serving_service import ServingService
 from rattanstile.process.settings import NodeSettings, parse_address
-from rattanstile.process.shedding import SheddingEntry
 from rattanstile.process.timers import TimerService
-from rattanstile.process.unreachable import UnreachableMemory
 from rattanstile.request.envelope import Member, Reply
 from rattanstile.request.ids import (
     FailureDomainId,
--- /dev/null
+++ b/src/rattanstile/process/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Rates of organisations over the fleet."""
--- a/src/rattanstile/process/rate_borrower.py
+++ b/src/rattanstile/process/rates/rate_borrower.py
@@ -15,10 +15,10 @@
 )
 from rattanstile.process.key_values import key_values
 from rattanstile.process.messages import Ticked
-from rattanstile.process.rate_claims import ClaimFold
-from rattanstile.process.rate_demand import Demand
-from rattanstile.process.rate_loans import Account
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rates.rate_claims import ClaimFold
+from rattanstile.process.rates.rate_demand import Demand
+from rattanstile.process.rates.rate_loans import Account
+from rattanstile.process.rates.rate_messages import (
     Admitted,
     BorrowerInput,
     BorrowerOutput,
@@ -34,11 +34,11 @@
     Verdict,
     Waiting,
 )
-from rattanstile.process.rate_shares import (
+from rattanstile.process.rates.rate_shares import (
     STATIC_VALIDITY_S,
     SplitSchedule,
 )
-from rattanstile.process.rate_static import StaticBuckets
+from rattanstile.process.rates.rate_static import StaticBuckets
 from rattanstile.request.ids import NodeId, OrganisationId
 from rattanstile.version.declaration import Organisation
 from rattanstile.version.rate_records import (
--- a/src/rattanstile/process/rate_bucket.py
+++ b/src/rattanstile/process/rates/rate_bucket.py
@@ -9,8 +9,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from rattanstile.process.rate_messages import LoanRequest
-from rattanstile.process.rate_shares import Share
+from rattanstile.process.rates.rate_messages import LoanRequest
+from rattanstile.process.rates.rate_shares import Share
 from rattanstile.version.rate_records import Epoch, ProcessId
 
 LOAN_TERM_S = 0.3
--- a/src/rattanstile/process/rate_candidate.py
+++ b/src/rattanstile/process/rates/rate_candidate.py
@@ -7,9 +7,9 @@
 
 import xxhash
 
-from rattanstile.process.rate_claims import ClaimFold
-from rattanstile.process.rate_lease import Witness
-from rattanstile.process.rate_messages import RatePeer
+from rattanstile.process.rates.rate_claims import ClaimFold
+from rattanstile.process.rates.rate_lease import Witness
+from rattanstile.process.rates.rate_messages import RatePeer
 from rattanstile.request.ids import FailureDomainId, RecordId
 from rattanstile.version.rate_records import (
     Epoch,
--- a/src/rattanstile/process/rate_lease.py
+++ b/src/rattanstile/process/rates/rate_lease.py
@@ -15,8 +15,8 @@
 
 from dataclasses import dataclass, field
 
-from rattanstile.process.rate_bucket import LOAN_TERM_S
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rates.rate_bucket import LOAN_TERM_S
+from rattanstile.process.rates.rate_messages import (
     LeaseRequest,
     LeaseVouched,
     Sealed,
--- a/src/rattanstile/process/rate_loans.py
+++ b/src/rattanstile/process/rates/rate_loans.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from rattanstile.process.rate_bucket import LOAN_TERM_S
-from rattanstile.process.rate_messages import LoanGrant, LoanRequest
-from rattanstile.process.rate_shares import Share
+from rattanstile.process.rates.rate_bucket import LOAN_TERM_S
+from rattanstile.process.rates.rate_messages import LoanGrant, LoanRequest
+from rattanstile.process.rates.rate_shares import Share
 from rattanstile.request.ids import Incarnation, OrganisationId
 from rattanstile.version.rate_records import OwnerClaimRecord
 
--- a/src/rattanstile/process/rate_owner.py
+++ b/src/rattanstile/process/rates/rate_owner.py
@@ -11,10 +11,10 @@
     SendControl,
 )
 from rattanstile.process.messages import Ticked
-from rattanstile.process.rate_candidate import Candidate
-from rattanstile.process.rate_claims import ClaimFold
-from rattanstile.process.rate_lease import Sealing, Witness
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rates.rate_candidate import Candidate
+from rattanstile.process.rates.rate_claims import ClaimFold
+from rattanstile.process.rates.rate_lease import Sealing, Witness
+from rattanstile.process.rates.rate_messages import (
     LeaseRequest,
     LeaseVouched,
     LoanRequest,
@@ -27,8 +27,8 @@
     Sealed,
     SealRequest,
 )
-from rattanstile.process.rate_role import Role, refusal
-from rattanstile.process.rate_shares import SplitSchedule, shard_count
+from rattanstile.process.rates.rate_role import Role, refusal
+from rattanstile.process.rates.rate_shares import SplitSchedule, shard_count
 from rattanstile.request.ids import FailureDomainId, NodeId
 from rattanstile.version.declaration import Organisation
 from rattanstile.version.rate_records import (
--- a/src/rattanstile/process/rate_role.py
+++ b/src/rattanstile/process/rates/rate_role.py
@@ -6,22 +6,22 @@
 import msgspec
 
 from rattanstile.process.control_messages import AppendRecord, SendControl
-from rattanstile.process.rate_bucket import LendingBucket
-from rattanstile.process.rate_lease import (
+from rattanstile.process.rates.rate_bucket import LendingBucket
+from rattanstile.process.rates.rate_lease import (
     RENEW_EVERY_S,
     SEAL_EVERY_S,
     WITHOUT_LOG_MAX_S,
     Lease,
     Sealing,
 )
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rates.rate_messages import (
     LeaseVouched,
     LoanGrant,
     LoanRefused,
     LoanRequest,
     OwnerOutput,
 )
-from rattanstile.process.rate_shares import SplitSchedule
+from rattanstile.process.rates.rate_shares import SplitSchedule
 from rattanstile.request.ids import NodeId, OrganisationId, RecordId
 from rattanstile.version.rate_records import (
     Epoch,
--- a/src/rattanstile/process/rate_service.py
+++ b/src/rattanstile/process/rates/rate_service.py
@@ -15,8 +15,8 @@
 )
 from rattanstile.process.key_values import key_values
 from rattanstile.process.messages import Ticked
-from rattanstile.process.rate_borrower import Borrower
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rates.rate_borrower import Borrower
+from rattanstile.process.rates.rate_messages import (
     Admitted,
     Denied,
     Granted,
@@ -27,7 +27,7 @@
     StaticSlotSet,
     Verdict,
 )
-from rattanstile.process.rate_owner import TICK_S, RateOwner
+from rattanstile.process.rates.rate_owner import TICK_S, RateOwner
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import NodeId, OrganisationId
 from rattanstile.version.in_force import VersionInForce
--- a/src/rattanstile/process/rate_static.py
+++ b/src/rattanstile/process/rates/rate_static.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from rattanstile.process.rate_shares import Share, SplitSchedule
+from rattanstile.process.rates.rate_shares import Share, SplitSchedule
 from rattanstile.request.ids import OrganisationId
 
 
--- a/src/rattanstile/process/rate_stream.py
+++ b/src/rattanstile/process/rates/rate_stream.py
@@ -7,14 +7,14 @@
 import msgspec
 from result import Err, Ok, Result
 
-from rattanstile.process.control_messages import AppendRecord, LogRecordRead
-from rattanstile.process.log_client import LogClient
-from rattanstile.process.log_reader import (
+from rattanstile.process.configuration.log_client import LogClient
+from rattanstile.process.configuration.log_reader import (
     LogReader,
     StreamEvent,
     StreamRecords,
 )
-from rattanstile.process.rate_messages import RATES_STREAM, RateRecord
+from rattanstile.process.control_messages import AppendRecord, LogRecordRead
+from rattanstile.process.rates.rate_messages import RATES_STREAM, RateRecord
 from rattanstile.process.reactor import Reactor
 from rattanstile.request.ids import LogOffset
 from rattanstile.version.records import MalformedRecord
--- /dev/null
+++ b/src/rattanstile/process/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Calls at the node whose target runs them."""
--- a/src/rattanstile/process/boot_watch.py
+++ b/src/rattanstile/process/serving/boot_watch.py
@@ -2,7 +2,7 @@
 
 import logbook
 
-from rattanstile.process.limiter import TargetLimiter
+from rattanstile.process.serving.limiter import TargetLimiter
 from rattanstile.request.ids import TargetId
 
 _log = logbook.Logger('boot_watch')
--- a/src/rattanstile/process/home_grants.py
+++ b/src/rattanstile/process/serving/home_grants.py
@@ -5,8 +5,8 @@
 from random import Random
 
 from rattanstile.connection.frames import IdsGranted
-from rattanstile.process.chooser import Chooser
-from rattanstile.process.homes import FRESH_S
+from rattanstile.process.entry.chooser import Chooser
+from rattanstile.process.entry.homes import FRESH_S
 from rattanstile.process.messages import AskHome, HomeSeen
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import (
--- a/src/rattanstile/process/limiter.py
+++ b/src/rattanstile/process/serving/limiter.py
@@ -14,7 +14,7 @@
 import math
 from dataclasses import dataclass
 
-from rattanstile.process.limit_controller import (
+from rattanstile.process.serving.limit_controller import (
     DEFAULT_CONTROLLER,
     Controller,
     LimitController,
--- a/src/rattanstile/process/pressure_gauge.py
+++ b/src/rattanstile/process/serving/pressure_gauge.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from rattanstile.process.pressure import LARGEST_SHARE, Told
+from rattanstile.process.serving.pressure import LARGEST_SHARE, Told
 from rattanstile.request.envelope import Call
 from rattanstile.request.ids import OrganisationId
 from rattanstile.request.priority import Priority
--- a/src/rattanstile/process/serving.py
+++ b/src/rattanstile/process/serving/serving.py
@@ -11,14 +11,6 @@
 import logbook
 import msgspec
 
-from rattanstile.process.admission import AdmissionQueue, Dropped, Queued
-from rattanstile.process.boot_watch import BootWatch
-from rattanstile.process.call_checks import (
-    ServingIdentity,
-    reason_not_to_run,
-)
-from rattanstile.process.home_table import HomeTable, JoinRunning, RunIt
-from rattanstile.process.limiter import TargetLimiter
 from rattanstile.process.messages import (
     CallArrived,
     CancelArrived,
@@ -35,16 +27,28 @@
     TargetRestarted,
     Ticked,
 )
-from rattanstile.process.pressure import Told
-from rattanstile.process.pressure_gauge import PressureGauge
-from rattanstile.process.serving_call import (
+from rattanstile.process.serving.admission import (
+    AdmissionQueue,
+    Dropped,
+    Queued,
+)
+from rattanstile.process.serving.boot_watch import BootWatch
+from rattanstile.process.serving.call_checks import (
+    ServingIdentity,
+    reason_not_to_run,
+)
+from rattanstile.process.serving.home_table import HomeTable, JoinRunning, RunIt
+from rattanstile.process.serving.limiter import TargetLimiter
+from rattanstile.process.serving.pressure import Told
+from rattanstile.process.serving.pressure_gauge import PressureGauge
+from rattanstile.process.serving.serving_call import (
     RESTART_SIGNS,
     LiveCall,
     Waiter,
     reply_of_answer,
     reply_of_failure,
 )
-from rattanstile.process.slot_time import SlotTime
+from rattanstile.process.serving.slot_time import SlotTime
 from rattanstile.request.envelope import Call, Reply, refusal
 from rattanstile.request.ids import CallId, NodeId
 from rattanstile.request.outcome import Outcome, Reason
--- a/src/rattanstile/process/serving_call.py
+++ b/src/rattanstile/process/serving/serving_call.py
@@ -8,7 +8,7 @@
     TargetFailed,
     TargetFailure,
 )
-from rattanstile.process.pressure import Told
+from rattanstile.process.serving.pressure import Told
 from rattanstile.request.envelope import Call, Reply
 from rattanstile.request.ids import CallId, NodeId, OrganisationId
 from rattanstile.request.outcome import Outcome, Reason
--- a/src/rattanstile/process/serving_service.py
+++ b/src/rattanstile/process/serving/serving_service.py
@@ -12,7 +12,7 @@
     TargetResult,
     TargetSessions,
 )
-from rattanstile.process.contexts import CallContexts
+from rattanstile.process.entry.contexts import CallContexts
 from rattanstile.process.messages import (
     CallArrived,
     CancelArrived,
@@ -28,7 +28,7 @@
     TargetFailure,
     Ticked,
 )
-from rattanstile.process.serving import ServingMachine
+from rattanstile.process.serving.serving import ServingMachine
 from rattanstile.process.timers import TimerService
 from rattanstile.request.envelope import Call, Cancel
 from rattanstile.request.ids import CallId, NodeId
--- a/src/rattanstile/trial/run.py
+++ b/src/rattanstile/trial/run.py
@@ -10,8 +10,8 @@
 from twisted.internet.threads import deferToThread
 
 from rattanstile.errors import UnavailableError
-from rattanstile.process.log_client import LogClient
-from rattanstile.process.operators import Operators
+from rattanstile.process.configuration.log_client import LogClient
+from rattanstile.process.configuration.operators import Operators
 from rattanstile.process.reactor import Reactor
 from rattanstile.process.timers import TimerService
 from rattanstile.trial.callers import (
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from rattanstile.process.admission import AdmissionQueue, Queued
+from rattanstile.process.serving.admission import AdmissionQueue, Queued
 from rattanstile.request.envelope import Call
 from rattanstile.request.outcome import Reason
 from rattanstile.request.priority import Priority
--- a/tests/test_binding.py
+++ b/tests/test_binding.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanstile.process.binding import (
+from rattanstile.process.entry.binding import (
     Appended,
     AppendLost,
     AppendRecord,
@@ -14,7 +14,7 @@
     ReadStream,
     RecordsRead,
 )
-from rattanstile.process.binding_index import BindingIndex, BindingRecord
+from rattanstile.process.entry.binding_index import BindingIndex, BindingRecord
 from rattanstile.process.messages import (
     BindingFailed,
     BindingWanted,
--- a/tests/test_boot_watch.py
+++ b/tests/test_boot_watch.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from rattanstile.process.boot_watch import BootWatch
-from rattanstile.process.limiter import TargetLimiter
+from rattanstile.process.serving.boot_watch import BootWatch
+from rattanstile.process.serving.limiter import TargetLimiter
 from rattanstile.version.declaration import TargetLimits
 
 LIMITS = TargetLimits(slots=8, cold_slots=2, cold_start_s=1.0)
--- a/tests/test_chooser.py
+++ b/tests/test_chooser.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from random import Random
 
-from rattanstile.process.chooser import Chooser
+from rattanstile.process.entry.chooser import Chooser
 from rattanstile.request.envelope import Call, Member, Reply, refusal
 from rattanstile.request.outcome import Outcome, Reason
 from rattanstile.version.declaration import (
--- a/tests/test_contexts.py
+++ b/tests/test_contexts.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rattanstile.process.contexts import CallContexts
+from rattanstile.process.entry.contexts import CallContexts
 from rattanstile.request.envelope import Call
 from rattanstile.request.priority import Priority
 
--- a/tests/test_edge_bucket.py
+++ b/tests/test_edge_bucket.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rattanstile.process.edge_bucket import EdgeBuckets
+from rattanstile.process.rates.edge_bucket import EdgeBuckets
 
 
 class EdgeBucketsTest(unittest.TestCase):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,9 +3,8 @@
 import unittest
 from random import Random
 
-from rattanstile.process.edge_bucket import EdgeBuckets
-from rattanstile.process.entry import EntryIdentity, EntryMachine
-from rattanstile.process.entry_call import own_refusal
+from rattanstile.process.entry.entry import EntryIdentity, EntryMachine
+from rattanstile.process.entry.entry_call import own_refusal
 from rattanstile.process.messages import (
     AskHome,
     AttemptUnsent,
@@ -23,6 +22,7 @@
     SendCancel,
     Ticked,
 )
+from rattanstile.process.rates.edge_bucket import EdgeBuckets
 from rattanstile.request.call_id import CallIdIssuer, parse_call_id
 from rattanstile.request.envelope import Reply, refusal
 from rattanstile.request.outcome import Outcome, Reason
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rattanstile.process.freshness import CLOSE_AFTER_S, Freshness
+from rattanstile.process.configuration.freshness import CLOSE_AFTER_S, Freshness
 
 
 class FreshnessTest(unittest.TestCase):
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from rattanstile.process.contexts import CallContexts
-from rattanstile.process.gate import LONGEST_DEADLINE_MS, Asked, Gate
+from rattanstile.process.entry.contexts import CallContexts
+from rattanstile.process.entry.gate import LONGEST_DEADLINE_MS, Asked, Gate
 from rattanstile.request.envelope import Call
 from rattanstile.request.outcome import Reason
 from rattanstile.request.priority import Priority
--- a/tests/test_home_serving.py
+++ b/tests/test_home_serving.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from rattanstile.process.home_table import HomeTable
 from rattanstile.process.messages import (
     CallArrived,
     CancelArrived,
@@ -15,7 +14,8 @@
     TargetFailure,
     Ticked,
 )
-from rattanstile.process.serving import ServingIdentity, ServingMachine
+from rattanstile.process.serving.home_table import HomeTable
+from rattanstile.process.serving.serving import ServingIdentity, ServingMachine
 from rattanstile.request.call_id import ParsedCallId
 from rattanstile.request.envelope import Call, Cancel
 from rattanstile.request.outcome import Outcome, Reason
--- a/tests/test_home_table.py
+++ b/tests/test_home_table.py
@@ -13,7 +13,7 @@
     rule,
 )
 
-from rattanstile.process.home_table import (
+from rattanstile.process.serving.home_table import (
     EPOCH_LENGTH_S,
     AnswerAgain,
     CannotTell,
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rattanstile.process.homes import FRESH_S, Homes
+from rattanstile.process.entry.homes import FRESH_S, Homes
 from rattanstile.process.messages import HomeSeen
 from rattanstile.request.call_id import ParsedCallId
 
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from rattanstile.process.limit_controller import Aimd, Gradient
-from rattanstile.process.limiter import TargetLimiter
+from rattanstile.process.serving.limit_controller import Aimd, Gradient
+from rattanstile.process.serving.limiter import TargetLimiter
 from rattanstile.version.declaration import TargetLimits
 
 LIMITS = TargetLimits(slots=64, cold_slots=4, cold_start_s=2.0)
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import Clock
 
-from rattanstile.process.log_client import (
+from rattanstile.process.configuration.log_client import (
     AppendUncertain,
     LogClient,
     LogUnavailable,
--- a/tests/test_log_reader.py
+++ b/tests/test_log_reader.py
@@ -7,12 +7,12 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from rattanstile.process.log_client import (
+from rattanstile.process.configuration.log_client import (
     LogUnavailable,
     OffsetTooOld,
     ReadBatch,
 )
-from rattanstile.process.log_reader import (
+from rattanstile.process.configuration.log_reader import (
     BACK_OFF_MAX_S,
     LogReader,
     StreamGap,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,9 +10,9 @@
     LogRecordRead,
     SendControl,
 )
-from rattanstile.process.members import MemberTable
-from rattanstile.process.membership import Membership
-from rattanstile.process.membership_messages import (
+from rattanstile.process.membership.members import MemberTable
+from rattanstile.process.membership.membership import Membership
+from rattanstile.process.membership.membership_messages import (
     Ack,
     LeaveBegan,
     MemberLost,
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,13 +6,13 @@
 from twisted.internet.defer import Deferred, succeed
 
 from rattanstile.errors import ConflictError, ExitCode
-from rattanstile.process.log_client import (
+from rattanstile.process.configuration.log_client import (
     AppendUncertain,
     LogUnavailable,
     ReadBatch,
 )
-from rattanstile.process.operators import NoSuchPlan, Operators
-from rattanstile.process.stream_state import StreamRead, state_of
+from rattanstile.process.configuration.operators import NoSuchPlan, Operators
+from rattanstile.process.configuration.stream_state import StreamRead, state_of
 from rattanstile.version.change import DeclarationChange
 from rattanstile.version.declaration import Declaration
 from rattanstile.version.fold import Fold
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -3,13 +3,13 @@
 import unittest
 from collections import Counter
 
-from rattanstile.process.pressure import (
+from rattanstile.process.serving.pressure import (
     CallClass,
     PressureBook,
     Told,
     is_shed,
 )
-from rattanstile.process.pressure_gauge import PressureGauge, fair_rate
+from rattanstile.process.serving.pressure_gauge import PressureGauge, fair_rate
 from rattanstile.request.envelope import Call
 from rattanstile.request.priority import Priority
 
--- a/tests/test_rate_borrower.py
+++ b/tests/test_rate_borrower.py
@@ -9,9 +9,9 @@
     SendControl,
 )
 from rattanstile.process.messages import Ticked
-from rattanstile.process.rate_borrower import HOLD_S, Borrower
-from rattanstile.process.rate_bucket import LOAN_TERM_S
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rates.rate_borrower import HOLD_S, Borrower
+from rattanstile.process.rates.rate_bucket import LOAN_TERM_S
+from rattanstile.process.rates.rate_messages import (
     Admitted,
     Denied,
     Granted,
--- a/tests/test_rate_bucket.py
+++ b/tests/test_rate_bucket.py
@@ -5,9 +5,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from rattanstile.process.rate_bucket import LENT_FOR_S, LendingBucket
-from rattanstile.process.rate_messages import LoanRequest
-from rattanstile.process.rate_shares import Share
+from rattanstile.process.rates.rate_bucket import LENT_FOR_S, LendingBucket
+from rattanstile.process.rates.rate_messages import LoanRequest
+from rattanstile.process.rates.rate_shares import Share
 from rattanstile.version.rate_records import ProcessId
 
 BORROWER = ProcessId(node_id='n1', incarnation=1)
--- a/tests/test_rate_claims.py
+++ b/tests/test_rate_claims.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rattanstile.process.rate_claims import CLAIMS_OPEN_MAX, ClaimFold
+from rattanstile.process.rates.rate_claims import CLAIMS_OPEN_MAX, ClaimFold
 from rattanstile.version.rate_records import (
     OwnerClaimRecord,
     OwnerStartedRecord,
--- a/tests/test_rate_lease.py
+++ b/tests/test_rate_lease.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rattanstile.process.rate_lease import (
+from rattanstile.process.rates.rate_lease import (
     LEASE_S,
     TAKEOVER_UNSEALED_S,
     TAKEOVER_WAIT_S,
@@ -11,7 +11,7 @@
     Sealing,
     Witness,
 )
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rates.rate_messages import (
     LeaseRequest,
     LeaseVouched,
     SealRequest,
--- a/tests/test_rate_owner.py
+++ b/tests/test_rate_owner.py
@@ -5,10 +5,10 @@
 from bench.rates_demand import organisations_of
 from bench.rates_faults import Schedule
 from bench.rates_world import Fleet, most_above
-from rattanstile.process.rate_lease import WITHOUT_LOG_MAX_S, Sealing
-from rattanstile.process.rate_messages import LeaseVouched
-from rattanstile.process.rate_role import Role
-from rattanstile.process.rate_shares import SplitSchedule
+from rattanstile.process.rates.rate_lease import WITHOUT_LOG_MAX_S, Sealing
+from rattanstile.process.rates.rate_messages import LeaseVouched
+from rattanstile.process.rates.rate_role import Role
+from rattanstile.process.rates.rate_shares import SplitSchedule
 from rattanstile.version.declaration import Organisation
 from rattanstile.version.rate_records import OwnerClaimRecord, ProcessId
 
--- a/tests/test_rate_service.py
+++ b/tests/test_rate_service.py
@@ -5,14 +5,14 @@
 from twisted.internet.task import Clock
 
 from rattanstile.process.control_messages import ControlArrived, SendControl
-from rattanstile.process.rate_messages import (
+from rattanstile.process.rates.rate_messages import (
     Admitted,
     Denied,
     Granted,
     OverRate,
     Waiting,
 )
-from rattanstile.process.rate_service import RETRY_AFTER_MS, RateService
+from rattanstile.process.rates.rate_service import RETRY_AFTER_MS, RateService
 from rattanstile.process.timers import TimerService
 
 
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rattanstile.process.rate_shares import (
+from rattanstile.process.rates.rate_shares import (
     RAISE_DELAY_S,
     SplitSchedule,
     shard_count,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,8 +12,8 @@
     first_record,
 )
 from bench.relay_fleet import Fleet
-from rattanstile.process.relay import Relay
-from rattanstile.process.relay_messages import (
+from rattanstile.process.configuration.relay import Relay
+from rattanstile.process.configuration.relay_messages import (
     AppendSnapshot,
     FreshnessQuery,
     FreshnessReply,
@@ -28,8 +28,8 @@
     SendControl,
     VersionAccepted,
 )
-from rattanstile.process.relay_tree import MAX_DEPTH, RelayTree
-from rattanstile.process.snapshot_timer import SNAPSHOT_PERIOD_S
+from rattanstile.process.configuration.relay_tree import MAX_DEPTH, RelayTree
+from rattanstile.process.configuration.snapshot_timer import SNAPSHOT_PERIOD_S
 from rattanstile.version.declaration import Declaration
 from rattanstile.version.fold import Fold
 
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -3,13 +3,13 @@
 import unittest
 from random import Random
 
+from rattanstile.process.entry.shedding import SheddingEntry
 from rattanstile.process.messages import (
     CallRequested,
     Finished,
     ReplyArrived,
     SendCall,
 )
-from rattanstile.process.shedding import SheddingEntry
 from rattanstile.request.envelope import Call, Reply
 from rattanstile.request.outcome import Outcome, Reason
 from rattanstile.request.priority import Priority
--- a/tests/test_slot_time.py
+++ b/tests/test_slot_time.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rattanstile.process.slot_time import SlotTime
+from rattanstile.process.serving.slot_time import SlotTime
 
 
 class SlotTimeTest(unittest.TestCase):
--- a/tests/test_unreachable.py
+++ b/tests/test_unreachable.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rattanstile.process.unreachable import UnreachableMemory
+from rattanstile.process.membership.unreachable import UnreachableMemory
 
 
 class UnreachableMemoryTest(unittest.TestCase):
