--- a/src/rattanstile/connection/http_client.py
+++ b/src/rattanstile/connection/http_client.py
@@ -53,7 +53,6 @@
         """Begin before the first request."""
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
-        self.carried = 0
         self._on_lost = on_lost
         self._ended: ExchangeEnd | None = None
         self._is_own: ResponseCheck | None = None
@@ -64,11 +63,6 @@
         self._parser = httptools.HttpResponseParser(self)
         self._begin()
 
-    @property
-    def is_busy(self) -> bool:
-        """Tell whether a response is awaited."""
-        return self._ended is not None
-
     @property
     def is_usable(self) -> bool:
         """Tell whether the connection can carry another request."""
@@ -94,7 +88,6 @@
         self._ended = ended
         self._is_own = is_own
         self._is_head = is_head
-        self.carried += 1
         write_now(self.transport, written)
 
     def abandon(self) -> None:
--- a/src/rattanstile/connection/target_pool.py
+++ b/src/rattanstile/connection/target_pool.py
@@ -46,11 +46,6 @@
         self.connection: HttpClientConnection | None = None
         self.is_over = False
 
-    @property
-    def is_sent(self) -> bool:
-        """Tell whether bytes may have reached the target."""
-        return self.connection is not None
-
 
 class TargetPool:
     """Sends requests to one address.
@@ -65,7 +60,6 @@
         self, reactor: IReactorTCP, timers: TimerService, address: str
     ) -> None:
         """Begin without connections."""
-        self.opened = 0
         self.most_connections = 64
         self._reactor = reactor
         self._timers = timers
@@ -111,12 +105,6 @@
         self._waiting.remove(exchange)
         exchange.ended(ExchangeFailure.UNSENT)
 
-    def drop_idle(self) -> None:
-        """Close the connections that carry nothing."""
-        for connection in tuple(self._idle):
-            connection.abort()
-        self._idle.clear()
-
     def check(self, now_s: float) -> None:
         """Close connections that the target is about to close."""
         kept = []
@@ -149,7 +137,6 @@
             and len(self._open) + self._connecting < self.most_connections
         ):
             self._connecting += 1
-            self.opened += 1
             connect_http(
                 self._reactor,
                 self._address,
--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -17,6 +17,7 @@
     ConfigPublished,
     ConfigUnreadableError,
     DomainEvacuated,
+    FleetMembers,
     HistoryGoneError,
     OperatorRecord,
     OperatorRecords,
@@ -25,7 +26,7 @@
     StoreError,
     StoreUnavailableError,
 )
-from rattanstile.request.ids import FailureDomainId, NodeId
+from rattanstile.request.ids import FailureDomainId
 from rattanstile.version.fleet_config import FleetConfig
 
 CALL_TIMEOUT_S = 1.5
@@ -105,26 +106,19 @@
 
     async def members(
         self,
-    ) -> Result[dict[NodeId, PeerMember], StoreError]:
+    ) -> Result[FleetMembers, StoreError]:
         """Return all nodes that have announced themselves."""
         newest = await self._newest(_MEMBER_TOPIC)
         if isinstance(newest, Err):
             return newest
-        found: dict[NodeId, PeerMember] = {}
-        for item in newest.ok_value.items:
-            member = _member(item.value)
-            if member is not None:
-                found[member.node_id] = member
-        return Ok(found)
+        read = [_member(item.value) for item in newest.ok_value.items]
+        found = {one.node_id: one for one in read if one is not None}
+        return Ok(FleetMembers(found, read.count(None)))
 
     async def announce(self, member: PeerMember) -> Result[None, StoreError]:
         """Let later nodes find this one."""
         return await self._put(member.node_id, msgspec.msgpack.encode(member))
 
-    async def withdraw(self, node_id: NodeId) -> Result[None, StoreError]:
-        """Let later nodes not look for a node any more."""
-        return await self._put(node_id, b'')
-
     def decode_config(
         self, document: bytes
     ) -> Result[FleetConfig, ConfigUnreadableError]:
--- a/src/rattanstile/process/mesh/attempts.py
+++ b/src/rattanstile/process/mesh/attempts.py
@@ -89,16 +89,12 @@
         if self._sent.pop(call.sequence, None) is None:
             return
         if call.receiver == self._context.node_id:
-            self._own.outstanding -= 1
             self._serving.cancel(call.sequence)
             return
         link = self._peers.link_to(call.receiver)
         if link is not None:
             link.owed = max(0, link.owed - 1)
             link.send(CallCancelled(call.sequence))
-        candidate = self.candidates.get(call.receiver)
-        if candidate is not None:
-            candidate.ended()
 
     def can_go_elsewhere(self, call: EntryCall) -> bool:
         """Tell whether a node is left that was not tried."""
@@ -108,7 +104,6 @@
         """Take the end of an attempt that a peer served."""
         candidate = self.candidates.get(node_id)
         if candidate is not None:
-            candidate.ended()
             candidate.told(message.load, self._context.timers.now_s())
         call = self._sent.pop(message.sequence, None)
         if call is None:
@@ -193,7 +188,6 @@
 
     def _own_ended(self, sequence: int, ending: Ending) -> None:
         call = self._sent.pop(sequence, None)
-        self._own.ended()
         if call is None:
             return
         route = call.route.name
--- a/src/rattanstile/process/mesh/caller_service.py
+++ b/src/rattanstile/process/mesh/caller_service.py
@@ -7,6 +7,7 @@
     HttpServerConnection,
     Received,
 )
+from rattanstile.process.decision_log import DecisionLog, Kind
 from rattanstile.process.mesh.entry_call import EntryCall, Phase
 from rattanstile.process.mesh.entry_desk import EntryDesk
 from rattanstile.process.mesh.ports import CallerDialect
@@ -19,10 +20,14 @@
     Args:
         dialect: How callers speak.
         desk: Takes the requests.
+        log: Takes what can't be understood.
     """
 
-    def __init__(self, dialect: CallerDialect, desk: EntryDesk) -> None:
-        """Keep both."""
+    def __init__(
+        self, dialect: CallerDialect, desk: EntryDesk, log: DecisionLog
+    ) -> None:
+        """Keep all three."""
+        self._log = log
         self._dialect = dialect
         self._desk = desk
 
@@ -33,6 +38,10 @@
         decoded = self._dialect.decode(request)
         is_head = isinstance(request, HttpRequest) and request.method == 'HEAD'
         if isinstance(decoded, Err):
+            reason = decoded.err_value.reason
+            self._log.write(
+                Kind.REFUSED, 'request_malformed', reason=reason.name.lower()
+            )
             written = self._dialect.encode(
                 '', decoded.err_value, closes=True, is_head=is_head
             )
--- a/src/rattanstile/process/mesh/counters.py
+++ b/src/rattanstile/process/mesh/counters.py
@@ -51,7 +51,6 @@
         reruns: Second sends of requests that may have run.
         moves: Attempts that went on to another node without having run.
         probes: Probes of the own target.
-        store_calls: Calls of the platform's store by result.
     """
 
     endings: Counter[str] = field(default_factory=Counter)
@@ -61,7 +60,6 @@
     reruns: int = 0
     moves: int = 0
     probes: int = 0
-    store_calls: Counter[str] = field(default_factory=Counter)
 
     def took(self, route: str, took_s: float) -> None:
         """Count the latency of a request."""
--- a/src/rattanstile/process/mesh/entry_desk.py
+++ b/src/rattanstile/process/mesh/entry_desk.py
@@ -188,6 +188,17 @@
             self._over_rate(call, rate)
 
     def _over_rate(self, call: EntryCall, rate: RateVerdict) -> None:
+        organisation = call.organisation
+        self._context.log.write(
+            Kind.RATE,
+            'request_over_rate',
+            request=call.asked.request_id,
+            organisation=organisation.name if organisation else '-',
+            tokens=round(rate.tokens, 2),
+            part=round(rate.part, 4),
+            asked_pool=rate.may_ask,
+            retry_after_s=round(rate.retry_after_s, 2),
+        )
         self._end(call, NotRun(NotRunReason.OVER_RATE, rate.retry_after_s))
 
     def _check_load(self, now_s: float, call: EntryCall) -> None:
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -144,7 +144,9 @@
 
     def _build_servers(self, surroundings: Surroundings) -> None:
         settings = self.settings
-        callers = CallerService(surroundings.callers, self.entry)
+        callers = CallerService(
+            surroundings.callers, self.entry, self.context.log
+        )
         announcements = AnnouncementService(surroundings.announcements, self)
         self._caller_state = self._server_state(callers)
         self._servers = {
--- a/src/rattanstile/process/mesh/node_addresses.py
+++ b/src/rattanstile/process/mesh/node_addresses.py
@@ -10,6 +10,8 @@
     HttpServerConnection,
     Received,
 )
+from rattanstile.process.decision_log import Kind
+from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.ports import (
     AnnouncementDialect,
     NotAnnounced,
@@ -17,7 +19,6 @@
 )
 from rattanstile.process.mesh.serving_desk import ServingDesk
 from rattanstile.process.mesh.target_watch import Heard
-from rattanstile.process.timers import TimerService
 
 KEPT_TIMEOUT_S = 0.6
 """Targets take an acknowledgement that comes within a second."""
@@ -27,7 +28,7 @@
 
 class _Node(Protocol):
     serving: ServingDesk
-    timers: TimerService
+    context: NodeContext
 
     @property
     def is_ready(self) -> bool:
@@ -121,7 +122,10 @@
         closes = connection.closes_next
         told = self._dialect.decode(request)
         match told:
-            case NotAnnounced():
+            case NotAnnounced(why):
+                self._node.context.log.write(
+                    Kind.TARGET, 'announcement_rejected', why=why
+                )
                 written = self._dialect.reject(told, closes=closes)
             case TargetLeft():
                 self._acknowledge(connection, self._node.serving.left(told))
@@ -143,7 +147,9 @@
         connection.answering = waiting
         kept: Deferred[None] = Deferred.fromCoroutine(self._node.keep_left())
         kept.addCallback(lambda _: waiting.send())
-        self._node.timers.after(KEPT_TIMEOUT_S, lambda _: waiting.send())
+        self._node.context.timers.after(
+            KEPT_TIMEOUT_S, lambda _: waiting.send()
+        )
 
     def connection_lost(self, connection: HttpServerConnection) -> None:
         """Acknowledge nothing: nobody reads it."""
--- a/src/rattanstile/process/mesh/placement.py
+++ b/src/rattanstile/process/mesh/placement.py
@@ -46,7 +46,6 @@
     load: TargetLoad
     told_s: float = 0.0
     sent_since: int = 0
-    outstanding: int = 0
     is_quiet: bool = False
 
     def told(self, load: TargetLoad, now_s: float) -> None:
@@ -58,11 +57,6 @@
     def sent(self) -> None:
         """Count an attempt as sent."""
         self.sent_since += 1
-        self.outstanding += 1
-
-    def ended(self) -> None:
-        """Count an attempt as ended."""
-        self.outstanding -= 1
 
     def expected_wait_s(self) -> float:
         """Return how long a call sent now would wait there."""
--- a/src/rattanstile/process/mesh/ports.py
+++ b/src/rattanstile/process/mesh/ports.py
@@ -1,6 +1,6 @@
 """What the node asks of its surroundings, whatever they speak."""
 
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -183,6 +183,21 @@
 StoreError = StoreUnavailableError | HistoryGoneError
 
 
+@dataclass(frozen=True, slots=True)
+class FleetMembers:
+    """Nodes that have announced themselves.
+
+    Attributes:
+        unreadable: Entries of other writers, which name no node.
+    """
+
+    by_id: Mapping[NodeId, PeerMember]
+    unreadable: int
+
+
+NO_MEMBERS = FleetMembers({}, 0)
+
+
 class FleetStore(Protocol):
     """What lasts beyond this process, and is shared by all nodes."""
 
@@ -196,7 +211,7 @@
 
     def members(
         self,
-    ) -> Awaitable[Result[dict[NodeId, PeerMember], StoreError]]:
+    ) -> Awaitable[Result[FleetMembers, StoreError]]:
         """Return all nodes that have announced themselves."""
 
     def announce(
@@ -204,9 +219,6 @@
     ) -> Awaitable[Result[None, StoreError]]:
         """Let later nodes find this one."""
 
-    def withdraw(self, node_id: NodeId) -> Awaitable[Result[None, StoreError]]:
-        """Let later nodes not look for a node any more."""
-
     def decode_config(
         self, document: bytes
     ) -> Result[FleetConfig, ConfigUnreadableError]:
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -1,6 +1,6 @@
 """Follows the operators' log, and finds the other nodes, in the store."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from random import Random
 from typing import TypeVar
 
@@ -13,11 +13,12 @@
 from rattanstile.process.decision_log import DecisionLog, Kind
 from rattanstile.process.mesh.operator_words import OperatorWords
 from rattanstile.process.mesh.ports import (
+    NO_MEMBERS,
     FleetStore,
     HistoryGoneError,
     StoreError,
 )
-from rattanstile.request.ids import TargetId
+from rattanstile.request.ids import NodeId, TargetId
 
 LONG_READ_S = 25.0
 """Below the longest wait that the store allows."""
@@ -80,20 +81,25 @@
         """Write what later runs and other nodes are to know of this one."""
         await self._until_done(lambda: self._store.announce(self._member()))
 
-    async def withdraw(self) -> None:
-        """Tell later nodes not to look for this one; once, unanswered."""
-        await self._store.withdraw(self._member().node_id)
-
     async def _join(self) -> None:
-        before = await self._until_done(self._store.members) or {}
+        before = await self._read_members()
         earlier = before.get(self._member().node_id)
         self._recall(TargetId('') if earlier is None else earlier.left)
         await self.keep_member()
-        members = await self._until_done(self._store.members) or {}
-        for found in (before | members).values():
+        members = await self._read_members()
+        for found in {**before, **members}.values():
             if found.node_id != self._member().node_id:
                 self._found(found)
-        self._log.write(Kind.PEER, 'members_read', count=len(members))
+
+    async def _read_members(self) -> Mapping[NodeId, PeerMember]:
+        members = await self._until_done(self._store.members) or NO_MEMBERS
+        self._log.write(
+            Kind.PEER,
+            'members_read',
+            count=len(members.by_id),
+            unreadable=members.unreadable,
+        )
+        return members.by_id
 
     async def _follow(self) -> None:
         is_known = False
--- a/src/rattanstile/process/mesh/target_gate.py
+++ b/src/rattanstile/process/mesh/target_gate.py
@@ -183,12 +183,6 @@
             return min(warm_per_s, self.cold_calls_per_s * COLD_SHARE)
         return warm_per_s
 
-    def next_cold_s(self) -> float | None:
-        """Return when the next call may go to a cold target."""
-        if not self.waiting or not self._cold_sent:
-            return None
-        return self._cold_sent[0] + COLD_WINDOW_S
-
     def _cold_room(self, now_s: float) -> bool:
         sent = self._cold_sent
         while sent and sent[0] <= now_s - COLD_WINDOW_S:
