--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -12,11 +12,16 @@
 from pathlib import Path
 
 MOST_TRIES = 200
+MOST_STARTS = 5
 PAUSE_S = 0.05
 HOST = 'forest.example'
 KEY = 'key-north'
 
 
+class ProcessEndedError(Exception):
+    """A process that was started has ended by itself."""
+
+
 def free_addresses(count):
     """Return addresses whose ports the system has just given out."""
     sockets = [socket.socket() for _ in range(count)]
@@ -101,15 +106,32 @@
     """The stand-ins and `count` nodes, as processes."""
 
     def __init__(self, count=2):
-        """Choose addresses; `start` starts the processes."""
+        """`start` chooses addresses and starts the processes."""
         self.folder = tempfile.TemporaryDirectory()
-        self.store = free_addresses(1)[0]
-        self.nodes = [self._settings(number) for number in range(count)]
+        self.count = count
         self.standin = None
         self.running = {}
 
     def start(self, published=True):
-        """Start everything and wait until it serves."""
+        """Start everything and wait until it serves.
+
+        Another process may take a port between its choice and its use; then
+        a process ends at once, and all begin anew with other ports.
+        """
+        for _ in range(MOST_STARTS):
+            self.store = free_addresses(1)[0]
+            self.nodes = [
+                self._settings(number) for number in range(self.count)
+            ]
+            try:
+                self._start_once(published)
+            except ProcessEndedError:
+                self._end_processes()
+            else:
+                return
+        raise AssertionError('no ports were left')
+
+    def _start_once(self, published):
         plan = {
             'store_address': self.store,
             'targets': [
@@ -154,13 +176,23 @@
 
     def stop(self):
         """End the processes that were started."""
+        self._end_processes()
+        self.folder.cleanup()
+
+    def _end_processes(self):
         for process in (*self.running.values(), self.standin):
             if process is not None:
                 process.kill()
                 process.wait()
         if self.standin is not None:
             self.standin.stdin.close()
-        self.folder.cleanup()
+        self.standin = None
+        self.running = {}
+
+    def _check_alive(self):
+        for process in (self.standin, *self.running.values()):
+            if process.poll() not in {None, 0, -9}:
+                raise ProcessEndedError
 
     def signal(self, number, sent=signal.SIGTERM):
         self.running[number].send_signal(sent)
@@ -212,6 +244,7 @@
         for _ in range(MOST_TRIES):
             if is_true():
                 return
+            self._check_alive()
             time.sleep(PAUSE_S)
         raise AssertionError('it did not become so')
 
