A late word of a target that deregistered doesn't bring it back

A node restarts, probes its target, is told the deregistration; 2.2 s later a heartbeat arrives that was sent before it. The new process knows no sequence of that incarnation and took it for new. Change: what left is kept with the start of its incarnation, also in the node's record; an announcement of that incarnation or an earlier one changes nothing. Tests: test_target_watch, two that fail before.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -178,6 +178,7 @@
 
     Attributes:
         left: The last target of the node that said that it goes.
+        left_born_ms: Start of that incarnation, by the target's clock.
     """
 
     node_id: NodeId
@@ -185,6 +186,7 @@
     service: ServiceName
     domain: FailureDomainId
     left: TargetId = TargetId('')
+    left_born_ms: int = 0
 
 
 class MembersTold(msgspec.Struct, frozen=True, array_like=True, tag=14):
--- a/src/rattanstile/platform/announcements.py
+++ b/src/rattanstile/platform/announcements.py
@@ -6,9 +6,13 @@
 
 from rattanstile.connection.http_messages import HttpRequest, encode_response
 from rattanstile.connection.http_server import BadRequest
-from rattanstile.process.mesh.ports import NotAnnounced, TargetLeft
+from rattanstile.process.mesh.ports import NotAnnounced
 from rattanstile.process.mesh.settings import duration_s
-from rattanstile.process.mesh.target_watch import Announcement, TargetState
+from rattanstile.process.mesh.target_watch import (
+    Announcement,
+    TargetLeft,
+    TargetState,
+)
 from rattanstile.request.ids import ServiceName, TargetId
 
 _PATH = re.compile(r'/v1/instances/([^/?]+)/(heartbeat|deregister)')
--- a/src/rattanstile/process/mesh/node_addresses.py
+++ b/src/rattanstile/process/mesh/node_addresses.py
@@ -15,10 +15,9 @@
 from rattanstile.process.mesh.ports import (
     AnnouncementDialect,
     NotAnnounced,
-    TargetLeft,
 )
 from rattanstile.process.mesh.serving_desk import ServingDesk
-from rattanstile.process.mesh.target_watch import Heard
+from rattanstile.process.mesh.target_watch import Heard, TargetLeft
 
 KEPT_TIMEOUT_S = 0.6
 """Targets take an acknowledgement that comes within a second."""
--- a/src/rattanstile/process/mesh/peer_desk.py
+++ b/src/rattanstile/process/mesh/peer_desk.py
@@ -94,7 +94,8 @@
             self._address,
             watch.service,
             self._context.domain,
-            watch.last_left,
+            watch.last_left.target_id,
+            watch.last_left.born_ms,
         )
 
     def status_changed(self) -> None:
--- a/src/rattanstile/process/mesh/ports.py
+++ b/src/rattanstile/process/mesh/ports.py
@@ -11,7 +11,11 @@
 from rattanstile.connection.http_server import BadRequest
 from rattanstile.connection.peer_messages import PeerMember
 from rattanstile.errors import RattanstileError, UnavailableError
-from rattanstile.process.mesh.target_watch import Announcement, Probed
+from rattanstile.process.mesh.target_watch import (
+    Announcement,
+    Probed,
+    TargetLeft,
+)
 from rattanstile.request.exchange import (
     CallerAsked,
     Ending,
@@ -86,14 +90,6 @@
         """Return the bytes that tell a caller how its request ended."""
 
 
-@dataclass(frozen=True, slots=True)
-class TargetLeft:
-    """A target says that it goes."""
-
-    target_id: TargetId
-    born_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class NotAnnounced:
     """A message to the announcement address that names no target.
--- a/src/rattanstile/process/mesh/serving_desk.py
+++ b/src/rattanstile/process/mesh/serving_desk.py
@@ -16,7 +16,6 @@
     RunFailed,
     RunRefused,
     TargetDialect,
-    TargetLeft,
 )
 from rattanstile.process.mesh.service_needs import ServiceNeeds, with_own
 from rattanstile.process.mesh.target_gate import TargetGate, WaitingCall
@@ -24,6 +23,7 @@
 from rattanstile.process.mesh.target_watch import (
     Announcement,
     Heard,
+    TargetLeft,
     TargetWatch,
 )
 from rattanstile.request.exchange import (
@@ -228,7 +228,7 @@
 
     def left(self, told: TargetLeft) -> Heard:
         """Take the target's word that it goes."""
-        heard = self.watch.left(told.target_id)
+        heard = self.watch.left(told)
         self._heard(heard, 'deregistration')
         return heard
 
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -18,7 +18,8 @@
     HistoryGoneError,
     StoreError,
 )
-from rattanstile.request.ids import NodeId, TargetId
+from rattanstile.process.mesh.target_watch import NONE_LEFT, TargetLeft
+from rattanstile.request.ids import NodeId
 
 LONG_READ_S = 25.0
 """Below the longest wait that the store allows."""
@@ -51,7 +52,7 @@
         words: OperatorWords,
         member: Callable[[], PeerMember],
         found: Callable[[PeerMember], None],
-        recall: Callable[[TargetId], None],
+        recall: Callable[[TargetLeft], None],
         log: DecisionLog,
         chance: Random,
     ) -> None:
@@ -84,7 +85,10 @@
     async def _join(self) -> None:
         before = await self._read_members()
         earlier = before.get(self._member().node_id)
-        self._recall(TargetId('') if earlier is None else earlier.left)
+        left = NONE_LEFT
+        if earlier is not None:
+            left = TargetLeft(earlier.left, earlier.left_born_ms)
+        self._recall(left)
         await self.keep_member()
         members = await self._read_members()
         for found in {**before, **members}.values():
--- a/src/rattanstile/process/mesh/target_watch.py
+++ b/src/rattanstile/process/mesh/target_watch.py
@@ -44,6 +44,25 @@
     born_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLeft:
+    """An incarnation of a target that says that it goes.
+
+    Attributes:
+        born_ms: Start of the incarnation, as the target's clock gives it.
+    """
+
+    target_id: TargetId
+    born_ms: int
+
+    def includes(self, target_id: TargetId, born_ms: int) -> bool:
+        """Tell whether an incarnation is this one, or an earlier one."""
+        return target_id == self.target_id and born_ms <= self.born_ms
+
+
+NONE_LEFT = TargetLeft(TargetId(''), 0)
+
+
 @dataclass(frozen=True, slots=True)
 class Probed:
     """What a target answered to a probe.
@@ -87,7 +106,7 @@
         self.is_verified = False
         self._born_ms = 0
         self._sequence = -1
-        self.last_left = TargetId('')
+        self.last_left = NONE_LEFT
         self._may_probe = False
         self._probe_due_s = 0.0
         self._probe_period_s = PROBE_PERIOD_S
@@ -109,6 +128,8 @@
         )
         if order <= (self._born_ms, self._sequence):
             return Heard.NOTHING
+        if self.last_left.includes(told.target_id, told.born_ms):
+            return Heard.NOTHING
         self._born_ms = told.born_ms
         self._sequence = told.sequence
         if not is_same:
@@ -117,37 +138,39 @@
         self.slots = told.slots
         self.cold_until_s = now_s + told.cold_s
         if told.state is TargetState.DRAINING:
+            self.last_left = TargetLeft(told.target_id, told.born_ms)
             return self._leave()
         self.is_verified = True
         self._probe_period_s = PROBE_PERIOD_S
         return Heard.RENEWED if is_same else Heard.NEW
 
-    def left(self, target_id: TargetId) -> Heard:
+    def left(self, told: TargetLeft) -> Heard:
         """Take a target's word that it goes."""
-        self.last_left = target_id
-        if self.target_id not in {target_id, TargetId('')}:
+        self.last_left = told
+        if self.target_id not in {told.target_id, TargetId('')}:
             return Heard.NOTHING
-        self.target_id = target_id
+        self.target_id = told.target_id
         return self._leave()
 
-    def recall(self, left: TargetId) -> None:
+    def recall(self, left: TargetLeft) -> None:
         """Learn what an earlier run of this node was told.
 
         Until then a probe isn't believed: a target that said that it goes
         may still answer that it is healthy.
         """
         self._may_probe = True
-        if left:
-            self.last_left = left
-            if self.target_id in {left, TargetId('')}:
-                self.target_id = left
-                self.is_leaving = True
+        if not left.target_id:
+            return
+        self.last_left = left
+        if self.target_id in {left.target_id, TargetId('')}:
+            self.target_id = left.target_id
+            self.is_leaving = True
 
     def probed(self, now_s: float, probed: Probed) -> Heard:
         """Take the answer to a probe."""
         if not probed.is_healthy or not probed.target_id:
             return Heard.NOTHING
-        if probed.target_id == self.last_left:
+        if probed.target_id == self.last_left.target_id:
             return Heard.NOTHING
         if probed.target_id != self.target_id:
             self._begin(probed.target_id)
@@ -182,5 +205,4 @@
     def _leave(self) -> Heard:
         was_leaving = self.is_leaving
         self.is_leaving = True
-        self.last_left = self.target_id
         return Heard.NOTHING if was_leaving else Heard.LEAVING
--- a/tests/test_serving_desk.py
+++ b/tests/test_serving_desk.py
@@ -8,9 +8,14 @@
 
 from rattanstile.connection.http_client import ExchangeFailure
 from rattanstile.connection.http_messages import HttpResponse
-from rattanstile.process.mesh.ports import RunAnswered, RunRefused, TargetLeft
+from rattanstile.process.mesh.ports import RunAnswered, RunRefused
 from rattanstile.process.mesh.serving_desk import ServingDesk
-from rattanstile.process.mesh.target_watch import TargetState, TargetWatch
+from rattanstile.process.mesh.target_watch import (
+    NONE_LEFT,
+    TargetLeft,
+    TargetState,
+    TargetWatch,
+)
 from rattanstile.request.exchange import (
     Answered,
     NotRun,
@@ -77,7 +82,7 @@
             self.dialect,
             lambda: self.told.append(self.desk.is_usable),
         )
-        self.desk.watch.recall('')
+        self.desk.watch.recall(NONE_LEFT)
         self.desk.announced(told(slots=2))
 
     def begin(self, name='a', **changes):
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -3,9 +3,11 @@
 import unittest
 
 from rattanstile.process.mesh.target_watch import (
+    NONE_LEFT,
     Announcement,
     Heard,
     Probed,
+    TargetLeft,
     TargetState,
     TargetWatch,
 )
@@ -69,29 +71,55 @@
         """The node may have been told that the target goes."""
         watch = TargetWatch('registry')
         self.assertFalse(watch.wants_probe(0))
-        watch.recall('')
+        watch.recall(NONE_LEFT)
         self.assertTrue(watch.wants_probe(0))
 
     def test_a_target_that_left_is_not_used_again(self):
         """It answers as healthy until it ends: hunt, scale-1 60144322154."""
         watch = TargetWatch('registry')
-        watch.recall('i-1')
+        watch.recall(TargetLeft('i-1', 10))
         self.assertFalse(watch.wants_probe(0))
         heard = watch.probed(0, Probed('i-1', is_healthy=True, cold_s=None))
         self.assertEqual(heard, Heard.NOTHING)
         self.assertFalse(watch.is_usable)
 
+    def test_nor_after_a_late_word_of_it(self):
+        """A restarted node knows no sequence: trouble-3 183784791010.
+
+        The target deregistered and ran on; its last heartbeat came later.
+        """
+        watch = TargetWatch('registry')
+        watch.recall(NONE_LEFT)
+        watch.probed(0, Probed('i-1', is_healthy=True, cold_s=None))
+        watch.left(TargetLeft('i-1', 10))
+        self.assertEqual(watch.announced(2.2, told()), Heard.NOTHING)
+        self.assertFalse(watch.is_usable)
+
+    def test_nor_after_a_late_word_that_comes_after_a_restart(self):
+        """The leaving was told to an earlier run of the node."""
+        watch = TargetWatch('registry')
+        watch.recall(TargetLeft('i-1', 10))
+        self.assertEqual(watch.announced(0.5, told()), Heard.NOTHING)
+        self.assertFalse(watch.is_usable)
+
+    def test_a_later_incarnation_of_the_same_id_is_used(self):
+        """It was born after the one that left."""
+        watch = TargetWatch('registry')
+        watch.recall(TargetLeft('i-1', 10))
+        self.assertEqual(watch.announced(0, told(born_ms=30)), Heard.NEW)
+        self.assertTrue(watch.is_usable)
+
     def test_its_successor_is(self):
         """Another incarnation at the same address."""
         watch = TargetWatch('registry')
-        watch.recall('i-1')
+        watch.recall(TargetLeft('i-1', 10))
         self.assertEqual(watch.announced(0, told('i-2')), Heard.NEW)
         self.assertTrue(watch.is_usable)
 
     def test_a_suspected_target_is_probed_with_growing_pauses(self):
         """Each probe takes a slot."""
         watch = TargetWatch('registry')
-        watch.recall('')
+        watch.recall(NONE_LEFT)
         watch.announced(0, told())
         watch.suspect(1.0)
         asked = [
@@ -106,7 +134,7 @@
     def test_an_unhealthy_answer_changes_nothing(self):
         """As does one that names no target."""
         watch = TargetWatch('registry')
-        watch.recall('')
+        watch.recall(NONE_LEFT)
         watch.probed(0, Probed('i-1', is_healthy=False, cold_s=None))
         watch.probed(0, Probed('', is_healthy=True, cold_s=None))
         self.assertFalse(watch.is_usable)
