A service that answers nobody is known to be needed

Nodes that start learn what a route takes only from answers of the services below, and nobody answers, so 5,378 trees ended as 500 of a target instead of being refused where they begin. Also, a split route was said to take both of its services for each request. Change: needs are kept by route and service; until the first answer a run takes one of its own service; a service of which no node is met for 1 s has no capacity. Tests: test_root_admission, ServiceAwayTest.

--- a/src/rattanstile/process/mesh/attempts.py
+++ b/src/rattanstile/process/mesh/attempts.py
@@ -110,7 +110,7 @@
             return
         if message.needs:
             now_s = self._context.timers.now_s()
-            self.needs.told(now_s, call.route.name, message.needs)
+            self.needs.told(now_s, call.run_kind, message.needs)
         self._ended(call, ending_of(message))
 
     def peer_lost(self, node_id: NodeId) -> None:
@@ -190,10 +190,9 @@
         call = self._sent.pop(sequence, None)
         if call is None:
             return
-        route = call.route.name
         now_s = self._context.timers.now_s()
-        needs = self._serving.needs(route, self.needs)
-        self.needs.told(now_s, route, needs)
+        needs = self._serving.needs(call.route.name, self.needs)
+        self.needs.told(now_s, call.run_kind, needs)
         self._ended(call, ending)
 
     def _log_placed(self, call: EntryCall, chosen: Candidate) -> None:
--- a/src/rattanstile/process/mesh/call_tree.py
+++ b/src/rattanstile/process/mesh/call_tree.py
@@ -11,6 +11,8 @@
 
 from dataclasses import dataclass, field
 
+from rattanstile.process.mesh.service_needs import RunKind
+
 WINDOW_S = 0.1
 FORGET = 0.995
 """Weight that a window keeps when the next one comes: half after 14 s."""
@@ -54,7 +56,7 @@
 
 @dataclass(eq=False, slots=True)
 class _Called:
-    """Calls of one route by the target.
+    """Calls of one kind by the target.
 
     Attributes:
         products: Sums of calls times run time, by route that ran.
@@ -68,12 +70,12 @@
 
 
 class CallTree:
-    """Calls that a run of each route makes, in the mean, by route called."""
+    """Calls that a run of each route makes, in the mean, by kind called."""
 
     def __init__(self) -> None:
         """Begin without knowledge."""
         self._routes: dict[str, _Running] = {}
-        self._called: dict[str, _Called] = {}
+        self._called: dict[RunKind, _Called] = {}
         self._squares: dict[tuple[str, str], float] = {}
         self._window_at_s = 0.0
         self._solved_at_s = 0.0
@@ -91,7 +93,7 @@
         running.advance(now_s)
         running.now -= 1
 
-    def called(self, now_s: float, called: str) -> None:
+    def called(self, now_s: float, called: RunKind) -> None:
         """Count a call of the target."""
         self._called.setdefault(called, _Called()).window += 1
 
@@ -106,19 +108,19 @@
             for called in self._called.values():
                 self._solve(called)
 
-    def calls_of(self, route: str) -> dict[str, float]:
-        """Return the calls of one run of a route, by route called."""
+    def calls_of(self, route: str) -> dict[RunKind, float]:
+        """Return the calls of one run of a route, by kind called."""
         running = self._routes.get(route)
         if running is None or running.begun < FEWEST_BEGUN:
             return {}
         mean_s = running.mean_run_s()
         found = {
-            name: called.rates.get(route, 0.0) * mean_s
-            for name, called in self._called.items()
+            kind: called.rates.get(route, 0.0) * mean_s
+            for kind, called in self._called.items()
         }
         return {
-            name: calls
-            for name, calls in found.items()
+            kind: calls
+            for kind, calls in found.items()
             if calls >= FEWEST_CALLS
         }
 
--- a/src/rattanstile/process/mesh/entry_call.py
+++ b/src/rattanstile/process/mesh/entry_call.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
+from rattanstile.process.mesh.service_needs import RunKind
 from rattanstile.request.exchange import (
     CallerAsked,
     EndingHandler,
@@ -74,6 +75,11 @@
             return organisation.priority
         return self.route.priority
 
+    @property
+    def run_kind(self) -> RunKind:
+        """Return what its runs are counted as."""
+        return RunKind(self.route.name, self.service)
+
     def hold_until_s(self) -> float:
         """Return until when the request may wait for a fit target."""
         if self.is_inner:
--- a/src/rattanstile/process/mesh/entry_desk.py
+++ b/src/rattanstile/process/mesh/entry_desk.py
@@ -97,7 +97,7 @@
         call = self._entry_call(now_s, asked, checked.ok_value, ended)
         self._add_deadline(call)
         if call.is_inner:
-            self._serving.tree.called(now_s, call.route.name)
+            self._serving.tree.called(now_s, call.run_kind)
             self._place(now_s, call)
         else:
             self.roots += 1
@@ -203,9 +203,9 @@
 
     def _check_load(self, now_s: float, call: EntryCall) -> None:
         verdict = self._admission.decide(
-            call.route.name,
+            call.run_kind,
             call.route.priority,
-            self.attempts.needs.of(call.route.name),
+            self.attempts.needs.of(call.run_kind),
             call.deadline_s - now_s,
         )
         if verdict.is_admitted:
--- a/src/rattanstile/process/mesh/root_admission.py
+++ b/src/rattanstile/process/mesh/root_admission.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from rattanstile.process.mesh.service_needs import RunKind
 from rattanstile.request.exchange import ServiceNeed
 from rattanstile.request.ids import ServiceName
 
@@ -44,12 +45,24 @@
 FORGOTTEN_PER_S = 0.05
 TIGHT_SHARE = 0.7
 """From this part of its capacity on, a service's demand is watched closely."""
+MEETING_S = 1.0
+"""A node that starts meets the others within this time; a service of which it
+has met none after it answers nobody."""
 SHORTEST_RETRY_S = 0.3
 RETRY_SHARE = 0.2
 """Part of the time left within which a caller can come back and be served."""
 
-Kind = tuple[int, str]
-"""Priority, 0 for the most urgent, and the name of the route."""
+
+@dataclass(frozen=True, order=True, slots=True)
+class Kind:
+    """Root requests that are let in alike.
+
+    Attributes:
+        priority: 0 is the most urgent.
+    """
+
+    priority: int
+    run: RunKind
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +80,9 @@
     wait_s: float
 
 
+ANSWERS_NOBODY = ServiceView(offered_per_s=0, capacity_per_s=0, wait_s=0)
+
+
 @dataclass(slots=True)
 class _Asked:
     """Requests of one kind that need a service, at this node."""
@@ -94,6 +110,7 @@
     kinds: dict[Kind, _Asked] = field(default_factory=dict)
     let_in: float = 1.0
     is_tight: bool = False
+    unseen_s: float = 0.0
     view: ServiceView | None = None
     demand_per_s: float = 0.0
     trim: float = 1.0
@@ -181,7 +198,7 @@
 
     def decide(
         self,
-        route: str,
+        run: RunKind,
         priority: int,
         needs: tuple[ServiceNeed, ...],
         left_s: float,
@@ -189,12 +206,12 @@
         """Decide on one root request.
 
         Args:
-            route: Name of its route.
+            run: What its run is counted as.
             priority: 0 is the most urgent.
             needs: What its tree takes.
             left_s: Time that its caller still waits.
         """
-        kind = (priority, route)
+        kind = Kind(priority, run)
         least = 1.0
         tight: ServiceName | None = None
         for need in needs:
@@ -246,6 +263,9 @@
             fleet_per_s = self._fleet_per_s.get(name, own_per_s * self._nodes)
             fleet_per_s = max(fleet_per_s, own_per_s)
             view = views.get(name)
+            service.unseen_s = 0 if view else service.unseen_s + STEP_S
+            if service.unseen_s > MEETING_S:
+                view = ANSWERS_NOBODY
             if view is not None:
                 _follow(service, view, fleet_per_s)
             service.parts = _parts(service)
@@ -260,7 +280,10 @@
                 round(service.own_per_s(), 1),
                 round(service.trim, 2),
                 service.view,
-                {kind[1]: asked.runs for kind, asked in service.kinds.items()},
+                {
+                    kind.run.route: asked.runs
+                    for kind, asked in service.kinds.items()
+                },
             )
             for name, service in self._services.items()
             if service.is_tight and service.view is not None
@@ -319,7 +342,8 @@
     left = (let_in - kept) * sum(work.values())
     parts: dict[Kind, float] = {}
     order = sorted(
-        work, key=lambda kind: (kind[0], service.kinds[kind].runs, kind[1])
+        work,
+        key=lambda kind: (kind.priority, service.kinds[kind].runs, kind.run),
     )
     for kind in order:
         wanted = (1 - kept) * work[kind]
--- a/src/rattanstile/process/mesh/service_needs.py
+++ b/src/rattanstile/process/mesh/service_needs.py
@@ -2,7 +2,9 @@
 
 Serving nodes tell it on the answers of calls; each adds what its own target's
 calls were told. So the node where a tree begins learns what it takes
-of the deepest service within a few answers.
+of the deepest service within a few answers. Until the first answer a run
+takes one of the service that the route goes to: a service that answers
+nobody is known to be needed all the same.
 """
 
 from dataclasses import dataclass
@@ -16,6 +18,14 @@
 MOST_NEEDS = 12
 
 
+@dataclass(frozen=True, order=True, slots=True)
+class RunKind:
+    """Runs of one route on one service; a route may be split among several."""
+
+    route: str
+    service: ServiceName
+
+
 @dataclass(slots=True)
 class _Need:
     runs: float
@@ -27,13 +37,13 @@
 
     def __init__(self) -> None:
         """Begin without knowledge."""
-        self._routes: dict[str, dict[ServiceName, _Need]] = {}
+        self._kinds: dict[RunKind, dict[ServiceName, _Need]] = {}
 
     def told(
-        self, now_s: float, route: str, needs: tuple[ServiceNeed, ...]
+        self, now_s: float, kind: RunKind, needs: tuple[ServiceNeed, ...]
     ) -> None:
-        """Take what an answer tells of its route."""
-        known = self._routes.setdefault(route, {})
+        """Take what an answer tells of its kind of run."""
+        known = self._kinds.setdefault(kind, {})
         for need in needs:
             earlier = known.get(need.service)
             if earlier is None or now_s - earlier.told_s > FRESH_S:
@@ -42,21 +52,23 @@
             earlier.runs += NEED_GAIN * (need.runs - earlier.runs)
             earlier.told_s = now_s
 
-    def of(self, route: str) -> tuple[ServiceNeed, ...]:
-        """Return what a run of a route takes."""
-        known = self._routes.get(route)
+    def of(self, kind: RunKind) -> tuple[ServiceNeed, ...]:
+        """Return what a run takes."""
+        known = self._kinds.get(kind)
         if known is None:
-            return ()
+            return (ServiceNeed(kind.service, 1.0),)
         return tuple(
             ServiceNeed(service, round(need.runs, 2))
             for service, need in known.items()
         )
 
-    def below(self, calls: dict[str, float]) -> dict[ServiceName, ServiceNeed]:
-        """Return what these calls, counted by route, take together."""
+    def below(
+        self, calls: dict[RunKind, float]
+    ) -> dict[ServiceName, ServiceNeed]:
+        """Return what these calls take together."""
         found: dict[ServiceName, ServiceNeed] = {}
-        for route, count in calls.items():
-            for need in self.of(route):
+        for kind, count in calls.items():
+            for need in self.of(kind):
                 earlier = found.get(need.service)
                 runs = count * need.runs
                 if earlier is not None:
--- a/tests/test_root_admission.py
+++ b/tests/test_root_admission.py
@@ -9,6 +9,7 @@
     RootAdmission,
     ServiceView,
 )
+from rattanstile.process.mesh.service_needs import RunKind, ServiceNeeds
 from rattanstile.request.exchange import ServiceNeed
 
 DEEP = 'fees'
@@ -18,6 +19,10 @@
     return (ServiceNeed(DEEP, runs),)
 
 
+def run_of(route):
+    return RunKind(route, f'service-of-{route}')
+
+
 class Load:
     """Requests that come in evenly, as seen by one node of a fleet of one."""
 
@@ -54,7 +59,9 @@
     def _ask(self, kind):
         route, priority, runs = kind
         self.asked[route] += 1
-        verdict = self.admission.decide(route, priority, needs(runs), 5.0)
+        verdict = self.admission.decide(
+            run_of(route), priority, needs(runs), 5.0
+        )
         self.let_in[route] += verdict.is_admitted
         self._work += verdict.is_admitted * runs
 
@@ -121,7 +128,7 @@
         load = Load(KINDS)
         load.run(2, 200)
         verdicts = [
-            load.admission.decide('draw', 2, needs(4.0), 5.0)
+            load.admission.decide(run_of('draw'), 2, needs(4.0), 5.0)
             for _ in range(200)
         ]
         waits = [one.retry_after_s for one in verdicts if not one.is_admitted]
@@ -152,3 +159,41 @@
         runs = {route: runs for route, _, runs in KINDS}
         taken = sum(load.let_in[route] * runs[route] for route in runs) / 2
         self.assertLess(taken, 0.2 * 1950)
+
+
+class ServiceAwayTest(unittest.TestCase):
+    """The deepest service answers nobody; nodes have just started."""
+
+    def share_let_in(self, views, seconds):
+        admission = RootAdmission(Random(4))
+        let_in = 0
+        asked = 0
+        for step in range(int(seconds / STEP_S)):
+            for _ in range(10):
+                verdict = admission.decide(run_of('draw'), 2, needs(4.0), 5.0)
+                asked += step * STEP_S > 1.5
+                let_in += verdict.is_admitted and step * STEP_S > 1.5
+            admission.step(views)
+        return let_in / asked
+
+    def test_no_tree_begins_for_a_service_that_no_node_serves(self):
+        """It has left the fleet: none of its nodes is known any more."""
+        self.assertLess(self.share_let_in({}, 6), 0.1)
+
+    def test_a_service_that_is_met_soon_is_not_refused(self):
+        """A node that starts hears of it within a second."""
+        view = ServiceView(0, 2000, 0)
+        self.assertEqual(self.share_let_in({DEEP: view}, 6), 1)
+
+    def test_a_call_is_known_to_need_its_service_before_any_answer(self):
+        """Nobody has answered, so nobody has told."""
+        needed = ServiceNeeds().below({RunKind('fee-rates', DEEP): 4.0})
+        self.assertEqual(needed[DEEP].runs, 4.0)
+
+    def test_each_part_of_a_split_route_needs_its_own_service(self):
+        """What the one part takes is not expected of the other."""
+        known = ServiceNeeds()
+        known.told(1.0, RunKind('claim', 'registry'), needs(8.0))
+        self.assertEqual(
+            known.of(RunKind('claim', 'results')), (ServiceNeed('results', 1),)
+        )
