Second sends after a target's refusal are within the budget

Change: a send after the target itself refused takes from the service's budget; without budget the request is refused as not run.

--- a/src/rattanstile/process/mesh/entry_desk.py
+++ b/src/rattanstile/process/mesh/entry_desk.py
@@ -267,6 +267,11 @@
         self._context.counters.moves += 1
         if now_s >= call.deadline_s or call.moves >= MOST_MOVES:
             self._turn_away(call)
+        elif reason is NotRunReason.TARGET_REFUSED and not self._reruns.spend(
+            call.service
+        ):
+            # It has reached a target, so the next send is a second one.
+            self._turn_away(call)
         else:
             self._place(now_s, call)
 
--- /dev/null
+++ b/tests/test_entry_desk.py
@@ -0,0 +1,103 @@
+"""Requests at the node where they come in."""
+
+import unittest
+from types import SimpleNamespace
+
+from mesh_samples import USABLE, asked, config, context, organisation, route
+
+from rattanstile.connection.peer_messages import CallEnded, CallSent
+from rattanstile.process.mesh.entry_desk import EntryDesk
+from rattanstile.process.mesh.placement import Candidate
+from rattanstile.process.mesh.rate_keeper import RateVerdict
+from rattanstile.process.mesh.rerun_budget import RerunBudget
+from rattanstile.process.mesh.root_admission import RootAdmission
+from rattanstile.request.exchange import NotRun, NotRunReason
+from rattanstile.version.fleet_config import FleetState
+
+NODES = 6
+
+
+class Link:
+    """A connection whose messages the test answers."""
+
+    def __init__(self, sent):
+        self.owed = 0
+        self._sent = sent
+
+    def owe(self):
+        self.owed += 1
+
+    def send(self, message):
+        if isinstance(message, CallSent):
+            self._sent.append(message)
+
+
+class EntryDeskTest(unittest.TestCase):
+    """An entry node, and four others with a target of the service each."""
+
+    def setUp(self):
+        state = FleetState(
+            config=config(routes=(route(),), organisations=(organisation(),))
+        )
+        made, self.clock, _ = context(state)
+        self.sent = []
+        self.ends = []
+        links = {f'n{number}': Link(self.sent) for number in range(2, NODES)}
+        admitted = RateVerdict(
+            is_admitted=True, may_ask=False, tokens=1, part=1
+        )
+        rates = SimpleNamespace(
+            keeper=SimpleNamespace(
+                take=lambda now_s, one: admitted, give_back=lambda one: None
+            )
+        )
+        serving = SimpleNamespace(
+            watch=SimpleNamespace(service='other'), is_usable=False
+        )
+        reruns = RerunBudget(0.2, 4)
+        reruns.nodes_known(4)
+        self.desk = EntryDesk(
+            made,
+            serving,
+            SimpleNamespace(link_to=links.get),
+            rates,
+            RootAdmission(made.chance),
+            reruns,
+        )
+        for name in links:
+            self.desk.attempts.candidates[name] = Candidate(
+                name, 'registry', 'east', USABLE
+            )
+
+    def sends(self, reason, count):
+        """Return how many sends a number of requests take."""
+        total = 0
+        for number in range(count):
+            self.desk.begin(asked(f'r{number}'), self.ends.append)
+            while self.sent:
+                total += 1
+                self.refuse(reason)
+        return total
+
+    def refuse(self, reason):
+        message = self.sent.pop(0)
+        call = self.desk.attempts._sent[message.sequence]
+        self.desk.attempts.peer_ended(
+            call.receiver,
+            CallEnded(message.sequence, None, reason.value, 0, USABLE),
+        )
+
+    def test_sends_that_targets_refuse_are_within_the_budget(self):
+        """All targets of a service refuse: grown Vedlott, scale-1.
+
+        Each refusal was followed by a send to the next target, without end.
+        """
+        total = self.sends(NotRunReason.TARGET_REFUSED, 200)
+        self.assertLess(total - 200, 0.2 * 200)
+        self.assertEqual(len(self.ends), 200)
+        self.assertTrue(all(isinstance(end, NotRun) for end in self.ends))
+
+    def test_what_reached_no_target_goes_on(self):
+        """A node that has no room passes it on at no charge."""
+        total = self.sends(NotRunReason.QUEUE_FULL, 20)
+        self.assertEqual(total, 20 * (NODES - 2))
