Targets that fail calls while healthy are gone round

Change: each node tells what share of its calls its target fails of late; placement leaves out those that fail more than the best by 0.15, but for the two calls in a hundred that go anywhere. Tests: test_mesh_placement, test_serving_desk, fail before.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -47,6 +47,7 @@
             refused included.
         capacity_deci_per_s: Tenths of calls a second that the target
             serves.
+        failing_percent: Share of its calls that the target fails of late.
     """
 
     is_usable: bool = False
@@ -56,6 +57,7 @@
     wait_us: int = 0
     offered_deci_per_s: int = 0
     capacity_deci_per_s: int = 0
+    failing_percent: int = 0
 
 
 class PeerHello(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/src/rattanstile/process/mesh/placement.py
+++ b/src/rattanstile/process/mesh/placement.py
@@ -5,6 +5,8 @@
 bytes between domains cost most. Beyond that the target with the shortest
 expected time is chosen, of a random few (power of choices, Mitzenmacher,
 2001), so that nodes that all heard the same news don't all choose the same.
+A target that fails more of its calls than the others of its service gets
+only a few, by which it is found to be sound again.
 """
 
 from collections.abc import Iterable
@@ -19,11 +21,14 @@
 """Parts of the aim that a call may wait to stay in its failure domain: the
 answers of root calls are long, and an inner call waits after others."""
 MOST_COMPARED = 6
+PERCENT = 100
 FAR_S = 0.004
 """Both ways between failure domains."""
 SHORTEST_SERVICE_S = 0.002
 UNKNOWN_SERVICE_S = 0.002
 """A target that has run nothing yet is tried soon."""
+ALLOWED_FAILING = 0.15
+"""A target that fails so much more than the best is gone round."""
 TRIED_SHARE = 0.02
 """Part of the calls that go to any near target, so that one which was slow
 once is found to be quick again."""
@@ -103,6 +108,8 @@
     near = [each for each in lively if each.domain == own]
     if near and chance.random() < TRIED_SHARE:
         return chance.choice(near)
+    lively = _sound(lively)
+    near = [each for each in lively if each.domain == own]
     if near:
         best = _quickest(near, own, chance)
         if best.expected_wait_s() <= near_wait_s:
@@ -110,6 +117,13 @@
     return _quickest(lively, own, chance)
 
 
+def _sound(lively: list[Candidate]) -> list[Candidate]:
+    """Return those that don't fail more than the others."""
+    least = min(each.load.failing_percent for each in lively)
+    allowed = least + ALLOWED_FAILING * PERCENT
+    return [each for each in lively if each.load.failing_percent <= allowed]
+
+
 def _quickest(
     pool: list[Candidate], own: FailureDomainId, chance: Random
 ) -> Candidate:
--- a/src/rattanstile/process/mesh/serving_desk.py
+++ b/src/rattanstile/process/mesh/serving_desk.py
@@ -11,6 +11,7 @@
 from rattanstile.process.decision_log import Kind
 from rattanstile.process.mesh.call_tree import CallTree
 from rattanstile.process.mesh.context import NodeContext
+from rattanstile.process.mesh.failing_share import FailingShare
 from rattanstile.process.mesh.ports import (
     RunAnswered,
     RunFailed,
@@ -44,6 +45,8 @@
 OVERDUE_S = 0.3
 """A target answers by itself at the deadline; its answer may be lost."""
 MS_PER_S = 1000
+PERCENT = 100
+_SERVER_ERROR = 500
 
 
 @dataclass(eq=False, slots=True)
@@ -86,6 +89,7 @@
         self.watch = watch
         self.gate = TargetGate()
         self.tree = CallTree()
+        self._failing = FailingShare()
         self._is_stopping = False
         self._context = context
         self._state = context.state
@@ -125,6 +129,7 @@
             wait_us=int(wait_s * 1e6),
             offered_deci_per_s=int(gate.offered_per_s(now_s) * 10),
             capacity_deci_per_s=int(gate.capacity_per_s(is_cold=is_cold) * 10),
+            failing_percent=int(self._failing.share(now_s) * PERCENT),
         )
 
     def needs(self, route: str, below: ServiceNeeds) -> tuple[ServiceNeed, ...]:
@@ -294,6 +299,7 @@
                 continue
             self._served.pop(key)
             self._log_failed(now_s, served.waiting, 'overdue')
+            self._failing.add(now_s, is_failed=True)
             self._pool.abandon(served.exchange)
             served.ended(Unknown(UnknownReason.DEADLINE))
 
@@ -323,6 +329,8 @@
         )
         self.gate.ended(now_s, waiting, ran=isinstance(run_end, RunAnswered))
         self.tree.ended(now_s, waiting.call.route)
+        if end is not ExchangeFailure.ABANDONED:
+            self._failing.add(now_s, is_failed=_is_failed(run_end))
         is_wanted = self._served.pop(waiting.key, None) is not None
         if is_wanted:
             served.ended(self._ending(now_s, waiting, run_end))
@@ -417,3 +425,14 @@
             service_ms=round(self.gate.service_s * MS_PER_S, 1),
             left_ms=call.remaining_ms,
         )
+
+
+def _is_failed(run_end: RunAnswered | RunRefused | RunFailed) -> bool:
+    """Tell whether the target failed a call that reached it."""
+    match run_end:
+        case RunAnswered(answer):
+            return answer.status >= _SERVER_ERROR
+        case RunRefused(is_other_target):
+            return not is_other_target
+        case RunFailed(failure):
+            return failure is not ExchangeFailure.UNSENT
--- a/tests/test_mesh_placement.py
+++ b/tests/test_mesh_placement.py
@@ -50,6 +50,19 @@
         self.assertGreater(found['quick'], 950)
         self.assertGreater(found['slow'], 0)
 
+    def test_a_target_that_fails_calls_gets_little(self):
+        """It refuses half of them at once, and looks idle."""
+        grey = candidate('grey', failing_percent=50, service_us=5_000)
+        found = chosen([grey, candidate('sound', held=8, wait_us=40_000)])
+        self.assertGreater(found['sound'], 950)
+        self.assertGreater(found['grey'], 0)
+
+    def test_targets_that_all_fail_alike_are_all_used(self):
+        """Their failures come from a deeper service."""
+        pool = [candidate(name, failing_percent=40) for name in 'abc']
+        found = chosen(pool)
+        self.assertGreater(min(found.values()), 200)
+
     def test_a_new_target_is_tried(self):
         """It has told no time yet."""
         new = candidate('new', service_us=0)
--- a/tests/test_serving_desk.py
+++ b/tests/test_serving_desk.py
@@ -122,6 +122,14 @@
         self.pool.sent[0].ended(RESPONSE)
         self.assertEqual(self.ends, [NotRun(NotRunReason.TARGET_REFUSED)])
 
+    def test_a_target_that_refuses_calls_is_told_to_others(self):
+        """It looks idle, so they would send it more."""
+        self.dialect.meaning = RunRefused(is_other_target=False)
+        for _ in range(40):
+            self.begin()
+            self.pool.sent[-1].ended(RESPONSE)
+        self.assertGreater(self.desk.load().failing_percent, 70)
+
     def test_another_target_at_the_address_is_not_used(self):
         """Until it announces itself."""
         self.dialect.meaning = RunRefused(is_other_target=True)
