Rates of small organisations come out of one pool

Change: a node holds a part only of what it is asked often (4 a second); all else is in the pool, from which single tokens are asked. A node that shares rates out and lets an ask wait is doubted for 2 s and the next one is asked. Nodes that say that they leave are no longer counted as unreached. Tests: test_mesh_rates, 82 nodes and one small organisation (fails before), and five sets of nodes that are cut off.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -191,6 +191,10 @@
     left_born_ms: int = 0
 
 
+class MembersWanted(msgspec.Struct, frozen=True, array_like=True, tag=17):
+    """The sender has started, and can't read the other nodes itself."""
+
+
 class MembersTold(msgspec.Struct, frozen=True, array_like=True, tag=14):
     """Nodes that the sender is connected to."""
 
--- a/src/rattanstile/process/mesh/peer_desk.py
+++ b/src/rattanstile/process/mesh/peer_desk.py
@@ -186,7 +186,7 @@
             case RatesReported() | RatesShared() | TokenWanted() | TokenGiven():
                 self._rates.message(link, message)
             case Leaving():
-                self._told(link.node_id, TargetLoad())
+                self._peers.forget(link.node_id)
             case MembersTold(members):
                 self._members_told(members)
 
--- a/src/rattanstile/process/mesh/rate_keeper.py
+++ b/src/rattanstile/process/mesh/rate_keeper.py
@@ -1,16 +1,16 @@
 """Admission by the rate of each organisation, over all nodes together.
 
-Each node holds a part of each organisation's rate, as a fraction that is in
-force for whatever rate operators set. One node of those that are connected
-collects what is asked where and shares the fractions out anew, in proportion
-to demand. It also keeps a pool, of which a node asks a token when its own
-part is used up: so an organisation gets its whole rate wherever its requests
-come in, however few they are. A node that hears nothing for a while goes
-back to an even part; a pool grows only with the part of the fleet that its
-node reaches, so that two halves of a partition together hand out no more.
+One node of those that are connected keeps a pool of each organisation's rate,
+of which the others ask single tokens: so an organisation gets its whole rate
+wherever its requests come in, however few they are. A node where many of them
+come in holds a part of the rate itself, as a fraction that is in force for
+whatever rate operators set, and asks the pool only beyond it. A node that
+hears nothing for a while goes back to an even part; a pool grows only with
+the part of the fleet that its node reaches, so that two halves of a partition
+together hand out no more.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from rattanstile.request.ids import OrganisationId
@@ -20,7 +20,7 @@
 """How long a part is kept without news."""
 DEMAND_WINDOW_S = 1.0
 LOCAL_SHARE = 0.6
-"""Part of each rate that nodes hold; the rest is in the pool."""
+"""Most of each rate that nodes hold; the rest is in the pool."""
 RATE_SHARE = 1.03
 BURST_SHARE = 1.08
 SPARE_CALLS = 10.0
@@ -30,7 +30,8 @@
 LONGEST_RETRY_S = 2.0
 LONGEST_DRY_S = 0.25
 """A pool that was dry is asked again after this time at the latest."""
-LEAST_DEMAND_PER_S = 0.05
+LEAST_PART_PER_S = 4.0
+"""A node asked for less by an organisation holds no part of its rate."""
 
 
 @dataclass(slots=True)
@@ -152,17 +153,15 @@
             seen_per_s = bucket.asked / passed_s
             bucket.asked = 0
             bucket.demand_per_s += gain * (seen_per_s - bucket.demand_per_s)
-            if bucket.demand_per_s > LEAST_DEMAND_PER_S:
+            if bucket.demand_per_s >= LEAST_PART_PER_S:
                 found[name] = round(bucket.demand_per_s, 2)
         return found
 
     def shared(self, now_s: float, parts: dict[OrganisationId, float]) -> None:
         """Take the parts that this node holds from now on."""
-        for name, part in parts.items():
-            bucket = self._buckets.get(name)
-            if bucket is not None:
-                bucket.part = part * LOCAL_SHARE
-                bucket.part_until_s = now_s + PART_LASTS_S
+        for name, bucket in self._buckets.items():
+            bucket.part = parts.get(name, 0.0)
+            bucket.part_until_s = now_s + PART_LASTS_S
 
     def _bucket(self, now_s: float, organisation: Organisation) -> _Bucket:
         bucket = self._buckets.get(organisation.name)
@@ -199,6 +198,7 @@
         now_s: float,
         organisations: Iterable[Organisation],
         reachable: float,
+        held: Mapping[OrganisationId, float],
     ) -> None:
         """Fill the pools.
 
@@ -206,6 +206,7 @@
             now_s: Monotonic seconds.
             organisations: Those with a rate.
             reachable: Part of the fleet that reports to this node.
+            held: Parts of the rates that nodes hold themselves.
         """
         for organisation in organisations:
             bucket = self._buckets.get(organisation.name)
@@ -213,7 +214,8 @@
                 bucket = _Bucket(filled_s=now_s, part=0)
                 self._buckets[organisation.name] = bucket
             bucket.fill(now_s, organisation, 0)
-            bucket.part = (1 - LOCAL_SHARE) * reachable
+            part = reachable - held.get(organisation.name, 0.0)
+            bucket.part = max(0.0, part)
 
     def stop(self) -> None:
         """Empty the pools: another node shares the rates out now."""
--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rate_service.py
@@ -1,6 +1,7 @@
 """Joins the parts of rates of this node with those of the fleet."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from rattanstile.connection.peer_messages import (
     RatesReported,
@@ -9,6 +10,7 @@
     TokenWanted,
 )
 from rattanstile.connection.peer_pool import PeerLink, PeerPool
+from rattanstile.process.decision_log import Kind
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.rate_keeper import RateKeeper, RatePool
 from rattanstile.process.mesh.rate_sharer import RateSharer
@@ -18,10 +20,27 @@
 
 ASK_TIMEOUT_S = 0.1
 """Many times the way to another failure domain and back."""
+DOUBT_S = 2.0
+"""A node that let an ask wait for too long shares nothing out for a while."""
 
 TokenHandler = Callable[[bool], None]
 
 
+@dataclass(eq=False, slots=True)
+class _Ask:
+    """A request that waits for a token.
+
+    Attributes:
+        sharer: Whom it was asked of.
+        is_second: Whether another one was asked before.
+    """
+
+    organisation: Organisation
+    answered: TokenHandler
+    sharer: NodeId
+    is_second: bool
+
+
 class RateService:
     """Reports demand, takes parts, and asks for tokens of the pool.
 
@@ -44,11 +63,14 @@
         self._state = context.state
         self._peers = peers
         self._timers = context.timers
+        self._log = context.log
         self._admission = admission
         self._sharer = RateSharer()
+        self._sharer_id = context.node_id
+        self._doubted_until_s: dict[NodeId, float] = {}
         self._pool = RatePool()
         self._sequence = 0
-        self._asked: dict[int, tuple[Organisation, TokenHandler]] = {}
+        self._asked: dict[int, _Ask] = {}
 
     def config_changed(self) -> None:
         """Begin to collect tokens of new organisations."""
@@ -60,34 +82,20 @@
         self.keeper.nodes_known(self.fleet)
         demand = self.keeper.demand(now_s)
         calls = self._admission.own_demand()
-        sharer = self._sharer_id()
-        if sharer == self._node_id:
-            self._sharer.reported(now_s, sharer, demand, calls)
+        self._choose_sharer(now_s)
+        if self._sharer_id == self._node_id:
+            self._sharer.reported(now_s, self._node_id, demand, calls)
             self._share_own(now_s)
             return
         self._pool.stop()
-        link = self._peers.link_to(sharer)
+        link = self._peers.link_to(self._sharer_id)
         if link is not None:
             self._sequence += 1
             link.send(RatesReported(self._sequence, demand, calls))
 
     def ask(self, organisation: Organisation, answered: TokenHandler) -> None:
         """Ask the pool for a token; `answered` is told once, soon."""
-        sharer = self._sharer_id()
-        now_s = self._timers.now_s()
-        if sharer == self._node_id:
-            taken = self._pool.take(now_s, organisation)
-            self._settle(organisation, answered, taken.is_granted, taken.wait_s)
-            return
-        link = self._peers.link_to(sharer)
-        if link is None:
-            answered(False)
-            return
-        self._sequence += 1
-        sequence = self._sequence
-        self._asked[sequence] = (organisation, answered)
-        self._timers.after(ASK_TIMEOUT_S, lambda _: self._timed_out(sequence))
-        link.send(TokenWanted(sequence, organisation.name))
+        self._ask(organisation, answered, is_second=False)
 
     def message(
         self,
@@ -107,11 +115,45 @@
             case TokenGiven(sequence, is_granted, wait_ms):
                 asked = self._asked.pop(sequence, None)
                 if asked is not None:
-                    self._settle(*asked, is_granted, wait_ms / 1000)
+                    self._settle(asked, wait_ms / 1000, is_granted=is_granted)
+
+    def _ask(
+        self,
+        organisation: Organisation,
+        answered: TokenHandler,
+        *,
+        is_second: bool,
+    ) -> None:
+        now_s = self._timers.now_s()
+        link = self._peers.link_to(self._sharer_id)
+        if link is None:
+            self._choose_sharer(now_s)
+            link = self._peers.link_to(self._sharer_id)
+        ask = _Ask(organisation, answered, self._sharer_id, is_second)
+        if link is None:
+            taken = self._pool.take(now_s, organisation)
+            self._settle(ask, taken.wait_s, is_granted=taken.is_granted)
+            return
+        self._sequence += 1
+        sequence = self._sequence
+        self._asked[sequence] = ask
+        self._timers.after(ASK_TIMEOUT_S, lambda _: self._timed_out(sequence))
+        link.send(TokenWanted(sequence, organisation.name))
 
-    def _sharer_id(self) -> NodeId:
-        connected = (one.node_id for one in self._peers.connected())
-        return min((*connected, self._node_id))
+    def _choose_sharer(self, now_s: float) -> None:
+        """Choose the first node by name that answers."""
+        for node_id, until_s in tuple(self._doubted_until_s.items()):
+            if until_s <= now_s:
+                self._doubted_until_s.pop(node_id)
+        self._sharer_id = min(
+            (
+                one.node_id
+                for one in self._peers.connected()
+                if one.node_id not in self._doubted_until_s
+            ),
+            default=self._node_id,
+        )
+        self._sharer_id = min(self._sharer_id, self._node_id)
 
     def _organisations(self) -> dict[OrganisationId, Organisation]:
         config = self._state().config
@@ -120,12 +162,14 @@
         return {one.name: one for one in config.organisations.values()}
 
     def _share_own(self, now_s: float) -> None:
-        parts = self._sharer.parts_of(now_s, self._node_id, self.fleet)
-        self.keeper.shared(now_s, parts)
+        organisations = self._organisations()
+        self._sharer.share(now_s, self.fleet, organisations)
+        self.keeper.shared(now_s, self._sharer.parts_of(self._node_id))
         self._pool.know(
             now_s,
-            self._organisations().values(),
+            organisations.values(),
             self._sharer.reachable(now_s, self.fleet),
+            self._sharer.held,
         )
         self._admission.fleet_demand(self._sharer.calls_per_s(), self.fleet)
 
@@ -135,7 +179,7 @@
         self._sharer.reported(
             now_s, link.node_id, message.demand_per_s, message.calls_per_s
         )
-        parts = self._sharer.parts_of(now_s, link.node_id, self.fleet)
+        parts = self._sharer.parts_of(link.node_id)
         calls = self._sharer.calls_per_s()
         link.send(RatesShared(message.sequence, parts, calls, self.fleet))
 
@@ -153,16 +197,25 @@
 
     def _timed_out(self, sequence: int) -> None:
         asked = self._asked.pop(sequence, None)
-        if asked is not None:
-            self._settle(*asked, False, 2 * ASK_TIMEOUT_S)
+        if asked is None:
+            return
+        now_s = self._timers.now_s()
+        self._doubted_until_s[asked.sharer] = now_s + DOUBT_S
+        self._choose_sharer(now_s)
+        self._log.write(
+            Kind.RATE,
+            'rate_sharer_doubted',
+            sharer=asked.sharer,
+            waited_s=ASK_TIMEOUT_S,
+            next=self._sharer_id,
+        )
+        if asked.is_second:
+            self._settle(asked, ASK_TIMEOUT_S, is_granted=False)
+        else:
+            self._ask(asked.organisation, asked.answered, is_second=True)
 
-    def _settle(
-        self,
-        organisation: Organisation,
-        answered: TokenHandler,
-        is_granted: bool,  # noqa: FBT001
-        wait_s: float,
-    ) -> None:
+    def _settle(self, asked: _Ask, wait_s: float, *, is_granted: bool) -> None:
         if not is_granted:
-            self.keeper.pool_was_dry(self._timers.now_s(), organisation, wait_s)
-        answered(is_granted)
+            now_s = self._timers.now_s()
+            self.keeper.pool_was_dry(now_s, asked.organisation, wait_s)
+        asked.answered(is_granted)
--- a/tests/test_mesh_rates.py
+++ b/tests/test_mesh_rates.py
@@ -21,25 +21,27 @@
     Nodes in `cut` reach no other node.
     """
 
-    def __init__(self, demand_per_s, seed=1):
+    def __init__(self, demand_per_s, seed=1, organisation=NORTH):
         """Take each node's requests a second."""
+        self.nodes = len(demand_per_s)
+        self.organisation = organisation
         self.demand_per_s = demand_per_s
-        self.keepers = [RateKeeper() for _ in range(NODES)]
-        self.sharers = [RateSharer() for _ in range(NODES)]
-        self.pools = [RatePool() for _ in range(NODES)]
+        self.keepers = [RateKeeper() for _ in range(self.nodes)]
+        self.sharers = [RateSharer() for _ in range(self.nodes)]
+        self.pools = [RatePool() for _ in range(self.nodes)]
         self.admitted_s = []
         self.refused = 0
         self.cut = set()
         self._chance = Random(seed)
         for keeper in self.keepers:
-            keeper.nodes_known(NODES)
-            keeper.know(0, (NORTH,))
+            keeper.nodes_known(self.nodes)
+            keeper.know(0, (organisation,))
 
     def run(self, from_s, until_s, step_s=0.01):
         now_s = from_s
         report_s = from_s
         while now_s < until_s:
-            for node in range(NODES):
+            for node in range(self.nodes):
                 expected = self.demand_per_s[node] * step_s
                 if self._chance.random() < expected:
                     self._ask(now_s, node)
@@ -57,17 +59,19 @@
     def _group(self, node):
         if node in self.cut:
             return (node,)
-        return tuple(one for one in range(NODES) if one not in self.cut)
+        return tuple(one for one in range(self.nodes) if one not in self.cut)
 
     def _ask(self, now_s, node):
-        verdict = self.keepers[node].take(now_s, NORTH)
+        verdict = self.keepers[node].take(now_s, self.organisation)
         sharer = min(self._group(node))
         is_admitted = verdict.is_admitted
         if not is_admitted and verdict.may_ask:
-            given = self.pools[sharer].take(now_s, NORTH)
+            given = self.pools[sharer].take(now_s, self.organisation)
             is_admitted = given.is_granted
             if not is_admitted:
-                self.keepers[node].pool_was_dry(now_s, NORTH, given.wait_s)
+                self.keepers[node].pool_was_dry(
+                    now_s, self.organisation, given.wait_s
+                )
         if is_admitted:
             self.admitted_s.append(now_s)
         else:
@@ -79,13 +83,17 @@
             demand = keeper.demand(now_s)
             self.sharers[sharer].reported(now_s, node, demand, {})
             if sharer == node:
+                shared = self.sharers[node]
+                shared.share(now_s, self.nodes, {'north': self.organisation})
                 self.pools[node].know(
-                    now_s, (NORTH,), self.sharers[node].reachable(now_s, NODES)
+                    now_s,
+                    (self.organisation,),
+                    shared.reachable(now_s, self.nodes),
+                    shared.held,
                 )
             else:
                 self.pools[node].stop()
-            parts = self.sharers[sharer].parts_of(now_s, node, NODES)
-            keeper.shared(now_s, parts)
+            keeper.shared(now_s, self.sharers[sharer].parts_of(node))
 
 
 class RateTest(unittest.TestCase):
@@ -103,6 +111,20 @@
         total = fleet.refused + len(fleet.admitted_s)
         self.assertLess(fleet.refused / total, 0.01)
 
+    def test_nor_where_many_nodes_are_each_seldom_asked(self):
+        """A small organisation in a fleet of 82: the grown Vedlott's calm day.
+
+        Parts that never added up to one request were lost to it.
+        """
+        small = organisation('north', rate_per_s=16.0)
+        fleet = Fleet([0.8 * 16.0 / 82] * 82, organisation=small)
+        fleet.run(0, 10)
+        fleet.refused = 0
+        fleet.admitted_s.clear()
+        fleet.run(10, 22)
+        total = fleet.refused + len(fleet.admitted_s)
+        self.assertLess(fleet.refused / total, 0.01)
+
     def test_no_window_has_more_than_is_allowed(self):
         """Eight times the rate, that moves from node to node."""
         fleet = Fleet([800 / NODES] * NODES)
@@ -112,14 +134,16 @@
         self.assertLessEqual(fleet.worst_window(), ALLOWED)
 
     def test_nor_while_nodes_are_cut_off(self):
-        """Five nodes reach nobody, and are asked like the others."""
-        fleet = Fleet([800 / NODES] * NODES)
-        fleet.run(0, 4)
-        fleet.cut = {0, 3, 6, 9, 12}
-        fleet.run(4, 12)
-        fleet.cut = set()
-        fleet.run(12, 18)
-        self.assertLessEqual(fleet.worst_window(), ALLOWED)
+        """They reach nobody, and are asked like the others."""
+        for cut in ({0, 3, 6, 9, 12}, {0}, {0, 1}, set(range(7)), {13}):
+            fleet = Fleet([800 / NODES] * NODES)
+            fleet.run(0, 4)
+            fleet.cut = cut
+            fleet.run(4, 12)
+            fleet.cut = set()
+            fleet.run(12, 18)
+            with self.subTest(cut=cut):
+                self.assertLessEqual(fleet.worst_window(), ALLOWED)
 
     def test_a_new_process_begins_with_nothing(self):
         """What its predecessor admitted counts in the same window."""
