Nodes tell each other less across failure domains

Change: only a node that could not read the members asks three peers for them; a copy of the configuration is asked of one node at a time, in the own domain first; a node whose record is unchanged neither writes nor reads it again. A node that says that it leaves isn't counted in the fleet until it is back.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -230,6 +230,7 @@
     | Leaving
     | PeerPing
     | PeerPong
+    | MembersWanted
     | MembersTold
     | TokenWanted
     | TokenGiven
--- a/src/rattanstile/connection/peer_pool.py
+++ b/src/rattanstile/connection/peer_pool.py
@@ -195,6 +195,7 @@
         self.link: PeerLink | None = None
         self.is_connecting = False
         self.is_forgotten = False
+        self.has_left = False
         self.backoff_s = FIRST_BACKOFF_S
         self.failing_since_s: float | None = None
         self._pool = pool
@@ -222,6 +223,7 @@
             return
         self.backoff_s = FIRST_BACKOFF_S
         self.failing_since_s = None
+        self.has_left = False
         self.link = link
         self._pool.handler.peer_ready(link)
 
@@ -340,6 +342,16 @@
         """Return all nodes that are known, connected or not."""
         return tuple(each.member for each in self._contacts.values())
 
+    def left(self, node_id: NodeId) -> None:
+        """Learn that a node's process is about to end; it may come back."""
+        contact = self._contacts.get(node_id)
+        if contact is not None:
+            contact.has_left = True
+
+    def fleet(self) -> int:
+        """Return how many nodes there may be, this one included."""
+        return 1 + sum(not each.has_left for each in self._contacts.values())
+
     def connected(self) -> tuple[PeerMember, ...]:
         """Return the nodes that can be sent calls."""
         return tuple(
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -99,7 +99,7 @@
             surroundings.store,
             self._words,
             self.peer_desk.member,
-            self.peers.know,
+            self.peer_desk.members_read,
             self.serving.watch.recall,
             log,
             chance,
@@ -137,7 +137,9 @@
             self.admission,
             self._reruns,
         )
-        self._relay = ConfigRelay(self._words, self.peers, self.timers)
+        self._relay = ConfigRelay(
+            self._words, self.peers, self.timers, self.context.domain
+        )
         self.peer_desk.join(
             self.peers, self.entry, self.serving, self._rates, self._relay
         )
--- a/src/rattanstile/process/mesh/peer_desk.py
+++ b/src/rattanstile/process/mesh/peer_desk.py
@@ -1,5 +1,7 @@
 """Takes what other nodes send, and tells them of this one."""
 
+from collections.abc import Iterable
+
 from rattanstile.connection.peer_messages import (
     CallCancelled,
     CallEnded,
@@ -9,6 +11,7 @@
     ConfigWanted,
     Leaving,
     MembersTold,
+    MembersWanted,
     PeerHello,
     PeerMember,
     PeerMessage,
@@ -38,6 +41,8 @@
 CHANGED_SHARE = 0.3
 """A capacity that changes by more is told, as when a target gets warm."""
 INCARNATION_BITS = 48
+MOST_MEMBERS_ASKED = 3
+"""Peers that a node asks for the others while it can't read them itself."""
 
 
 class PeerDesk:
@@ -56,6 +61,7 @@
         self._needs_told_s: dict[tuple[NodeId, str], float] = {}
         self._is_busy_told = False
         self._capacity_told = 0
+        self._members_asked = 0
 
     def join(
         self,
@@ -153,14 +159,15 @@
         hello = link.hello
         if hello is None:
             return
-        members = (*self._peers.known(), self.member())
         self._peers.know(
             PeerMember(
                 hello.node_id, hello.address, hello.service, hello.domain
             )
         )
         self._peers.hurry(hello.node_id)
-        link.send(MembersTold(members))
+        if self._members_asked < MOST_MEMBERS_ASKED:
+            self._members_asked += 1
+            link.send(MembersWanted())
 
     def peer_left(self, link: PeerLink) -> None:
         """Drop the calls of a node whose connection is gone."""
@@ -186,10 +193,20 @@
             case RatesReported() | RatesShared() | TokenWanted() | TokenGiven():
                 self._rates.message(link, message)
             case Leaving():
-                self._peers.forget(link.node_id)
+                self._peers.left(link.node_id)
+                self._told(link.node_id, TargetLoad())
+            case MembersWanted():
+                link.send(MembersTold(self._peers.known()))
             case MembersTold(members):
                 self._members_told(members)
 
+    def members_read(self, members: Iterable[PeerMember]) -> None:
+        """Get to know the nodes that have announced themselves."""
+        self._members_asked = MOST_MEMBERS_ASKED
+        for member in members:
+            if member.node_id != self._context.node_id:
+                self._peers.know(member)
+
     def _members_told(self, members: tuple[PeerMember, ...]) -> None:
         known = {member.node_id for member in self._peers.known()}
         known.add(self._context.node_id)
--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rate_service.py
@@ -78,7 +78,7 @@
 
     def report(self, now_s: float) -> None:
         """Report demand to the node that shares the rates out."""
-        self.fleet = len(self._peers.known()) + 1
+        self.fleet = self._peers.fleet()
         self.keeper.nodes_known(self.fleet)
         demand = self.keeper.demand(now_s)
         calls = self._admission.own_demand()
--- a/src/rattanstile/process/mesh/root_admission.py
+++ b/src/rattanstile/process/mesh/root_admission.py
@@ -117,6 +117,11 @@
     expected_per_s: float | None = None
     parts: dict[Kind, float] = field(default_factory=dict)
 
+    @property
+    def answers_nobody(self) -> bool:
+        """Tell whether no target of the service is fit."""
+        return self.view is not None and self.view.capacity_per_s == 0
+
     def own_per_s(self) -> float:
         """Return the calls a second that this node's requests would take."""
         return sum(one.rate_per_s * one.runs for one in self.kinds.values())
@@ -219,6 +224,9 @@
             asked = service.kinds.setdefault(kind, _Asked(need.runs))
             asked.runs = need.runs
             asked.since_step += 1
+            if need.service == run.service and service.answers_nobody:
+                # The request itself waits a moment for a target to be fit.
+                continue
             part = service.parts.get(kind, service.let_in)
             if part < least:
                 least = part
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -1,6 +1,6 @@
 """Follows the operators' log, and finds the other nodes, in the store."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from random import Random
 from typing import TypeVar
 
@@ -40,7 +40,7 @@
         store: The platform's.
         words: Takes the operators' records.
         member: This node.
-        found: Told each node that has announced itself.
+        found: Told the nodes that have announced themselves.
         recall: Told the target that left while an earlier run of this node
             was beside it.
     """
@@ -51,7 +51,7 @@
         store: FleetStore,
         words: OperatorWords,
         member: Callable[[], PeerMember],
-        found: Callable[[PeerMember], None],
+        found: Callable[[Iterable[PeerMember]], None],
         recall: Callable[[TargetLeft], None],
         log: DecisionLog,
         chance: Random,
@@ -89,11 +89,13 @@
         if earlier is not None:
             left = TargetLeft(earlier.left, earlier.left_born_ms)
         self._recall(left)
+        self._found(before.values())
+        if earlier == self._member():
+            return
         await self.keep_member()
+        # Nodes that start together have not read each other.
         members = await self._read_members()
-        for found in {**before, **members}.values():
-            if found.node_id != self._member().node_id:
-                self._found(found)
+        self._found(members.values())
 
     async def _read_members(self) -> Mapping[NodeId, PeerMember]:
         members = await self._until_done(self._store.members) or NO_MEMBERS
--- a/src/rattanstile/process/mesh/target_watch.py
+++ b/src/rattanstile/process/mesh/target_watch.py
@@ -146,7 +146,10 @@
 
     def left(self, told: TargetLeft) -> Heard:
         """Take a target's word that it goes."""
-        self.last_left = told
+        born_ms = told.born_ms
+        if told.target_id == self.target_id:
+            born_ms = max(born_ms, self._born_ms)
+        self.last_left = TargetLeft(told.target_id, born_ms)
         if self.target_id not in {told.target_id, TargetId('')}:
             return Heard.NOTHING
         self.target_id = told.target_id
--- a/src/rattanstile/standin/platform_target.py
+++ b/src/rattanstile/standin/platform_target.py
@@ -25,6 +25,8 @@
 from rattanstile.process.timers import TimerService
 from rattanstile.request.exchange import RawHeader
 
+BORN_MS = 1_700_000_000_000
+"""Start of every stand-in, in milliseconds since the epoch."""
 ANNOUNCE_TIMEOUT_S = 1.0
 CHILD_TIMEOUT_S = 2.0
 _MS_PER_S = 1000
@@ -74,7 +76,10 @@
         """Say that it goes, and no more; it goes on serving."""
         self._is_silent = True
         path = f'/v1/instances/{self._plan.target_id}/deregister'
-        written = encode_request('POST', path, ((b'host', b'node'),))
+        told = {'born': BORN_MS}
+        written = encode_request(
+            'POST', path, ((b'host', b'node'),), msgspec.json.encode(told)
+        )
         self._announcer.send(written, ANNOUNCE_TIMEOUT_S)
 
     def announce(self, now_s: float) -> None:
@@ -85,7 +90,7 @@
         plan = self._plan
         told = {
             'address': plan.address,
-            'born': 1_700_000_000_000,
+            'born': BORN_MS,
             'info': {
                 'service': plan.service,
                 'version': 'v1',
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -105,11 +105,24 @@
         self.clock = Clock()
         self.words = words()
         self.sent = []
-        self.link = SimpleNamespace(node_id='n2', send=self.sent.append)
-        peers = SimpleNamespace(
-            broadcast=self.sent.append, link_to=lambda name: self.link
+        self.links_asked = []
+        self.link = self.peer('n2', 'east')
+        self.far = self.peer('n3', 'west')
+        links = {'n2': self.link, 'n3': self.far}
+        peers = SimpleNamespace(broadcast=self.sent.append, link_to=links.get)
+        self.relay = ConfigRelay(
+            self.words, peers, TimerService(self.clock), 'east'
+        )
+
+    def peer(self, name, domain):
+        return SimpleNamespace(
+            node_id=name,
+            hello=SimpleNamespace(domain=domain),
+            send=lambda message: (
+                self.sent.append(message),
+                self.links_asked.append(name),
+            ),
         )
-        self.relay = ConfigRelay(self.words, peers, TimerService(self.clock))
 
     def test_it_asks_the_one_that_is_ahead(self):
         """After it had the time to read the store itself."""
@@ -119,6 +132,23 @@
         self.relay.check(0.5)
         self.assertEqual(self.sent, [ConfigWanted(0)])
 
+    def test_it_asks_in_its_own_domain(self):
+        """A big configuration crosses to a domain once, not for each node."""
+        self.relay.message(self.far, ConfigNotice(5))
+        self.relay.message(self.link, ConfigNotice(5))
+        self.relay.check(0.5)
+        self.assertEqual(self.links_asked, ['n2'])
+
+    def test_it_asks_one_node_at_a_time(self):
+        """The copy is on its way; another would be a second one."""
+        self.relay.message(self.link, ConfigNotice(5))
+        self.relay.message(self.far, ConfigNotice(5))
+        self.relay.check(0.5)
+        self.relay.check(0.75)
+        self.assertEqual(self.links_asked, ['n2'])
+        self.relay.check(1.1)
+        self.assertEqual(self.links_asked, ['n2', 'n3'])
+
     def test_it_asks_nobody_when_it_has_caught_up(self):
         """The usual case."""
         self.relay.message(self.link, ConfigNotice(4))
--- a/tests/test_root_admission.py
+++ b/tests/test_root_admission.py
@@ -180,6 +180,16 @@
         """It has left the fleet: none of its nodes is known any more."""
         self.assertLess(self.share_let_in({}, 6), 0.1)
 
+    def test_its_own_requests_may_wait_for_a_target(self):
+        """One may be fit in a moment: it is held, not refused at once."""
+        admission = RootAdmission(Random(4))
+        run = RunKind('fees', DEEP)
+        own = (ServiceNeed(DEEP, 1.0),)
+        admission.decide(run, 2, own, 5.0)
+        admission.step({DEEP: ServiceView(0, 0, 0)})
+        verdicts = [admission.decide(run, 2, own, 5.0) for _ in range(50)]
+        self.assertTrue(all(one.is_admitted for one in verdicts))
+
     def test_a_service_that_is_met_soon_is_not_refused(self):
         """A node that starts hears of it within a second."""
         view = ServiceView(0, 2000, 0)
