Routes are looked up by prefix, not one after the other

Cause: a configuration of 1,336 routes makes each request compare its path with up to all prefixes of its host. Change: a table by host and prefix, asked from the longest prefix of the path down. Test: test_fleet_config.

--- a/src/rattanstile/platform/operators.py
+++ b/src/rattanstile/platform/operators.py
@@ -92,9 +92,10 @@
         ValueError: A duration can't be read.
     """
     config = _decoder.decode(document)
-    routes: dict[str, list[FleetRoute]] = {}
+    routes: dict[str, dict[str, FleetRoute]] = {}
     for route in config.routes:
-        routes.setdefault(route.host.lower(), []).append(_route(route))
+        of_host = routes.setdefault(route.host.lower(), {})
+        of_host[route.path_prefix] = _route(route)
     organisations: dict[str, Organisation] = {}
     for tenant in config.tenants:
         organisation = _organisation(tenant)
@@ -102,10 +103,7 @@
             organisations[key] = organisation
     return FleetConfig(
         number=config.version,
-        routes={
-            host: tuple(sorted(found, key=_specificity, reverse=True))
-            for host, found in routes.items()
-        },
+        routes=routes,
         services={
             ServiceName(service.name): _service(service)
             for service in config.services
@@ -115,10 +113,6 @@
     )
 
 
-def _specificity(route: FleetRoute) -> int:
-    return len(route.path_prefix)
-
-
 def _route(route: _Route) -> FleetRoute:
     if route.traffic_split:
         shares = tuple(
--- a/src/rattanstile/version/fleet_config.py
+++ b/src/rattanstile/version/fleet_config.py
@@ -87,12 +87,12 @@
 
     Attributes:
         number: Larger in each later version.
-        routes: By host, longest path prefix first.
+        routes: By host and path prefix; each prefix ends with a slash.
         organisations: By key.
     """
 
     number: int
-    routes: Mapping[str, tuple[FleetRoute, ...]]
+    routes: Mapping[str, Mapping[str, FleetRoute]]
     services: Mapping[ServiceName, FleetService]
     organisations: Mapping[str, Organisation]
     limits: CallerLimits
@@ -104,9 +104,13 @@
 
     def route(self, host: str, path: str) -> FleetRoute | None:
         """Return the route with the longest prefix of the path, if any."""
-        for route in self.routes.get(host, ()):
-            if path.startswith(route.path_prefix):
-                return route
+        of_host = self.routes.get(host, {})
+        end = path.rfind('/')
+        while end >= 0:
+            found = of_host.get(path[: end + 1])
+            if found is not None:
+                return found
+            end = path.rfind('/', 0, end)
         return None
 
 
--- a/tests/mesh_samples.py
+++ b/tests/mesh_samples.py
@@ -74,10 +74,10 @@
 def config(number=1, routes=(), organisations=()):
     by_host = {}
     for one in routes:
-        by_host.setdefault(one.host, []).append(one)
+        by_host.setdefault(one.host, {})[one.path_prefix] = one
     return FleetConfig(
         number=number,
-        routes={host: tuple(found) for host, found in by_host.items()},
+        routes=by_host,
         services={'registry': FleetService('registry', '/h', 50, 3.0, 25.0)},
         organisations={key: one for one in organisations for key in one.keys},
         limits=CallerLimits(),
