--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -128,10 +128,14 @@
 
 
 class ConfigTold(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """What operators state, as of an offset of their log."""
+    """What operators state, as of an offset of their log.
+
+    Attributes:
+        packed: The configuration as it was published, by zlib.
+    """
 
     offset: int
-    document: bytes
+    packed: bytes
     evacuated: tuple[FailureDomainId, ...]
 
 
--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -6,6 +6,7 @@
 that the store turns away.
 """
 
+import zlib
 from dataclasses import dataclass
 
 from rattanstile.connection.peer_messages import (
@@ -20,6 +21,8 @@
 
 RELAY_PATIENCE_S = 0.4
 """A reader of the store is that much behind at most, after a change."""
+PACKING_LEVEL = 1
+"""The quickest: a configuration shrinks to a tenth all the same."""
 ANSWER_S = 0.5
 """Time within which a copy has come, before another node is asked."""
 
@@ -106,7 +109,7 @@
             case ConfigTold():
                 self._words.take_told(
                     message.offset,
-                    message.document,
+                    zlib.decompress(message.packed),
                     frozenset(message.evacuated),
                     f'peer:{link.node_id}',
                 )
@@ -115,6 +118,5 @@
     def _tell(self, link: PeerLink, offset: int) -> None:
         state = self._words.state
         if state.offset > offset:
-            link.send(
-                ConfigTold(state.offset, state.document, tuple(state.evacuated))
-            )
+            packed = zlib.compress(state.document, PACKING_LEVEL)
+            link.send(ConfigTold(state.offset, packed, tuple(state.evacuated)))
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -2,6 +2,7 @@
 
 import os
 import unittest
+import zlib
 from collections import Counter
 from types import SimpleNamespace
 
@@ -159,7 +160,7 @@
 
     def test_it_takes_what_it_is_told(self):
         """And tells others in turn."""
-        told = ConfigTold(4, b'6', ('west',))
+        told = ConfigTold(4, zlib.compress(b'6', 1), ('west',))
         self.relay.message(self.link, told)
         self.assertEqual(self.words.state.config.number, 6)
         self.relay.message(self.link, ConfigWanted(0))
