--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -174,9 +174,11 @@
         with ExitStack() as stack:
             for address, state in self._servers.items():
                 stack.enter_context(serving_http(self._reactor, address, state))
-            peer_address = self.settings.peer_address
+            listen_address = (
+                self.settings.peer_listen_address or self.settings.peer_address
+            )
             stack.enter_context(
-                serving_peers(self._reactor, peer_address, self.peers)
+                serving_peers(self._reactor, listen_address, self.peers)
             )
             stack.enter_context(self.timers.every(TICK_S, self._tick))
             stack.callback(self._stopped)
@@ -222,6 +224,7 @@
 
     def _tick(self, now_s: float) -> None:
         self.serving.check(now_s)
+        self._rates.check(now_s)
         self.entry.check(now_s)
         if now_s >= self._admission_due_s:
             self._admission_due_s = now_s + STEP_S - TICK_S / 2
--- a/src/rattanstile/process/mesh/rate_keeper.py
+++ b/src/rattanstile/process/mesh/rate_keeper.py
@@ -30,6 +30,11 @@
 LONGEST_RETRY_S = 2.0
 LONGEST_DRY_S = 0.25
 """A pool that was dry is asked again after this time at the latest."""
+FIRST_FILL_S = 0.15
+"""A new pool begins with what this time brings, so that a change of the node
+that keeps it refuses little; two such changes in a window stay in bounds."""
+LONGEST_WAIT_S = 0.1
+"""A request waits so long for its token: less than a return would take."""
 LEAST_PART_PER_S = 4.0
 """A node asked for less by an organisation holds no part of its rate."""
 
@@ -180,7 +185,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolVerdict:
-    """Whether the pool had a token, and when it has the next one."""
+    """Whether the pool has a token.
+
+    Attributes:
+        wait_s: When the token comes, or when to ask again.
+    """
 
     is_granted: bool
     wait_s: float = 0
@@ -209,20 +218,20 @@
             held: Parts of the rates that nodes hold themselves.
         """
         for organisation in organisations:
+            part = max(0.0, reachable - held.get(organisation.name, 0.0))
             bucket = self._buckets.get(organisation.name)
             if bucket is None:
-                bucket = _Bucket(filled_s=now_s, part=0)
+                bucket = _Bucket(filled_s=now_s - FIRST_FILL_S, part=part)
                 self._buckets[organisation.name] = bucket
             bucket.fill(now_s, organisation, 0)
-            part = reachable - held.get(organisation.name, 0.0)
-            bucket.part = max(0.0, part)
+            bucket.part = part
 
     def stop(self) -> None:
         """Empty the pools: another node shares the rates out now."""
         self._buckets.clear()
 
     def take(self, now_s: float, organisation: Organisation) -> PoolVerdict:
-        """Take a token, if there is one."""
+        """Take a token, or the right to one that comes soon."""
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
             return PoolVerdict(is_granted=False, wait_s=LONGEST_DRY_S)
@@ -230,7 +239,11 @@
         if bucket.tokens >= 1:
             bucket.tokens -= 1
             return PoolVerdict(is_granted=True)
-        return PoolVerdict(is_granted=False, wait_s=bucket.wait_s(organisation))
+        wait_s = bucket.wait_s(organisation)
+        if wait_s <= LONGEST_WAIT_S:
+            bucket.tokens -= 1
+            return PoolVerdict(is_granted=True, wait_s=wait_s)
+        return PoolVerdict(is_granted=False, wait_s=wait_s)
 
 
 def _bounded(wait_s: float) -> float:
--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rate_service.py
@@ -23,6 +23,9 @@
 DOUBT_S = 2.0
 """A node that let an ask wait for too long shares nothing out for a while."""
 
+PATIENCE_S = 0.15
+"""Links that were reset are open again within this time."""
+
 TokenHandler = Callable[[bool], None]
 
 
@@ -33,12 +36,14 @@
     Attributes:
         sharer: Whom it was asked of.
         is_second: Whether another one was asked before.
+        until_s: Until when it may wait for a link.
     """
 
     organisation: Organisation
     answered: TokenHandler
     sharer: NodeId
     is_second: bool
+    until_s: float
 
 
 class RateService:
@@ -71,6 +76,7 @@
         self._pool = RatePool()
         self._sequence = 0
         self._asked: dict[int, _Ask] = {}
+        self._waiting: list[_Ask] = []
 
     def config_changed(self) -> None:
         """Begin to collect tokens of new organisations."""
@@ -95,7 +101,23 @@
 
     def ask(self, organisation: Organisation, answered: TokenHandler) -> None:
         """Ask the pool for a token; `answered` is told once, soon."""
-        self._ask(organisation, answered, is_second=False)
+        until_s = self._timers.now_s() + PATIENCE_S
+        self._ask(
+            _Ask(
+                organisation,
+                answered,
+                self._sharer_id,
+                is_second=False,
+                until_s=until_s,
+            )
+        )
+
+    def check(self, now_s: float) -> None:
+        """Ask again for the requests that wait for a link."""
+        waiting = self._waiting
+        self._waiting = []
+        for ask in waiting:
+            self._ask(ask)
 
     def message(
         self,
@@ -117,28 +139,30 @@
                 if asked is not None:
                     self._settle(asked, wait_ms / 1000, is_granted=is_granted)
 
-    def _ask(
-        self,
-        organisation: Organisation,
-        answered: TokenHandler,
-        *,
-        is_second: bool,
-    ) -> None:
+    def _ask(self, ask: _Ask) -> None:
         now_s = self._timers.now_s()
         link = self._peers.link_to(self._sharer_id)
         if link is None:
             self._choose_sharer(now_s)
             link = self._peers.link_to(self._sharer_id)
-        ask = _Ask(organisation, answered, self._sharer_id, is_second)
+        ask.sharer = self._sharer_id
         if link is None:
-            taken = self._pool.take(now_s, organisation)
-            self._settle(ask, taken.wait_s, is_granted=taken.is_granted)
+            self._ask_own(now_s, ask)
             return
         self._sequence += 1
         sequence = self._sequence
         self._asked[sequence] = ask
         self._timers.after(ASK_TIMEOUT_S, lambda _: self._timed_out(sequence))
-        link.send(TokenWanted(sequence, organisation.name))
+        link.send(TokenWanted(sequence, ask.organisation.name))
+
+    def _ask_own(self, now_s: float, ask: _Ask) -> None:
+        """Take a token of the own pool, unless the links may be back soon."""
+        is_alone = self.fleet > 1 and not self._peers.connected()
+        if is_alone and now_s < ask.until_s:
+            self._waiting.append(ask)
+            return
+        taken = self._pool.take(now_s, ask.organisation)
+        self._settle(ask, taken.wait_s, is_granted=taken.is_granted)
 
     def _choose_sharer(self, now_s: float) -> None:
         """Choose the first node by name that answers."""
@@ -212,9 +236,13 @@
         if asked.is_second:
             self._settle(asked, ASK_TIMEOUT_S, is_granted=False)
         else:
-            self._ask(asked.organisation, asked.answered, is_second=True)
+            asked.is_second = True
+            self._ask(asked)
 
     def _settle(self, asked: _Ask, wait_s: float, *, is_granted: bool) -> None:
+        if is_granted and wait_s:
+            self._timers.after(wait_s, lambda _: asked.answered(True))
+            return
         if not is_granted:
             now_s = self._timers.now_s()
             self.keeper.pool_was_dry(now_s, asked.organisation, wait_s)
--- a/src/rattanstile/process/mesh/settings.py
+++ b/src/rattanstile/process/mesh/settings.py
@@ -29,6 +29,8 @@
         grace: Longest time from SIGTERM to the end, such as ``6s``.
         rerun_ratio: Second sends allowed for each first one.
         rerun_slack: Second sends allowed beside.
+        peer_listen_address: Where it listens for other nodes, if they reach
+            it by another address; empty for `peer_address`.
     """
 
     node_id: NodeId
@@ -44,6 +46,7 @@
     grace: str
     rerun_ratio: float
     rerun_slack: float
+    peer_listen_address: str = ''
 
     @property
     def grace_s(self) -> float:
--- a/src/rattanstile/standin/platform_target.py
+++ b/src/rattanstile/standin/platform_target.py
@@ -39,6 +39,7 @@
         announce_to: Where its node takes announcements.
         calls_to: Where its node takes calls.
         child_host: Host of the calls that it makes for ``child=PATH``.
+        announced_address: What it says of `address`; empty for the truth.
     """
 
     target_id: str
@@ -49,6 +50,7 @@
     child_host: str = ''
     slots: int = 10
     cold_ms: int = 0
+    announced_address: str = ''
 
 
 class TargetStandIn:
@@ -89,7 +91,7 @@
         self._sequence += 1
         plan = self._plan
         told = {
-            'address': plan.address,
+            'address': plan.announced_address or plan.address,
             'born': BORN_MS,
             'info': {
                 'service': plan.service,
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -105,8 +105,13 @@
 class PlatformFleet:
     """The stand-ins and `count` nodes, as processes."""
 
-    def __init__(self, count=2):
-        """`start` chooses addresses and starts the processes."""
+    def __init__(self, count=2, wires=None):
+        """`start` chooses addresses and starts the processes.
+
+        With `wires`, each node reaches the store, its target and the other
+        nodes through proxies: `store-N`, `target-N` and `peer-N`.
+        """
+        self.wires = wires
         self.folder = tempfile.TemporaryDirectory()
         self.count = count
         self.standin = None
@@ -123,6 +128,7 @@
             self.nodes = [
                 self._settings(number) for number in range(self.count)
             ]
+            self._lay_wires()
             try:
                 self._start_once(published)
             except ProcessEndedError:
@@ -131,6 +137,23 @@
                 return
         raise AssertionError('no ports were left')
 
+    def target_address(self, number):
+        """Return where a target listens."""
+        wired = self.wires and self.wires.by_name[f'target-{number}'].target
+        return wired or self.nodes[number]['target_address']
+
+    def _lay_wires(self):
+        if self.wires is None:
+            return
+        for number, node in enumerate(self.nodes):
+            store, target, peer = free_addresses(3)
+            self.wires.add(f'store-{number}', store, node['store_address'])
+            self.wires.add(f'target-{number}', node['target_address'], target)
+            self.wires.add(f'peer-{number}', node['peer_address'], peer)
+            node['store_address'] = store
+            node['peer_listen_address'] = peer
+        self.wires.start()
+
     def _start_once(self, published):
         plan = {
             'store_address': self.store,
@@ -138,7 +161,8 @@
                 {
                     'target_id': f'i-{number}',
                     'service': 'claims',
-                    'address': node['target_address'],
+                    'address': self.target_address(number),
+                    'announced_address': node['target_address'],
                     'announce_to': node['announcement_address'],
                     'calls_to': node['caller_address'],
                     'child_host': HOST,
@@ -216,7 +240,7 @@
         """Make a request at a node."""
         fields = {
             'key': KEY,
-            'request_id': f'{time.monotonic_ns():x}',
+            'request_id': f'watch-{time.monotonic_ns():x}',
             'body': None,
             'deadline_ms': 2000,
             **changes,
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- a/tests/test_mesh_rates.py
+++ b/tests/test_mesh_rates.py
@@ -161,6 +161,19 @@
         keeper.give_back(NORTH)
         self.assertTrue(keeper.take(0.05, NORTH).is_admitted)
 
+    def test_a_token_that_comes_soon_is_waited_for(self):
+        """Rather than refused; what comes later is."""
+        pool = RatePool()
+        pool.know(0.0, (NORTH,), 1, {})
+        waits = []
+        while (taken := pool.take(0.0, NORTH)).is_granted:
+            waits.append(taken.wait_s)
+        self.assertEqual(waits[0], 0)
+        self.assertGreater(waits[-1], 0.05)
+        self.assertLessEqual(waits[-1], 0.1)
+        self.assertLess(len(waits), 0.3 * NORTH.rate_per_s)
+        self.assertGreater(taken.wait_s, 0.1)
+
     def test_no_rate_means_no_limit(self):
         """Nothing is counted."""
         keeper = RateKeeper()
