An ask for a token goes round a silent link, and a pause is no silence

Change: a node that is asked and isn't the sharer passes the ask on; a time-out that fires much too late is the own pause, and the same node is asked again. Tests: test_rate_asks, two fail before.

--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rate_service.py
@@ -23,6 +23,8 @@
 DOUBT_S = 2.0
 """A node that let an ask wait for too long shares nothing out for a while."""
 
+PASSED_DRY_MS = 250
+"""When a node that could not reach the pool itself is to ask again."""
 PATIENCE_S = 0.15
 """Links that were reset are open again within this time."""
 
@@ -37,6 +39,7 @@
         sharer: Whom it was asked of.
         is_second: Whether another one was asked before.
         until_s: Until when it may wait for a link.
+        asked_s: When it was asked.
     """
 
     organisation: Organisation
@@ -44,6 +47,7 @@
     sharer: NodeId
     is_second: bool
     until_s: float
+    asked_s: float = 0.0
 
 
 class RateService:
@@ -146,6 +150,7 @@
             self._choose_sharer(now_s)
             link = self._peers.link_to(self._sharer_id)
         ask.sharer = self._sharer_id
+        ask.asked_s = now_s
         if link is None:
             self._ask_own(now_s, ask)
             return
@@ -212,6 +217,9 @@
         if organisation is None:
             link.send(TokenGiven(message.sequence, False, 0))
             return
+        if self._sharer_id != self._node_id:
+            self._pass_on(now_s, link, message.sequence, organisation)
+            return
         taken = self._pool.take(now_s, organisation)
         link.send(
             TokenGiven(
@@ -219,11 +227,39 @@
             )
         )
 
+    def _pass_on(
+        self,
+        now_s: float,
+        link: PeerLink,
+        sequence: int,
+        organisation: Organisation,
+    ) -> None:
+        """Ask the sharer for a node that can't reach it."""
+
+        def answered(is_granted: bool) -> None:  # noqa: FBT001
+            wait_ms = 0 if is_granted else PASSED_DRY_MS
+            link.send(TokenGiven(sequence, is_granted, wait_ms))
+
+        self._ask(
+            _Ask(
+                organisation,
+                answered,
+                self._sharer_id,
+                is_second=True,
+                until_s=now_s,
+            )
+        )
+
     def _timed_out(self, sequence: int) -> None:
         asked = self._asked.pop(sequence, None)
         if asked is None:
             return
         now_s = self._timers.now_s()
+        if now_s - asked.asked_s > 2 * ASK_TIMEOUT_S and not asked.is_second:
+            # This node stood still; the answer may lie in its connection.
+            asked.is_second = True
+            self._ask(asked)
+            return
         self._doubted_until_s[asked.sharer] = now_s + DOUBT_S
         self._choose_sharer(now_s)
         self._log.write(
