A change of the node that shares rates out refuses little

Change: a node that is back shares nothing out for 1 s; reports go to the next one the moment the first is lost; a pool opens with the first ask and is filled with each report. Tests: test_rate_asks, two fail before.

--- a/src/rattanstile/connection/peer_pool.py
+++ b/src/rattanstile/connection/peer_pool.py
@@ -196,6 +196,7 @@
         self.is_connecting = False
         self.is_forgotten = False
         self.has_left = False
+        self.ready_s = 0.0
         self.backoff_s = FIRST_BACKOFF_S
         self.failing_since_s: float | None = None
         self._pool = pool
@@ -224,6 +225,7 @@
         self.backoff_s = FIRST_BACKOFF_S
         self.failing_since_s = None
         self.has_left = False
+        self.ready_s = self._pool.timers.now_s()
         self.link = link
         self._pool.handler.peer_ready(link)
 
@@ -360,6 +362,14 @@
             if each.link is not None
         )
 
+    def settled(self, since_s: float) -> tuple[NodeId, ...]:
+        """Return the nodes that have been connected from a time on."""
+        return tuple(
+            node_id
+            for node_id, each in self._contacts.items()
+            if each.link is not None and each.ready_s <= since_s
+        )
+
     def broadcast(self, message: PeerMessage) -> None:
         """Send a message to each node that is connected to this one."""
         for link in tuple(self.links):
--- a/src/rattanstile/process/mesh/peer_desk.py
+++ b/src/rattanstile/process/mesh/peer_desk.py
@@ -152,6 +152,7 @@
         self._context.log.write(
             Kind.PEER, 'peer_lost', peer=link.node_id, owed=link.owed
         )
+        self._rates.peer_lost(link.node_id)
         self._entry.attempts.peer_lost(link.node_id)
 
     def peer_joined(self, link: PeerLink) -> None:
--- a/src/rattanstile/process/mesh/rate_keeper.py
+++ b/src/rattanstile/process/mesh/rate_keeper.py
@@ -31,8 +31,8 @@
 LONGEST_DRY_S = 0.25
 """A pool that was dry is asked again after this time at the latest."""
 FIRST_FILL_S = 0.15
-"""A new pool begins with what this time brings, so that a change of the node
-that keeps it refuses little; two such changes in a window stay in bounds."""
+"""What a pool reaches anew begins with what this time brings, so that a change
+of the node that keeps it refuses little; two changes in a window are borne."""
 LONGEST_WAIT_S = 0.1
 """A request waits so long for its token: less than a return would take."""
 LEAST_PART_PER_S = 4.0
@@ -221,11 +221,18 @@
             part = max(0.0, reachable - held.get(organisation.name, 0.0))
             bucket = self._buckets.get(organisation.name)
             if bucket is None:
-                bucket = _Bucket(filled_s=now_s - FIRST_FILL_S, part=part)
+                bucket = _Bucket(filled_s=now_s, part=0)
                 self._buckets[organisation.name] = bucket
             bucket.fill(now_s, organisation, 0)
+            grown = max(0.0, part - bucket.part)
+            bucket.tokens += grown * organisation.rate_per_s * FIRST_FILL_S
             bucket.part = part
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether this node keeps the pools."""
+        return bool(self._buckets)
+
     def stop(self) -> None:
         """Empty the pools: another node shares the rates out now."""
         self._buckets.clear()
--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rate_service.py
@@ -12,7 +12,11 @@
 from rattanstile.connection.peer_pool import PeerLink, PeerPool
 from rattanstile.process.decision_log import Kind
 from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.rate_keeper import RateKeeper, RatePool
+from rattanstile.process.mesh.rate_keeper import (
+    PoolVerdict,
+    RateKeeper,
+    RatePool,
+)
 from rattanstile.process.mesh.rate_sharer import RateSharer
 from rattanstile.process.mesh.root_admission import RootAdmission
 from rattanstile.request.ids import NodeId, OrganisationId
@@ -23,6 +27,8 @@
 DOUBT_S = 2.0
 """A node that let an ask wait for too long shares nothing out for a while."""
 
+SETTLED_S = 1.0
+"""A node that is back shares nothing out before all others have met it."""
 PASSED_DRY_MS = 250
 """When a node that could not reach the pool itself is to ask again."""
 PATIENCE_S = 0.15
@@ -72,6 +78,7 @@
         self._state = context.state
         self._peers = peers
         self._timers = context.timers
+        self._started_s = context.timers.now_s()
         self._log = context.log
         self._admission = admission
         self._sharer = RateSharer()
@@ -116,6 +123,11 @@
             )
         )
 
+    def peer_lost(self, node_id: NodeId) -> None:
+        """Report to the next node when the one that shares out is gone."""
+        if node_id == self._sharer_id:
+            self.report(self._timers.now_s())
+
     def check(self, now_s: float) -> None:
         """Ask again for the requests that wait for a link."""
         waiting = self._waiting
@@ -166,23 +178,28 @@
         if is_alone and now_s < ask.until_s:
             self._waiting.append(ask)
             return
-        taken = self._pool.take(now_s, ask.organisation)
+        taken = self._take(now_s, ask.organisation)
         self._settle(ask, taken.wait_s, is_granted=taken.is_granted)
 
+    def _take(self, now_s: float, organisation: Organisation) -> PoolVerdict:
+        if not self._pool.is_open:
+            self.report(now_s)
+        return self._pool.take(now_s, organisation)
+
     def _choose_sharer(self, now_s: float) -> None:
-        """Choose the first node by name that answers."""
+        """Choose the first node by name that has been met by all."""
         for node_id, until_s in tuple(self._doubted_until_s.items()):
             if until_s <= now_s:
                 self._doubted_until_s.pop(node_id)
-        self._sharer_id = min(
-            (
-                one.node_id
-                for one in self._peers.connected()
-                if one.node_id not in self._doubted_until_s
-            ),
-            default=self._node_id,
-        )
-        self._sharer_id = min(self._sharer_id, self._node_id)
+        settled_s = now_s - SETTLED_S
+        found = set(self._peers.settled(settled_s))
+        if self._started_s <= settled_s:
+            found.add(self._node_id)
+        if not found:
+            found = {one.node_id for one in self._peers.connected()}
+            found.add(self._node_id)
+        found -= self._doubted_until_s.keys()
+        self._sharer_id = min(found, default=self._node_id)
 
     def _organisations(self) -> dict[OrganisationId, Organisation]:
         config = self._state().config
@@ -194,13 +211,16 @@
         organisations = self._organisations()
         self._sharer.share(now_s, self.fleet, organisations)
         self.keeper.shared(now_s, self._sharer.parts_of(self._node_id))
+        self._fill_pool(now_s)
+        self._admission.fleet_demand(self._sharer.calls_per_s(), self.fleet)
+
+    def _fill_pool(self, now_s: float) -> None:
         self._pool.know(
             now_s,
-            organisations.values(),
+            self._organisations().values(),
             self._sharer.reachable(now_s, self.fleet),
             self._sharer.held,
         )
-        self._admission.fleet_demand(self._sharer.calls_per_s(), self.fleet)
 
     def _share(
         self, now_s: float, link: PeerLink, message: RatesReported
@@ -208,6 +228,8 @@
         self._sharer.reported(
             now_s, link.node_id, message.demand_per_s, message.calls_per_s
         )
+        if self._sharer_id == self._node_id:
+            self._fill_pool(now_s)
         parts = self._sharer.parts_of(link.node_id)
         calls = self._sharer.calls_per_s()
         link.send(RatesShared(message.sequence, parts, calls, self.fleet))
@@ -220,7 +242,7 @@
         if self._sharer_id != self._node_id:
             self._pass_on(now_s, link, message.sequence, organisation)
             return
-        taken = self._pool.take(now_s, organisation)
+        taken = self._take(now_s, organisation)
         link.send(
             TokenGiven(
                 message.sequence, taken.is_granted, int(taken.wait_s * 1000)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -9,10 +9,13 @@
 import sys
 import tempfile
 import time
+from itertools import islice
 from pathlib import Path
 
 MOST_TRIES = 200
 MOST_STARTS = 5
+MOST_ADDRESSES = 9
+"""Of a node, with those of its wires."""
 PAUSE_S = 0.05
 HOST = 'forest.example'
 KEY = 'key-north'
@@ -124,7 +127,9 @@
         a process ends at once, and all begin anew with other ports.
         """
         for _ in range(MOST_STARTS):
-            self.store = free_addresses(1)[0]
+            # All at once: one that is let go may be given out again.
+            self._free = iter(free_addresses(MOST_ADDRESSES * self.count + 1))
+            self.store = next(self._free)
             self.nodes = [
                 self._settings(number) for number in range(self.count)
             ]
@@ -146,7 +151,7 @@
         if self.wires is None:
             return
         for number, node in enumerate(self.nodes):
-            store, target, peer = free_addresses(3)
+            store, target, peer = islice(self._free, 3)
             self.wires.add(f'store-{number}', store, node['store_address'])
             self.wires.add(f'target-{number}', node['target_address'], target)
             self.wires.add(f'peer-{number}', node['peer_address'], peer)
@@ -280,7 +285,7 @@
 
     def _settings(self, number):
         names = ('target', 'caller', 'peer', 'ready', 'announcement', 'metrics')
-        addresses = zip(names, free_addresses(len(names)), strict=True)
+        addresses = zip(names, islice(self._free, len(names)), strict=True)
         return {
             'node_id': f'node-{number}',
             'service': 'claims',
--- a/tests/test_rate_asks.py
+++ b/tests/test_rate_asks.py
@@ -20,6 +20,7 @@
     """Links of one node to others, all on one virtual clock."""
 
     def __init__(self, names):
+        self.unsettled = set()
         self.links = {
             name: SimpleNamespace(node_id=name, sent=[]) for name in names
         }
@@ -32,6 +33,9 @@
     def connected(self):
         return tuple(self.links.values())
 
+    def settled(self, since_s):
+        return tuple(name for name in self.links if name not in self.unsettled)
+
     def fleet(self):
         return len(self.links) + 1
 
@@ -98,6 +102,21 @@
         self.assertEqual(len(self.asks('n1')), 2)
         self.assertEqual(self.asks('n2'), [])
 
+    def test_a_node_that_is_back_shares_nothing_out_yet(self):
+        """It has no pool; the others ask on where they did: soak, seed 5."""
+        self.peers.unsettled = {'n1'}
+        self.clock.advance(2.0)
+        self.rates.report(2.0)
+        self.rates.ask(NORTH, self.answers.append)
+        self.assertEqual(len(self.asks('n2')), 1)
+
+    def test_the_next_sharer_hears_at_once(self):
+        """It needs reports before it may hand anything out."""
+        self.peers.links.pop('n1')
+        self.rates.peer_lost('n1')
+        sent = self.peers.links['n2'].sent
+        self.assertTrue(any(isinstance(one, RatesReported) for one in sent))
+
     def test_reports_go_to_the_sharer(self):
         """And to nobody else."""
         sent = self.peers.links['n1'].sent
