Three nodes of each failure domain read the operators' log for all

Change: a node reads if fewer than three nodes of its domain that it is connected to, and that say that the store answers them, come before it. The others are told by notices of all nodes and ask one of their own domain for a copy at once; a reader still asks only after 0.4 s. Also: the process test of a node killed after its target left waits for the acknowledgement.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -66,6 +66,7 @@
     Attributes:
         incarnation: Differs between two runs of the process.
         offset: See `ConfigNotice`.
+        can_read: See `ConfigNotice`.
     """
 
     node_id: NodeId
@@ -75,6 +76,7 @@
     incarnation: int
     offset: int
     load: TargetLoad
+    can_read: bool = True
 
 
 class CallSent(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -116,9 +118,14 @@
 
 
 class ConfigNotice(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """The sender knows the operators' log up to this offset."""
+    """The sender knows the operators' log up to this offset.
+
+    Attributes:
+        can_read: Whether the store last answered the sender.
+    """
 
     offset: int
+    can_read: bool = True
 
 
 class ConfigWanted(msgspec.Struct, frozen=True, array_like=True, tag=7):
--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -1,13 +1,14 @@
 """Passes on what operators state, where a node can't read it itself.
 
-Each node reads the store by itself: bytes from the store cost less than
-those between failure domains. A node that hears from another that it is
-ahead, and has not caught up a moment later, asks it; so versions reach nodes
-that the store turns away.
+A few nodes of each failure domain read the store (see `store_readers`). A node
+that hears from another that it is ahead, and has not caught up a moment
+later, asks it; so versions reach the nodes that don't read and those that the
+store turns away.
 """
 
 import zlib
 from dataclasses import dataclass
+from random import Random
 
 from rattanstile.connection.peer_messages import (
     ConfigNotice,
@@ -16,8 +17,9 @@
 )
 from rattanstile.connection.peer_pool import PeerLink, PeerPool
 from rattanstile.process.mesh.operator_words import OperatorWords
+from rattanstile.process.mesh.store_readers import StoreReaders
 from rattanstile.process.timers import TimerService
-from rattanstile.request.ids import FailureDomainId, NodeId
+from rattanstile.request.ids import NodeId
 
 RELAY_PATIENCE_S = 0.4
 """A reader of the store is that much behind at most, after a change."""
@@ -40,10 +42,14 @@
 class ConfigRelay:
     """Follows which nodes are ahead of this one.
 
+    Attributes:
+        can_read: Whether the store last answered this node.
+
     Args:
         words: What this node knows.
         peers: Reaches the other nodes.
-        domain: This node's; copies come from within it where they can.
+        readers: Knows whether this node reads the store itself.
+        chance: Chooses among the nodes that may be asked.
     """
 
     def __init__(
@@ -51,22 +57,36 @@
         words: OperatorWords,
         peers: PeerPool,
         timers: TimerService,
-        domain: FailureDomainId,
+        readers: StoreReaders,
+        chance: Random,
     ) -> None:
         """Begin with nobody ahead."""
         self._words = words
         self._peers = peers
         self._timers = timers
-        self._domain = domain
+        self._readers = readers
+        self._chance = chance
+        self.can_read = True
         self._ahead: dict[NodeId, _Ahead] = {}
         self._asked_until_s = 0.0
 
     def changed(self) -> None:
         """Tell all nodes how far this one is."""
-        self._peers.broadcast(ConfigNotice(self._words.state.offset))
+        offset = self._words.state.offset
+        self._peers.broadcast(ConfigNotice(offset, self.can_read))
+
+    def is_reader(self) -> bool:
+        """Tell whether this node reads the store itself."""
+        return self._readers.is_reader()
 
-    def noticed(self, node_id: NodeId, offset: int) -> None:
-        """Learn how far a node is."""
+    def store_answers(self, *, can_read: bool) -> None:
+        """Tell all nodes whether this one can read the store."""
+        self.can_read = can_read
+        self.changed()
+
+    def noticed(self, node_id: NodeId, offset: int, *, can_read: bool) -> None:
+        """Learn how far a node is, and whether it can read the store."""
+        self._readers.told(node_id, can_read=can_read)
         if offset <= self._words.state.offset:
             self._ahead.pop(node_id, None)
             return
@@ -81,29 +101,27 @@
         for node_id, ahead in tuple(self._ahead.items()):
             if ahead.offset <= self._words.state.offset:
                 self._ahead.pop(node_id)
+        patience_s = RELAY_PATIENCE_S if self._readers.is_reader() else 0
         links = [
             link
             for node_id, ahead in self._ahead.items()
-            if now_s - ahead.since_s >= RELAY_PATIENCE_S
+            if now_s - ahead.since_s >= patience_s
             and (link := self._peers.link_to(node_id)) is not None
         ]
         if not links:
             return
         # Bytes within a failure domain cost little.
-        near = [link for link in links if self._is_near(link)]
-        asked = (near or links)[0]
+        near = [link for link in links if self._readers.is_near(link.node_id)]
+        asked = self._chance.choice(near or links)
         self._ahead.pop(asked.node_id)
         self._asked_until_s = now_s + ANSWER_S
         asked.send(ConfigWanted(self._words.state.offset))
 
-    def _is_near(self, link: PeerLink) -> bool:
-        return link.hello is not None and link.hello.domain == self._domain
-
     def message(self, link: PeerLink, message: RelayMessage) -> None:
         """Take a message of another node."""
         match message:
-            case ConfigNotice(offset):
-                self.noticed(link.node_id, offset)
+            case ConfigNotice(offset, can_read):
+                self.noticed(link.node_id, offset, can_read=can_read)
             case ConfigWanted(offset):
                 self._tell(link, offset)
             case ConfigTold():
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -39,6 +39,7 @@
 from rattanstile.process.mesh.serving_desk import ServingDesk
 from rattanstile.process.mesh.settings import MeshSettings
 from rattanstile.process.mesh.store_follower import StoreFollower
+from rattanstile.process.mesh.store_readers import StoreReaders
 from rattanstile.process.mesh.target_watch import TargetWatch
 from rattanstile.process.reactor import Reactor
 from rattanstile.process.timers import TimerService
@@ -101,6 +102,7 @@
             self.peer_desk.member,
             self.peer_desk.members_read,
             self.serving.watch.recall,
+            self._relay,
             log,
             chance,
         )
@@ -137,8 +139,13 @@
             self.admission,
             self._reruns,
         )
+        readers = StoreReaders(context.node_id, self.peer_desk.neighbours)
         self._relay = ConfigRelay(
-            self._words, self.peers, self.timers, self.context.domain
+            self._words,
+            self.peers,
+            self.timers,
+            readers,
+            context.chance,
         )
         self.peer_desk.join(
             self.peers, self.entry, self.serving, self._rates, self._relay
--- a/src/rattanstile/process/mesh/peer_desk.py
+++ b/src/rattanstile/process/mesh/peer_desk.py
@@ -90,8 +90,15 @@
             incarnation=self._incarnation,
             offset=self._context.state().offset,
             load=self._serving.load(),
+            can_read=self._relay.can_read,
         )
 
+    def neighbours(self) -> set[NodeId]:
+        """Return the connected nodes of the own failure domain."""
+        domain = self._context.domain
+        candidates = self._entry.attempts.candidates.values()
+        return {one.node_id for one in candidates if one.domain == domain}
+
     def member(self) -> PeerMember:
         """Return what later nodes are to know of this one."""
         watch = self._serving.watch
@@ -143,7 +150,9 @@
             domain=hello.domain,
             usable=hello.load.is_usable,
         )
-        self._relay.noticed(hello.node_id, hello.offset)
+        self._relay.noticed(
+            hello.node_id, hello.offset, can_read=hello.can_read
+        )
         self._entry.peers_changed()
 
     def peer_lost(self, link: PeerLink) -> None:
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from random import Random
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
@@ -16,6 +16,7 @@
     NO_MEMBERS,
     FleetStore,
     HistoryGoneError,
+    OperatorRecords,
     StoreError,
 )
 from rattanstile.process.mesh.target_watch import NONE_LEFT, TargetLeft
@@ -30,6 +31,21 @@
 LONGEST_PAUSE_S = 1.0
 """A store that is back is noticed within a second."""
 
+READER_PERIOD_S = 0.5
+"""How often a node looks whether it is to read the store; after a start the
+others are met within it."""
+
+
+class Reading(Protocol):
+    """Shares the reading of the store out among the nodes."""
+
+    def is_reader(self) -> bool:
+        """Tell whether this node is to read what operators state."""
+
+    def store_answers(self, *, can_read: bool) -> None:
+        """Learn that the store begins or ceases to answer this node."""
+
+
 _Found = TypeVar('_Found')
 
 
@@ -43,6 +59,7 @@
         found: Told the nodes that have announced themselves.
         recall: Told the target that left while an earlier run of this node
             was beside it.
+        reading: Who reads what operators state, and who is told by others.
     """
 
     def __init__(
@@ -53,6 +70,7 @@
         member: Callable[[], PeerMember],
         found: Callable[[Iterable[PeerMember]], None],
         recall: Callable[[TargetLeft], None],
+        reading: Reading,
         log: DecisionLog,
         chance: Random,
     ) -> None:
@@ -64,6 +82,7 @@
         self._member = member
         self._found = found
         self._recall = recall
+        self._reading = reading
         self._log = log
         self._chance = chance
         self._is_running = True
@@ -111,12 +130,10 @@
         is_known = False
         pause_s = FIRST_PAUSE_S
         while self._is_running:
-            if is_known:
-                read = await self._store.words_after(
-                    self._words.state.offset, LONG_READ_S
-                )
-            else:
-                read = await self._store.newest_words()
+            if is_known and not self._reading.is_reader():
+                await self._sleep(READER_PERIOD_S)
+                continue
+            read = await self._read(is_known=is_known)
             if isinstance(read, Err):
                 is_known = self._failed(read.err_value) and is_known
                 await self._sleep(pause_s)
@@ -130,12 +147,23 @@
                     await self._sleep(SETTLE_S)
             else:
                 self._words.take_newest(read.ok_value, 'store')
+                await self._sleep(READER_PERIOD_S)
             is_known = True
 
+    def _read(
+        self, *, is_known: bool
+    ) -> Awaitable[Result[OperatorRecords, StoreError]]:
+        if is_known:
+            return self._store.words_after(
+                self._words.state.offset, LONG_READ_S
+            )
+        return self._store.newest_words()
+
     def _failed(self, error: StoreError) -> bool:
         """Note a failure; tell whether the offset can be kept."""
         if self.is_reachable:
             self._log.write(Kind.STORE, 'store_lost', why=error.message)
+            self._reading.store_answers(can_read=False)
         self.is_reachable = False
         return not isinstance(error, HistoryGoneError)
 
@@ -144,6 +172,7 @@
             self._log.write(
                 Kind.STORE, 'store_regained', offset=self._words.state.offset
             )
+            self._reading.store_answers(can_read=True)
         self.is_reachable = True
 
     async def _until_done(
--- a/src/rattanstile/standin/platform_fleet.py
+++ b/src/rattanstile/standin/platform_fleet.py
@@ -74,6 +74,12 @@
                 self._targets[words[0]].is_leaving = True
             case 'deregister':
                 self._targets[words[0]].deregister()
+            case 'acknowledged':
+                return [
+                    name
+                    for name, one in self._targets.items()
+                    if one.is_acknowledged
+                ]
             case 'seen':
                 return {name: one.seen for name, one in self._targets.items()}
             case 'calls':
--- a/src/rattanstile/standin/platform_target.py
+++ b/src/rattanstile/standin/platform_target.py
@@ -58,6 +58,7 @@
 
     Attributes:
         runs: How often each request id was run.
+        is_acknowledged: Whether its node has taken its deregistration.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self.runs: Counter[str] = Counter()
         self.seen: list[dict[str, str]] = []
         self.is_leaving = False
+        self.is_acknowledged = False
         self._is_silent = False
         self._timers = timers
         self._plan = plan
@@ -78,11 +80,13 @@
         """Say that it goes, and no more; it goes on serving."""
         self._is_silent = True
         path = f'/v1/instances/{self._plan.target_id}/deregister'
-        told = {'born': BORN_MS}
-        written = encode_request(
-            'POST', path, ((b'host', b'node'),), msgspec.json.encode(told)
-        )
-        self._announcer.send(written, ANNOUNCE_TIMEOUT_S)
+        body = msgspec.json.encode({'born': BORN_MS})
+        written = encode_request('POST', path, ((b'host', b'node'),), body)
+        told = self._announcer.send(written, ANNOUNCE_TIMEOUT_S)
+        told.addCallback(self._deregistered)
+
+    def _deregistered(self, end: HttpResponse | ExchangeFailure) -> None:
+        self.is_acknowledged = isinstance(end, HttpResponse)
 
     def announce(self, now_s: float) -> None:
         """Send a heartbeat."""
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -4,6 +4,7 @@
 import unittest
 import zlib
 from collections import Counter
+from random import Random
 from types import SimpleNamespace
 
 from mesh_samples import LinesKept, config, route
@@ -33,6 +34,7 @@
 )
 from rattanstile.process.mesh.rerun_budget import RerunBudget
 from rattanstile.process.mesh.splitter import Splitter
+from rattanstile.process.mesh.store_readers import StoreReaders
 from rattanstile.process.timers import TimerService
 from rattanstile.version.fleet_config import Share
 
@@ -111,8 +113,13 @@
         self.far = self.peer('n3', 'west')
         links = {'n2': self.link, 'n3': self.far}
         peers = SimpleNamespace(broadcast=self.sent.append, link_to=links.get)
+        self.readers = StoreReaders('n9', lambda: {'n2'})
         self.relay = ConfigRelay(
-            self.words, peers, TimerService(self.clock), 'east'
+            self.words,
+            peers,
+            TimerService(self.clock),
+            self.readers,
+            Random(1),
         )
 
     def peer(self, name, domain):
@@ -140,6 +147,13 @@
         self.relay.check(0.5)
         self.assertEqual(self.links_asked, ['n2'])
 
+    def test_a_node_that_does_not_read_asks_at_once(self):
+        """It won't learn of the change from the store."""
+        self.readers.is_reader = lambda: False
+        self.relay.message(self.link, ConfigNotice(5))
+        self.relay.check(0.1)
+        self.assertEqual(self.links_asked, ['n2'])
+
     def test_it_asks_one_node_at_a_time(self):
         """The copy is on its way; another would be a second one."""
         self.relay.message(self.link, ConfigNotice(5))
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -246,7 +246,7 @@
     def test_nor_after_its_node_has_restarted(self):
         """It answers probes as healthy until it ends."""
         self.fleet.order('deregister/i-0')
-        self.fleet.until(lambda: 'event=target_leaving' in self.fleet.log(0))
+        self.fleet.until(lambda: 'i-0' in self.fleet.order('acknowledged'))
         self.fleet.running[0].kill()
         self.fleet.running[0].wait()
         before = sum(self.fleet.order('runs')['i-0'].values())
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -2,6 +2,7 @@
 
 import unittest
 from random import Random
+from types import SimpleNamespace
 
 from mesh_samples import LinesKept
 from result import Ok
@@ -47,6 +48,7 @@
             lambda: OWN,
             lambda members: self.found.extend(members),
             self.recalled.append,
+            SimpleNamespace(),
             LinesKept(),
             Random(1),
         )
