--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -105,6 +105,16 @@
         """End the thread."""
         for wire in self.by_name.values():
             self._loop.call_soon_threadsafe(wire.reset)
+        asyncio.run_coroutine_threadsafe(_settle(), self._loop).result()
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
         self._loop.close()
+
+
+async def _settle():
+    """Let the connections that were dropped end."""
+    own = asyncio.current_task()
+    others = [task for task in asyncio.all_tasks() if task is not own]
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
