--- a/src/rattanstile/node_cli.py
+++ b/src/rattanstile/node_cli.py
@@ -5,8 +5,9 @@
 
 from rattanstile.errors import ExitCode
 from rattanstile.process.logs import logging_to
-from rattanstile.process.node import Node, running_node
+from rattanstile.process.node import Node
 from rattanstile.process.reactor import Reactor, installed_reactor
+from rattanstile.process.running_node import running_node
 from rattanstile.process.settings import parse_address, read_settings
 from rattanstile.ready import print_ready
 
--- a/src/rattanstile/process/node.py
+++ b/src/rattanstile/process/node.py
@@ -1,28 +1,20 @@
-"""One node: puts its parts together and takes them down again."""
+"""One node: joins its parts, and ends their work in order."""
 
 import resource
-import time
 from collections.abc import Callable, Iterator
-from contextlib import AbstractContextManager, ExitStack, contextmanager
-from enum import Enum, unique
+from contextlib import ExitStack, contextmanager
 from functools import partial
-from random import Random, SystemRandom
 
 import logbook
 from twisted.internet.defer import Deferred
 
-from rattanstile.connection.caller_http import listening_for_callers
-from rattanstile.connection.control_bus import ControlBus, opened_control_bus
-from rattanstile.connection.frames import Hello, Role
 from rattanstile.connection.http_request import CallerHttpRequest
-from rattanstile.connection.peer import PeerPool, listening_for_peers
+from rattanstile.connection.peer import PeerPool
 from rattanstile.connection.target_http import TargetSessions
 from rattanstile.process.configuration.configuration import Configuration
-from rattanstile.process.configuration.log_client import LogClient
 from rattanstile.process.configuration.log_reader import LogReader, StreamEvent
 from rattanstile.process.configuration.operator_http import (
     NodeStatus,
-    listening_for_operators,
 )
 from rattanstile.process.configuration.relay_messages import RelayMember
 from rattanstile.process.control_messages import ControlArrived
@@ -50,7 +42,7 @@
 from rattanstile.process.membership.membership_messages import MemberLost
 from rattanstile.process.membership.unreachable import UnreachableMemory
 from rattanstile.process.messages import HomeGone
-from rattanstile.process.metrics import Metrics, opened_metrics
+from rattanstile.process.node_core import NodeCore, NodeState
 from rattanstile.process.rates.rate_borrower import Borrower
 from rattanstile.process.rates.rate_messages import (
     ProcessGone,
@@ -62,19 +54,14 @@
 from rattanstile.process.rates.rate_owner import RateOwner
 from rattanstile.process.rates.rate_service import RateService
 from rattanstile.process.rates.rate_stream import RateStream
-from rattanstile.process.reactor import Reactor
 from rattanstile.process.serving.home_grants import HomeGrants
-from rattanstile.process.serving.home_table import HomeTable
 from rattanstile.process.serving.serving import ServingIdentity, ServingMachine
 from rattanstile.process.serving.serving_service import ServingService
-from rattanstile.process.settings import NodeSettings, parse_address
-from rattanstile.process.timers import TimerService
+from rattanstile.process.settings import parse_address
 from rattanstile.request.envelope import Member, Reply
 from rattanstile.request.ids import (
-    FailureDomainId,
     Incarnation,
     NodeId,
-    ServiceName,
     TargetId,
     VersionNumber,
 )
@@ -86,7 +73,6 @@
 DRAIN_CHECK_S = 0.05
 FLUSH_S = 0.3
 NEVER_HEARD_S = 86_400.0
-VERIFIED_WITHIN_S = 3.0
 SHORTEST_DRAIN_S = 2.0
 NO_VERSION = VersionInForce(VersionNumber(0), Declaration())
 MOST_SERVICES_FOLLOWED = 32
@@ -96,80 +82,6 @@
 _log = logbook.Logger('node')
 
 
-@unique
-class NodeState(Enum):
-    """Where a node is in its life."""
-
-    STARTING = 'starting'
-    SERVING = 'serving'
-    DRAINING = 'draining'
-
-
-class NodePorts:
-    """Ports and addresses that the node listens on, once it does."""
-
-    caller = 0
-    peer = 0
-    operator = 0
-    control = ''
-
-
-class NodeCore:
-    """What the parts of a node share.
-
-    Args:
-        settings: Validated settings.
-        metrics: Where the parts count.
-    """
-
-    def __init__(
-        self, settings: NodeSettings, reactor: Reactor, metrics: Metrics
-    ) -> None:
-        """Name this run of the node."""
-        self.settings = settings
-        self.reactor = reactor
-        self.metrics = metrics
-        self.timers = TimerService(reactor)
-        self.incarnation = Incarnation(int(time.time() * MS_PER_S))
-        self.node_id = NodeId(settings.node_id)
-        self.service = ServiceName(settings.service)
-        self.failure_domain = FailureDomainId(settings.failure_domain)
-        self.rng = Random(SystemRandom().getrandbits(64))
-        self.log_client = LogClient(reactor, settings.log_address)
-        self.ports = NodePorts()
-        self.home_table = HomeTable(
-            self.timers.now_s(), self.node_id, self.incarnation
-        )
-
-    @property
-    def process_id(self) -> ProcessId:
-        """Return the id of this run of the node."""
-        return ProcessId(node_id=self.node_id, incarnation=self.incarnation)
-
-    def member(self) -> Member:
-        """Return this node as the others know it, once it listens."""
-        peer_host = parse_address(self.settings.peer_address).host
-        return Member(
-            node_id=self.node_id,
-            incarnation=self.incarnation,
-            service=self.service,
-            failure_domain=self.failure_domain,
-            address=f'{peer_host}:{self.ports.peer}',
-            control_address=self.ports.control,
-        )
-
-    def hello(self) -> Hello:
-        """Return what this node says first on each connection."""
-        return Hello(
-            role=Role.NODE,
-            node_id=self.node_id,
-            incarnation=self.incarnation,
-            id_epoch=self.home_table.id_epoch,
-            failure_domain=self.failure_domain,
-            service=self.service,
-        )
-
-
 class Node:
     """The parts of one node that listens already.
 
@@ -492,93 +404,3 @@
     return ProcessId(
         node_id=member.node_id, incarnation=Incarnation(member.incarnation)
     )
-
-
-@contextmanager
-def running_node(reactor: Reactor, settings: NodeSettings) -> Iterator[Node]:
-    """Run a node on the reactor while the block runs."""
-    with ExitStack() as stack:
-        metrics = stack.enter_context(opened_metrics(settings))
-        core = NodeCore(settings, reactor, metrics)
-        built: list[Node] = []
-        control = ControlService(
-            core.node_id, lambda name: built[0].members.address_of(name)
-        )
-        control.bus = stack.enter_context(_opened_bus(core, control))
-        core.ports.control = control.bus.address
-        pool = PeerPool(
-            reactor,
-            core.timers,
-            core.hello,
-            lambda event: built[0].router.take(event),
-            core.rng,
-        )
-        address = parse_address(settings.peer_address)
-        core.ports.peer = stack.enter_context(
-            listening_for_peers(reactor, address.host, address.port, pool)
-        )
-        node = Node(core, control, pool)
-        built.append(node)
-        _listen_for_operators(stack, node)
-        _open_callers_once(stack, node)
-        stack.enter_context(node.running())
-        yield node
-
-
-def _opened_bus(
-    core: NodeCore, control: ControlService
-) -> AbstractContextManager[ControlBus]:
-    address = parse_address(core.settings.control_address)
-    return opened_control_bus(
-        core.reactor, address.host, address.port, control.receive
-    )
-
-
-def _open_callers_once(stack: ExitStack, node: Node) -> None:
-    """Listen for callers from the first verified version, or after a while.
-
-    Until then the target gets no calls either: its own calls to further
-    services come in here.
-    """
-
-    timers = node.core.timers
-    until_s = timers.now_s() + VERIFIED_WITHIN_S
-
-    def open_callers(now_s: float) -> None:
-        if node.configuration.admits_keyed() or now_s > until_s:
-            _listen_for_callers(stack, node)
-        else:
-            timers.after(DRAIN_CHECK_S, open_callers)
-
-    open_callers(timers.now_s())
-
-
-def _listen_for_callers(stack: ExitStack, node: Node) -> None:
-    core = node.core
-    callers = parse_address(core.settings.caller_address)
-    core.ports.caller = stack.enter_context(
-        listening_for_callers(
-            core.reactor,
-            core.timers,
-            callers.host,
-            callers.port,
-            node.handle_http,
-            core.settings.connections.max_callers,
-        )
-    )
-    node.state = NodeState.SERVING
-    for listener in node.on_serving:
-        listener()
-
-
-def _listen_for_operators(stack: ExitStack, node: Node) -> None:
-    core = node.core
-    node.observe()
-    core.ports.operator = stack.enter_context(
-        listening_for_operators(
-            core.reactor,
-            parse_address(core.settings.operator_address),
-            node.status,
-            core.metrics,
-        )
-    )
