--- a/src/rattanstile/process/mesh/serving_desk.py
+++ b/src/rattanstile/process/mesh/serving_desk.py
@@ -1,13 +1,11 @@
 """Serves the calls of all nodes on the target beside this one."""
 
-import heapq
 from collections.abc import Callable, Hashable
-from dataclasses import dataclass, field
 
 from rattanstile.connection.http_client import ExchangeFailure
 from rattanstile.connection.http_messages import HttpResponse
 from rattanstile.connection.peer_messages import TargetLoad
-from rattanstile.connection.target_pool import TargetExchange, TargetPool
+from rattanstile.connection.target_pool import TargetPool
 from rattanstile.process.decision_log import Kind
 from rattanstile.process.mesh.call_tree import CallTree
 from rattanstile.process.mesh.context import NodeContext
@@ -18,6 +16,7 @@
     RunRefused,
     TargetDialect,
 )
+from rattanstile.process.mesh.served_calls import ServedCalls, ServedInHand
 from rattanstile.process.mesh.service_needs import ServiceNeeds, with_own
 from rattanstile.process.mesh.target_gate import TargetGate, WaitingCall
 from rattanstile.process.mesh.target_prober import TargetProber
@@ -42,30 +41,11 @@
 SPARE_CONNECTIONS = 8
 """Connections beyond the limit, for those that are about to close."""
 CONNECTION_SHARE = 0.9
-OVERDUE_S = 0.3
-"""A target answers by itself at the deadline; its answer may be lost."""
 MS_PER_S = 1000
 PERCENT = 100
 _SERVER_ERROR = 500
 
 
-@dataclass(eq=False, slots=True)
-class _Served:
-    """A call in hand."""
-
-    waiting: WaitingCall
-    ended: EndingHandler
-    exchange: TargetExchange | None = None
-
-
-@dataclass(order=True, slots=True)
-class _Overdue:
-    """When a call on the target is given up."""
-
-    at_s: float
-    served: _Served = field(compare=False)
-
-
 class ServingDesk:
     """Takes calls in, runs them on the target and tells how they ended.
 
@@ -98,8 +78,7 @@
         self._timers = context.timers
         self._log = context.log
         self._status_changed = status_changed
-        self._served: dict[Hashable, _Served] = {}
-        self._overdue: list[_Overdue] = []
+        self._served = ServedCalls()
         self._was_usable = False
         self._prober = TargetProber(
             context,
@@ -170,12 +149,12 @@
             self._log_refused(call, reason)
             ended(NotRun(reason))
             return
-        self._served[key] = _Served(waiting, ended)
+        self._served.add(ServedInHand(waiting, ended))
         self.pump()
 
     def cancel(self, key: Hashable) -> None:
         """Drop a call: nobody waits for it any more."""
-        served = self._served.pop(key, None)
+        served = self._served.pop(key)
         if served is None:
             return
         if served.exchange is None:
@@ -185,11 +164,7 @@
 
     def keys_of(self, owner: Hashable) -> list[Hashable]:
         """Return the keys of the calls that came in on one connection."""
-        return [
-            key
-            for key in self._served
-            if isinstance(key, tuple) and key[0] is owner
-        ]
+        return self._served.keys_of(owner)
 
     def pump(self) -> None:
         """Send the calls that may be sent now."""
@@ -292,15 +267,11 @@
 
     def _end_overdue(self, now_s: float) -> None:
         """End calls that the target should have stopped by itself."""
-        while self._overdue and self._overdue[0].at_s <= now_s:
-            served = heapq.heappop(self._overdue).served
-            key = served.waiting.key
-            if self._served.get(key) is not served or served.exchange is None:
-                continue
-            self._served.pop(key)
+        for served in self._served.overdue(now_s):
             self._log_failed(now_s, served.waiting, 'overdue')
             self._failing.add(now_s, is_failed=True)
-            self._pool.abandon(served.exchange)
+            if served.exchange is not None:
+                self._pool.abandon(served.exchange)
             served.ended(Unknown(UnknownReason.DEADLINE))
 
     def _run(self, now_s: float, waiting: WaitingCall) -> None:
@@ -308,8 +279,7 @@
         call = waiting.call
         remaining_ms = max(1, int((waiting.deadline_s - now_s) * MS_PER_S))
         self.tree.began(now_s, call.route)
-        overdue_s = waiting.deadline_s + OVERDUE_S
-        heapq.heappush(self._overdue, _Overdue(overdue_s, served))
+        self._served.runs(served)
         served.exchange = self._pool.send(
             self._dialect.encode_call(call, self.watch.target_id, remaining_ms),
             lambda end: self._ran(served, end),
@@ -318,7 +288,7 @@
         )
 
     def _ran(
-        self, served: _Served, end: HttpResponse | ExchangeFailure
+        self, served: ServedInHand, end: HttpResponse | ExchangeFailure
     ) -> None:
         now_s = self._timers.now_s()
         waiting = served.waiting
@@ -331,7 +301,7 @@
         self.tree.ended(now_s, waiting.call.route)
         if end is not ExchangeFailure.ABANDONED:
             self._failing.add(now_s, is_failed=_is_failed(run_end))
-        is_wanted = self._served.pop(waiting.key, None) is not None
+        is_wanted = self._served.pop(waiting.key) is not None
         if is_wanted:
             served.ended(self._ending(now_s, waiting, run_end))
         self.pump()
@@ -404,7 +374,7 @@
         return None
 
     def _refuse(self, waiting: WaitingCall, reason: NotRunReason) -> None:
-        served = self._served.pop(waiting.key, None)
+        served = self._served.pop(waiting.key)
         if served is None:
             return
         self._log_refused(waiting.call, reason)
