Readers of the store say so each second

Cause: a node that doesn't read relied on readers to which it was connected; connections that go silent look alike. Change: a reader says each second that it reads and is answered; one that was not heard for 2.5 s counts no more, and the next takes over.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -66,7 +66,7 @@
     Attributes:
         incarnation: Differs between two runs of the process.
         offset: See `ConfigNotice`.
-        can_read: See `ConfigNotice`.
+        reads: See `ConfigNotice`.
     """
 
     node_id: NodeId
@@ -76,7 +76,7 @@
     incarnation: int
     offset: int
     load: TargetLoad
-    can_read: bool = True
+    reads: bool = True
 
 
 class CallSent(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -121,11 +121,11 @@
     """The sender knows the operators' log up to this offset.
 
     Attributes:
-        can_read: Whether the store last answered the sender.
+        reads: Whether the sender reads the log, and is answered.
     """
 
     offset: int
-    can_read: bool = True
+    reads: bool = True
 
 
 class ConfigWanted(msgspec.Struct, frozen=True, array_like=True, tag=7):
--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -42,9 +42,6 @@
 class ConfigRelay:
     """Follows which nodes are ahead of this one.
 
-    Attributes:
-        can_read: Whether the store last answered this node.
-
     Args:
         words: What this node knows.
         peers: Reaches the other nodes.
@@ -66,27 +63,32 @@
         self._timers = timers
         self._readers = readers
         self._chance = chance
-        self.can_read = True
+        self._can_read = True
         self._ahead: dict[NodeId, _Ahead] = {}
         self._asked_until_s = 0.0
 
     def changed(self) -> None:
         """Tell all nodes how far this one is."""
         offset = self._words.state.offset
-        self._peers.broadcast(ConfigNotice(offset, self.can_read))
+        self._peers.broadcast(ConfigNotice(offset, self.reads))
 
     def is_reader(self) -> bool:
         """Tell whether this node reads the store itself."""
-        return self._readers.is_reader()
+        return self._readers.is_reader(self._timers.now_s())
+
+    @property
+    def reads(self) -> bool:
+        """Tell whether this node reads the store, and is answered."""
+        return self._can_read and self.is_reader()
 
     def store_answers(self, *, can_read: bool) -> None:
         """Tell all nodes whether this one can read the store."""
-        self.can_read = can_read
+        self._can_read = can_read
         self.changed()
 
-    def noticed(self, node_id: NodeId, offset: int, *, can_read: bool) -> None:
-        """Learn how far a node is, and whether it can read the store."""
-        self._readers.told(node_id, can_read=can_read)
+    def noticed(self, node_id: NodeId, offset: int, *, reads: bool) -> None:
+        """Learn how far a node is, and whether it reads the store."""
+        self._readers.told(self._timers.now_s(), node_id, reads=reads)
         if offset <= self._words.state.offset:
             self._ahead.pop(node_id, None)
             return
@@ -96,12 +98,14 @@
 
     def check(self, now_s: float) -> None:
         """Ask one of the nodes that have been ahead for long enough."""
+        if self._readers.is_sign_due(now_s):
+            self.changed()
         if now_s < self._asked_until_s:
             return
         for node_id, ahead in tuple(self._ahead.items()):
             if ahead.offset <= self._words.state.offset:
                 self._ahead.pop(node_id)
-        patience_s = RELAY_PATIENCE_S if self._readers.is_reader() else 0
+        patience_s = RELAY_PATIENCE_S if self.is_reader() else 0
         links = [
             link
             for node_id, ahead in self._ahead.items()
@@ -120,8 +124,8 @@
     def message(self, link: PeerLink, message: RelayMessage) -> None:
         """Take a message of another node."""
         match message:
-            case ConfigNotice(offset, can_read):
-                self.noticed(link.node_id, offset, can_read=can_read)
+            case ConfigNotice(offset, reads):
+                self.noticed(link.node_id, offset, reads=reads)
             case ConfigWanted(offset):
                 self._tell(link, offset)
             case ConfigTold():
--- a/src/rattanstile/process/mesh/peer_desk.py
+++ b/src/rattanstile/process/mesh/peer_desk.py
@@ -95,7 +95,7 @@
             incarnation=self._incarnation,
             offset=self._context.state().offset,
             load=self._serving.load(),
-            can_read=self._relay.can_read,
+            reads=self._relay.reads,
         )
 
     def neighbours(self) -> set[NodeId]:
@@ -159,9 +159,7 @@
             domain=hello.domain,
             usable=hello.load.is_usable,
         )
-        self._relay.noticed(
-            hello.node_id, hello.offset, can_read=hello.can_read
-        )
+        self._relay.noticed(hello.node_id, hello.offset, reads=hello.reads)
         self._entry.peers_changed()
 
     def peer_lost(self, link: PeerLink) -> None:
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -114,6 +114,7 @@
         links = {'n2': self.link, 'n3': self.far}
         peers = SimpleNamespace(broadcast=self.sent.append, link_to=links.get)
         self.readers = StoreReaders('n9', lambda: {'n2'})
+        self.readers.is_sign_due = lambda now_s: False
         self.relay = ConfigRelay(
             self.words,
             peers,
@@ -149,7 +150,7 @@
 
     def test_a_node_that_does_not_read_asks_at_once(self):
         """It won't learn of the change from the store."""
-        self.readers.is_reader = lambda: False
+        self.readers.is_reader = lambda now_s: False
         self.relay.message(self.link, ConfigNotice(5))
         self.relay.check(0.1)
         self.assertEqual(self.links_asked, ['n2'])
