--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -1,6 +1,7 @@
 """A loopback proxy whose connections can be harmed."""
 
 import asyncio
+import contextlib
 import threading
 from enum import Enum, unique
 
@@ -52,10 +53,12 @@
             writer.transport.abort()
             return
         self._writers.update((writer, back))
-        await asyncio.gather(
-            self._pump(reader, back, Harm.CUT_THERE),
-            self._pump(there, writer, Harm.CUT_BACK),
-        )
+        with contextlib.suppress(asyncio.CancelledError):
+            # The end of the soak ends what is still open.
+            await asyncio.gather(
+                self._pump(reader, back, Harm.CUT_THERE),
+                self._pump(there, writer, Harm.CUT_BACK),
+            )
         self._writers.difference_update((writer, back))
 
     async def _pump(self, reader, writer, cut):
