Members of a domain in the order in which they came

Cause of the red row 'membership: a node killed' (5.1 s with PYTHONHASHSEED=0, 4.0 s with others): members of a domain and of a service stood in sets, whose order by hash decided whom a node probes next beside the seed. Change: dicts without values in place of sets.

--- a/src/rattanstile/process/membership/members.py
+++ b/src/rattanstile/process/membership/members.py
@@ -44,13 +44,20 @@
         )
 
 
+_Group = dict[NodeId, None]
+
+
 @dataclass(slots=True)
 class MemberTable:
-    """Members by node, failure domain and service."""
+    """Members by node, failure domain and service.
+
+    The groups are dicts without values: they keep the order in which members
+    came, on which the choices drawn from a seed depend.
+    """
 
     _entries: dict[NodeId, Entry] = field(default_factory=dict)
-    _by_domain: dict[FailureDomainId, set[NodeId]] = field(default_factory=dict)
-    _by_service: dict[ServiceName, set[NodeId]] = field(default_factory=dict)
+    _by_domain: dict[FailureDomainId, _Group] = field(default_factory=dict)
+    _by_service: dict[ServiceName, _Group] = field(default_factory=dict)
     _changes: dict[FailureDomainId, int] = field(default_factory=dict)
     _digests: dict[FailureDomainId | ServiceName, int] = field(
         default_factory=dict
@@ -129,8 +136,8 @@
         """Drop what is known of a node."""
         entry = self._entries.pop(node_id)
         self._digest_changed(entry.member)
-        self._by_domain[entry.member.failure_domain].discard(node_id)
-        self._by_service[entry.member.service].discard(node_id)
+        self._by_domain[entry.member.failure_domain].pop(node_id, None)
+        self._by_service[entry.member.service].pop(node_id, None)
 
     def forget_left(self, now_s: float) -> None:
         """Drop the members that left long ago."""
@@ -149,10 +156,10 @@
         self._entries[member.node_id] = Entry(
             member, update.state, update.refutation, now_s
         )
-        self._by_domain.setdefault(member.failure_domain, set()).add(
+        self._by_domain.setdefault(member.failure_domain, {})[
             member.node_id
-        )
-        self._by_service.setdefault(member.service, set()).add(member.node_id)
+        ] = None
+        self._by_service.setdefault(member.service, {})[member.node_id] = None
         return True
 
     def _digest_changed(self, member: Member) -> None:
