--- a/src/rattanstile/connection/peer_pool.py
+++ b/src/rattanstile/connection/peer_pool.py
@@ -374,14 +374,6 @@
             if each.link is not None and each.ready_s <= since_s
         )
 
-    def silent_since(self, since_s: float) -> tuple[NodeId, ...]:
-        """Return the connected nodes that were not heard since a time."""
-        return tuple(
-            node_id
-            for node_id, each in self._contacts.items()
-            if each.link is not None and each.link.heard_s < since_s
-        )
-
     def broadcast(self, message: PeerMessage) -> None:
         """Send a message to each node that is connected to this one."""
         frame = encode_peer_frame(message)
--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rate_service.py
@@ -19,7 +19,7 @@
 )
 from rattanstile.process.mesh.rate_sharer import RateSharer
 from rattanstile.process.mesh.root_admission import RootAdmission
-from rattanstile.request.ids import NodeId, OrganisationId, ServiceName
+from rattanstile.request.ids import NodeId, OrganisationId
 from rattanstile.version.fleet_config import Organisation
 
 ASK_TIMEOUT_S = 0.1
@@ -29,7 +29,6 @@
 
 SETTLED_S = 1.0
 """A node that is back shares nothing out before all others have met it."""
-MOST_OF_FLEET = 0.5
 PASSED_DRY_MS = 250
 """When a node that could not reach the pool itself is to ask again."""
 PATIENCE_S = 0.15
@@ -213,17 +212,7 @@
         self._sharer.share(now_s, self.fleet, organisations)
         self.keeper.shared(now_s, self._sharer.parts_of(self._node_id))
         self._fill_pool(now_s)
-        self._admission.fleet_demand(self._calls_per_s(now_s), self.fleet)
-
-    def _calls_per_s(self, now_s: float) -> dict[ServiceName, float]:
-        """Return the demand of the fleet; nothing when few nodes report.
-
-        A part of the fleet that is cut off still counts the capacity of all;
-        each node then takes its own demand for that of all others.
-        """
-        if self._sharer.reachable(now_s, self.fleet) < MOST_OF_FLEET:
-            return {}
-        return self._sharer.calls_per_s()
+        self._admission.fleet_demand(self._sharer.calls_per_s(), self.fleet)
 
     def _fill_pool(self, now_s: float) -> None:
         self._pool.know(
@@ -242,7 +231,7 @@
         if self._sharer_id == self._node_id:
             self._fill_pool(now_s)
         parts = self._sharer.parts_of(link.node_id)
-        calls = self._calls_per_s(now_s)
+        calls = self._sharer.calls_per_s()
         link.send(RatesShared(message.sequence, parts, calls, self.fleet))
 
     def _give(self, now_s: float, link: PeerLink, message: TokenWanted) -> None:
@@ -293,7 +282,7 @@
             asked.is_second = True
             self._ask(asked)
             return
-        self._doubt(now_s, asked)
+        self._doubted_until_s[asked.sharer] = now_s + DOUBT_S
         self._choose_sharer(now_s)
         self._log.write(
             Kind.RATE,
@@ -308,12 +297,6 @@
             asked.is_second = True
             self._ask(asked)
 
-    def _doubt(self, now_s: float, asked: _Ask) -> None:
-        """Doubt all nodes that gave no sign since an ask: a cut hits many."""
-        silent = self._peers.silent_since(asked.asked_s)
-        for node_id in (asked.sharer, *silent):
-            self._doubted_until_s[node_id] = now_s + DOUBT_S
-
     def _settle(self, asked: _Ask, wait_s: float, *, is_granted: bool) -> None:
         if is_granted and wait_s:
             self._timers.after(wait_s, lambda _: asked.answered(True))
--- a/src/rattanstile/process/mesh/serving_desk.py
+++ b/src/rattanstile/process/mesh/serving_desk.py
@@ -269,8 +269,7 @@
         """End calls that the target should have stopped by itself."""
         for served in self._served.overdue(now_s):
             self._log_failed(now_s, served.waiting, 'overdue')
-            if not self._calls_others(served.waiting):
-                self._failing.add(now_s, is_failed=True)
+            self._failing.add(now_s, is_failed=True)
             if served.exchange is not None:
                 self._pool.abandon(served.exchange)
             served.ended(Unknown(UnknownReason.DEADLINE))
@@ -301,17 +300,12 @@
         self.gate.ended(now_s, waiting, ran=isinstance(run_end, RunAnswered))
         self.tree.ended(now_s, waiting.call.route)
         if end is not ExchangeFailure.ABANDONED:
-            calls_others = self._calls_others(waiting)
-            is_failed = _is_failed(run_end, calls_others=calls_others)
-            self._failing.add(now_s, is_failed=is_failed)
+            self._failing.add(now_s, is_failed=_is_failed(run_end))
         is_wanted = self._served.pop(waiting.key) is not None
         if is_wanted:
             served.ended(self._ending(now_s, waiting, run_end))
         self.pump()
 
-    def _calls_others(self, waiting: WaitingCall) -> bool:
-        return bool(self.tree.calls_of(waiting.call.route))
-
     def _ending(
         self,
         now_s: float,
@@ -403,16 +397,11 @@
         )
 
 
-def _is_failed(
-    run_end: RunAnswered | RunRefused | RunFailed, *, calls_others: bool
-) -> bool:
-    """Tell whether the target itself failed a call that reached it.
-
-    An error of a run that calls other services may be theirs.
-    """
+def _is_failed(run_end: RunAnswered | RunRefused | RunFailed) -> bool:
+    """Tell whether the target failed a call that reached it."""
     match run_end:
         case RunAnswered(answer):
-            return answer.status >= _SERVER_ERROR and not calls_others
+            return answer.status >= _SERVER_ERROR
         case RunRefused(is_other_target):
             return not is_other_target
         case RunFailed(failure):
