Usage of services: no growth over apparent cycles

The nodes of one failure domain took a lookup for 24 to 36 runs of its own service: keyless requests that test the configuration were counted as calls of the target beside the node, and a usage that leads back to the own service was added at each report.

Change: a report leaves out what leads back to its own service; a request that comes while the target runs nothing isn't a call of the target.

--- a/src/rattanstile/process/mesh/call_tree.py
+++ b/src/rattanstile/process/mesh/call_tree.py
@@ -97,7 +97,13 @@
         runs.in_progress -= 1
 
     def called(self, now_s: float, called: RunKind) -> None:
-        """Record an outgoing call of the target."""
+        """Record an outgoing call of the target.
+
+        A target that runs nothing makes no calls: another process on the VM
+        has sent such a request.
+        """
+        if not any(runs.in_progress for runs in self._routes.values()):
+            return
         self._outgoing.setdefault(called, _OutgoingCalls()).window += 1
 
     def step(self, now_s: float) -> None:
--- a/src/rattanstile/process/mesh/service_needs.py
+++ b/src/rattanstile/process/mesh/service_needs.py
@@ -5,6 +5,10 @@
 learns the usage of the deepest service within a few answers. Until the first
 answer, a run is assumed to take one run of the service that the route goes
 to: that service is known to be used even if it answers no call.
+
+Calls that lead back to the service that reports are left out. Call graphs
+rarely have cycles, while a few calls attributed to the wrong route make an
+apparent one, whose usage would grow with each report.
 """
 
 from dataclasses import dataclass
@@ -83,7 +87,7 @@
     own: ServiceUsage, nested: dict[ServiceName, ServiceUsage]
 ) -> tuple[ServiceUsage, ...]:
     """Return the usage of a route: its own service and those it calls."""
-    recursive = nested.pop(own.service, None)
-    if recursive is not None:
-        own = ServiceUsage(own.service, round(own.runs + recursive.runs, 2))
-    return (own, *tuple(nested.values())[: MAX_SERVICES - 1])
+    others = [
+        usage for usage in nested.values() if usage.service != own.service
+    ]
+    return (own, *others[: MAX_SERVICES - 1])
