Retry-After of an organisation at its rate: when its token comes

Change: the pool tells the time of the token behind the callers that it refused earlier; a caller whose token would come too late, and one refused while the pool is known to be empty, returns at a random time within the part of its deadline in which a retry can still succeed. Admission by load uses the same module. A forwarded refusal carries the pool's answer.

--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -10,9 +10,16 @@
 from rattanstile.process.mesh.call_endings import ending_label
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.entry_call import EntryCall, Phase
-from rattanstile.process.mesh.rate_limiter import RateDecision
+from rattanstile.process.mesh.rate_limiter import (
+    PoolDecision,
+    RateDecision,
+)
 from rattanstile.process.mesh.rate_service import RateService
 from rattanstile.process.mesh.rerun_budget import RerunBudget
+from rattanstile.process.mesh.retry_after import (
+    return_at_token_s,
+    spread_return_s,
+)
 from rattanstile.process.mesh.root_admission import (
     AdmissionDecision,
     RootAdmission,
@@ -191,25 +198,32 @@
             call.phase = Phase.AWAITING_TOKEN
             self._rates.request_token(
                 organisation,
-                lambda is_granted: self._token_answered(
-                    call, rate, is_granted=is_granted
-                ),
+                lambda taken: self._token_answered(call, rate, taken),
             )
         else:
-            self._refuse_over_rate(call, rate)
+            retry_after_s = spread_return_s(
+                self._context.rng, call.deadline_s - now_s, rate.token_wait_s
+            )
+            self._refuse_over_rate(call, rate, retry_after_s)
 
     def _token_answered(
-        self, call: EntryCall, rate: RateDecision, *, is_granted: bool
+        self, call: EntryCall, rate: RateDecision, taken: PoolDecision
     ) -> None:
+        now_s = self._context.timers.now_s()
         if call.phase is Phase.ENDED:
-            if is_granted and call.organisation is not None:
+            if taken.is_granted and call.organisation is not None:
                 self._rates.limiter.give_back(call.organisation)
-        elif is_granted:
-            self._check_load(self._context.timers.now_s(), call)
+        elif taken.is_granted:
+            self._check_load(now_s, call)
         else:
-            self._refuse_over_rate(call, rate)
+            retry_after_s = return_at_token_s(
+                self._context.rng, call.deadline_s - now_s, taken.wait_s
+            )
+            self._refuse_over_rate(call, rate, retry_after_s)
 
-    def _refuse_over_rate(self, call: EntryCall, rate: RateDecision) -> None:
+    def _refuse_over_rate(
+        self, call: EntryCall, rate: RateDecision, retry_after_s: float
+    ) -> None:
         organisation = call.organisation
         self._context.log.write(
             LineKind.RATE,
@@ -219,9 +233,9 @@
             tokens=round(rate.tokens, 2),
             part=round(rate.part, 4),
             asked_pool=rate.may_use_pool,
-            retry_after_s=round(rate.retry_after_s, 2),
+            retry_after_s=round(retry_after_s, 2),
         )
-        self._end(call, NotRun(NotRunReason.OVER_RATE, rate.retry_after_s))
+        self._end(call, NotRun(NotRunReason.OVER_RATE, retry_after_s))
 
     def _check_load(self, now_s: float, call: EntryCall) -> None:
         verdict = self._admission.decide(
--- a/src/rattanstile/process/mesh/rate_limiter.py
+++ b/src/rattanstile/process/mesh/rate_limiter.py
@@ -29,8 +29,9 @@
 """Slightly more than rate and burst is handed out: tokens that are spread over
 many nodes are never used up everywhere, and the fleet may admit a tenth
 more."""
-MIN_RETRY_S = 0.2
-MAX_RETRY_S = 2.0
+MAX_RETURN_S = 2.0
+"""Longest time for which callers that were rejected are counted on to return;
+most callers have given up by then."""
 MAX_POOL_BACKOFF_S = 0.25
 """An empty pool is asked again after this time at the latest."""
 FIRST_FILL_S = 0.15
@@ -52,6 +53,10 @@
         share_expires_s: Time at which the share is no longer valid.
         requests: Requests since the demand was last measured.
         pool_retry_at_s: Time until which the pool isn't asked.
+        pool_token_at_s: Time at which the pool, when it was last asked, would
+            have had a token for one more caller.
+        returning: Rejected callers that were told to return and for which no
+            token has come in yet.
     """
 
     filled_s: float
@@ -61,6 +66,8 @@
     requests: float = 0.0
     demand_per_s: float = 0.0
     pool_retry_at_s: float = 0.0
+    pool_token_at_s: float = 0.0
+    returning: float = 0.0
 
     def fill(
         self, now_s: float, organisation: Organisation, spare_calls: float
@@ -73,11 +80,25 @@
         self.tokens = min(
             self.tokens + passed_s * rate_per_s, burst_calls + spare_calls
         )
+        self.returning = max(0.0, self.returning - passed_s * rate_per_s)
 
     def wait_s(self, organisation: Organisation) -> float:
         """Return the time until the next token."""
         rate_per_s = organisation.rate_per_s * RATE_SHARE * self.share
-        return (1 - self.tokens) / max(rate_per_s, 1 / MAX_RETRY_S)
+        return (1 - self.tokens) / max(rate_per_s, 1 / MAX_RETURN_S)
+
+    def add_returning(self, organisation: Organisation) -> float:
+        """Return the time until a token for one more rejected caller.
+
+        The callers rejected before it come first. Those whose turn would come
+        too late are not counted.
+        """
+        rate_per_s = organisation.rate_per_s * RATE_SHARE * self.share
+        wait_s = self.wait_s(organisation)
+        wait_s += self.returning / max(rate_per_s, 1 / MAX_RETURN_S)
+        if wait_s <= MAX_RETURN_S:
+            self.returning += 1
+        return wait_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,13 +109,14 @@
         may_use_pool: Whether the pool may have a token for it.
         tokens: Tokens left in the node's bucket.
         part: The node's share of the rate.
+        token_wait_s: Time until a token, as far as this node knows.
     """
 
     is_admitted: bool
     may_use_pool: bool
     tokens: float
     part: float
-    retry_after_s: float = 0
+    token_wait_s: float = 0
 
 
 class LocalRateLimiter:
@@ -138,7 +160,10 @@
             may_use_pool=now_s >= bucket.pool_retry_at_s,
             tokens=bucket.tokens,
             part=bucket.share,
-            retry_after_s=_bounded(bucket.wait_s(organisation)),
+            token_wait_s=min(
+                bucket.wait_s(organisation),
+                max(0.0, bucket.pool_token_at_s - now_s),
+            ),
         )
 
     def record_empty_pool(
@@ -147,6 +172,7 @@
         """Stop asking the pool for tokens for a while."""
         bucket = self._bucket(now_s, organisation)
         bucket.pool_retry_at_s = now_s + min(wait_s, MAX_POOL_BACKOFF_S)
+        bucket.pool_token_at_s = now_s + wait_s
 
     def give_back(self, organisation: Organisation) -> None:
         """Return the token of a request that has not run."""
@@ -200,8 +226,8 @@
     """Whether the pool grants a token.
 
     Attributes:
-        wait_s: Time until the token is available, or until the next request
-            if none is granted.
+        wait_s: Time until the token is available; if none is granted, the
+            time after which a caller that is told to return finds one.
     """
 
     is_granted: bool
@@ -265,8 +291,6 @@
         if wait_s <= MAX_TOKEN_WAIT_S:
             bucket.tokens -= 1
             return PoolDecision(is_granted=True, wait_s=wait_s)
-        return PoolDecision(is_granted=False, wait_s=wait_s)
-
-
-def _bounded(wait_s: float) -> float:
-    return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+        return PoolDecision(
+            is_granted=False, wait_s=bucket.add_returning(organisation)
+        )
--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rate_service.py
@@ -31,12 +31,10 @@
 MIN_CONNECTED_S = 1.0
 """A restarted node isn't chosen as the allocator before all others have
 connected to it."""
-FORWARDED_RETRY_MS = 250
-"""Time until a node that could not reach the pool itself asks again."""
 LINK_WAIT_S = 0.15
 """Links that were reset are open again within this time."""
 
-TokenHandler = Callable[[bool], None]
+TokenHandler = Callable[[PoolDecision], None]
 
 
 @dataclass(eq=False, slots=True)
@@ -44,7 +42,7 @@
     """A request that waits for a token of the pool.
 
     Attributes:
-        on_answer: Called once with whether a token is granted.
+        on_answer: Called once with the decision of the pool.
         allocator: Node that was asked for the token.
         is_last_attempt: Whether a timeout refuses the token; set for a request
             that is retried or forwarded.
@@ -171,7 +169,7 @@
                 request = self._in_flight.pop(sequence, None)
                 if request is not None:
                     self._complete(
-                        request, wait_ms / 1000, is_granted=is_granted
+                        request, PoolDecision(is_granted, wait_ms / 1000)
                     )
 
     def _send_request(self, request: _TokenRequest) -> None:
@@ -197,8 +195,7 @@
         if is_alone and now_s < request.link_deadline_s:
             self._waiting.append(request)
             return
-        taken = self._take_token(now_s, request.organisation)
-        self._complete(request, taken.wait_s, is_granted=taken.is_granted)
+        self._complete(request, self._take_token(now_s, request.organisation))
 
     def _take_token(
         self, now_s: float, organisation: Organisation
@@ -288,9 +285,12 @@
     ) -> None:
         """Forward the request of a node that can't reach the allocator."""
 
-        def on_answer(is_granted: bool) -> None:  # noqa: FBT001
-            wait_ms = 0 if is_granted else FORWARDED_RETRY_MS
-            link.send(TokenResponse(sequence, is_granted, wait_ms))
+        def on_answer(taken: PoolDecision) -> None:
+            link.send(
+                TokenResponse(
+                    sequence, taken.is_granted, int(taken.wait_s * 1000)
+                )
+            )
 
         self._send_request(
             _TokenRequest(
@@ -325,18 +325,23 @@
             next=self._allocator_id,
         )
         if request.is_last_attempt:
-            self._complete(request, TOKEN_TIMEOUT_S, is_granted=False)
+            self._complete(
+                request,
+                PoolDecision(is_granted=False, wait_s=TOKEN_TIMEOUT_S),
+            )
         else:
             request.is_last_attempt = True
             self._send_request(request)
 
-    def _complete(
-        self, request: _TokenRequest, wait_s: float, *, is_granted: bool
-    ) -> None:
-        if is_granted and wait_s:
-            self._timers.after(wait_s, lambda _: request.on_answer(True))
+    def _complete(self, request: _TokenRequest, taken: PoolDecision) -> None:
+        if not taken.is_granted:
+            self.limiter.record_empty_pool(
+                self._timers.now_s(), request.organisation, taken.wait_s
+            )
+        elif taken.wait_s:
+            granted = PoolDecision(is_granted=True)
+            self._timers.after(
+                taken.wait_s, lambda _: request.on_answer(granted)
+            )
             return
-        if not is_granted:
-            now_s = self._timers.now_s()
-            self.limiter.record_empty_pool(now_s, request.organisation, wait_s)
-        request.on_answer(is_granted)
+        request.on_answer(taken)
--- a/src/rattanstile/process/mesh/root_admission.py
+++ b/src/rattanstile/process/mesh/root_admission.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from rattanstile.process.mesh.retry_after import spread_return_s
 from rattanstile.process.mesh.service_needs import RunKind
 from rattanstile.request.exchange import ServiceUsage
 from rattanstile.request.ids import ServiceName
@@ -52,10 +53,6 @@
 DISCOVERY_S = 1.0
 """A node that starts connects to the others within this time; a service of
 which it has found no node by then is unavailable."""
-MIN_RETRY_S = 0.3
-RETRY_SHARE = 0.2
-"""Share of the caller's remaining time within which it can retry and still be
-served."""
 
 
 @dataclass(frozen=True, order=True, slots=True)
@@ -273,7 +270,7 @@
             service=bottleneck,
             part=round(lowest_share, 3),
             let_in=round(self._services[bottleneck].admitted_share, 3),
-            retry_after_s=self._retry_after_s(remaining_s),
+            retry_after_s=spread_return_s(self._rng, remaining_s),
         )
 
     def own_demand(self) -> dict[ServiceName, float]:
@@ -333,10 +330,6 @@
             if service.is_near_capacity and service.view is not None
         ]
 
-    def _retry_after_s(self, remaining_s: float) -> float:
-        max_retry_s = max(2 * MIN_RETRY_S, remaining_s * RETRY_SHARE)
-        return self._rng.uniform(MIN_RETRY_S, max_retry_s)
-
 
 def _update_admitted_share(
     service: _Service, view: ServiceView, demand_per_s: float
--- a/tests/test_rate_asks.py
+++ b/tests/test_rate_asks.py
@@ -70,11 +70,14 @@
         )
         self.rates.message(self.peers.links[name], message)
 
+    def granted(self):
+        return [taken.is_granted for taken in self.answers]
+
     def test_a_token_is_granted(self):
         """The allocator is the node with the smallest id."""
         self.rates.request_token(NORTH, self.answers.append)
         self.answer('n1', True)
-        self.assertEqual(self.answers, [True])
+        self.assertEqual(self.granted(), [True])
 
     def test_a_token_that_comes_soon_is_waited_for(self):
         """The wait is the one that the pool returns."""
@@ -82,14 +85,14 @@
         self.answer('n1', True, wait_ms=50)
         self.assertEqual(self.answers, [])
         self.clock.advance(0.06)
-        self.assertEqual(self.answers, [True])
+        self.assertEqual(self.granted(), [True])
 
     def test_a_silent_allocator_is_bypassed(self):
         """After a timeout the node with the next id is asked instead."""
         self.rates.request_token(NORTH, self.answers.append)
         self.clock.advance(TOKEN_TIMEOUT_S + 0.01)
         self.answer('n2', True)
-        self.assertEqual(self.answers, [True])
+        self.assertEqual(self.granted(), [True])
 
     def test_a_token_request_is_forwarded_to_the_allocator(self):
         """A node whose own link to the allocator is cut asks another node.
