--- a/src/rattanstile/connection/direct_write.py
+++ b/src/rattanstile/connection/direct_write.py
@@ -28,11 +28,21 @@
     transport.write(encoded)
 
 
+def has_unsent_bytes(transport: Any) -> bool:
+    """Return whether bytes wait for the socket; only TCP transports have any.
+
+    Args:
+        transport: Any transport.
+    """
+    return isinstance(transport, Connection) and bool(
+        transport.dataBuffer or transport._tempDataBuffer
+    )
+
+
 def _is_drained(transport: FileDescriptor) -> bool:
     return (
         bool(transport.connected)
         and not transport.disconnecting
         and not transport._writeDisconnecting
-        and not transport.dataBuffer
-        and not transport._tempDataBuffer
+        and not has_unsent_bytes(transport)
     )
--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -17,7 +17,7 @@
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import Protocol, ServerFactory
 
-from rattanstile.connection.direct_write import write_now
+from rattanstile.connection.direct_write import has_unsent_bytes, write_now
 from rattanstile.connection.http_messages import HttpRequest
 from rattanstile.connection.liveness import set_liveness_options
 from rattanstile.request.exchange import RawHeader
@@ -90,6 +90,14 @@
     connections: set['HttpServerConnection'] = field(default_factory=set)
     is_closing: bool = False
 
+    @property
+    def unsent_responses(self) -> int:
+        """Return on how many connections a response is not sent yet."""
+        return sum(
+            has_unsent_bytes(connection.transport)
+            for connection in self.connections
+        )
+
     def check(self, now_s: float) -> None:
         """Apply the timeouts of all connections; called periodically."""
         for connection in tuple(self.connections):
--- a/src/rattanstile/process/mesh/drain.py
+++ b/src/rattanstile/process/mesh/drain.py
@@ -2,8 +2,11 @@
 
 In a rolling restart under load each node stops while requests are open.
 Callers are rerouted only after two readiness checks, one second apart, have
-failed; until then their requests keep arriving. The target keeps running, so
-it stays reachable for the longer part of that time.
+failed, and not at all while most nodes of the failure domain stop; until then
+their requests keep arriving on open connections. The target keeps running, so
+it stays reachable for the longer part of that time. After that, a request that
+could be cut off by the end of the process is refused: so its caller knows that
+it has not run.
 """
 
 from enum import Enum, unique
@@ -12,6 +15,8 @@
 """Minimum time for which the target still accepts calls of other nodes."""
 MAX_FINISH_S = 2.5
 """Part of the grace period reserved for finishing calls in progress."""
+ACCEPT_ALL_S = 3.0
+"""Callers have been rerouted by then, if there is a node to go to."""
 MIN_DRAIN_S = 2.3
 MIN_IDLE_S = 0.3
 """Time without work in progress after which no more is expected."""
@@ -70,3 +75,13 @@
         if is_idle and elapsed_s >= MIN_DRAIN_S:
             return DrainStep.END
         return DrainStep.FINISH
+
+    def end_s(self, now_s: float) -> float | None:
+        """Return the time by which a request that begins now must end.
+
+        Returns:
+            Monotonic seconds; None while requests of any length are accepted.
+        """
+        if now_s - self.began_s < ACCEPT_ALL_S:
+            return None
+        return self.began_s + self._grace_s - GRACE_MARGIN_S
--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -59,6 +59,8 @@
 
     Attributes:
         roots: Number of root requests in progress.
+        end_s: Monotonic time at which this process ends, which requests that
+            begin must not exceed; None while it isn't about to end.
 
     Args:
         context: State shared by the components of the node.
@@ -87,6 +89,7 @@
         self._reruns = reruns
         self._splitter = Splitter()
         self.roots = 0
+        self.end_s: float | None = None
         self._arrivals = 0
         self._held: dict[EntryCall, None] = {}
         self._deadlines: list[tuple[float, int, EntryCall]] = []
@@ -119,6 +122,11 @@
         call = self._entry_call(
             now_s, caller_request, validated.ok_value, on_end
         )
+        if self.end_s is not None and call.deadline_s > self.end_s:
+            retry_after_s = NOT_READY_RETRY_S + max(0.0, self.end_s - now_s)
+            refused = NotRun(NotRunReason.NOT_READY, retry_after_s)
+            self._refuse(caller_request, refused, on_end)
+            return None
         self._add_deadline(call)
         if call.is_inner:
             self._serving.attribution.called(now_s, call.run_kind)
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -170,8 +170,12 @@
 
     @property
     def in_hand(self) -> int:
-        """Return the number of requests and calls in progress."""
-        return self.entry.in_hand + self.serving.in_hand
+        """Return the number of requests, calls and unsent responses."""
+        return (
+            self.entry.in_hand
+            + self.serving.in_hand
+            + self._caller_state.unsent_responses
+        )
 
     @contextmanager
     def running(self) -> Iterator[None]:
@@ -260,6 +264,7 @@
             self._log_tight_services()
 
     def _advance_drain(self, now_s: float, drain: Drain) -> None:
+        self.entry.end_s = drain.end_s(now_s)
         match drain.step(now_s, self.entry.roots, self.in_hand):
             case DrainStep.KEEP_SERVING:
                 return
--- a/tests/test_entry_desk.py
+++ b/tests/test_entry_desk.py
@@ -108,3 +108,18 @@
         """Attempts refused for a full queue don't use the retry budget."""
         total = self.sends(NotRunReason.QUEUE_FULL, 20)
         self.assertEqual(total, 20 * (NODES - 2))
+
+    def test_request_that_outlasts_the_process_is_refused(self):
+        """It has not run, and its caller returns to the next process."""
+        self.desk.end_s = 1.5
+        self.desk.begin(caller_request('late'), self.ends.append)
+        refused = self.ends[0]
+        self.assertEqual(refused.reason, NotRunReason.NOT_READY)
+        self.assertGreaterEqual(refused.retry_after_s, 1.5)
+        self.assertEqual(self.sent, [])
+
+    def test_request_that_ends_before_the_process_is_accepted(self):
+        """The process ends later than the request's deadline."""
+        self.desk.end_s = 1.5
+        self.desk.begin(caller_request('short', deadline_ms=1000), print)
+        self.assertEqual(len(self.sent), 1)
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -225,6 +225,16 @@
         steps = [drain.step(tenth / 10, 1, 2) for tenth in range(60)]
         self.assertEqual(steps.index(DrainStep.FINISH), 35)
 
+    def test_requests_that_could_be_cut_off_are_refused_late_in_a_drain(self):
+        """Eleven were accepted in the last second and cut off.
+
+        Most nodes of the failure domain stopped, so that callers went on to
+        use their connections: Selovia, trouble-3.
+        """
+        drain = Drain(10.0, grace_s=6)
+        self.assertIsNone(drain.end_s(12.9))
+        self.assertAlmostEqual(drain.end_s(13.1), 15.4)
+
     def test_each_request_restarts_idle_time(self):
         """A caller that still arrives is served."""
         drain = Drain(0, grace_s=6)
