Target and caller connections: repeated answers, bytes without end

Causes, from reports of other operators, each shown by a test that fails before: - A header, reason phrase or trailer without end was held whole by the parser: the limit counted finished headers only (4 MB taken, no end). The same holds for a caller's header and trailer. - A response without an ID was taken for that of the call in flight. A refusal written once more on a kept connection could so deny a run; and a late copy of an answer could be read as the answer to a probe: a healthy target. - After a response to an earlier request the connection was used again.

Change: what arrives beside the body is bounded in proportion; a response without an ID counts only on a connection that has carried nothing else; the refusal of a call that must not run twice, and a response to an earlier request, end the connection; a probe accepts no response with a call's ID.

--- a/src/rattanstile/connection/http_client.py
+++ b/src/rattanstile/connection/http_client.py
@@ -13,9 +13,9 @@
 from rattanstile.connection.direct_write import write_now
 from rattanstile.connection.http_messages import HttpResponse
 from rattanstile.connection.liveness import set_liveness_options
+from rattanstile.connection.overhead import OverheadMeter
 from rattanstile.request.exchange import RawHeader
 
-MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 _FIRST_FINAL_STATUS = 200
@@ -42,7 +42,26 @@
     ABANDONED = 'abandoned'
 
 
-ResponseCheck = Callable[[HttpResponse], bool]
+@unique
+class ResponseMatch(Enum):
+    """How a response relates to the request in flight.
+
+    Attributes:
+        OWN: It answers the request.
+        LAST: It answers the request; if it came once more, it could be taken
+            for the answer to a later request, so the connection ends.
+        OTHER: It answers an earlier request, and is ignored.
+        UNIDENTIFIED: It names no request. It can only answer the request if
+            the connection has carried no other.
+    """
+
+    OWN = 'own'
+    LAST = 'last'
+    OTHER = 'other'
+    UNIDENTIFIED = 'unidentified'
+
+
+ResponseCheck = Callable[[HttpResponse], ResponseMatch]
 ExchangeCallback = Callable[[HttpResponse | ExchangeFailure], None]
 
 
@@ -66,7 +85,10 @@
         self.keep_alive_s: float | None = None
         self._on_lost = on_lost
         self._on_end: ExchangeCallback | None = None
-        self._answers_request: ResponseCheck | None = None
+        self._check_response: ResponseCheck | None = None
+        self._sent_requests = 0
+        self._overhead = OverheadMeter()
+        self._has_other_response = False
         self._is_head = False
         self._is_lost = False
         self._is_unusable = False
@@ -85,7 +107,7 @@
         on_end: ExchangeCallback,
         *,
         is_head: bool = False,
-        answers_request: ResponseCheck | None = None,
+        check_response: ResponseCheck | None = None,
     ) -> None:
         """Send a request.
 
@@ -93,11 +115,13 @@
             encoded_request: The bytes of the request.
             on_end: Called once, with the response or the failure.
             is_head: Whether the response has no body.
-            answers_request: Returns whether a response answers this request;
-                other responses are ignored.
+            check_response: Returns how a response relates to this request;
+                None accepts any response.
         """
         self._on_end = on_end
-        self._answers_request = answers_request
+        self._check_response = check_response
+        self._sent_requests += 1
+        self._overhead.reset()
         self._is_head = is_head
         write_now(self.transport, encoded_request)
 
@@ -125,10 +149,13 @@
         if self._on_end is None:
             self.abort()
             return
+        self._overhead.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._is_unusable = True
+        if self._overhead.is_exceeded:
+            self._is_unusable = True
         self._deliver_response()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
@@ -151,9 +178,6 @@
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store a header."""
-        self._head_bytes += len(name) + len(content)
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise _StopParsing
         self._headers.append((name.lower(), content))
 
     def on_status(self, phrase: bytes) -> None:
@@ -176,6 +200,7 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         self._body_bytes += len(body)
+        self._overhead.add_body(len(body))
         if self._body_bytes > MAX_BODY_BYTES:
             raise _StopParsing
         self._body.append(body)
@@ -200,8 +225,24 @@
         if self._completed is not None:
             # A second response to one request: no request matches it.
             self._is_unusable = True
-        elif self._answers_request is None or self._answers_request(response):
-            self._completed = response
+            return
+        match self._match(response):
+            case ResponseMatch.OWN:
+                self._completed = response
+            case ResponseMatch.LAST:
+                self._completed = replace(response, keeps_alive=False)
+            case ResponseMatch.OTHER:
+                self._has_other_response = True
+            case ResponseMatch.UNIDENTIFIED:
+                self._is_unusable = True
+
+    def _match(self, response: HttpResponse) -> ResponseMatch:
+        if self._check_response is None:
+            return ResponseMatch.OWN
+        found = self._check_response(response)
+        if found is ResponseMatch.UNIDENTIFIED and self._sent_requests == 1:
+            return ResponseMatch.OWN
+        return found
 
     def _deliver_response(self) -> None:
         """End the exchange with its response, or after invalid bytes."""
@@ -216,6 +257,7 @@
         keeps_alive = (
             response.keeps_alive
             and not self._is_unusable
+            and not self._has_other_response
             and is_between_responses
         )
         self._is_unusable = not keeps_alive
@@ -241,7 +283,6 @@
         self._status = 0
         self._phrase = b''
         self._headers: list[RawHeader] = []
-        self._head_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._body_ends_at_close = False
--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -20,6 +20,7 @@
 from rattanstile.connection.direct_write import has_unsent_bytes, write_now
 from rattanstile.connection.http_messages import HttpRequest
 from rattanstile.connection.liveness import set_liveness_options
+from rattanstile.connection.overhead import OverheadMeter
 from rattanstile.request.exchange import RawHeader
 from rattanstile.version.fleet_config import CallerLimits
 
@@ -120,6 +121,7 @@
         self.handler_context: Any = None
         self._state = state
         self._parser = httptools.HttpRequestParser(self)
+        self._overhead = OverheadMeter()
         self._pending_requests: deque[ReceivedRequest] = deque()
         self._is_busy = False
         self._is_closing = False
@@ -145,10 +147,13 @@
             return
         if self._request_start_s is None:
             self._request_start_s = self._state.now_s()
+        self._overhead.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse(self._parse_error or BadRequest.MALFORMED)
+        if self._overhead.is_exceeded:
+            self._refuse(BadRequest.HEAD_TOO_LARGE)
         self._start_next()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
@@ -263,6 +268,7 @@
         if not self._state.body_budget.has_room(len(body)):
             self._stop_parsing(BadRequest.NO_MEMORY)
         self._body_bytes += len(body)
+        self._overhead.add_body(len(body))
         self._state.body_budget.held_bytes += len(body)
         self._body.append(body)
 
@@ -283,6 +289,7 @@
             self._stop_parsing(BadRequest.MALFORMED)
 
     def _reset_request(self) -> None:
+        self._overhead.reset()
         self._url = b''
         self._headers: list[RawHeader] = []
         self._head_bytes = 0
--- /dev/null
+++ b/src/rattanstile/connection/overhead.py
@@ -0,0 +1,38 @@
+"""Bounds what arrives of an HTTP message beside its body.
+
+A parser holds an unfinished header, chunk extension or trailer itself, so that
+a limit on finished ones doesn't bound a header that never ends.
+"""
+
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_PER_BODY_BYTE = 8
+"""A body in chunks of one byte has five further bytes for each."""
+
+
+class OverheadMeter:
+    """Counts the bytes of one message that are not part of its body."""
+
+    def __init__(self) -> None:
+        """Start with a new message."""
+        self._received_bytes = 0
+        self._body_bytes = 0
+
+    def reset(self) -> None:
+        """Start with a new message."""
+        self._received_bytes = 0
+        self._body_bytes = 0
+
+    def add_received(self, size_bytes: int) -> None:
+        """Count bytes as they arrive, body bytes included."""
+        self._received_bytes += size_bytes
+
+    def add_body(self, size_bytes: int) -> None:
+        """Count bytes that turned out to be body bytes."""
+        self._body_bytes += size_bytes
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Return whether the message has more overhead than any valid one."""
+        overhead_bytes = self._received_bytes - self._body_bytes
+        allowed_bytes = MAX_OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        return overhead_bytes > MAX_OVERHEAD_BYTES + allowed_bytes
--- a/src/rattanstile/connection/target_pool.py
+++ b/src/rattanstile/connection/target_pool.py
@@ -30,8 +30,7 @@
         encoded_request: The bytes of the request.
         on_end: Called once, with the response or the failure.
         is_head: Whether the response has no body.
-        answers_request: Returns whether a response answers this request; None
-            accepts any response.
+        check_response: See `HttpClientConnection.send`.
     """
 
     def __init__(
@@ -40,13 +39,13 @@
         on_end: ExchangeCallback,
         *,
         is_head: bool,
-        answers_request: ResponseCheck | None,
+        check_response: ResponseCheck | None,
     ) -> None:
         """Start without a connection."""
         self.encoded_request = encoded_request
         self.on_end = on_end
         self.is_head = is_head
-        self.answers_request = answers_request
+        self.check_response = check_response
         self.connection: HttpClientConnection | None = None
         self.is_over = False
 
@@ -84,14 +83,14 @@
         on_end: ExchangeCallback,
         *,
         is_head: bool = False,
-        answers_request: ResponseCheck | None = None,
+        check_response: ResponseCheck | None = None,
     ) -> TargetExchange:
         """Send a request on an idle connection, or on a new one."""
         exchange = TargetExchange(
             encoded_request,
             on_end,
             is_head=is_head,
-            answers_request=answers_request,
+            check_response=check_response,
         )
         connection = self._take_idle()
         if connection is None:
@@ -188,7 +187,7 @@
             exchange.encoded_request,
             self._end_handler(connection, exchange),
             is_head=exchange.is_head,
-            answers_request=exchange.answers_request,
+            check_response=exchange.check_response,
         )
 
     def _end_handler(
--- a/src/rattanstile/platform/targets.py
+++ b/src/rattanstile/platform/targets.py
@@ -1,6 +1,9 @@
 """Codec of the calls and probes to a target and of its responses."""
 
-from rattanstile.connection.http_client import ExchangeFailure
+from rattanstile.connection.http_client import (
+    ExchangeFailure,
+    ResponseMatch,
+)
 from rattanstile.connection.http_messages import (
     HttpResponse,
     encode_request,
@@ -52,12 +55,22 @@
             call.method, call.path, (*call_headers, *call.headers), call.body
         )
 
-    def is_answer_to(self, call: ServedCall, response: HttpResponse) -> bool:
-        """Return whether a response answers this call and no other."""
+    def match_answer(
+        self, call: ServedCall, response: HttpResponse
+    ) -> ResponseMatch:
+        """Return how a response relates to a call, by the ID it echoes.
+
+        The refusal of a call that must not run twice ends its connection:
+        written once more, it would deny the run of a later attempt.
+        """
         echoed_id = response.header(headers.REQUEST_ID)
-        return (
-            echoed_id is None or echoed_id.decode('latin-1') == call.request_id
-        )
+        if echoed_id is None:
+            return ResponseMatch.UNIDENTIFIED
+        if echoed_id.decode('latin-1') != call.request_id:
+            return ResponseMatch.OTHER
+        if not call.idempotent and _is_refusal(response):
+            return ResponseMatch.LAST
+        return ResponseMatch.OWN
 
     def decode_answer(self, response: HttpResponse) -> RunOutcome:
         """Return the outcome of the call that a response reports."""
@@ -80,6 +93,12 @@
         """Return the encoded probe."""
         return encode_request('GET', health_path, ((headers.HOST, b'target'),))
 
+    def match_probe(self, response: HttpResponse) -> ResponseMatch:
+        """Return how a response relates to a probe, which has no ID."""
+        if response.header(headers.REQUEST_ID) is None:
+            return ResponseMatch.OWN
+        return ResponseMatch.OTHER
+
     def decode_probe(self, response: HttpResponse) -> ProbeResult:
         """Return the health that a response to a probe reports."""
         target_id = response.header(headers.TARGET_ID) or b''
@@ -94,6 +113,13 @@
         )
 
 
+def _is_refusal(response: HttpResponse) -> bool:
+    return (
+        response.status == _MISDIRECTED
+        or response.header(headers.NOT_RUN) is not None
+    )
+
+
 def _is_unmodified(response: HttpResponse) -> bool:
     """Return whether a success comes from the target, with an unchanged body.
 
--- a/src/rattanstile/process/mesh/ports.py
+++ b/src/rattanstile/process/mesh/ports.py
@@ -6,7 +6,10 @@
 
 from result import Result
 
-from rattanstile.connection.http_client import ExchangeFailure
+from rattanstile.connection.http_client import (
+    ExchangeFailure,
+    ResponseMatch,
+)
 from rattanstile.connection.http_messages import HttpRequest, HttpResponse
 from rattanstile.connection.http_server import BadRequest
 from rattanstile.connection.peer_messages import PeerMember
@@ -63,8 +66,10 @@
     ) -> bytes:
         """Return the encoded call."""
 
-    def is_answer_to(self, call: ServedCall, response: HttpResponse) -> bool:
-        """Return whether a response answers this call and no other."""
+    def match_answer(
+        self, call: ServedCall, response: HttpResponse
+    ) -> ResponseMatch:
+        """Return how a response relates to a call."""
 
     def decode_answer(self, response: HttpResponse) -> RunOutcome:
         """Return the outcome of the call that a response reports."""
@@ -72,6 +77,9 @@
     def encode_probe(self, health_path: str) -> bytes:
         """Return the encoded probe."""
 
+    def match_probe(self, response: HttpResponse) -> ResponseMatch:
+        """Return how a response relates to a probe."""
+
     def decode_probe(self, response: HttpResponse) -> ProbeResult:
         """Return the health that a response to a probe reports."""
 
--- a/src/rattanstile/process/mesh/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving_handler.py
@@ -301,7 +301,7 @@
             self._codec.encode_call(call, self.watch.target_id, remaining_ms),
             lambda end: self._run_ended(pending, end),
             is_head=call.method == 'HEAD',
-            answers_request=lambda response: self._codec.is_answer_to(
+            check_response=lambda response: self._codec.match_answer(
                 call, response
             ),
         )
--- a/src/rattanstile/process/mesh/target_prober.py
+++ b/src/rattanstile/process/mesh/target_prober.py
@@ -51,7 +51,9 @@
         self._is_probing = True
         self._context.counters.probes += 1
         exchange = self._pool.send(
-            self._codec.encode_probe(service.health_path), self._probed
+            self._codec.encode_probe(service.health_path),
+            self._probed,
+            check_response=self._codec.match_probe,
         )
         self._context.timers.after(
             PROBE_TIMEOUT_S, lambda _: self._pool.abandon(exchange)
--- a/src/rattanstile/standin/platform_target.py
+++ b/src/rattanstile/standin/platform_target.py
@@ -129,7 +129,8 @@
         if request.path == '/healthz':
             self._respond(connection, 200, ((b'instance-id', own),), b'')
         elif expected not in {None, own}:
-            self._respond(connection, 421, ((b'instance-id', own),), b'')
+            other = (*_request_id_header(request), (b'instance-id', own))
+            self._respond(connection, 421, other, b'')
         else:
             self._run(connection, request)
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -9,16 +9,32 @@
 from rattanstile.connection.http_client import (
     ExchangeFailure,
     HttpClientConnection,
+    ResponseMatch,
 )
 
+REFUSED = 503
+
 MATCHING = b'HTTP/1.1 200 OK\r\nrequest-id: a\r\ncontent-length: 2\r\n\r\nok'
 LATE = b'HTTP/1.1 200 OK\r\nrequest-id: z\r\ncontent-length: 4\r\n\r\nlate'
 WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\nrequest-id: a\r\n\r\nsome'
+REFUSAL = (
+    b'HTTP/1.1 503 Full\r\nrequest-id: a\r\nnot-executed: 1\r\n'
+    b'content-length: 0\r\n\r\n'
+)
+NAMELESS = b'HTTP/1.1 503 Full\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n'
 LATE_WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\nrequest-id: z\r\n\r\nsome'
 
 
-def answers_request(response):
-    return response.header(b'request-id') == b'a'
+def check_response(response):
+    """Match by the id `a`; a refusal of it is the last on its connection."""
+    match response.header(b'request-id'):
+        case None:
+            return ResponseMatch.UNIDENTIFIED
+        case b'a' if response.status == REFUSED:
+            return ResponseMatch.LAST
+        case b'a':
+            return ResponseMatch.OWN
+    return ResponseMatch.OTHER
 
 
 class ClientTest(unittest.TestCase):
@@ -29,9 +45,22 @@
         self.connection = HttpClientConnection(lambda connection: None)
         self.connection.makeConnection(FakeTcpTransport())
         self.connection.send(
-            b'GET', self.results.append, answers_request=answers_request
+            b'GET', self.results.append, check_response=check_response
         )
 
+    def send_again(self):
+        self.connection.send(
+            b'GET', self.results.append, check_response=check_response
+        )
+
+    def feed_until_refused(self, part, max_bytes):
+        """Feed a part over and over; return how many bytes were taken."""
+        fed_bytes = 0
+        while self.connection.is_usable and fed_bytes < max_bytes:
+            self.connection.dataReceived(part)
+            fed_bytes += len(part)
+        return fed_bytes
+
     def close(self, reason=ConnectionDone):
         self.connection.connectionLost(Failure(reason()))
 
@@ -90,3 +119,71 @@
         self.connection.dataReceived(MATCHING[:-1])
         self.close()
         self.assertEqual(self.results, [ExchangeFailure.CUT])
+
+    def test_response_to_an_earlier_request_ends_the_connection_after_it(self):
+        """What else the server would still write there is not known."""
+        self.connection.dataReceived(LATE + MATCHING)
+        self.assertFalse(self.results[0].keeps_alive)
+
+    def test_second_copy_on_an_idle_connection_closes_it(self):
+        """The next request would have taken it for its own response."""
+        self.connection.dataReceived(MATCHING)
+        self.connection.dataReceived(MATCHING)
+        self.assertFalse(self.connection.is_usable)
+        self.assertTrue(self.connection.transport.aborted)
+
+    def test_refusal_that_could_be_repeated_ends_the_connection(self):
+        """Written once more, it would deny the run of the same id's retry."""
+        self.connection.dataReceived(REFUSAL)
+        self.assertEqual(self.results[0].status, REFUSED)
+        self.assertFalse(self.results[0].keeps_alive)
+
+    def test_nameless_refusal_counts_on_a_new_connection_only(self):
+        """On a kept one it may be that of an earlier request."""
+        self.connection.dataReceived(NAMELESS)
+        self.assertEqual(self.results[0].status, REFUSED)
+        self.send_again()
+        self.connection.dataReceived(NAMELESS)
+        self.assertEqual(self.results[1], ExchangeFailure.SPOILED)
+
+    def test_header_without_end_ends_the_exchange(self):
+        """The parser held all of it: no limit counted an unfinished header."""
+        self.connection.dataReceived(b'HTTP/1.1 200 OK\r\nx: ')
+        fed_bytes = self.feed_until_refused(b'a' * 8192, 4_000_000)
+        self.assertLess(fed_bytes, 100_000)
+        self.assertEqual(self.results, [ExchangeFailure.SPOILED])
+
+    def test_reason_phrase_without_end_ends_the_exchange(self):
+        """It comes before any header."""
+        self.connection.dataReceived(b'HTTP/1.1 200 ')
+        fed_bytes = self.feed_until_refused(b'a' * 8192, 4_000_000)
+        self.assertLess(fed_bytes, 100_000)
+        self.assertEqual(self.results, [ExchangeFailure.SPOILED])
+
+    def test_interim_responses_without_end_end_the_exchange(self):
+        """Each of them is complete and small."""
+        interim = b'HTTP/1.1 100 Continue\r\n\r\n' * 40
+        fed_bytes = self.feed_until_refused(interim, 4_000_000)
+        self.assertLess(fed_bytes, 100_000)
+        self.assertEqual(self.results, [ExchangeFailure.SPOILED])
+
+    def test_trailer_without_end_ends_the_exchange(self):
+        """It follows the last chunk of a body."""
+        self.connection.dataReceived(
+            b'HTTP/1.1 200 OK\r\nrequest-id: a\r\n'
+            b'transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx: '
+        )
+        fed_bytes = self.feed_until_refused(b'a' * 8192, 4_000_000)
+        self.assertLess(fed_bytes, 100_000)
+        self.assertEqual(self.results, [ExchangeFailure.SPOILED])
+
+    def test_body_in_small_chunks_is_accepted(self):
+        """Its bytes between the chunks are many, but in proportion."""
+        self.connection.dataReceived(
+            b'HTTP/1.1 200 OK\r\nrequest-id: a\r\n'
+            b'transfer-encoding: chunked\r\n\r\n'
+        )
+        for _ in range(100):
+            self.connection.dataReceived(b'1\r\nx\r\n' * 1000)
+        self.connection.dataReceived(b'0\r\n\r\n')
+        self.assertEqual(len(self.results[0].body), 100_000)
--- a/tests/test_serving_desk.py
+++ b/tests/test_serving_desk.py
@@ -6,7 +6,10 @@
 from mesh_samples import ANSWER, config, context, served_call
 from test_target_watch import announcement
 
-from rattanstile.connection.http_client import ExchangeFailure
+from rattanstile.connection.http_client import (
+    ExchangeFailure,
+    ResponseMatch,
+)
 from rattanstile.connection.http_messages import HttpResponse
 from rattanstile.process.mesh.ports import RunAnswered, RunRefused
 from rattanstile.process.mesh.serving_handler import ServingHandler
@@ -36,7 +39,7 @@
         self.connection_limit = 64
         self.open_connections = 1
 
-    def send(self, written, ended, is_head=False, answers_request=None):
+    def send(self, written, ended, is_head=False, check_response=None):
         exchange = SimpleNamespace(written=written, ended=ended, over=False)
         self.sent.append(exchange)
         return exchange
@@ -58,8 +61,11 @@
     def encode_probe(self, health_path):
         return 'probe'
 
-    def is_answer_to(self, call, response):
-        return True
+    def match_answer(self, call, response):
+        return ResponseMatch.OWN
+
+    def match_probe(self, response):
+        return ResponseMatch.OWN
 
     def decode_answer(self, response):
         return self.meaning
