Downloads may run more than once

Cause: only one of the two idempotent kinds of route was known, so that a download whose answer was lost ended unknown without a second attempt, was rejected in place of moved, and stood outside of the retry budget.

Change: one set of kinds decides; retries, moves and budget read the route.

--- a/src/rattanstile/platform/operators.py
+++ b/src/rattanstile/platform/operators.py
@@ -88,7 +88,8 @@
     tenants: list[_Tenant] = []
 
 
-_IDEMPOTENT_ROUTE_TYPE = 'safe'
+_IDEMPOTENT_ROUTE_TYPES = frozenset(('safe', 'download'))
+"""Downloads differ from safe requests only in the size of their answers."""
 _decoder = msgspec.json.Decoder(_Config)
 
 
@@ -135,7 +136,7 @@
         host=route.host.lower(),
         path_prefix=route.path_prefix,
         shares=shares,
-        idempotent=route.route_type == _IDEMPOTENT_ROUTE_TYPE,
+        idempotent=route.route_type in _IDEMPOTENT_ROUTE_TYPES,
         timeout_s=timeout_s,
         latency_objective_s=_parse_duration_s(route.target_latency)
         or timeout_s,
