Large answers pass in parts, with flow control to the caller

Cause: both nodes held an answer whole, sent it as one frame on the connection that all calls between two nodes share, and wrote it to the caller at once: a few callers that stop reading filled a node's memory, and an answer of many megabytes held up all other calls.

Change: an answer of more than 128 KiB is passed on in parts. It ends whole, or the caller's connection is aborted without its end. A node that doesn't know parts gets whole answers. A frame that arrives in many pieces is no longer copied for each.

--- a/src/rattanstile/connection/http_client.py
+++ b/src/rattanstile/connection/http_client.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from enum import Enum, unique
 from typing import Any
+from typing import Protocol as Interface
 
 import httptools
 from twisted.internet import error as internet_error
@@ -17,6 +18,8 @@
 from rattanstile.request.exchange import RawHeader
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_WHOLE_BODY_BYTES = 128 * 1024
+"""A longer body is passed on in parts, if somebody takes them."""
 
 _FIRST_FINAL_STATUS = 200
 _NO_BODY = frozenset((204, 304))
@@ -62,9 +65,37 @@
 
 
 ResponseCheck = Callable[[HttpResponse], ResponseMatch]
+
+
+class BodySink(Interface):
+    """Receives a large response in parts, before the exchange ends.
+
+    If the exchange ends with a response, the parts are its whole body.
+    """
+
+    def begin_body(
+        self, response: HttpResponse, length_bytes: int | None
+    ) -> bool:
+        """Receive the response without its body.
+
+        Args:
+            response: The response; more of its body follows in parts.
+            length_bytes: Length of the body; None if it isn't stated.
+
+        Returns:
+            Whether the response is accepted; otherwise the exchange fails.
+        """
+
+    def add_body_part(self, part: bytes) -> None:
+        """Receive the next bytes of the body."""
+
+
 ExchangeCallback = Callable[[HttpResponse | ExchangeFailure], None]
 
 
+_OWN_RESPONSES = frozenset((ResponseMatch.OWN, ResponseMatch.LAST))
+
+
 class _StopParsing(Exception):  # noqa: N818
     """Aborts httptools' parser from within a callback."""
 
@@ -86,6 +117,9 @@
         self._on_lost = on_lost
         self._on_end: ExchangeCallback | None = None
         self._check_response: ResponseCheck | None = None
+        self._body_sink: BodySink | None = None
+        self._is_streaming = False
+        self._is_paused = False
         self._sent_requests = 0
         self._overhead = OverheadMeter()
         self._has_other_response = False
@@ -108,6 +142,7 @@
         *,
         is_head: bool = False,
         check_response: ResponseCheck | None = None,
+        body_sink: BodySink | None = None,
     ) -> None:
         """Send a request.
 
@@ -117,14 +152,30 @@
             is_head: Whether the response has no body.
             check_response: Returns how a response relates to this request;
                 None accepts any response.
+            body_sink: Receives a large body in parts; None keeps any body
+                until it is complete.
         """
         self._on_end = on_end
         self._check_response = check_response
+        self._body_sink = body_sink
+        self._is_streaming = False
         self._sent_requests += 1
         self._overhead.reset()
         self._is_head = is_head
         write_now(self.transport, encoded_request)
 
+    def pause(self) -> None:
+        """Stop reading, so that the server has to wait."""
+        if not self._is_lost:
+            self._is_paused = True
+            self.transport.pauseProducing()  # type: ignore[union-attr]
+
+    def resume(self) -> None:
+        """Continue to read."""
+        if self._is_paused and not self._is_lost:
+            self._is_paused = False
+            self.transport.resumeProducing()  # type: ignore[union-attr]
+
     def abandon(self) -> None:
         """End the exchange and the connection without a response."""
         self._finish(ExchangeFailure.ABANDONED)
@@ -201,9 +252,34 @@
         """Store a part of the body."""
         self._body_bytes += len(body)
         self._overhead.add_body(len(body))
+        if self._is_streaming and self._body_sink is not None:
+            if self._on_end is not None:
+                self._body_sink.add_body_part(body)
+            return
         if self._body_bytes > MAX_BODY_BYTES:
             raise _StopParsing
         self._body.append(body)
+        if self._body_bytes > MAX_WHOLE_BODY_BYTES:
+            self._begin_streaming()
+
+    def _begin_streaming(self) -> None:
+        """Pass on what has arrived of a body, and what follows, in parts."""
+        sink = self._body_sink
+        if sink is None or self._on_end is None or self._completed is not None:
+            return
+        response = self._response(keeps_alive=True, body=b'')
+        if self._match(response) not in _OWN_RESPONSES:
+            return
+        length = response.header(b'content-length')
+        length_bytes = None
+        if length is not None and length.isdigit():
+            length_bytes = int(length)
+        if not sink.begin_body(response, length_bytes):
+            raise _StopParsing
+        self._is_streaming = True
+        arrived = b''.join(self._body)
+        self._body.clear()
+        sink.add_body_part(arrived)
 
     def on_message_complete(self) -> None:
         """Complete the response, or discard an interim one."""
@@ -214,12 +290,8 @@
 
     def _complete(self, *, keeps_alive: bool) -> None:
         """Hold a response until all bytes received with it are parsed."""
-        response = HttpResponse(
-            status=self._status,
-            phrase=self._phrase,
-            headers=tuple(self._headers),
-            body=b''.join(self._body),
-            keeps_alive=keeps_alive,
+        response = self._response(
+            keeps_alive=keeps_alive, body=b''.join(self._body)
         )
         self._reset_response()
         if self._completed is not None:
@@ -236,6 +308,15 @@
             case ResponseMatch.UNIDENTIFIED:
                 self._is_unusable = True
 
+    def _response(self, *, keeps_alive: bool, body: bytes) -> HttpResponse:
+        return HttpResponse(
+            status=self._status,
+            phrase=self._phrase,
+            headers=tuple(self._headers),
+            body=body,
+            keeps_alive=keeps_alive,
+        )
+
     def _match(self, response: HttpResponse) -> ResponseMatch:
         if self._check_response is None:
             return ResponseMatch.OWN
@@ -274,6 +355,7 @@
                 self.keep_alive_s = float(amount)
 
     def _finish(self, result: HttpResponse | ExchangeFailure) -> None:
+        self.resume()
         on_end = self._on_end
         self._on_end = None
         if on_end is not None:
--- a/src/rattanstile/connection/http_messages.py
+++ b/src/rattanstile/connection/http_messages.py
@@ -118,17 +118,44 @@
         closes: Whether to announce that the connection closes.
         is_head: Whether the request's method was HEAD; omits the body.
     """
+    head = encode_response_head(
+        status, headers, len(body), phrase=phrase, closes=closes
+    )
+    return head if is_head else head + body
+
+
+def encode_response_head(
+    status: int,
+    headers: tuple[RawHeader, ...],
+    length_bytes: int | None,
+    *,
+    phrase: bytes = b'',
+    closes: bool = False,
+) -> bytes:
+    """Return the encoded head of a response.
+
+    Args:
+        length_bytes: Length of the body; None for one in chunks.
+        phrase: Reason phrase; empty for the standard one.
+        closes: Whether to announce that the connection closes.
+    """
     parts = [b'HTTP/1.1 %d %s\r\n' % (status, phrase or reason_phrase(status))]
     for name, content in headers:
         parts.append(b'%s: %s\r\n' % (name, content))
     if closes:
         parts.append(b'connection: close\r\n')
-    parts.append(b'content-length: %d\r\n\r\n' % len(body))
-    if not is_head:
-        parts.append(body)
+    if length_bytes is None:
+        parts.append(b'transfer-encoding: chunked\r\n\r\n')
+    else:
+        parts.append(b'content-length: %d\r\n\r\n' % length_bytes)
     return b''.join(parts)
 
 
+def encode_chunk(part: bytes) -> bytes:
+    """Return one chunk of a body; an empty one ends the body."""
+    return b'%x\r\n%s\r\n' % (len(part), part)
+
+
 def encode_request(
     method: str,
     path: str,
--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -114,11 +114,14 @@
 
     Attributes:
         handler_context: Handler's own data for the request being answered.
+        on_writable: Called when the caller has taken what was written of a
+            response in parts; None for none.
     """
 
     def __init__(self, state: ServerState) -> None:
         """Initialize the connection before its first request."""
         self.handler_context: Any = None
+        self.on_writable: Callable[[], None] | None = None
         self._state = state
         self._parser = httptools.HttpRequestParser(self)
         self._overhead = OverheadMeter()
@@ -176,6 +179,8 @@
         """Resume responses: the write buffer has been sent."""
         self._is_writing_paused = False
         self._waiting_since_s = self._state.now_s()
+        if self.on_writable is not None:
+            self.on_writable()
         self._start_next()
 
     def stopProducing(self) -> None:  # noqa: N802
@@ -187,6 +192,7 @@
         """Write the response of the request being answered."""
         self._is_busy = False
         self.handler_context = None
+        self.on_writable = None
         self._waiting_since_s = self._state.now_s()
         write_now(self.transport, encoded)
         if closes or not self._keeps_alive:
@@ -195,6 +201,15 @@
         else:
             self._start_next()
 
+    def write_part(self, encoded: bytes) -> None:
+        """Write a part of the response; `respond` writes the last one."""
+        write_now(self.transport, encoded)
+
+    @property
+    def is_writing_paused(self) -> bool:
+        """Return whether the caller reads more slowly than is written."""
+        return self._is_writing_paused
+
     @property
     def closes_after_response(self) -> bool:
         """Return whether the response must announce the closing."""
--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -12,6 +12,7 @@
 
 from rattanstile.errors import RattanstileError
 from rattanstile.request.exchange import (
+    AnswerHead,
     ServedCall,
     ServiceUsage,
     WholeAnswer,
@@ -67,6 +68,7 @@
         incarnation: Differs between runs of the process.
         offset: See `ConfigNotice`.
         reads: See `ConfigNotice`.
+        takes_parts: Whether it accepts answers in parts.
     """
 
     node_id: NodeId
@@ -77,6 +79,7 @@
     offset: int
     load: TargetLoad
     reads: bool = True
+    takes_parts: bool = False
 
 
 class CallRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -101,6 +104,8 @@
         unknown: Value of an `UnknownReason`; 0 for none.
         usage: Service usage of one run of the route; empty if it was sent
             recently.
+        streamed_status: Status of the answer whose parts were all sent
+            before; 0 for none.
     """
 
     sequence: int
@@ -109,6 +114,28 @@
     unknown: int
     load: TargetLoad
     usage: tuple[ServiceUsage, ...] = ()
+    streamed_status: int = 0
+
+
+class AnswerStart(msgspec.Struct, frozen=True, array_like=True, tag=18):
+    """Start of an answer in parts; a `CallResponse` ends it."""
+
+    sequence: int
+    head: AnswerHead
+
+
+class AnswerPart(msgspec.Struct, frozen=True, array_like=True, tag=19):
+    """Next bytes of an answer in parts."""
+
+    sequence: int
+    part: bytes
+
+
+class AnswerCredit(msgspec.Struct, frozen=True, array_like=True, tag=20):
+    """The caller has taken that many more bytes of an answer in parts."""
+
+    sequence: int
+    size_bytes: int
 
 
 class StatusReport(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -258,6 +285,9 @@
     | MembersResponse
     | TokenRequest
     | TokenResponse
+    | AnswerStart
+    | AnswerPart
+    | AnswerCredit
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -301,7 +331,11 @@
                 break
             start = payload_start + size_bytes
             yield _decode(bytes(pending[payload_start:start]))
-        self._buffer = bytearray(pending[start:])
+        if pending is self._buffer:
+            # A large message arrives in many pieces: no copy for each.
+            del self._buffer[:start]
+        else:
+            self._buffer = bytearray(pending[start:])
 
 
 def _decode(payload: bytes) -> PeerMessage:
--- a/src/rattanstile/connection/target_pool.py
+++ b/src/rattanstile/connection/target_pool.py
@@ -6,6 +6,7 @@
 from twisted.internet.interfaces import IReactorTCP
 
 from rattanstile.connection.http_client import (
+    BodySink,
     ExchangeCallback,
     ExchangeFailure,
     HttpClientConnection,
@@ -31,6 +32,7 @@
         on_end: Called once, with the response or the failure.
         is_head: Whether the response has no body.
         check_response: See `HttpClientConnection.send`.
+        body_sink: See `HttpClientConnection.send`.
     """
 
     def __init__(
@@ -40,15 +42,27 @@
         *,
         is_head: bool,
         check_response: ResponseCheck | None,
+        body_sink: BodySink | None,
     ) -> None:
         """Start without a connection."""
         self.encoded_request = encoded_request
         self.on_end = on_end
         self.is_head = is_head
         self.check_response = check_response
+        self.body_sink = body_sink
         self.connection: HttpClientConnection | None = None
         self.is_over = False
 
+    def pause(self) -> None:
+        """Stop reading the response."""
+        if self.connection is not None and not self.is_over:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        """Continue to read the response."""
+        if self.connection is not None and not self.is_over:
+            self.connection.resume()
+
 
 class TargetPool:
     """Sends requests to one address.
@@ -84,6 +98,7 @@
         *,
         is_head: bool = False,
         check_response: ResponseCheck | None = None,
+        body_sink: BodySink | None = None,
     ) -> TargetExchange:
         """Send a request on an idle connection, or on a new one."""
         exchange = TargetExchange(
@@ -91,6 +106,7 @@
             on_end,
             is_head=is_head,
             check_response=check_response,
+            body_sink=body_sink,
         )
         connection = self._take_idle()
         if connection is None:
@@ -188,6 +204,7 @@
             self._end_handler(connection, exchange),
             is_head=exchange.is_head,
             check_response=exchange.check_response,
+            body_sink=exchange.body_sink,
         )
 
     def _end_handler(
--- a/src/rattanstile/platform/callers.py
+++ b/src/rattanstile/platform/callers.py
@@ -4,18 +4,22 @@
 
 from rattanstile.connection.http_messages import (
     HttpRequest,
+    encode_chunk,
     encode_response,
+    encode_response_head,
     forwardable_headers,
 )
 from rattanstile.connection.http_server import BadRequest
 from rattanstile.platform import headers
 from rattanstile.request.exchange import (
     Answered,
+    AnswerHead,
     Ending,
     IncomingRequest,
     NotRun,
     NotRunReason,
     RawHeader,
+    Streamed,
     Unknown,
     UnknownReason,
 )
@@ -84,6 +88,20 @@
             )
         )
 
+    def encode_head(self, head: AnswerHead, *, closes: bool) -> bytes:
+        """Return the encoded start of an answer in parts."""
+        return encode_response_head(
+            head.status,
+            head.headers,
+            head.length_bytes,
+            phrase=head.phrase,
+            closes=closes,
+        )
+
+    def encode_part(self, head: AnswerHead, part: bytes) -> bytes:
+        """Return an encoded part of an answer; an empty one ends it."""
+        return part if head.length_bytes is not None else encode_chunk(part)
+
     def encode(
         self, request_id: str, ending: Ending, *, closes: bool, is_head: bool
     ) -> bytes:
@@ -98,6 +116,8 @@
                     closes=closes,
                     is_head=is_head,
                 )
+            case Streamed():
+                return b''
             case NotRun(reason, retry_after_s):
                 status = _NOT_RUN_STATUSES.get(reason, _DEFAULT_NOT_RUN_STATUS)
                 return _node_response(
--- a/src/rattanstile/process/mesh/attempts.py
+++ b/src/rattanstile/process/mesh/attempts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from rattanstile.connection.peer_messages import (
+    AnswerCredit,
     CallCancellation,
     CallRequest,
     CallResponse,
@@ -22,7 +23,12 @@
 from rattanstile.process.mesh.root_admission import ServiceView
 from rattanstile.process.mesh.service_needs import UsageEstimates
 from rattanstile.process.mesh.serving_handler import ServingHandler
-from rattanstile.request.exchange import Ending, Unknown, UnknownReason
+from rattanstile.request.exchange import (
+    AnswerHead,
+    Ending,
+    Unknown,
+    UnknownReason,
+)
 from rattanstile.request.ids import NodeId, ServiceName
 
 MS_PER_S = 1000
@@ -139,6 +145,30 @@
             self.usage.record(now_s, call.run_kind, message.usage)
         self._on_attempt_end(call, decode_ending(message))
 
+    def answer_began(self, sequence: int, head: AnswerHead) -> None:
+        """Pass on the start of an answer; the attempt is the last one."""
+        call = self._sent.get(sequence)
+        if call is not None and call.sink is not None:
+            call.phase = Phase.STREAMING
+            call.sink.begin_answer(head)
+
+    def answer_part_received(self, sequence: int, part: bytes) -> None:
+        """Pass on a part of an answer."""
+        call = self._sent.get(sequence)
+        if call is not None and call.sink is not None:
+            call.sink.add_part(part)
+
+    def answer_taken(self, call: EntryCall, size_bytes: int) -> None:
+        """Report that the caller has taken a part of its answer."""
+        if call.sequence not in self._sent:
+            return
+        if call.receiver == self._context.node_id:
+            self._serving.answer_taken(call.sequence, size_bytes)
+            return
+        link = self._peers.link_to(call.receiver)
+        if link is not None:
+            link.send(AnswerCredit(call.sequence, size_bytes))
+
     def peer_lost(self, node_id: NodeId) -> None:
         """End the attempts in flight at a lost peer with unknown outcome."""
         for call in tuple(self._sent.values()):
@@ -216,6 +246,7 @@
                 sequence,
                 served,
                 lambda ending: self._local_call_ended(sequence, ending),
+                None if call.sink is None else _LocalAnswerSink(self, sequence),
             )
             return
         link.expect_response()
@@ -252,6 +283,25 @@
         )
 
 
+class _LocalAnswerSink:
+    """Passes on an answer of the local target.
+
+    Args:
+        attempts: The attempts in flight.
+        sequence: Number of the attempt.
+    """
+
+    def __init__(self, attempts: Attempts, sequence: int) -> None:
+        self._attempts = attempts
+        self._sequence = sequence
+
+    def begin_answer(self, head: AnswerHead) -> None:
+        self._attempts.answer_began(self._sequence, head)
+
+    def add_part(self, part: bytes) -> None:
+        self._attempts.answer_part_received(self._sequence, part)
+
+
 def _service_view(loads: list[TargetLoad]) -> ServiceView:
     usable = [load for load in loads if load.is_usable]
     capacity = sum(load.capacity_deci_per_s for load in usable)
--- a/src/rattanstile/process/mesh/call_endings.py
+++ b/src/rattanstile/process/mesh/call_endings.py
@@ -10,6 +10,7 @@
     NotRun,
     NotRunReason,
     ServiceUsage,
+    Streamed,
     Unknown,
     UnknownReason,
 )
@@ -30,6 +31,10 @@
             if answer.is_success:
                 return EndingLabel('whole', LineKind.SERVED)
             return EndingLabel(f'target_{answer.status}', LineKind.FAILED)
+        case Streamed(status):
+            if 200 <= status < 300:  # noqa: PLR2004
+                return EndingLabel('whole', LineKind.SERVED)
+            return EndingLabel(f'target_{status}', LineKind.FAILED)
         case NotRun(reason):
             return EndingLabel(reason.name.lower(), LineKind.REFUSED)
         case Unknown(reason):
@@ -42,6 +47,8 @@
     """Return the ending that a peer reported."""
     if message.answer is not None:
         return Answered(message.answer)
+    if message.streamed_status:
+        return Streamed(message.streamed_status)
     if message.not_run:
         return NotRun(NotRunReason(message.not_run))
     return Unknown(UnknownReason(message.unknown))
@@ -57,6 +64,10 @@
     match ending:
         case Answered(answer):
             return CallResponse(sequence, answer, 0, 0, load, usage)
+        case Streamed(status):
+            return CallResponse(
+                sequence, None, 0, 0, load, usage, streamed_status=status
+            )
         case NotRun(reason):
             return CallResponse(sequence, None, reason.value, 0, load, usage)
         case Unknown(reason):
--- a/src/rattanstile/process/mesh/caller_service.py
+++ b/src/rattanstile/process/mesh/caller_service.py
@@ -1,5 +1,7 @@
 """Connects caller connections to the component that handles requests."""
 
+from functools import partial
+
 from result import Err
 
 from rattanstile.connection.http_messages import HttpRequest
@@ -8,10 +10,10 @@
     ReceivedRequest,
 )
 from rattanstile.process.decision_log import DecisionLog, LineKind
+from rattanstile.process.mesh.caller_answer import CallerAnswer
 from rattanstile.process.mesh.entry_call import EntryCall, Phase
 from rattanstile.process.mesh.entry_handler import EntryHandler
 from rattanstile.process.mesh.ports import CallerCodec
-from rattanstile.request.exchange import Ending
 
 
 class CallerService:
@@ -49,21 +51,17 @@
             )
             connection.respond(encoded, closes=True)
             return
-        caller_request = decoded.ok_value
-
-        def send_ending(ending: Ending) -> None:
-            closes = connection.closes_after_response
-            encoded = self._codec.encode(
-                caller_request.request_id,
-                ending,
-                closes=closes,
-                is_head=is_head,
-            )
-            connection.respond(encoded, closes=closes)
-
-        call = self._entry.begin(caller_request, send_ending)
+        answer = CallerAnswer(
+            self._codec,
+            connection,
+            decoded.ok_value.request_id,
+            is_head=is_head,
+        )
+        call = self._entry.begin(decoded.ok_value, answer.end, answer)
         if call is not None and call.phase is not Phase.ENDED:
             connection.handler_context = call
+            attempts = self._entry.attempts
+            answer.on_taken = partial(attempts.answer_taken, call)
 
     def connection_lost(self, connection: HttpServerConnection) -> None:
         """Abandon the request that the caller no longer waits for."""
--- a/src/rattanstile/process/mesh/entry_call.py
+++ b/src/rattanstile/process/mesh/entry_call.py
@@ -5,6 +5,7 @@
 
 from rattanstile.process.mesh.service_needs import RunKind
 from rattanstile.request.exchange import (
+    AnswerSink,
     EndingHandler,
     IncomingRequest,
     NotRun,
@@ -30,12 +31,14 @@
 class Phase(Enum):
     """Phase of a request at its entry node.
 
-    A held request waits for a usable target.
+    A held request waits for a usable target. The answer of a streaming one is
+    on its way to the caller, so that no other attempt can follow.
     """
 
     AWAITING_TOKEN = 'awaiting_token'
     HELD = 'held'
     SENT = 'sent'
+    STREAMING = 'streaming'
     ENDED = 'ended'
 
 
@@ -60,6 +63,8 @@
             if no earlier attempt may have run.
         last_refusal: Why the last node did not run the request.
         held_until_s: Monotonic time until which a held request waits.
+        sink: Receives a large answer in parts; None keeps any answer until it
+            is complete.
     """
 
     caller_request: IncomingRequest
@@ -80,6 +85,7 @@
     may_have_run: UnknownReason | None = None
     last_refusal: NotRunReason = NotRunReason.NO_TARGET
     held_until_s: float = 0.0
+    sink: AnswerSink | None = None
 
     @property
     def priority(self) -> int:
@@ -92,6 +98,16 @@
             return organisation.priority
         return self.route.priority
 
+    @property
+    def answer_deadline_s(self) -> float:
+        """Return the monotonic time by which a begun answer must be complete.
+
+        The timeout of the route ends the wait for an answer; the caller
+        states how long it goes on to receive one.
+        """
+        stated_s = self.caller_request.deadline_ms / MS_PER_S
+        return max(self.deadline_s, self.arrived_s + stated_s)
+
     @property
     def run_kind(self) -> RunKind:
         """Return the route and service that its runs are accounted to."""
--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -28,11 +28,13 @@
 from rattanstile.process.mesh.splitter import Splitter
 from rattanstile.request.exchange import (
     Answered,
+    AnswerSink,
     Ending,
     EndingHandler,
     IncomingRequest,
     NotRun,
     NotRunReason,
+    Streamed,
     Unknown,
     UnknownReason,
 )
@@ -102,7 +104,10 @@
     # Arrival
 
     def begin(
-        self, caller_request: IncomingRequest, on_end: EndingHandler
+        self,
+        caller_request: IncomingRequest,
+        on_end: EndingHandler,
+        sink: AnswerSink | None = None,
     ) -> EntryCall | None:
         """Start handling a request.
 
@@ -110,6 +115,7 @@
             caller_request: The request as received.
             on_end: Called once with the ending, unless the request is
                 abandoned.
+            sink: Receives a large answer in parts, before `on_end`.
 
         Returns:
             The request in progress, or None if it was refused immediately.
@@ -122,12 +128,13 @@
         call = self._entry_call(
             now_s, caller_request, validated.ok_value, on_end
         )
+        call.sink = sink
         if self.end_s is not None and call.deadline_s > self.end_s:
             retry_after_s = NOT_READY_RETRY_S + max(0.0, self.end_s - now_s)
             refused = NotRun(NotRunReason.NOT_READY, retry_after_s)
             self._refuse(caller_request, refused, on_end)
             return None
-        self._add_deadline(call)
+        self._add_deadline(call, call.deadline_s)
         if call.is_inner:
             self._serving.attribution.called(now_s, call.run_kind)
             self._place(now_s, call)
@@ -293,8 +300,11 @@
     # End of an attempt
 
     def _attempt_ended(self, call: EntryCall, ending: Ending) -> None:
+        if call.phase is Phase.STREAMING:
+            self._end(call, ending)
+            return
         match ending:
-            case Answered():
+            case Answered() | Streamed():
                 self._end(call, ending)
             case NotRun(reason):
                 self._attempt_not_run(call, reason)
@@ -344,7 +354,9 @@
         """End requests past their deadline and place held requests."""
         while self._deadlines and self._deadlines[0][0] <= now_s:
             _, _, call = heapq.heappop(self._deadlines)
-            if call.phase is not Phase.ENDED:
+            if call.phase is Phase.STREAMING and now_s < call.answer_deadline_s:
+                self._add_deadline(call, call.answer_deadline_s)
+            elif call.phase is not Phase.ENDED:
                 self._expire(call)
         for held in tuple(self._held):
             self._held.pop(held, None)
@@ -360,16 +372,16 @@
             self.check(self._context.timers.now_s())
 
     def _expire(self, call: EntryCall) -> None:
-        was_sent = call.phase is Phase.SENT
+        was_sent = call.phase in {Phase.SENT, Phase.STREAMING}
         self.attempts.withdraw(call)
         if was_sent:
             self._end(call, Unknown(UnknownReason.DEADLINE))
         else:
             self._end(call, call.refusal(call.last_refusal))
 
-    def _add_deadline(self, call: EntryCall) -> None:
+    def _add_deadline(self, call: EntryCall, at_s: float) -> None:
         self._arrivals += 1
-        heapq.heappush(self._deadlines, (call.deadline_s, self._arrivals, call))
+        heapq.heappush(self._deadlines, (at_s, self._arrivals, call))
 
     # End of a request
 
--- a/src/rattanstile/process/mesh/peer_desk.py
+++ b/src/rattanstile/process/mesh/peer_desk.py
@@ -3,6 +3,9 @@
 from collections.abc import Iterable
 
 from rattanstile.connection.peer_messages import (
+    AnswerCredit,
+    AnswerPart,
+    AnswerStart,
     CallCancellation,
     CallRequest,
     CallResponse,
@@ -31,7 +34,7 @@
 from rattanstile.process.mesh.placement import Candidate
 from rattanstile.process.mesh.rate_service import RateService
 from rattanstile.process.mesh.serving_handler import ServingHandler
-from rattanstile.request.exchange import Ending, ServiceUsage
+from rattanstile.request.exchange import AnswerHead, Ending, ServiceUsage
 from rattanstile.request.ids import NodeId
 
 USAGE_REPORT_PERIOD_S = 0.2
@@ -51,6 +54,25 @@
 """Peers asked for the member list until the node has read it from the store."""
 
 
+class _PeerAnswerSink:
+    """Sends an answer in parts to the peer that sent the call.
+
+    Args:
+        link: Connection to the peer.
+        sequence: Number of the attempt among those of the peer.
+    """
+
+    def __init__(self, link: PeerLink, sequence: int) -> None:
+        self._link = link
+        self._sequence = sequence
+
+    def begin_answer(self, head: AnswerHead) -> None:
+        self._link.send(AnswerStart(self._sequence, head))
+
+    def add_part(self, part: bytes) -> None:
+        self._link.send(AnswerPart(self._sequence, part))
+
+
 class PeerMessageHandler:
     """Represents this node to its peers.
 
@@ -98,6 +120,7 @@
             offset=self._context.state().offset,
             load=self._serving.load(),
             reads=self._relay.reads,
+            takes_parts=True,
         )
 
     def neighbours(self) -> set[NodeId]:
@@ -211,6 +234,12 @@
             case CallResponse():
                 link.awaited_responses = max(0, link.awaited_responses - 1)
                 self._entry.attempts.peer_call_ended(link.node_id, message)
+            case AnswerStart(sequence, head):
+                self._entry.attempts.answer_began(sequence, head)
+            case AnswerPart(sequence, part):
+                self._entry.attempts.answer_part_received(sequence, part)
+            case AnswerCredit(sequence, size_bytes):
+                self._serving.answer_taken((link, sequence), size_bytes)
             case CallCancellation(sequence):
                 self._serving.cancel((link, sequence))
             case StatusReport():
@@ -266,7 +295,13 @@
             usage = self._usage_to_send(link.node_id, route)
             link.send(encode_ending(message.sequence, ending, load, usage))
 
-        self._serving.begin((link, message.sequence), message.call, send_ending)
+        hello = link.hello
+        sink = None
+        if hello is not None and hello.takes_parts:
+            sink = _PeerAnswerSink(link, message.sequence)
+        self._serving.begin(
+            (link, message.sequence), message.call, send_ending, sink
+        )
 
     def _usage_to_send(
         self, node_id: NodeId, route: str
--- a/src/rattanstile/process/mesh/ports.py
+++ b/src/rattanstile/process/mesh/ports.py
@@ -20,6 +20,7 @@
     TargetDeparture,
 )
 from rattanstile.request.exchange import (
+    AnswerHead,
     Ending,
     IncomingRequest,
     NotRun,
@@ -95,7 +96,17 @@
     def encode(
         self, request_id: str, ending: Ending, *, closes: bool, is_head: bool
     ) -> bytes:
-        """Return the encoded response that reports the end of a request."""
+        """Return the encoded response that reports the end of a request.
+
+        Args:
+            ending: Any ending but `Streamed`, whose answer was sent before.
+        """
+
+    def encode_head(self, head: AnswerHead, *, closes: bool) -> bytes:
+        """Return the encoded start of an answer in parts."""
+
+    def encode_part(self, head: AnswerHead, part: bytes) -> bytes:
+        """Return an encoded part of an answer; an empty one ends it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rattanstile/process/mesh/served_calls.py
+++ b/src/rattanstile/process/mesh/served_calls.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from rattanstile.connection.target_pool import TargetExchange
+from rattanstile.process.mesh.served_stream import ServedStream
 from rattanstile.process.mesh.target_gate import WaitingCall
 from rattanstile.request.exchange import EndingHandler
 
@@ -13,6 +14,7 @@
 
 The target ends the call itself at the deadline, but its answer may be lost.
 """
+STREAM_CHECK_S = 1.0
 
 
 @dataclass(eq=False, slots=True)
@@ -23,11 +25,18 @@
         waiting: The call as queued.
         on_end: Called once with the ending.
         exchange: The request to the target; None until it is sent.
+        stream: The answer as it arrives, if its parts are passed on.
     """
 
     waiting: WaitingCall
     on_end: EndingHandler
     exchange: TargetExchange | None = None
+    stream: ServedStream | None = None
+
+    @property
+    def is_streaming(self) -> bool:
+        """Return whether parts of the answer have been passed on."""
+        return self.stream is not None and self.stream.has_begun
 
 
 @dataclass(order=True, slots=True)
@@ -54,6 +63,10 @@
         """Return the pending call with the key."""
         return self._by_key[key]
 
+    def get(self, key: Hashable) -> PendingCall | None:
+        """Return the pending call with the key; None if it has ended."""
+        return self._by_key.get(key)
+
     def add(self, pending: PendingCall) -> None:
         """Add a call."""
         self._by_key[pending.waiting.key] = pending
@@ -76,10 +89,24 @@
         heapq.heappush(self._timeouts, _Timeout(at_s, pending))
 
     def pop_overdue(self, now_s: float) -> Iterator[PendingCall]:
-        """Remove and yield the calls whose timeout has passed."""
+        """Remove and yield the calls whose timeout has passed.
+
+        An answer that arrives in parts may take longer; it ends with its
+        caller's request, or when the target falls silent.
+        """
         while self._timeouts and self._timeouts[0].at_s <= now_s:
             pending = heapq.heappop(self._timeouts).pending
             key = pending.waiting.key
-            if self._by_key.get(key) is pending:
-                self._by_key.pop(key)
-                yield pending
+            if self._by_key.get(key) is not pending:
+                continue
+            stream = pending.stream
+            if stream is not None and stream.has_begun:
+                if not stream.is_stalled(now_s):
+                    self._check_again(now_s, pending)
+                    continue
+            self._by_key.pop(key)
+            yield pending
+
+    def _check_again(self, now_s: float, pending: PendingCall) -> None:
+        at_s = now_s + STREAM_CHECK_S
+        heapq.heappush(self._timeouts, _Timeout(at_s, pending))
--- a/src/rattanstile/process/mesh/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving_handler.py
@@ -17,6 +17,7 @@
     TargetCodec,
 )
 from rattanstile.process.mesh.served_calls import PendingCall, PendingCalls
+from rattanstile.process.mesh.served_stream import ServedStream
 from rattanstile.process.mesh.service_needs import UsageEstimates, add_own_usage
 from rattanstile.process.mesh.target_gate import TargetQueue, WaitingCall
 from rattanstile.process.mesh.target_prober import TargetProber
@@ -28,12 +29,14 @@
 )
 from rattanstile.request.exchange import (
     Answered,
+    AnswerSink,
     Ending,
     EndingHandler,
     NotRun,
     NotRunReason,
     ServedCall,
     ServiceUsage,
+    Streamed,
     Unknown,
     UnknownReason,
 )
@@ -144,7 +147,11 @@
     # Calls
 
     def begin(
-        self, key: Hashable, call: ServedCall, on_end: EndingHandler
+        self,
+        key: Hashable,
+        call: ServedCall,
+        on_end: EndingHandler,
+        sink: AnswerSink | None = None,
     ) -> None:
         """Queue a call, or refuse it.
 
@@ -152,6 +159,8 @@
             key: Identifies the call for `cancel`.
             call: The attempt to run.
             on_end: Called once with the ending, but not after `cancel`.
+            sink: Receives a large answer in parts, before `on_end`; None
+                keeps any answer until it is complete.
         """
         now_s = self._timers.now_s()
         reason = self._refusal_reason(call)
@@ -166,7 +175,9 @@
             self._log_refused(call, reason)
             on_end(NotRun(reason))
             return
-        self._pending.add(PendingCall(waiting, on_end))
+        self._pending.add(
+            PendingCall(waiting, on_end, stream=self._stream(sink))
+        )
         self.send_waiting()
 
     def cancel(self, key: Hashable) -> None:
@@ -177,8 +188,18 @@
         if pending.exchange is None:
             self.queue.cancel(pending.waiting)
             return
+        now_s = self._timers.now_s()
+        if pending.is_streaming and now_s > pending.waiting.deadline_s:
+            # An answer without end is a failure of the target.
+            self._failing.add(now_s, is_failed=True)
         self._pool.abandon(pending.exchange)
 
+    def answer_taken(self, key: Hashable, size_bytes: int) -> None:
+        """Count bytes of an answer in parts that its caller has taken."""
+        pending = self._pending.get(key)
+        if pending is not None and pending.stream is not None:
+            pending.stream.taken(size_bytes)
+
     def keys_of(self, owner: Hashable) -> list[Hashable]:
         """Return the keys of the calls received on one connection."""
         return self._pending.keys_of(owner)
@@ -304,7 +325,15 @@
             check_response=lambda response: self._codec.match_answer(
                 call, response
             ),
+            body_sink=pending.stream,
         )
+        if pending.stream is not None:
+            pending.stream.exchange = pending.exchange
+
+    def _stream(self, sink: AnswerSink | None) -> ServedStream | None:
+        if sink is None:
+            return None
+        return ServedStream(sink, self._codec.decode_answer, self._timers.now_s)
 
     def _run_ended(
         self, pending: PendingCall, end: HttpResponse | ExchangeFailure
@@ -324,7 +353,10 @@
             self._failing.add(now_s, is_failed=_is_failed(run_end))
         is_awaited = self._pending.pop(waiting.key) is not None
         if is_awaited:
-            pending.on_end(self._ending(now_s, waiting, run_end))
+            ending = self._ending(now_s, waiting, run_end)
+            if isinstance(ending, Answered) and pending.is_streaming:
+                ending = Streamed(ending.answer.status)
+            pending.on_end(ending)
         self.send_waiting()
 
     def _ending(
--- a/src/rattanstile/request/exchange.py
+++ b/src/rattanstile/request/exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
+from typing import Protocol
 
 import msgspec
 
@@ -109,6 +110,42 @@
     answer: WholeAnswer
 
 
+class AnswerHead(msgspec.Struct, frozen=True, array_like=True):
+    """Start of an answer whose body follows in parts.
+
+    Attributes:
+        phrase: Reason phrase of the status line.
+        headers: Headers without the hop-by-hop ones.
+        length_bytes: Length of the body; None if it is known only at its end.
+    """
+
+    status: int
+    phrase: bytes
+    headers: tuple[RawHeader, ...]
+    length_bytes: int | None
+
+
+class AnswerSink(Protocol):
+    """Receives an answer in parts, before the ending of its request.
+
+    `Streamed` as the ending says that the parts were all; any other ending
+    after `begin_answer` says that the answer is cut.
+    """
+
+    def begin_answer(self, head: AnswerHead) -> None:
+        """Receive the start of the answer."""
+
+    def add_part(self, part: bytes) -> None:
+        """Receive the next bytes of the body."""
+
+
+@dataclass(frozen=True, slots=True)
+class Streamed:
+    """The target gave a complete answer, whose parts were delivered before."""
+
+    status: int
+
+
 @dataclass(frozen=True, slots=True)
 class NotRun:
     """The request has not run and never will.
@@ -128,7 +165,7 @@
     reason: UnknownReason
 
 
-Ending = Answered | NotRun | Unknown
+Ending = Answered | Streamed | NotRun | Unknown
 EndingHandler = Callable[[Ending], None]
 
 
--- a/src/rattanstile/standin/platform_target.py
+++ b/src/rattanstile/standin/platform_target.py
@@ -15,8 +15,10 @@
 from rattanstile.connection.http_messages import (
     HttpRequest,
     HttpResponse,
+    encode_chunk,
     encode_request,
     encode_response,
+    encode_response_head,
 )
 from rattanstile.connection.http_server import (
     HttpServerConnection,
@@ -29,6 +31,7 @@
 """Start that every stand-in announces, in milliseconds since the epoch."""
 ANNOUNCE_TIMEOUT_S = 1.0
 CHILD_TIMEOUT_S = 2.0
+ENDLESS_PART_BYTES = 16 * 1024
 _MS_PER_S = 1000
 
 
@@ -59,6 +62,7 @@
     Attributes:
         runs: Number of runs, by request ID.
         received_headers: Headers of each call that was run.
+        endless_bytes: Bytes written of bodies without end.
         is_draining: Whether it announces that it drains.
         is_acknowledged: Whether its node acknowledged its deregistration.
     """
@@ -69,6 +73,8 @@
         """Initialize without runs."""
         self.runs: Counter[str] = Counter()
         self.received_headers: list[dict[str, str]] = []
+        self.endless_bytes = 0
+        self._endless: HttpRequest | None = None
         self.is_draining = False
         self.is_acknowledged = False
         self._is_deregistered = False
@@ -162,14 +168,28 @@
     ) -> None:
         if connection.handler_context is not request:
             return
-        if query.get('fault') == 'reset':
-            connection.abort()
-        elif query.get('fault') == 'unsigned':
-            self._respond(
-                connection, 200, _request_id_header(request), b'spoiled'
-            )
-        elif 'child' in query:
+        match query.get('fault'):
+            case 'reset':
+                connection.abort()
+            case 'endless':
+                self._write_without_end(connection, request)
+            case 'unsigned':
+                self._respond(
+                    connection, 200, _request_id_header(request), b'spoiled'
+                )
+            case _:
+                self._complete_run(connection, request, query)
+
+    def _complete_run(
+        self,
+        connection: HttpServerConnection,
+        request: HttpRequest,
+        query: dict[str, str],
+    ) -> None:
+        if 'child' in query:
             self._call_child(connection, request, query['child'])
+        elif 'bytes' in query:
+            self._answer(connection, request, b'x' * int(query['bytes']))
         else:
             self._answer(connection, request)
 
@@ -205,10 +225,38 @@
             self._respond(connection, 500, _request_id_header(request), b'')
 
     def _answer(
+        self,
+        connection: HttpServerConnection,
+        request: HttpRequest,
+        body: bytes | None = None,
+    ) -> None:
+        if body is None:
+            body = b'whole %s' % request.body
+        self._respond(connection, 200, _signed_headers(request), body)
+
+    def _write_without_end(
         self, connection: HttpServerConnection, request: HttpRequest
     ) -> None:
-        signed = (*_request_id_header(request), (b'response-signature', b's1'))
-        self._respond(connection, 200, signed, b'whole %s' % request.body)
+        """Write a body until the connection closes."""
+        if connection.handler_context is not request:
+            return
+        connection.on_writable = lambda: self._write_without_end(
+            connection, request
+        )
+        if not self._has_begun_endless(request):
+            headers = _signed_headers(request)
+            connection.write_part(encode_response_head(200, headers, None))
+        while (
+            connection.handler_context is request
+            and not connection.is_writing_paused
+        ):
+            self.endless_bytes += ENDLESS_PART_BYTES
+            connection.write_part(encode_chunk(b'x' * ENDLESS_PART_BYTES))
+
+    def _has_begun_endless(self, request: HttpRequest) -> bool:
+        has_begun = self._endless is request
+        self._endless = request
+        return has_begun
 
     def _respond(
         self,
@@ -224,5 +272,9 @@
         )
 
 
+def _signed_headers(request: HttpRequest) -> tuple[RawHeader, ...]:
+    return (*_request_id_header(request), (b'response-signature', b's1'))
+
+
 def _request_id_header(request: HttpRequest) -> tuple[RawHeader, ...]:
     return ((b'request-id', request.header(b'request-id') or b''),)
--- a/tests/test_serving_desk.py
+++ b/tests/test_serving_desk.py
@@ -39,7 +39,9 @@
         self.connection_limit = 64
         self.open_connections = 1
 
-    def send(self, written, ended, is_head=False, check_response=None):
+    def send(
+        self, written, ended, is_head=False, check_response=None, body_sink=None
+    ):
         exchange = SimpleNamespace(written=written, ended=ended, over=False)
         self.sent.append(exchange)
         return exchange
