Targets: announcements of an incarnation whose clock was set back

Cause: incarnations are ordered by their start on the clock of their VM. One that starts after the clock was set back seemed older than its predecessor, so that all its announcements were ignored: found usable by a probe, it got calls after it had said that it leaves.

Change: an incarnation that a probe finds in place of another one starts a new order; the replaced incarnation's late announcements stay ignored.

--- a/src/rattanstile/process/mesh/target_watch.py
+++ b/src/rattanstile/process/mesh/target_watch.py
@@ -114,6 +114,7 @@
         self._born_ms = 0
         self._sequence = -1
         self.last_departure = NO_DEPARTURE
+        self._replaced = NO_DEPARTURE
         self._may_probe = False
         self._probe_due_s = 0.0
         self._probe_period_s = INITIAL_PROBE_PERIOD_S
@@ -141,9 +142,7 @@
         )
         if order <= (self._born_ms, self._sequence):
             return TargetChange.NOTHING
-        if self.last_departure.includes(
-            announcement.target_id, announcement.born_ms
-        ):
+        if self._has_gone(announcement):
             return TargetChange.NOTHING
         self._born_ms = announcement.born_ms
         self._sequence = announcement.sequence
@@ -196,7 +195,7 @@
         if result.target_id == self.last_departure.target_id:
             return TargetChange.NOTHING
         if result.target_id != self.target_id:
-            self._start_incarnation(result.target_id)
+            self._replace_incarnation(result.target_id)
         was_verified = self.is_verified
         self.is_verified = True
         self.cold_until_s = now_s + (result.cold_s or 0)
@@ -225,6 +224,24 @@
         self.target_id = target_id
         self.is_leaving = False
 
+    def _has_gone(self, announcement: Announcement) -> bool:
+        """Return whether an announcement is of an incarnation that has gone."""
+        return any(
+            departure.includes(announcement.target_id, announcement.born_ms)
+            for departure in (self.last_departure, self._replaced)
+        )
+
+    def _replace_incarnation(self, target_id: TargetId) -> None:
+        """Start an incarnation that answers at the address of an earlier one.
+
+        The clock of its VM may have been set back, so that it seems to have
+        started before the earlier one; its announcements count all the same.
+        """
+        self._replaced = TargetDeparture(self.target_id, self._born_ms)
+        self._born_ms = 0
+        self._sequence = -1
+        self._start_incarnation(target_id)
+
     def _mark_leaving(self) -> TargetChange:
         was_leaving = self.is_leaving
         self.is_leaving = True
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -11,6 +11,7 @@
     TargetState,
     TargetWatch,
 )
+from rattanstile.request.ids import TargetId
 
 
 def announcement(target_id='i-1', sequence=1, born_ms=10, **changes):
@@ -48,6 +49,21 @@
         self.assertEqual(watch.announced(1, late), TargetChange.NOTHING)
         self.assertEqual(watch.target_id, 'i-2')
 
+    def test_an_incarnation_may_seem_to_start_before_its_predecessor(self):
+        """The clock of its VM was set back; its drain went unnoticed.
+
+        The predecessor's late announcements are still ignored.
+        """
+        watch = TargetWatch('registry')
+        watch.restore_departure(NO_DEPARTURE)
+        watch.announced(0, announcement('i-1', sequence=9, born_ms=9000))
+        watch.suspect(5)
+        watch.probed(6, ProbeResult(TargetId('i-2'), True, 1.0))
+        drains = announcement('i-2', born_ms=7000, state=TargetState.DRAINING)
+        late = announcement('i-1', sequence=10, born_ms=9000)
+        self.assertEqual(watch.announced(7, late), TargetChange.NOTHING)
+        self.assertEqual(watch.announced(8, drains), TargetChange.LEAVING)
+
     def test_a_new_incarnation_may_have_the_same_id(self):
         """Its sequence numbers start again."""
         watch = TargetWatch('registry')
