Retry-After while targets are cold: when they are warm

The delay was worked out from the timeout of the route, a quarter of the time that callers wait.

Change: a target's load tells for how long it is cold; rejected callers return after the targets are warm, spread until a third of their own time has passed. Over-rate refusals use the caller's time as well.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -49,6 +49,7 @@
         capacity_deci_per_s: Rate that the target can serve, in tenths of a
             call per second.
         failing_percent: Percentage of recent calls that failed at the target.
+        cold_ms: Time until the target is warm; 0 if it is.
     """
 
     is_usable: bool = False
@@ -59,6 +60,7 @@
     offered_deci_per_s: int = 0
     capacity_deci_per_s: int = 0
     failing_percent: int = 0
+    cold_ms: int = 0
 
 
 class PeerHello(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/src/rattanstile/process/mesh/attempts.py
+++ b/src/rattanstile/process/mesh/attempts.py
@@ -1,6 +1,7 @@
 """Sends attempts of requests to nodes and handles their results."""
 
 from collections.abc import Callable
+from statistics import fmean
 
 from rattanstile.connection.peer_messages import (
     AnswerCredit,
@@ -190,14 +191,22 @@
                 link is None or link.quiet_s(now_s) > silent_s
             )
 
-    def service_views(self) -> dict[ServiceName, ServiceView]:
+    def service_views(self, now_s: float) -> dict[ServiceName, ServiceView]:
         """Return the load of each service, aggregated over its targets."""
         self._local.service = self._serving.watch.service
-        self._local.load = self._serving.load()
+        self._local.update_load(self._serving.load(), now_s)
         loads: dict[ServiceName, list[TargetLoad]] = {}
+        warm_times_s: dict[ServiceName, list[float]] = {}
         for each in (*self.candidates.values(), self._local):
-            loads.setdefault(each.service, []).append(each.load)
-        return {name: _service_view(found) for name, found in loads.items()}
+            each_loads = loads.setdefault(each.service, [])
+            each_loads.append(each.load)
+            warm_at_s = each.load_received_s + each.load.cold_ms / MS_PER_S
+            if warm_at_s > now_s and each.load.is_usable:
+                warm_times_s.setdefault(each.service, []).append(warm_at_s)
+        return {
+            name: _service_view(found, warm_times_s.get(name, []))
+            for name, found in loads.items()
+        }
 
     def _choose(self, call: EntryCall) -> Candidate | None:
         share = MAX_ROOT_LOCAL_WAIT_SHARE
@@ -302,7 +311,9 @@
         self._attempts.answer_part_received(self._sequence, part)
 
 
-def _service_view(loads: list[TargetLoad]) -> ServiceView:
+def _service_view(
+    loads: list[TargetLoad], warm_times_s: list[float]
+) -> ServiceView:
     usable = [load for load in loads if load.is_usable]
     capacity = sum(load.capacity_deci_per_s for load in usable)
     waits = sum(load.wait_us * load.capacity_deci_per_s for load in usable)
@@ -310,4 +321,5 @@
         offered_per_s=sum(load.offered_deci_per_s for load in usable) / 10,
         capacity_per_s=capacity / 10,
         wait_s=waits / capacity / 1e6 if capacity else 0,
+        warm_at_s=fmean(warm_times_s) if warm_times_s else 0,
     )
--- a/src/rattanstile/process/mesh/entry_call.py
+++ b/src/rattanstile/process/mesh/entry_call.py
@@ -99,11 +99,11 @@
         return self.route.priority
 
     @property
-    def answer_deadline_s(self) -> float:
-        """Return the monotonic time by which a begun answer must be complete.
+    def caller_deadline_s(self) -> float:
+        """Return the monotonic time until which the caller waits.
 
-        The timeout of the route ends the wait for an answer; the caller
-        states how long it goes on to receive one.
+        The timeout of the route may end before: one attempt of the caller
+        ends then, but a later one, or a begun answer, may still succeed.
         """
         stated_s = self.caller_request.deadline_ms / MS_PER_S
         return max(self.deadline_s, self.arrived_s + stated_s)
--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -47,11 +47,6 @@
 MAX_MOVES = 8
 """Maximum number of nodes that one request is offered to."""
 NOT_READY_RETRY_S = 0.5
-NO_TARGET_RETRY_S = (0.3, 1.0)
-"""Range of the random `retry_after_s` of a request that found no target.
-
-Targets are back within about a second of a power failure.
-"""
 MIN_RERUN_TIME_S = 0.02
 """Time that must be left before the deadline to rerun a request."""
 
@@ -217,7 +212,9 @@
             )
         else:
             retry_after_s = spread_return_s(
-                self._context.rng, call.deadline_s - now_s, rate.token_wait_s
+                self._context.rng,
+                call.caller_deadline_s - now_s,
+                rate.token_wait_s,
             )
             self._refuse_over_rate(call, rate, retry_after_s)
 
@@ -232,7 +229,7 @@
             self._check_load(now_s, call)
         else:
             retry_after_s = return_at_token_s(
-                self._context.rng, call.deadline_s - now_s, taken.wait_s
+                self._context.rng, call.caller_deadline_s - now_s, taken.wait_s
             )
             self._refuse_over_rate(call, rate, retry_after_s)
 
@@ -257,7 +254,8 @@
             call.run_kind,
             call.route.priority,
             self.attempts.usage.usage_of(call.run_kind),
-            call.deadline_s - now_s,
+            now_s,
+            call.caller_deadline_s,
         )
         if verdict.is_admitted:
             self._place(now_s, call)
@@ -294,7 +292,9 @@
         self._held[call] = None
 
     def _end_unplaced(self, call: EntryCall) -> None:
-        retry_after_s = self._context.rng.uniform(*NO_TARGET_RETRY_S)
+        retry_after_s = self._admission.retry_after_s(
+            call.service, self._context.timers.now_s(), call.caller_deadline_s
+        )
         self._end(call, call.refusal(call.last_refusal, retry_after_s))
 
     # End of an attempt
@@ -354,8 +354,8 @@
         """End requests past their deadline and place held requests."""
         while self._deadlines and self._deadlines[0][0] <= now_s:
             _, _, call = heapq.heappop(self._deadlines)
-            if call.phase is Phase.STREAMING and now_s < call.answer_deadline_s:
-                self._add_deadline(call, call.answer_deadline_s)
+            if call.phase is Phase.STREAMING and now_s < call.caller_deadline_s:
+                self._add_deadline(call, call.caller_deadline_s)
             elif call.phase is not Phase.ENDED:
                 self._expire(call)
         for held in tuple(self._held):
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -237,7 +237,7 @@
         self.entry.check(now_s)
         if now_s >= self._admission_due_s:
             self._admission_due_s = now_s + STEP_S - TICK_S / 2
-            self.admission.step(self.entry.attempts.service_views())
+            self.admission.step(self.entry.attempts.service_views(now_s))
         if now_s >= self._slow_due_s:
             self._slow_due_s = now_s + SLOW_TICK_S - TICK_S / 2
             self._slow_tick(now_s)
--- a/src/rattanstile/process/mesh/retry_after.py
+++ b/src/rattanstile/process/mesh/retry_after.py
@@ -6,6 +6,8 @@
 one, they are served later than they need to be. So callers are told the time
 at which there is room for them, in the order of their rejection, and are
 spread over the time in which a retry can still succeed where that isn't known.
+After a power failure all targets are cold for seconds: a caller that returns
+before they are warm is rejected a second time.
 """
 
 from random import Random
@@ -17,6 +19,10 @@
 served."""
 
 
+LONGEST_WAIT_SHARE = 1 / 3
+"""Share of its remaining time that a caller spends on waiting, at most."""
+
+
 def latest_return_s(remaining_s: float) -> float:
     """Return the longest delay after which a retry can still be served.
 
@@ -43,6 +49,22 @@
     return rng.uniform(earliest_s, latest_s)
 
 
+def return_when_warm_s(
+    rng: Random, remaining_s: float, warm_in_s: float
+) -> float:
+    """Return a random delay after which the targets of a service are warm.
+
+    Args:
+        rng: Random source.
+        remaining_s: Time until the caller's deadline.
+        warm_in_s: Time until the targets are warm; 0 if they are.
+    """
+    if warm_in_s < latest_return_s(remaining_s):
+        return spread_return_s(rng, remaining_s, warm_in_s)
+    longest_s = max(warm_in_s, remaining_s * LONGEST_WAIT_SHARE)
+    return rng.uniform(warm_in_s, longest_s)
+
+
 def return_at_token_s(
     rng: Random, remaining_s: float, token_wait_s: float
 ) -> float:
--- a/src/rattanstile/process/mesh/root_admission.py
+++ b/src/rattanstile/process/mesh/root_admission.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from rattanstile.process.mesh.retry_after import spread_return_s
+from rattanstile.process.mesh.retry_after import return_when_warm_s
 from rattanstile.process.mesh.service_needs import RunKind
 from rattanstile.request.exchange import ServiceUsage
 from rattanstile.request.ids import ServiceName
@@ -75,11 +75,14 @@
         offered_per_s: Calls that arrive, including those rejected.
         capacity_per_s: Calls that its targets can serve.
         wait_s: Mean queueing time of calls at the service.
+        warm_at_s: Monotonic time at which its cold targets are warm, on
+            average; 0 if none is cold.
     """
 
     offered_per_s: float
     capacity_per_s: float
     wait_s: float
+    warm_at_s: float = 0
 
 
 UNAVAILABLE = ServiceView(offered_per_s=0, capacity_per_s=0, wait_s=0)
@@ -234,7 +237,8 @@
         run_kind: RunKind,
         priority: int,
         usages: tuple[ServiceUsage, ...],
-        remaining_s: float,
+        now_s: float,
+        deadline_s: float,
     ) -> AdmissionDecision:
         """Admit or reject one root request.
 
@@ -242,7 +246,8 @@
             run_kind: Route and service that its run is counted under.
             priority: 0 is the most urgent.
             usages: Runs of each service that its call graph makes.
-            remaining_s: Time until its deadline.
+            now_s: Monotonic seconds.
+            deadline_s: Monotonic time of its deadline.
         """
         request_class = RequestClass(priority, run_kind)
         lowest_share = 1.0
@@ -270,9 +275,25 @@
             service=bottleneck,
             part=round(lowest_share, 3),
             let_in=round(self._services[bottleneck].admitted_share, 3),
-            retry_after_s=spread_return_s(self._rng, remaining_s),
+            retry_after_s=self.retry_after_s(bottleneck, now_s, deadline_s),
         )
 
+    def retry_after_s(
+        self, service: ServiceName, now_s: float, deadline_s: float
+    ) -> float:
+        """Return when a rejected caller is to return.
+
+        Args:
+            service: The service that has no room for its request.
+            now_s: Monotonic seconds.
+            deadline_s: Monotonic time of its deadline.
+        """
+        found = self._services.get(service)
+        warm_in_s = 0.0
+        if found is not None and found.view is not None:
+            warm_in_s = max(0.0, found.view.warm_at_s - now_s)
+        return return_when_warm_s(self._rng, deadline_s - now_s, warm_in_s)
+
     def own_demand(self) -> dict[ServiceName, float]:
         """Return the calls per second that this node's requests would make."""
         return {
--- a/src/rattanstile/process/mesh/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving_handler.py
@@ -119,6 +119,7 @@
             offered_deci_per_s=int(queue.offered_per_s(now_s) * 10),
             capacity_deci_per_s=int(queue.capacity_per_s(is_cold=is_cold) * 10),
             failing_percent=int(self._failing.share(now_s) * PERCENT),
+            cold_ms=int(max(0, self.watch.cold_until_s - now_s) * MS_PER_S),
         )
 
     def usage(
--- a/tests/test_root_admission.py
+++ b/tests/test_root_admission.py
@@ -60,7 +60,7 @@
         route, priority, runs = kind
         self.requests[route] += 1
         verdict = self.admission.decide(
-            run_of(route), priority, usage(runs), 5.0
+            run_of(route), priority, usage(runs), 0.0, 5.0
         )
         self.admitted[route] += verdict.is_admitted
         self._work += verdict.is_admitted * runs
@@ -132,7 +132,7 @@
         load = Load(KINDS)
         load.run(2, 200)
         verdicts = [
-            load.admission.decide(run_of('draw'), 2, usage(4.0), 5.0)
+            load.admission.decide(run_of('draw'), 2, usage(4.0), 0.0, 5.0)
             for _ in range(200)
         ]
         waits = [
@@ -180,7 +180,9 @@
         requests = 0
         for step in range(int(seconds / STEP_S)):
             for _ in range(10):
-                verdict = admission.decide(run_of('draw'), 2, usage(4.0), 5.0)
+                verdict = admission.decide(
+                    run_of('draw'), 2, usage(4.0), 0.0, 5.0
+                )
                 requests += step * STEP_S > 1.5
                 admitted += verdict.is_admitted and step * STEP_S > 1.5
             admission.step(views)
@@ -195,9 +197,9 @@
         admission = RootAdmission(Random(4))
         run = RunKind('fees', DEEP)
         own = (ServiceUsage(DEEP, 1.0),)
-        admission.decide(run, 2, own, 5.0)
+        admission.decide(run, 2, own, 0.0, 5.0)
         admission.step({DEEP: ServiceView(0, 0, 0)})
-        verdicts = [admission.decide(run, 2, own, 5.0) for _ in range(50)]
+        verdicts = [admission.decide(run, 2, own, 0.0, 5.0) for _ in range(50)]
         self.assertTrue(all(verdict.is_admitted for verdict in verdicts))
 
     def test_a_service_that_is_discovered_soon_is_admitted(self):
@@ -218,3 +220,38 @@
             estimates.usage_of(RunKind('claim', 'results')),
             (ServiceUsage('results', 1),),
         )
+
+
+class ReturnTest(unittest.TestCase):
+    """All targets are cold after a power failure; most requests are shed."""
+
+    def setUp(self):
+        self.admission = RootAdmission(Random(7))
+        run = run_of('draw')
+        self.admission.decide(run, 2, usage(4.0), 0.0, 5.0)
+        view = ServiceView(0, 20, 0, warm_at_s=12.5)
+        self.admission.step({DEEP: view})
+
+    def returns_s(self, now_s, remaining_s):
+        return [
+            now_s
+            + self.admission.retry_after_s(DEEP, now_s, now_s + remaining_s)
+            for _ in range(100)
+        ]
+
+    def test_callers_return_when_the_targets_are_warm(self):
+        """They came back after 0.3 s to 0.6 s and were shed once more."""
+        returns_s = self.returns_s(11.0, 5.0)
+        self.assertGreaterEqual(min(returns_s), 12.5)
+        self.assertLess(max(returns_s), 11.0 + 5.0 / 3 + 0.01)
+
+    def test_callers_are_told_the_truth_if_that_is_too_late_for_them(self):
+        """A shorter delay would only bring a second refusal."""
+        self.assertGreaterEqual(min(self.returns_s(10.0, 3.0)), 12.5)
+
+    def test_callers_are_spread_as_before_once_the_targets_are_warm(self):
+        """The time of a target that has become warm is of no account."""
+        returns_s = self.returns_s(20.0, 5.0)
+        self.assertLess(min(returns_s), 20.4)
+        self.assertGreater(max(returns_s), 20.9)
+        self.assertLessEqual(max(returns_s), 21.0)
