--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -180,33 +180,103 @@
     evacuated: tuple[FailureDomainId, ...]
 
 
+class ServiceDigest(msgspec.Struct, frozen=True, array_like=True):
+    """Load of a service in one failure domain, summed over its targets.
+
+    Attributes:
+        targets: Nodes of the service, usable or not.
+        usable: Targets that accept new calls.
+        offered_deci_per_s: See `TargetLoad`; the sum over usable targets.
+        capacity_deci_per_s: See `TargetLoad`; the sum over usable targets.
+        wait_us: Mean queueing time of a call, in microseconds.
+        failing_percent: Lowest percentage of any usable target.
+        cold_ms: Mean time until its cold targets are warm; 0 if none is cold.
+    """
+
+    service: ServiceName
+    targets: int
+    usable: int
+    offered_deci_per_s: int
+    capacity_deci_per_s: int
+    wait_us: int
+    failing_percent: int
+    cold_ms: int
+
+
+class DomainDigest(msgspec.Struct, frozen=True, array_like=True):
+    """What other failure domains know of one.
+
+    Attributes:
+        age_ms: Time since its delegate worked it out.
+        nodes: Nodes of the domain that have not left.
+        services: Only services that the receiver uses.
+    """
+
+    domain: FailureDomainId
+    age_ms: int
+    nodes: int
+    services: tuple[ServiceDigest, ...]
+
+
 class DemandReport(msgspec.Struct, frozen=True, array_like=True, tag=9):
     """Demand of each organisation at the sender, in requests per second.
 
+    Sent to the delegate of the sender's failure domain.
+
     Attributes:
         sequence: Increases with each report.
         calls_per_s: Calls to each service that the root requests at the
             sender would make if all were admitted.
+        load: Load of the sender's target.
+    """
+
+    sequence: int
+    demand_per_s: dict[OrganisationId, float]
+    calls_per_s: dict[ServiceName, float]
+    load: TargetLoad | None = None
+
+
+class DomainReport(msgspec.Struct, frozen=True, array_like=True, tag=21):
+    """Demand and load of a failure domain, summed over its nodes.
+
+    Sent by the delegate of the domain to the allocator of the rates.
+
+    Attributes:
+        sequence: Increases with each report.
+        reporting: Nodes whose recent reports are included.
+        demand_per_s: See `DemandReport`.
+        calls_per_s: See `DemandReport`.
     """
 
     sequence: int
+    reporting: int
     demand_per_s: dict[OrganisationId, float]
     calls_per_s: dict[ServiceName, float]
+    digest: DomainDigest
 
 
 class RateSharesResponse(msgspec.Struct, frozen=True, array_like=True, tag=10):
     """Shares of each organisation's rate that the receiver may use.
 
+    The response to a `DemandReport` or a `DomainReport`; the shares of a domain
+    are those of all its nodes together.
+
     Attributes:
         calls_per_s: Demand for calls to each service, summed over the reports
             of all nodes.
         nodes: Number of nodes in the fleet.
+        lease_ms: How long the shares stay valid without an update.
+        digests: Load of the other failure domains.
+        is_for_domain: Whether it responds to a `DomainReport`.
     """
 
     sequence: int
     organisation_shares: dict[OrganisationId, float]
     calls_per_s: dict[ServiceName, float]
     nodes: int
+    lease_ms: int
+    digests: tuple[DomainDigest, ...] = ()
+    is_for_domain: bool = False
 
 
 class ShutdownNotice(msgspec.Struct, frozen=True, array_like=True, tag=11):
@@ -279,6 +349,7 @@
     | ConfigRequest
     | ConfigResponse
     | DemandReport
+    | DomainReport
     | RateSharesResponse
     | ShutdownNotice
     | PeerPing
--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -7,15 +7,17 @@
 """
 
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
+from rattanstile.connection.peer_link import PeerLink
 from rattanstile.connection.peer_messages import (
     ConfigNotice,
     ConfigRequest,
     ConfigResponse,
 )
-from rattanstile.connection.peer_pool import PeerLink, PeerPool
+from rattanstile.connection.peer_pool import PeerPool
 from rattanstile.process.mesh.operator_state import OperatorState
 from rattanstile.process.mesh.store_readers import StoreReaders
 from rattanstile.process.timers import TimerService
@@ -52,6 +54,8 @@
         peers: Connections to the other nodes.
         timers: Source of monotonic time.
         readers: Decides whether this node reads the store itself.
+        is_gateway: Returns whether this node connects its failure domain to
+            the others, and relays between them.
         rng: Chooses among the nodes that can send a copy.
     """
 
@@ -61,6 +65,7 @@
         peers: PeerPool,
         timers: TimerService,
         readers: StoreReaders,
+        is_gateway: Callable[[], bool],
         rng: Random,
     ) -> None:
         """Initialize with no node ahead."""
@@ -68,15 +73,23 @@
         self._peers = peers
         self._timers = timers
         self._readers = readers
+        self._is_gateway = is_gateway
         self._rng = rng
         self._can_read = True
         self._peers_ahead: dict[NodeId, _PeerOffset] = {}
         self._copy_deadline_s = 0.0
 
     def broadcast_offset(self) -> None:
-        """Broadcast the log offset of this node and whether it reads."""
-        offset = self._operator_state.state.offset
-        self._peers.broadcast(ConfigNotice(offset, self.reads))
+        """Report the log offset of this node and whether it reads.
+
+        Only readers and gateways do: the others have their state from them.
+        """
+        is_gateway = self._is_gateway()
+        reads = self.reads
+        if reads or is_gateway:
+            offset = self._operator_state.state.offset
+            notice = ConfigNotice(offset, reads)
+            self._peers.broadcast(notice, near_only=not is_gateway)
 
     def is_reader(self) -> bool:
         """Return whether this node is to read the store itself."""
@@ -88,9 +101,10 @@
         return self._can_read and self.is_reader()
 
     def set_store_readable(self, *, can_read: bool) -> None:
-        """Record and broadcast whether this node can read the store."""
+        """Record and report whether this node can read the store."""
         self._can_read = can_read
-        self.broadcast_offset()
+        notice = ConfigNotice(self._operator_state.state.offset, self.reads)
+        self._peers.broadcast(notice, near_only=True)
 
     def notice_received(
         self, node_id: NodeId, offset: int, *, reads: bool
@@ -103,17 +117,25 @@
         earlier = self._peers_ahead.get(node_id)
         since_s = self._timers.now_s() if earlier is None else earlier.since_s
         self._peers_ahead[node_id] = _PeerOffset(offset, since_s)
+        if self._operator_state.state.config is None:
+            self._request_copy(self._timers.now_s())
 
     def check(self, now_s: float) -> None:
-        """Request a copy from a node that has been ahead for long enough."""
+        """Report the offset when it is due, and request a missing copy."""
         if self._readers.is_heartbeat_due(now_s):
             self.broadcast_offset()
+        self._request_copy(now_s)
+
+    def _request_copy(self, now_s: float) -> None:
+        """Request a copy from a node that has been ahead for long enough."""
         if now_s < self._copy_deadline_s:
             return
         for node_id, ahead in tuple(self._peers_ahead.items()):
             if ahead.offset <= self._operator_state.state.offset:
                 self._peers_ahead.pop(node_id)
-        min_lead_s = MAX_STORE_READ_LAG_S if self.is_reader() else 0
+        min_lead_s = 0.0
+        if self._operator_state.state.config is not None and self.is_reader():
+            min_lead_s = MAX_STORE_READ_LAG_S
         links = [
             link
             for node_id, ahead in self._peers_ahead.items()
--- a/src/rattanstile/process/mesh/entry_call.py
+++ b/src/rattanstile/process/mesh/entry_call.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
+from rattanstile.connection.peer_link import PeerLink
 from rattanstile.process.mesh.service_needs import RunKind
 from rattanstile.request.exchange import (
     AnswerSink,
@@ -56,6 +57,7 @@
         sequence: Number of the current attempt at this node.
         sent_s: Monotonic time at which the current attempt was sent.
         receiver: Node that the current attempt was sent to.
+        link: Connection that it was sent on; None for the local target.
         tried: Nodes that are excluded from the next choice.
         attempts: Number of ended attempts that may have run.
         moves: Number of attempts that ended without having run.
@@ -79,6 +81,7 @@
     sequence: int = 0
     sent_s: float = 0.0
     receiver: NodeId = NodeId('')
+    link: PeerLink | None = None
     tried: set[NodeId] = field(default_factory=set)
     attempts: int = 0
     moves: int = 0
--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -10,6 +10,7 @@
 from rattanstile.process.mesh.call_endings import ending_label
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.entry_call import EntryCall, Phase
+from rattanstile.process.mesh.fleet_links import FleetLinks
 from rattanstile.process.mesh.rate_limiter import (
     PoolDecision,
     RateDecision,
@@ -66,6 +67,7 @@
         rates: Admits requests by the rate limits of organisations.
         admission: Admits requests by the load of services.
         reruns: Retry budget of each service.
+        links: Opens connections for services that lack candidates.
     """
 
     def __init__(
@@ -76,9 +78,12 @@
         rates: RateService,
         admission: RootAdmission,
         reruns: RerunBudget,
+        links: FleetLinks,
     ) -> None:
         """Initialize without requests."""
-        self.attempts = Attempts(context, serving, peers, self._attempt_ended)
+        self.attempts = Attempts(
+            context, serving, peers, links, self._attempt_ended
+        )
         self._context = context
         self._serving = serving
         self._rates = rates
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -27,6 +27,13 @@
     yield _line('reruns_total', counters.reruns)
     yield _line('moves_total', counters.moves)
     yield _line('probes_total', counters.probes)
+    for kind, sent in sorted(node.peers.traffic.counts.items()):
+        labels = {
+            'message': kind.message,
+            'to': 'own_domain' if kind.is_near else 'other_domain',
+        }
+        yield _line('peer_frames_total', sent.frames, **labels)
+        yield _line('peer_bytes_total', sent.size_bytes, **labels)
 
 
 def _gauges(node: 'MeshNode') -> Iterator[str]:
@@ -43,6 +50,12 @@
     yield _line('target_cold', int(serving.watch.is_cold(now_s)))
     yield _line('members_known', len(node.peers.known_members()))
     yield _line('members_connected', len(node.peers.connected()))
+    yield _line('peer_connections', len(node.peers.links))
+    yield _line('gateway', int(node.links.is_gateway))
+    yield _line('delegate', int(node.rates.delegates.is_delegate))
+    yield _line('allocator', int(node.rates.delegates.is_allocator))
+    for domain, age_s in sorted(node.links.digests.ages_s(now_s).items()):
+        yield _line('domain_digest_age_seconds', age_s, domain=domain)
     for tight_service in node.admission.services_near_capacity():
         yield _line(
             'let_in', tight_service.let_in, service=tight_service.service
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -10,12 +10,9 @@
     ServerState,
     serving_http,
 )
+from rattanstile.connection.peer_link import UNRESPONSIVE_AFTER_S, NodePlace
 from rattanstile.connection.peer_messages import ShutdownNotice
-from rattanstile.connection.peer_pool import (
-    UNRESPONSIVE_AFTER_S,
-    PeerPool,
-    serving_peers,
-)
+from rattanstile.connection.peer_pool import PeerPool, serving_peers
 from rattanstile.connection.target_pool import TargetPool
 from rattanstile.process.decision_log import DecisionLog, LineKind
 from rattanstile.process.mesh.caller_service import CallerService
@@ -24,6 +21,8 @@
 from rattanstile.process.mesh.counters import Counters
 from rattanstile.process.mesh.drain import Drain, DrainStep
 from rattanstile.process.mesh.entry_handler import EntryHandler
+from rattanstile.process.mesh.fleet_join import FleetJoin, JoinHandlers
+from rattanstile.process.mesh.fleet_links import FleetLinks
 from rattanstile.process.mesh.metrics import metrics_text
 from rattanstile.process.mesh.node_addresses import (
     AnnouncementService,
@@ -31,7 +30,7 @@
     ReadyService,
 )
 from rattanstile.process.mesh.operator_state import OperatorState
-from rattanstile.process.mesh.peer_desk import PeerMessageHandler
+from rattanstile.process.mesh.peer_handler import PeerMessageHandler
 from rattanstile.process.mesh.ports import NodeAdapters
 from rattanstile.process.mesh.rate_service import RateService
 from rattanstile.process.mesh.rerun_budget import RerunBudget
@@ -40,6 +39,7 @@
 from rattanstile.process.mesh.settings import MeshSettings
 from rattanstile.process.mesh.store_follower import StoreFollower
 from rattanstile.process.mesh.store_readers import StoreReaders
+from rattanstile.process.mesh.store_retry import StoreRetry
 from rattanstile.process.mesh.target_watch import TargetWatch
 from rattanstile.process.reactor import Reactor
 from rattanstile.process.timers import TimerService
@@ -89,22 +89,31 @@
         self._drain: Drain | None = None
         self._admission_due_s = 0.0
         self._slow_due_s = 0.0
-        self._rates_due_s = 0.0
+        self.rates_due_s = 0.0
         self._operator_state = OperatorState(
             adapters.store.decode_config, self._config_changed, log
         )
         self._build_services(adapters)
         self._build_servers(adapters)
+        retry = StoreRetry(reactor, rng)
+        self._joining = FleetJoin(
+            adapters.store,
+            retry,
+            JoinHandlers(
+                self.peer_service.member,
+                self.peer_service.members_read,
+                self.serving.watch.restore_departure,
+            ),
+            log,
+            is_new_fleet=settings.new_fleet,
+        )
         self._follower = StoreFollower(
-            reactor,
             adapters.store,
+            retry,
             self._operator_state,
-            self.peer_service.member,
-            self.peer_service.members_read,
-            self.serving.watch.restore_departure,
             self._relay,
+            self._joining,
             log,
-            rng,
         )
 
     def _build_services(self, adapters: NodeAdapters) -> None:
@@ -114,6 +123,7 @@
         self.peers = PeerPool(
             self._reactor,
             self.timers,
+            NodePlace(context.node_id, context.domain),
             self.peer_service,
             context.log,
             context.rng,
@@ -129,26 +139,41 @@
             self.peer_service.status_changed,
         )
         self.admission = RootAdmission(context.rng)
-        self._rates = RateService(context, self.peers, self.admission)
+        self.links = FleetLinks(
+            context,
+            self.peers,
+            self.serving.load,
+            lambda: self.serving.watch.service,
+        )
+        self.rates = RateService(
+            context, self.peers, self.links, self.admission
+        )
         self._reruns = RerunBudget(settings.rerun_ratio, settings.rerun_slack)
         self.entry = EntryHandler(
             context,
             self.serving,
             self.peers,
-            self._rates,
+            self.rates,
             self.admission,
             self._reruns,
+            self.links,
         )
-        readers = StoreReaders(context.node_id, self.peer_service.neighbours)
+        readers = StoreReaders(context.node_id, self.links.near_ids)
         self._relay = ConfigRelay(
             self._operator_state,
             self.peers,
             self.timers,
             readers,
+            lambda: self.links.is_gateway,
             context.rng,
         )
         self.peer_service.attach(
-            self.peers, self.entry, self.serving, self._rates, self._relay
+            self.peers,
+            self.links,
+            self.entry,
+            self.serving,
+            self.rates,
+            self._relay,
         )
 
     def _build_servers(self, adapters: NodeAdapters) -> None:
@@ -207,7 +232,7 @@
 
     def persist_departure(self) -> Coroutine[Any, Any, None]:
         """Store the departure of the target for later runs of this node."""
-        return self._follower.persist_member()
+        return self._joining.persist_member()
 
     def metrics_text(self) -> str:
         """Return the metrics in the Prometheus text format."""
@@ -233,11 +258,11 @@
 
     def _tick(self, now_s: float) -> None:
         self.serving.check(now_s)
-        self._rates.check(now_s)
+        self.rates.check(now_s)
         self.entry.check(now_s)
         if now_s >= self._admission_due_s:
             self._admission_due_s = now_s + STEP_S - TICK_S / 2
-            self.admission.step(self.entry.attempts.service_views(now_s))
+            self.admission.step(self.links.views(now_s))
         if now_s >= self._slow_due_s:
             self._slow_due_s = now_s + SLOW_TICK_S - TICK_S / 2
             self._slow_tick(now_s)
@@ -252,16 +277,18 @@
         self._target_pool.check(now_s)
         self.context.log.flush()
         self._relay.check(now_s)
-        self.peer_service.broadcast_if_busy(now_s)
-        if now_s >= self._rates_due_s:
+        self.peer_service.check(now_s)
+        self.links.check(now_s)
+        if now_s >= self.rates_due_s:
             is_near_capacity = self.admission.is_near_capacity
             period_s = (
                 FAST_RATES_PERIOD_S if is_near_capacity else RATES_PERIOD_S
             )
-            self._rates_due_s = now_s + period_s - TICK_S / 2
-            self._rates.report(now_s)
-            self._reruns.set_node_count(self._rates.fleet_size)
+            self.rates_due_s = now_s + period_s - TICK_S / 2
+            self.rates.report(now_s)
+            self._reruns.set_node_count(self.rates.fleet_size)
             self._log_tight_services()
+        self.rates.report_domain(now_s)
 
     def _advance_drain(self, now_s: float, drain: Drain) -> None:
         self.entry.end_s = drain.end_s(now_s)
@@ -277,7 +304,7 @@
                     took_s=round(now_s - drain.began_s, 2),
                     in_hand=self.in_hand,
                 )
-                self.peers.broadcast(ShutdownNotice())
+                self.peers.broadcast(ShutdownNotice(), near_only=False)
                 self._reactor.stop()
 
     def _log_tight_services(self) -> None:
@@ -292,7 +319,7 @@
 
     def _config_changed(self, previous: FleetState) -> None:
         self.serving.config_changed()
-        self._rates.config_changed()
+        self.rates.config_changed()
         self._relay.broadcast_offset()
         self.entry.peers_changed()
 
--- a/src/rattanstile/process/mesh/peer_handler.py
+++ b/src/rattanstile/process/mesh/peer_handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from rattanstile.connection.peer_link import PeerLink
 from rattanstile.connection.peer_messages import (
     AnswerCredit,
     AnswerPart,
@@ -13,6 +14,7 @@
     ConfigRequest,
     ConfigResponse,
     DemandReport,
+    DomainReport,
     MembersRequest,
     MembersResponse,
     PeerHello,
@@ -25,12 +27,14 @@
     TokenRequest,
     TokenResponse,
 )
-from rattanstile.connection.peer_pool import PeerLink, PeerPool
+from rattanstile.connection.peer_pool import PeerPool
 from rattanstile.process.decision_log import LineKind
 from rattanstile.process.mesh.call_endings import encode_ending
 from rattanstile.process.mesh.config_relay import ConfigRelay
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.entry_handler import EntryHandler
+from rattanstile.process.mesh.fleet_links import FleetLinks
+from rattanstile.process.mesh.load_reports import LoadReports
 from rattanstile.process.mesh.placement import Candidate
 from rattanstile.process.mesh.rate_service import RateService
 from rattanstile.process.mesh.serving_handler import ServingHandler
@@ -39,19 +43,13 @@
 
 USAGE_REPORT_PERIOD_S = 0.2
 """Minimum time between reports of the usage of a route to a peer."""
-BUSY_SHARE = 0.6
-"""Offered share of its capacity above which a target's load is broadcast."""
-BUSY_REPORT_PERIOD_S = 0.2
-"""Minimum time between load reports while the target is busy; slightly less
-than the period of the check."""
-FULL_RATE_FLEET_NODES = 40
-"""Fleet size up to which `BUSY_REPORT_PERIOD_S` applies; above it the period
-grows in proportion to the number of nodes."""
-CAPACITY_CHANGE_SHARE = 0.3
-"""Relative change of capacity that is reported, as when a target warms up."""
+USAGE_REPORT_PERIOD_S = 0.2
+"""Minimum time between reports of the usage of a route to a peer."""
 INCARNATION_BITS = 48
-MAX_MEMBER_REQUESTS = 3
-"""Peers asked for the member list until the node has read it from the store."""
+MEMBERS_WAIT_S = 0.5
+"""Time for which a node that starts waits for the member list of the store
+before it asks its peers for theirs."""
+MEMBERS_REQUEST_PERIOD_S = 1.0
 
 
 class _PeerAnswerSink:
@@ -86,15 +84,15 @@
         self._context = context
         self._address = address
         self._incarnation = context.rng.getrandbits(INCARNATION_BITS)
-        self._usage_sent_s: dict[tuple[NodeId, str], float] = {}
-        self._is_busy_sent = False
-        self._capacity_sent = 0
-        self._busy_due_s = 0.0
-        self._member_requests = 0
+        self._usage_sent_s: dict[NodeId, dict[str, float]] = {}
+        self._reports = LoadReports()
+        self._are_members_read = False
+        self._members_due_s = context.timers.now_s() + MEMBERS_WAIT_S
 
     def attach(
         self,
         peers: PeerPool,
+        links: FleetLinks,
         entry: EntryHandler,
         serving: ServingHandler,
         rates: RateService,
@@ -102,6 +100,8 @@
     ) -> None:
         """Set the other components of the node."""
         self._peers = peers
+        self._links = links
+        self._candidates = links.candidates
         self._entry = entry
         self._serving = serving
         self._rates = rates
@@ -123,12 +123,6 @@
             takes_parts=True,
         )
 
-    def neighbours(self) -> set[NodeId]:
-        """Return the connected nodes in this node's failure domain."""
-        domain = self._context.domain
-        candidates = self._entry.attempts.candidates.values()
-        return {each.node_id for each in candidates if each.domain == domain}
-
     def member(self) -> PeerMember:
         """Return the member entry by which other nodes find this one."""
         watch = self._serving.watch
@@ -142,30 +136,25 @@
         )
 
     def status_changed(self) -> None:
-        """Broadcast the service and the load of the target."""
+        """Report the service and the load of the target."""
         self._peers.broadcast(
-            StatusReport(self._serving.watch.service, self._serving.load())
+            StatusReport(self._serving.watch.service, self._serving.load()),
+            near_only=False,
         )
         self._entry.peers_changed()
 
-    def broadcast_if_busy(self, now_s: float) -> None:
-        """Broadcast the load while other nodes need it to admit requests."""
-        load = self._serving.load()
-        capacity = load.capacity_deci_per_s
-        is_busy = load.offered_deci_per_s > capacity * BUSY_SHARE
-        change = abs(capacity - self._capacity_sent)
-        is_changed = change > CAPACITY_CHANGE_SHARE * self._capacity_sent
-        is_due = now_s >= self._busy_due_s
-        if is_changed or (is_due and (is_busy or self._is_busy_sent)):
-            # All nodes report to all nodes: in larger fleets each one reports
-            # less often.
-            period_factor = max(
-                1.0, self._peers.fleet_size() / FULL_RATE_FLEET_NODES
-            )
-            self._busy_due_s = now_s + BUSY_REPORT_PERIOD_S * period_factor
-            self._is_busy_sent = is_busy
-            self._capacity_sent = capacity
+    def check(self, now_s: float) -> None:
+        """Report the load if it is due, and ask for missing members."""
+        receivers = len(self._peers.links)
+        if self._reports.is_due(now_s, self._serving.load(), receivers):
             self.status_changed()
+        if not self._are_members_read and now_s >= self._members_due_s:
+            self._members_due_s = now_s + MEMBERS_REQUEST_PERIOD_S
+            self._request_members()
+
+    def serves_calls_of(self, link: PeerLink) -> bool:
+        """Return whether calls received on a connection are in progress."""
+        return bool(self._serving.keys_of(link))
 
     # Connections
 
@@ -178,7 +167,7 @@
             hello.node_id, hello.service, hello.domain, TargetLoad()
         )
         candidate.update_load(hello.load, self._context.timers.now_s())
-        self._entry.attempts.add_candidate(candidate)
+        self._candidates.add(candidate)
         self._context.log.write(
             LineKind.PEER,
             'peer_ready',
@@ -192,35 +181,25 @@
         )
         self._entry.peers_changed()
 
+    def peer_joined(self, link: PeerLink) -> None:
+        """Connect to a node that opened a connection to this one."""
+        self._links.add_members(())
+        self._peers.connect_now(link.node_id)
+
     def peer_lost(self, link: PeerLink) -> None:
-        """Remove a peer from the candidates and end the attempts sent to it."""
-        self._entry.attempts.remove_candidate(link.node_id)
+        """End the attempts sent on a connection and cancel its calls."""
+        node_id = link.node_id
+        if self._peers.link_to(node_id) is None:
+            self._candidates.remove(node_id)
+            self._rates.peer_lost(node_id)
+            self._usage_sent_s.pop(node_id, None)
         self._context.log.write(
             LineKind.PEER,
             'peer_lost',
-            peer=link.node_id,
+            peer=node_id,
             owed=link.awaited_responses,
         )
-        self._rates.peer_lost(link.node_id)
-        self._entry.attempts.peer_lost(link.node_id)
-
-    def peer_joined(self, link: PeerLink) -> None:
-        """Connect to a node that opened a connection to this one."""
-        hello = link.hello
-        if hello is None:
-            return
-        self._peers.add_member(
-            PeerMember(
-                hello.node_id, hello.address, hello.service, hello.domain
-            )
-        )
-        self._peers.connect_now(hello.node_id)
-        if self._member_requests < MAX_MEMBER_REQUESTS:
-            self._member_requests += 1
-            link.send(MembersRequest())
-
-    def peer_left(self, link: PeerLink) -> None:
-        """Cancel the calls of a node whose connection closed."""
+        self._entry.attempts.link_lost(link)
         for key in self._serving.keys_of(link):
             self._serving.cancel(key)
 
@@ -232,8 +211,8 @@
             case CallRequest():
                 self._serve(link, message)
             case CallResponse():
-                link.awaited_responses = max(0, link.awaited_responses - 1)
-                self._entry.attempts.peer_call_ended(link.node_id, message)
+                link.response_received()
+                self._entry.attempts.peer_call_ended(link, message)
             case AnswerStart(sequence, head):
                 self._entry.attempts.answer_began(sequence, head)
             case AnswerPart(sequence, part):
@@ -248,6 +227,7 @@
                 self._relay.message(link, message)
             case (
                 DemandReport()
+                | DomainReport()
                 | RateSharesResponse()
                 | TokenRequest()
                 | TokenResponse()
@@ -255,37 +235,40 @@
                 self._rates.message(link, message)
             case ShutdownNotice():
                 self._peers.mark_left(link.node_id)
-                self._update_load(link.node_id, TargetLoad())
+                self._load_received(link, TargetLoad())
             case MembersRequest():
                 link.send(MembersResponse(self._peers.known_members()))
             case MembersResponse(members):
-                self._members_received(members)
+                self._links.add_members(self._unknown(members))
 
     def members_read(self, members: Iterable[PeerMember]) -> None:
-        """Connect to the members that were read from the store."""
-        self._member_requests = MAX_MEMBER_REQUESTS
-        for member in members:
-            if member.node_id != self._context.node_id:
-                self._peers.add_member(member)
-
-    def _members_received(self, members: tuple[PeerMember, ...]) -> None:
+        """Add the members that were read from the store."""
+        self._are_members_read = True
+        self._links.add_members(members)
+
+    def _request_members(self) -> None:
+        """Ask a node of the same domain; traffic between domains costs more."""
+        near_ids = sorted(self._links.near_ids())
+        if near_ids:
+            link = self._peers.link_to(self._context.rng.choice(near_ids))
+            if link is not None:
+                link.send(MembersRequest())
+
+    def _unknown(self, members: tuple[PeerMember, ...]) -> list[PeerMember]:
+        """Return the nodes that are new; a peer may know an old address."""
         known_ids = {member.node_id for member in self._peers.known_members()}
-        known_ids.add(self._context.node_id)
-        for member in members:
-            if member.node_id not in known_ids:
-                self._peers.add_member(member)
+        return [each for each in members if each.node_id not in known_ids]
 
     def _status_received(self, link: PeerLink, message: StatusReport) -> None:
-        candidate = self._entry.attempts.candidates.get(link.node_id)
+        candidate = self._candidates.by_id.get(link.node_id)
         if candidate is not None:
-            self._entry.attempts.set_service(candidate, message.service)
-            self._update_load(link.node_id, message.load)
+            self._candidates.set_service(candidate, message.service)
+            self._load_received(link, message.load)
             self._entry.peers_changed()
 
-    def _update_load(self, node_id: NodeId, load: TargetLoad) -> None:
-        candidate = self._entry.attempts.candidates.get(node_id)
-        if candidate is not None:
-            candidate.update_load(load, self._context.timers.now_s())
+    def _load_received(self, link: PeerLink, load: TargetLoad) -> None:
+        now_s = self._context.timers.now_s()
+        self._links.load_received(now_s, link.node_id, load)
 
     def _serve(self, link: PeerLink, message: CallRequest) -> None:
         route = message.call.route
@@ -308,8 +291,8 @@
     ) -> tuple[ServiceUsage, ...]:
         """Return the usage of a route; empty if the peer got them recently."""
         now_s = self._context.timers.now_s()
-        sent_s = self._usage_sent_s.get((node_id, route), float('-inf'))
-        if now_s - sent_s < USAGE_REPORT_PERIOD_S:
+        sent_s = self._usage_sent_s.setdefault(node_id, {})
+        if now_s - sent_s.get(route, float('-inf')) < USAGE_REPORT_PERIOD_S:
             return ()
-        self._usage_sent_s[node_id, route] = now_s
+        sent_s[route] = now_s
         return self._serving.usage(route, self._entry.attempts.usage)
--- a/src/rattanstile/process/mesh/placement.py
+++ b/src/rattanstile/process/mesh/placement.py
@@ -24,6 +24,7 @@
 inner call adds to those of the calls above it."""
 MAX_COMPARED = 6
 PERCENT = 100
+MS_PER_S = 1000
 CROSS_DOMAIN_RTT_S = 0.004
 """Round-trip time between failure domains."""
 MIN_SERVICE_S = 0.002
@@ -62,6 +63,11 @@
         self.load_received_s = now_s
         self.sent_since_update = 0
 
+    @property
+    def warm_at_s(self) -> float:
+        """Return the monotonic time at which its target is warm."""
+        return self.load_received_s + self.load.cold_ms / MS_PER_S
+
     def count_sent(self) -> None:
         """Count an attempt that is sent to the node."""
         self.sent_since_update += 1
--- a/src/rattanstile/process/mesh/rate_allocator.py
+++ b/src/rattanstile/process/mesh/rate_allocator.py
@@ -1,11 +1,12 @@
-"""Allocates shares of the rates to the nodes that report to this one.
+"""Allocates shares of the rates to the domains that report to this node.
 
 The load pattern: most requests of a large organisation come in at a few
 nodes, and at other nodes a moment later, while those of a small one come in
 at many nodes, each of which receives few of them. Nodes with enough demand
 hold a share, which follows their demand and stays below it; the rest is in
 the pool. Nodes of the fleet that don't report may still use an even share, so
-they count as unreachable.
+they count as unreachable. The delegate of each failure domain reports the
+demand of its nodes together, and divides the share that it gets.
 """
 
 from collections.abc import Mapping
@@ -20,21 +21,37 @@
 from rattanstile.version.fleet_config import Organisation
 
 FRESH_S = 1.2
-"""A node that has not reported for two periods may use another pool."""
+"""A domain that has not reported for two periods may use another pool."""
 DEMAND_SHARE = 0.8
 """Share of a node's demand that it holds tokens for: demand also falls."""
 
 
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Demand of the nodes that report together.
+
+    Attributes:
+        requests_per_s: Requests of organisations whose demand at a node is
+            enough to hold a share.
+        calls_per_s: Calls to each service that their root requests would make
+            if all were admitted.
+        nodes: Number of nodes that are included.
+    """
+
+    requests_per_s: Mapping[OrganisationId, float]
+    calls_per_s: Mapping[ServiceName, float]
+    nodes: int
+
+
 @dataclass(slots=True)
 class _Report:
-    demand_per_s: dict[OrganisationId, float]
-    calls_per_s: dict[ServiceName, float]
+    demand: Demand
     received_s: float
     shares: dict[OrganisationId, float] = field(default_factory=dict)
 
 
 class RateAllocator:
-    """Demand of the fleet as reported by its nodes, and their shares.
+    """Demand of the fleet as reported by its delegates, and their shares.
 
     Attributes:
         held_shares: Shares of the rates that the nodes hold together.
@@ -46,37 +63,34 @@
         self._reports: dict[NodeId, _Report] = {}
 
     def record_report(
-        self,
-        now_s: float,
-        node_id: NodeId,
-        demand_per_s: dict[OrganisationId, float],
-        calls_per_s: dict[ServiceName, float],
+        self, now_s: float, delegate_id: NodeId, demand: Demand
     ) -> None:
-        """Record the demand at a node."""
-        report = self._reports.get(node_id)
+        """Record the demand in the domain of a delegate."""
+        report = self._reports.get(delegate_id)
         if report is None:
-            report = _Report(demand_per_s, calls_per_s, now_s)
-            self._reports[node_id] = report
-        report.demand_per_s = demand_per_s
-        report.calls_per_s = calls_per_s
+            self._reports[delegate_id] = _Report(demand, now_s)
+            return
+        report.demand = demand
         report.received_s = now_s
 
     def calls_per_s(self) -> dict[ServiceName, float]:
         """Return the total over all reports, by service."""
         totals: dict[ServiceName, float] = {}
         for report in self._reports.values():
-            for name, calls in report.calls_per_s.items():
+            for name, calls in report.demand.calls_per_s.items():
                 totals[name] = round(totals.get(name, 0.0) + calls, 1)
         return totals
 
     def reachable_share(self, now_s: float, node_count: int) -> float:
-        """Return the share of the fleet that reports."""
+        """Return the share of the fleet's nodes that recent reports include."""
         self._drop_expired(now_s)
-        fresh = sum(
-            now_s - report.received_s <= FRESH_S
-            for report in self._reports.values()
-        )
-        return fresh / max(node_count, len(self._reports), 1)
+        fresh = 0
+        known = 0
+        for report in self._reports.values():
+            known += report.demand.nodes
+            if now_s - report.received_s <= FRESH_S:
+                fresh += report.demand.nodes
+        return fresh / max(node_count, known, 1)
 
     def allocate(
         self,
@@ -84,17 +98,17 @@
         node_count: int,
         organisations: Mapping[OrganisationId, Organisation],
     ) -> None:
-        """Recompute the shares of all nodes."""
+        """Recompute the shares of all domains."""
         reachable_share = self.reachable_share(now_s, node_count)
         totals: dict[OrganisationId, float] = {}
         for report in self._reports.values():
-            for name, demand in report.demand_per_s.items():
+            for name, demand in report.demand.requests_per_s.items():
                 totals[name] = totals.get(name, 0.0) + demand
         self.held_shares = {}
         for report in self._reports.values():
             report.shares = {
                 name: _share(demand, totals[name], organisations[name])
-                for name, demand in report.demand_per_s.items()
+                for name, demand in report.demand.requests_per_s.items()
                 if name in organisations and organisations[name].rate_per_s
             }
             for name, share in report.shares.items():
@@ -102,17 +116,17 @@
                 held_share = self.held_shares.get(name, 0.0)
                 self.held_shares[name] = held_share + report.shares[name]
 
-    def shares_of(self, node_id: NodeId) -> dict[OrganisationId, float]:
-        """Return the shares of the rates that a node may hand out."""
-        report = self._reports.get(node_id)
+    def shares_of(self, delegate_id: NodeId) -> dict[OrganisationId, float]:
+        """Return the shares of the rates that a domain may hand out."""
+        report = self._reports.get(delegate_id)
         if report is None:
             return {}
         return {name: share for name, share in report.shares.items() if share}
 
     def _drop_expired(self, now_s: float) -> None:
-        for node_id, report in tuple(self._reports.items()):
+        for delegate_id, report in tuple(self._reports.items()):
             if now_s - report.received_s > SHARE_LEASE_S:
-                self._reports.pop(node_id)
+                self._reports.pop(delegate_id)
 
 
 def _share(
--- a/src/rattanstile/process/mesh/rate_limiter.py
+++ b/src/rattanstile/process/mesh/rate_limiter.py
@@ -197,12 +197,21 @@
         return demands_per_s
 
     def set_shares(
-        self, now_s: float, shares: dict[OrganisationId, float]
+        self,
+        now_s: float,
+        shares: Mapping[OrganisationId, float],
+        lease_s: float = SHARE_LEASE_S,
     ) -> None:
-        """Set the shares of the rates that this node holds from now on."""
+        """Set the shares of the rates that this node holds from now on.
+
+        Args:
+            now_s: Monotonic seconds.
+            shares: By organisation; it holds no share of other rates.
+            lease_s: How long they stay valid without an update.
+        """
         for name, bucket in self._buckets.items():
             bucket.share = shares.get(name, 0.0)
-            bucket.share_expires_s = now_s + SHARE_LEASE_S
+            bucket.share_expires_s = now_s + lease_s
 
     def _bucket(self, now_s: float, organisation: Organisation) -> _Bucket:
         bucket = self._buckets.get(organisation.name)
--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rate_service.py
@@ -1,38 +1,55 @@
-"""Exchanges demand, rate shares and tokens with the other nodes."""
+"""Exchanges demand, rate shares, digests and tokens with the other nodes.
 
-from collections.abc import Callable
+Demand goes up from each node to the delegate of its failure domain, and from
+the delegates to the allocator; shares of the rates, the demand of the whole
+fleet and the load of the other domains come back with the responses. So a
+node exchanges these with one other node, whatever the size of the fleet.
+"""
+
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
+from rattanstile.connection.peer_link import PeerLink
 from rattanstile.connection.peer_messages import (
     DemandReport,
+    DomainDigest,
+    DomainReport,
     RateSharesResponse,
     TokenRequest,
     TokenResponse,
 )
-from rattanstile.connection.peer_pool import PeerLink, PeerPool
+from rattanstile.connection.peer_pool import PeerPool
 from rattanstile.process.decision_log import LineKind
 from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.rate_allocator import RateAllocator
+from rattanstile.process.mesh.delegates import MIN_CONNECTED_S, Delegates
+from rattanstile.process.mesh.domain_ledger import DomainLedger
+from rattanstile.process.mesh.fleet_digests import MS_PER_S
+from rattanstile.process.mesh.fleet_links import FleetLinks
+from rattanstile.process.mesh.rate_allocator import Demand, RateAllocator
 from rattanstile.process.mesh.rate_limiter import (
+    SHARE_LEASE_S,
     LocalRateLimiter,
     PoolDecision,
     RatePool,
 )
 from rattanstile.process.mesh.root_admission import RootAdmission
-from rattanstile.request.ids import NodeId, OrganisationId
+from rattanstile.request.ids import (
+    FailureDomainId,
+    NodeId,
+    OrganisationId,
+    ServiceName,
+)
 from rattanstile.version.fleet_config import Organisation
 
 TOKEN_TIMEOUT_S = 0.1
 """Many times the round trip to another failure domain."""
-SUSPECT_S = 2.0
-"""How long a node that let a token request time out isn't chosen as the
-allocator."""
-
-MIN_CONNECTED_S = 1.0
-"""A restarted node isn't chosen as the allocator before all others have
-connected to it."""
+RELAYED_TOKEN_TIMEOUT_S = 0.25
+"""Longer than a delegate takes to ask two nodes one after the other."""
 LINK_WAIT_S = 0.15
 """Links that were reset are open again within this time."""
+MAX_NEAR_DIRECT = 40
+"""Nodes of a domain up to which each of them hears from all the others."""
+NO_DOMAIN = FailureDomainId('')
 
 TokenHandler = Callable[[PoolDecision], None]
 
@@ -43,7 +60,7 @@
 
     Attributes:
         on_answer: Called once with the decision of the pool.
-        allocator: Node that was asked for the token.
+        receiver: Node that was asked for the token.
         is_last_attempt: Whether a timeout refuses the token; set for a request
             that is retried or forwarded.
         link_deadline_s: Until when it may wait for a link.
@@ -52,7 +69,7 @@
 
     organisation: Organisation
     on_answer: TokenHandler
-    allocator: NodeId
+    receiver: NodeId
     is_last_attempt: bool
     link_deadline_s: float
     sent_s: float = 0.0
@@ -61,12 +78,10 @@
 class RateService:
     """Reports demand, receives rate shares, and requests tokens of the pool.
 
-    The allocator, named `sharer` in the log, is the connected node that
-    allocates the shares of the rates and keeps the pool.
-
     Args:
         context: Shared components of the node.
         peers: Links to the other nodes.
+        links: Nodes and their load, near and far.
         admission: Provides the demand of root requests, and receives the
             demand of the fleet.
     """
@@ -75,22 +90,27 @@
         self,
         context: NodeContext,
         peers: PeerPool,
+        links: FleetLinks,
         admission: RootAdmission,
     ) -> None:
         """Start without shares."""
         self.limiter = LocalRateLimiter()
         self.fleet_size = 1
+        self.delegates = Delegates(
+            context.node_id, context.domain, context.timers.now_s()
+        )
         self._node_id = context.node_id
+        self._domain = context.domain
         self._state = context.state
         self._peers = peers
+        self._links = links
         self._timers = context.timers
-        self._started_s = context.timers.now_s()
         self._log = context.log
         self._admission = admission
+        self._ledger = DomainLedger()
         self._allocator = RateAllocator()
-        self._allocator_id = context.node_id
-        self._suspected_until_s: dict[NodeId, float] = {}
         self._pool = RatePool()
+        self._calls_per_s: dict[ServiceName, float] = {}
         self._sequence = 0
         self._in_flight: dict[int, _TokenRequest] = {}
         self._waiting: list[_TokenRequest] = []
@@ -101,22 +121,55 @@
             self._timers.now_s(), self._organisations().values()
         )
 
+    # Reports
+
     def report(self, now_s: float) -> None:
-        """Report demand to the allocator."""
-        self.fleet_size = self._peers.fleet_size()
-        self.limiter.set_node_count(self.fleet_size)
-        demand = self.limiter.demand(now_s)
-        calls = self._admission.own_demand()
-        self._choose_allocator(now_s)
-        if self._allocator_id == self._node_id:
-            self._allocator.record_report(now_s, self._node_id, demand, calls)
+        """Report the demand at this node to the delegate of its domain."""
+        self.limiter.set_node_count(self._known_fleet_size(now_s))
+        demand = Demand(
+            self.limiter.demand(now_s), self._admission.own_demand(), 1
+        )
+        self._choose(now_s)
+        if self.delegates.is_delegate:
+            self._ledger.record_report(now_s, self._node_id, demand)
+            return
+        self._pool.stop()
+        link = self._peers.link_to(self.delegates.delegate_id)
+        if link is not None:
+            self._sequence += 1
+            link.send(
+                DemandReport(
+                    self._sequence,
+                    dict(demand.requests_per_s),
+                    dict(demand.calls_per_s),
+                    self._links.own_load(),
+                )
+            )
+
+    def report_domain(self, now_s: float) -> None:
+        """Report the demand of the domain, if this node is its delegate."""
+        if not self.delegates.is_delegate:
+            return
+        demand = self._ledger.total(now_s)
+        digest = self._links.own_digest(now_s)
+        self._links.digests.record(now_s, digest)
+        if self.delegates.is_allocator:
+            self._allocator.record_report(now_s, self._node_id, demand)
             self._allocate(now_s)
             return
         self._pool.stop()
-        link = self._peers.link_to(self._allocator_id)
+        link = self._peers.link_to(self.delegates.upstream_id)
         if link is not None:
             self._sequence += 1
-            link.send(DemandReport(self._sequence, demand, calls))
+            link.send(
+                DomainReport(
+                    self._sequence,
+                    demand.nodes,
+                    dict(demand.requests_per_s),
+                    dict(demand.calls_per_s),
+                    digest,
+                )
+            )
 
     def request_token(
         self, organisation: Organisation, on_answer: TokenHandler
@@ -127,16 +180,16 @@
             _TokenRequest(
                 organisation,
                 on_answer,
-                self._allocator_id,
+                self.delegates.upstream_id,
                 is_last_attempt=False,
                 link_deadline_s=link_deadline_s,
             )
         )
 
     def peer_lost(self, node_id: NodeId) -> None:
-        """Report to the next allocator when the current one is lost."""
-        if node_id == self._allocator_id:
-            self.report(self._timers.now_s())
+        """Report to the next node when the one that was reported to is lost."""
+        if node_id == self.delegates.upstream_id:
+            self._report_now(self._timers.now_s())
 
     def check(self, now_s: float) -> None:
         """Retry the token requests that wait for a link."""
@@ -149,6 +202,7 @@
         self,
         link: PeerLink,
         message: DemandReport
+        | DomainReport
         | RateSharesResponse
         | TokenRequest
         | TokenResponse,
@@ -157,12 +211,11 @@
         now_s = self._timers.now_s()
         match message:
             case DemandReport():
-                self._answer_report(now_s, link, message)
-            case RateSharesResponse(organisation_shares=shares):
-                self.limiter.set_shares(now_s, shares)
-                self._admission.set_fleet_demand(
-                    message.calls_per_s, message.nodes
-                )
+                self._answer_node(now_s, link, message)
+            case DomainReport():
+                self._answer_domain(now_s, link, message)
+            case RateSharesResponse():
+                self._shares_received(now_s, message)
             case TokenRequest():
                 self._answer_request(now_s, link, message)
             case TokenResponse(sequence, is_granted, wait_ms):
@@ -174,11 +227,11 @@
 
     def _send_request(self, request: _TokenRequest) -> None:
         now_s = self._timers.now_s()
-        link = self._peers.link_to(self._allocator_id)
+        link = self._peers.link_to(self.delegates.upstream_id)
         if link is None:
-            self._choose_allocator(now_s)
-            link = self._peers.link_to(self._allocator_id)
-        request.allocator = self._allocator_id
+            self._choose(now_s)
+            link = self._peers.link_to(self.delegates.upstream_id)
+        request.receiver = self.delegates.upstream_id
         request.sent_s = now_s
         if link is None:
             self._take_from_own_pool(now_s, request)
@@ -186,7 +239,9 @@
         self._sequence += 1
         sequence = self._sequence
         self._in_flight[sequence] = request
-        self._timers.after(TOKEN_TIMEOUT_S, lambda _: self._timed_out(sequence))
+        self._timers.after(
+            self._token_timeout_s(), lambda _: self._timed_out(sequence)
+        )
         link.send(TokenRequest(sequence, request.organisation.name))
 
     def _take_from_own_pool(self, now_s: float, request: _TokenRequest) -> None:
@@ -201,23 +256,40 @@
         self, now_s: float, organisation: Organisation
     ) -> PoolDecision:
         if not self._pool.is_open:
-            self.report(now_s)
+            self._report_now(now_s)
         return self._pool.take(now_s, organisation)
 
-    def _choose_allocator(self, now_s: float) -> None:
-        """Choose the smallest id of the nodes connected to all other nodes."""
-        for node_id, until_s in tuple(self._suspected_until_s.items()):
-            if until_s <= now_s:
-                self._suspected_until_s.pop(node_id)
-        connected_before_s = now_s - MIN_CONNECTED_S
-        candidates = set(self._peers.connected_since(connected_before_s))
-        if self._started_s <= connected_before_s:
-            candidates.add(self._node_id)
-        if not candidates:
-            candidates = {member.node_id for member in self._peers.connected()}
-            candidates.add(self._node_id)
-        candidates -= self._suspected_until_s.keys()
-        self._allocator_id = min(candidates, default=self._node_id)
+    def _report_now(self, now_s: float) -> None:
+        self.report(now_s)
+        self.report_domain(now_s)
+
+    def _token_timeout_s(self) -> float:
+        """Return how long an answer may take; a delegate may ask another."""
+        if self.delegates.is_delegate:
+            return TOKEN_TIMEOUT_S
+        return RELAYED_TOKEN_TIMEOUT_S
+
+    def _choose(self, now_s: float) -> None:
+        """Choose the node to report to."""
+        self.delegates.choose(
+            now_s,
+            self._peers.connected_since(now_s - MIN_CONNECTED_S),
+            self._peers.connected(),
+        )
+
+    def _known_fleet_size(self, now_s: float) -> int:
+        """Update and return the number of nodes.
+
+        Only the delegate of a domain knows which of its nodes have left.
+        """
+        by_domain: dict[FailureDomainId, int] = {self._domain: 1}
+        for member in self._peers.present_members():
+            by_domain[member.domain] = by_domain.get(member.domain, 0) + 1
+        self.fleet_size = by_domain.pop(self._domain)
+        for domain, count in by_domain.items():
+            reported = self._links.digests.node_count(now_s, domain)
+            self.fleet_size += count if reported is None else reported
+        return self.fleet_size
 
     def _organisations(self) -> dict[OrganisationId, Organisation]:
         config = self._state().config
@@ -230,33 +302,104 @@
 
     def _allocate(self, now_s: float) -> None:
         organisations = self._organisations()
-        self._allocator.allocate(now_s, self.fleet_size, organisations)
-        self.limiter.set_shares(now_s, self._allocator.shares_of(self._node_id))
-        self._fill_pool(now_s)
-        self._admission.set_fleet_demand(
-            self._allocator.calls_per_s(), self.fleet_size
+        node_count = self._known_fleet_size(now_s)
+        self._allocator.allocate(now_s, node_count, organisations)
+        self._fill_pool(now_s, node_count)
+        self._calls_per_s = self._allocator.calls_per_s()
+        self._set_domain_shares(
+            now_s, self._allocator.shares_of(self._node_id), SHARE_LEASE_S
         )
 
-    def _fill_pool(self, now_s: float) -> None:
+    def _fill_pool(self, now_s: float, node_count: int) -> None:
         self._pool.refill(
             now_s,
             self._organisations().values(),
-            self._allocator.reachable_share(now_s, self.fleet_size),
+            self._allocator.reachable_share(now_s, node_count),
             self._allocator.held_shares,
         )
 
-    def _answer_report(
+    def _set_domain_shares(
+        self, now_s: float, shares: dict[OrganisationId, float], lease_s: float
+    ) -> None:
+        """Divide the shares of the domain, and use those of this node."""
+        self._ledger.set_shares(now_s, shares, lease_s)
+        own = self._ledger.shares_of(now_s, self._node_id)
+        self.limiter.set_shares(now_s, own, lease_s)
+        self._admission.set_fleet_demand(self._calls_per_s, self.fleet_size)
+
+    def _shares_received(
+        self, now_s: float, message: RateSharesResponse
+    ) -> None:
+        if message.is_for_domain and not self.delegates.is_delegate:
+            # The shares of a whole domain, requested before a smaller ID came.
+            return
+        for digest in message.digests:
+            self._links.digests.record(now_s, digest)
+        self._calls_per_s = message.calls_per_s
+        self.fleet_size = message.nodes
+        lease_s = message.lease_ms / MS_PER_S
+        if message.is_for_domain:
+            self._set_domain_shares(now_s, message.organisation_shares, lease_s)
+            return
+        self.limiter.set_shares(now_s, message.organisation_shares, lease_s)
+        self._admission.set_fleet_demand(self._calls_per_s, self.fleet_size)
+
+    def _answer_node(
         self, now_s: float, link: PeerLink, message: DemandReport
     ) -> None:
+        """Answer the report of a node of this failure domain."""
+        demand = Demand(message.demand_per_s, message.calls_per_s, 1)
+        self._ledger.record_report(now_s, link.node_id, demand)
+        if message.load is not None:
+            self._links.load_received(now_s, link.node_id, message.load)
+        link.send(
+            RateSharesResponse(
+                message.sequence,
+                self._ledger.shares_of(now_s, link.node_id),
+                self._calls_per_s,
+                self.fleet_size,
+                int(self._ledger.lease_s(now_s) * MS_PER_S),
+                self._digests_for_node(now_s, message.calls_per_s),
+            )
+        )
+
+    def _digests_for_node(
+        self, now_s: float, services: Collection[ServiceName]
+    ) -> tuple[DomainDigest, ...]:
+        """Return the load of the services that a node of this domain uses."""
+        without = self._domain
+        if self._links.near_count > MAX_NEAR_DIRECT:
+            without = NO_DOMAIN
+        return self._links.digests.to_send(
+            now_s, without=without, services=services
+        )
+
+    def _answer_domain(
+        self, now_s: float, link: PeerLink, message: DomainReport
+    ) -> None:
+        """Answer the report of the delegate of another failure domain."""
+        self._links.digests.record(now_s, message.digest)
         self._allocator.record_report(
-            now_s, link.node_id, message.demand_per_s, message.calls_per_s
+            now_s,
+            link.node_id,
+            Demand(
+                message.demand_per_s, message.calls_per_s, message.reporting
+            ),
         )
-        if self._allocator_id == self._node_id:
-            self._fill_pool(now_s)
-        shares = self._allocator.shares_of(link.node_id)
-        calls = self._allocator.calls_per_s()
+        if self.delegates.is_allocator:
+            self._fill_pool(now_s, self._known_fleet_size(now_s))
         link.send(
-            RateSharesResponse(message.sequence, shares, calls, self.fleet_size)
+            RateSharesResponse(
+                message.sequence,
+                self._allocator.shares_of(link.node_id),
+                self._allocator.calls_per_s(),
+                self.fleet_size,
+                int(SHARE_LEASE_S * MS_PER_S),
+                self._links.digests.to_send(
+                    now_s, without=message.digest.domain
+                ),
+                is_for_domain=True,
+            )
         )
 
     def _answer_request(
@@ -266,7 +409,7 @@
         if organisation is None:
             link.send(TokenResponse(message.sequence, False, 0))
             return
-        if self._allocator_id != self._node_id:
+        if not self.delegates.is_allocator:
             self._forward(now_s, link, message.sequence, organisation)
             return
         taken = self._take_token(now_s, organisation)
@@ -283,7 +426,7 @@
         sequence: int,
         organisation: Organisation,
     ) -> None:
-        """Forward the request of a node that can't reach the allocator."""
+        """Forward the request of a node of this domain, or of a delegate."""
 
         def on_answer(taken: PoolDecision) -> None:
             link.send(
@@ -296,8 +439,8 @@
             _TokenRequest(
                 organisation,
                 on_answer,
-                self._allocator_id,
-                is_last_attempt=True,
+                self.delegates.upstream_id,
+                is_last_attempt=False,
                 link_deadline_s=now_s,
             )
         )
@@ -308,21 +451,21 @@
             return
         now_s = self._timers.now_s()
         if (
-            now_s - request.sent_s > 2 * TOKEN_TIMEOUT_S
+            now_s - request.sent_s > 2 * self._token_timeout_s()
             and not request.is_last_attempt
         ):
             # This process was paused; the answer may still be unread.
             request.is_last_attempt = True
             self._send_request(request)
             return
-        self._suspected_until_s[request.allocator] = now_s + SUSPECT_S
-        self._choose_allocator(now_s)
+        self.delegates.suspect(now_s, request.receiver)
+        self._choose(now_s)
         self._log.write(
             LineKind.RATE,
             'rate_sharer_doubted',
-            sharer=request.allocator,
-            waited_s=TOKEN_TIMEOUT_S,
-            next=self._allocator_id,
+            sharer=request.receiver,
+            waited_s=round(now_s - request.sent_s, 2),
+            next=self.delegates.upstream_id,
         )
         if request.is_last_attempt:
             self._complete(
--- a/src/rattanstile/process/mesh/root_admission.py
+++ b/src/rattanstile/process/mesh/root_admission.py
@@ -314,8 +314,13 @@
         self._fleet_per_s = demand_per_s
         self._nodes = nodes
 
-    def step(self, views: Mapping[ServiceName, ServiceView]) -> None:
-        """Recompute the admitted shares; called every `STEP_S`."""
+    def step(self, views: Mapping[ServiceName, ServiceView | None]) -> None:
+        """Recompute the admitted shares; called every `STEP_S`.
+
+        Args:
+            views: Load of each service that has nodes; None for one whose
+                load is not known yet.
+        """
         for name, service in self._services.items():
             for request_class, demand in tuple(service.classes.items()):
                 demand.step()
@@ -325,7 +330,9 @@
             fleet_per_s = self._fleet_per_s.get(name, own_per_s * self._nodes)
             fleet_per_s = max(fleet_per_s, own_per_s)
             view = views.get(name)
-            service.unseen_s = 0 if view else service.unseen_s + STEP_S
+            service.unseen_s += STEP_S
+            if name in views:
+                service.unseen_s = 0
             if service.unseen_s > DISCOVERY_S:
                 view = UNAVAILABLE
             if view is not None:
--- a/src/rattanstile/process/mesh/settings.py
+++ b/src/rattanstile/process/mesh/settings.py
@@ -31,6 +31,7 @@
         rerun_slack: Reruns of the fleet allowed in addition to the ratio.
         peer_listen_address: Listen address for other nodes, if it differs
             from the address that they connect to; empty for `peer_address`.
+        new_fleet: Whether the whole fleet starts for the first time.
     """
 
     node_id: NodeId
@@ -47,6 +48,7 @@
     rerun_ratio: float
     rerun_slack: float
     peer_listen_address: str = ''
+    new_fleet: bool = False
 
     @property
     def grace_s(self) -> float:
--- a/tests/test_entry_desk.py
+++ b/tests/test_entry_desk.py
@@ -3,6 +3,7 @@
 import unittest
 from types import SimpleNamespace
 
+import msgspec
 from mesh_samples import (
     USABLE,
     caller_request,
@@ -13,6 +14,7 @@
 )
 
 from rattanstile.connection.peer_messages import CallRequest, CallResponse
+from rattanstile.process.mesh.candidates import CandidateTable
 from rattanstile.process.mesh.entry_handler import EntryHandler
 from rattanstile.process.mesh.placement import Candidate
 from rattanstile.process.mesh.rate_limiter import RateDecision
@@ -27,13 +29,17 @@
 class Link:
     """A connection whose messages are answered by the test."""
 
-    def __init__(self, sent):
+    def __init__(self, node_id, sent):
+        self.node_id = node_id
         self.awaited_responses = 0
         self._sent = sent
 
     def expect_response(self):
         self.awaited_responses += 1
 
+    def response_received(self):
+        self.awaited_responses -= 1
+
     def send(self, message):
         if isinstance(message, CallRequest):
             self._sent.append(message)
@@ -49,7 +55,12 @@
         made, self.clock, _ = context(state)
         self.sent = []
         self.ends = []
-        links = {f'n{number}': Link(self.sent) for number in range(2, NODES)}
+        names = [f'n{number}' for number in range(2, NODES)]
+        links = {name: Link(name, self.sent) for name in names}
+        self.short_calls = 0
+        fleet_links = SimpleNamespace(
+            candidates=CandidateTable(), record_call=self.record_call
+        )
         admitted = RateDecision(
             is_admitted=True, may_use_pool=False, tokens=1, part=1
         )
@@ -70,11 +81,14 @@
             rates,
             RootAdmission(made.rng),
             reruns,
+            fleet_links,
         )
+        self.candidates = fleet_links.candidates
         for name in links:
-            self.desk.attempts.add_candidate(
-                Candidate(name, 'registry', 'east', USABLE)
-            )
+            self.candidates.add(Candidate(name, 'registry', 'east', USABLE))
+
+    def record_call(self, now_s, service, *, is_short):
+        self.short_calls += is_short
 
     def sends(self, reason, count):
         """Return how many sends `count` requests cause if all are refused."""
@@ -90,7 +104,7 @@
         message = self.sent.pop(0)
         call = self.desk.attempts._sent[message.sequence]
         self.desk.attempts.peer_call_ended(
-            call.receiver,
+            call.link,
             CallResponse(message.sequence, None, reason.value, 0, USABLE),
         )
 
@@ -123,3 +137,37 @@
         self.desk.end_s = 1.5
         self.desk.begin(caller_request('short', deadline_ms=1000), print)
         self.assertEqual(len(self.sent), 1)
+
+    def test_a_response_on_another_connection_is_ignored(self):
+        """Only the node that got the attempt knows how it ended."""
+        self.desk.begin(caller_request(), self.ends.append)
+        message = self.sent.pop(0)
+        call = self.desk.attempts._sent[message.sequence]
+        other = Link(call.receiver, [])
+        refused = CallResponse(
+            message.sequence, None, NotRunReason.QUEUE_FULL.value, 0, USABLE
+        )
+        self.desk.attempts.peer_call_ended(other, refused)
+        self.assertEqual((self.ends, self.sent), ([], []))
+
+    def test_the_loss_of_another_connection_ends_no_attempt(self):
+        """While a peer reconnects, the old connection may end later."""
+        self.desk.begin(caller_request(), self.ends.append)
+        call = self.desk.attempts._sent[self.sent[0].sequence]
+        self.desk.attempts.link_lost(Link(call.receiver, []))
+        self.assertEqual(len(self.desk.attempts), 1)
+        self.desk.attempts.link_lost(call.link)
+        self.assertEqual(len(self.desk.attempts), 1)
+        self.assertEqual(call.attempts, 1)
+
+    def test_calls_without_room_nearby_are_recorded(self):
+        """More connections are opened for a service that is short."""
+        self.desk.begin(caller_request('a'), self.ends.append)
+        self.assertEqual(self.short_calls, 0)
+        for candidate in self.candidates.by_id.values():
+            full = msgspec.structs.replace(
+                USABLE, pending_calls=90, wait_us=900_000
+            )
+            candidate.update_load(full, 0.0)
+        self.desk.begin(caller_request('b'), self.ends.append)
+        self.assertEqual(self.short_calls, 1)
--- a/tests/test_mesh_rates.py
+++ b/tests/test_mesh_rates.py
@@ -5,7 +5,8 @@
 
 from mesh_samples import organisation
 
-from rattanstile.process.mesh.rate_allocator import RateAllocator
+from rattanstile.process.mesh.domain_ledger import DomainLedger
+from rattanstile.process.mesh.rate_allocator import Demand, RateAllocator
 from rattanstile.process.mesh.rate_limiter import LocalRateLimiter, RatePool
 
 NODES = 14
@@ -85,7 +86,7 @@
             allocator_node = min(self._partition(node))
             demand = limiter.demand(now_s)
             self.allocators[allocator_node].record_report(
-                now_s, node, demand, {}
+                now_s, node, Demand(demand, {}, 1)
             )
             if allocator_node == node:
                 allocator = self.allocators[node]
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -36,7 +36,7 @@
 from rattanstile.process.mesh.splitter import Splitter
 from rattanstile.process.mesh.store_readers import StoreReaders
 from rattanstile.process.timers import TimerService
-from rattanstile.version.fleet_config import Share
+from rattanstile.version.fleet_config import FleetState, Share
 
 
 def decode(document):
@@ -128,7 +128,10 @@
         self.local_link = self.peer('n2', 'east')
         self.remote_link = self.peer('n3', 'west')
         links = {'n2': self.local_link, 'n3': self.remote_link}
-        peers = SimpleNamespace(broadcast=self.sent.append, link_to=links.get)
+        peers = SimpleNamespace(
+            broadcast=lambda message, near_only: self.sent.append(message),
+            link_to=links.get,
+        )
         self.readers = StoreReaders('n9', lambda: {'n2'})
         self.readers.is_heartbeat_due = lambda now_s: False
         self.relay = ConfigRelay(
@@ -136,8 +139,13 @@
             peers,
             TimerService(self.clock),
             self.readers,
+            lambda: self.is_gateway,
             Random(1),
         )
+        self.is_gateway = False
+        self.operator_state.apply_records(
+            records(1, (0, ConfigPublished(b'1'))), 'store'
+        )
 
     def peer(self, name, domain):
         return SimpleNamespace(
@@ -155,7 +163,7 @@
         self.relay.check(0.1)
         self.assertEqual(self.sent, [])
         self.relay.check(0.5)
-        self.assertEqual(self.sent, [ConfigRequest(0)])
+        self.assertEqual(self.sent, [ConfigRequest(1)])
 
     def test_prefers_peer_in_own_domain(self):
         """A large configuration enters a domain once, not once per node."""
@@ -191,6 +199,21 @@
         self.relay.check(0.5)
         self.assertEqual(self.sent, [])
 
+    def test_node_without_configuration_requests_copy_at_once(self):
+        """All nodes start together after a power loss; few read the store."""
+        self.operator_state.state = FleetState()
+        self.relay.message(self.local_link, ConfigNotice(4))
+        self.assertEqual(self.sent, [ConfigRequest(0)])
+
+    def test_only_readers_and_gateways_report_changes(self):
+        """Otherwise each change is reported by each node to each other one."""
+        self.readers.is_reader = lambda now_s: False
+        self.relay.broadcast_offset()
+        self.assertEqual(self.sent, [])
+        self.is_gateway = True
+        self.relay.broadcast_offset()
+        self.assertEqual(self.sent, [ConfigNotice(1, reads=False)])
+
     def test_applies_received_copy(self):
         """It then sends the copy to other nodes on request."""
         copy = ConfigResponse(4, zlib.compress(b'6', 1), ('west',))
--- a/tests/test_rate_asks.py
+++ b/tests/test_rate_asks.py
@@ -3,14 +3,23 @@
 import unittest
 from types import SimpleNamespace
 
-from mesh_samples import config, context, organisation, route
+from mesh_samples import USABLE, config, context, organisation, route
 
 from rattanstile.connection.peer_messages import (
     DemandReport,
+    DomainDigest,
+    DomainReport,
+    PeerMember,
+    RateSharesResponse,
     TokenRequest,
     TokenResponse,
 )
-from rattanstile.process.mesh.rate_service import TOKEN_TIMEOUT_S, RateService
+from rattanstile.process.mesh.fleet_digests import FleetDigests
+from rattanstile.process.mesh.rate_service import (
+    RELAYED_TOKEN_TIMEOUT_S,
+    TOKEN_TIMEOUT_S,
+    RateService,
+)
 from rattanstile.version.fleet_config import FleetState
 
 NORTH = organisation()
@@ -19,10 +28,14 @@
 class Peers:
     """Links of one node to other nodes, with the sent messages."""
 
-    def __init__(self, names):
+    def __init__(self, domains):
         self.unsettled = set()
+        self.members = {
+            name: PeerMember(name, f'{name}:1', 'registry', domain)
+            for name, domain in domains.items()
+        }
         self.links = {
-            name: SimpleNamespace(node_id=name, sent=[]) for name in names
+            name: SimpleNamespace(node_id=name, sent=[]) for name in domains
         }
         for link in self.links.values():
             link.send = link.sent.append
@@ -31,29 +44,43 @@
         return self.links.get(name)
 
     def connected(self):
-        return tuple(self.links.values())
+        return tuple(self.members[name] for name in self.links)
 
     def connected_since(self, since_s):
-        return tuple(name for name in self.links if name not in self.unsettled)
+        return tuple(
+            self.members[name]
+            for name in self.links
+            if name not in self.unsettled
+        )
+
+    def present_members(self):
+        return tuple(self.members.values())
 
-    def fleet_size(self):
-        return len(self.links) + 1
+
+def rate_service(node_id, domains):
+    """Return the service of a node in the east, its peers and its clock."""
+    state = FleetState(config=config(routes=(route(),), organisations=(NORTH,)))
+    node_context, clock, _ = context(state, node_id=node_id)
+    peers = Peers(domains)
+    admission = SimpleNamespace(own_demand=dict, set_fleet_demand=lambda *_: 0)
+    links = SimpleNamespace(
+        digests=FleetDigests(),
+        near_count=len(domains),
+        own_load=lambda: USABLE,
+        own_digest=lambda now_s: DomainDigest('east', 0, 4, ()),
+        load_received=lambda now_s, name, load: None,
+    )
+    rates = RateService(node_context, peers, links, admission)
+    rates.config_changed()
+    return rates, peers, clock
 
 
 class TokenRequestTest(unittest.TestCase):
-    """Node n3, whose allocator is n1."""
+    """Node n3, whose delegate is n1."""
 
     def setUp(self):
-        state = FleetState(
-            config=config(routes=(route(),), organisations=(NORTH,))
-        )
-        node_context, self.clock, _ = context(state, node_id='n3')
-        self.peers = Peers(('n1', 'n2', 'n4'))
-        admission = SimpleNamespace(
-            own_demand=dict, set_fleet_demand=lambda *_: 0
-        )
-        self.rates = RateService(node_context, self.peers, admission)
-        self.rates.config_changed()
+        near = dict.fromkeys(('n1', 'n2', 'n4'), 'east')
+        self.rates, self.peers, self.clock = rate_service('n3', near)
         self.rates.report(0.0)
         self.answers = []
 
@@ -90,7 +117,7 @@
     def test_a_silent_allocator_is_bypassed(self):
         """After a timeout the node with the next id is asked instead."""
         self.rates.request_token(NORTH, self.answers.append)
-        self.clock.advance(TOKEN_TIMEOUT_S + 0.01)
+        self.clock.advance(RELAYED_TOKEN_TIMEOUT_S + 0.01)
         self.answer('n2', True)
         self.assertEqual(self.granted(), [True])
 
@@ -142,3 +169,102 @@
             any(isinstance(message, DemandReport) for message in sent)
         )
         self.assertEqual(self.peers.links['n2'].sent, [])
+
+
+class DelegateTest(unittest.TestCase):
+    """Node n1, the delegate of its domain; the allocator is a1, in the west."""
+
+    def setUp(self):
+        domains = {'n2': 'east', 'n3': 'east', 'a1': 'west', 'z1': 'south'}
+        self.rates, self.peers, self.clock = rate_service('n1', domains)
+        self.clock.advance(2.0)
+        self.rates.report(2.0)
+
+    def sent(self, name, kind):
+        return [
+            message
+            for message in self.peers.links[name].sent
+            if isinstance(message, kind)
+        ]
+
+    def node_report(self, name, per_s):
+        self.rates.message(
+            self.peers.links[name],
+            DemandReport(1, {'north': per_s}, {'registry': per_s}, USABLE),
+        )
+
+    def test_demand_of_a_domain_is_reported_once(self):
+        """Traffic between domains doesn't grow with the number of nodes."""
+        self.node_report('n2', 6.0)
+        self.node_report('n3', 18.0)
+        self.rates.report_domain(2.0)
+        report = self.sent('a1', DomainReport)[-1]
+        self.assertEqual(report.demand_per_s, {'north': 24.0})
+        self.assertEqual(report.calls_per_s, {'registry': 24.0})
+        self.assertEqual(report.reporting, 3)
+        self.assertEqual(self.sent('z1', DomainReport), [])
+
+    def test_share_of_a_domain_is_divided_by_demand(self):
+        """What its nodes hold together is what the domain was given."""
+        self.node_report('n2', 6.0)
+        self.node_report('n3', 18.0)
+        self.rates.message(self.peers.links['a1'], shares({'north': 0.4}))
+        self.node_report('n2', 6.0)
+        response = self.sent('n2', RateSharesResponse)[-1]
+        self.assertEqual(response.organisation_shares, {'north': 0.1})
+        self.assertFalse(response.is_for_domain)
+        self.assertLessEqual(response.lease_ms, 4000)
+
+    def test_share_of_a_domain_is_not_used_by_a_node(self):
+        """A smaller ID has come; the response is late."""
+        self.peers.members['n0'] = PeerMember('n0', 'n0:1', 'registry', 'east')
+        self.peers.links['n0'] = SimpleNamespace(
+            node_id='n0', send=lambda message: None
+        )
+        self.rates.report(2.1)
+        self.rates.message(self.peers.links['a1'], shares({'north': 1.0}))
+        self.clock.advance(0.1)
+        taken = self.rates.limiter.take(2.2, NORTH)
+        self.assertLess(taken.part, 0.2)
+
+    def test_lease_is_not_prolonged_by_passing_it_on(self):
+        """Nodes stop to use a share when the allocator gives it to others."""
+        self.node_report('n2', 20.0)
+        self.rates.message(self.peers.links['a1'], shares({'north': 0.4}))
+        self.clock.advance(3.0)
+        self.node_report('n2', 20.0)
+        response = self.sent('n2', RateSharesResponse)[-1]
+        self.assertEqual(response.lease_ms, 1000)
+        self.clock.advance(1.1)
+        self.node_report('n2', 20.0)
+        response = self.sent('n2', RateSharesResponse)[-1]
+        self.assertEqual(response.organisation_shares, {})
+
+    def test_allocator_that_is_silent_is_bypassed_for_a_token(self):
+        """A node of the domain waits for both attempts of its delegate."""
+        link = self.peers.links['n2']
+        self.rates.message(link, TokenRequest(5, NORTH.name))
+        self.assertEqual(len(self.sent('a1', TokenRequest)), 1)
+        self.clock.advance(TOKEN_TIMEOUT_S + 0.01)
+        answered = [each for each in link.sent if type(each) is TokenResponse]
+        self.assertEqual(len(answered), 1)
+
+    def test_domain_that_is_cut_off_allocates_for_itself(self):
+        """Its pool grows only with the nodes that it reaches."""
+        for name in ('a1', 'z1'):
+            self.peers.links.pop(name)
+        self.rates.report(2.5)
+        self.rates.report_domain(2.5)
+        self.assertTrue(self.rates.delegates.is_allocator)
+        self.node_report('n2', 1.0)
+        self.clock.advance(0.5)
+        self.rates.report_domain(3.0)
+        pool = self.rates._pool._buckets['north']
+        self.assertLessEqual(pool.share, 3 / 5)
+
+
+def shares(organisation_shares):
+    """Return a response of the allocator to a delegate."""
+    return RateSharesResponse(
+        1, organisation_shares, {}, 5, 4000, (), is_for_domain=True
+    )
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -1,16 +1,23 @@
-"""Reads and writes of the store when a node starts."""
+"""Calls to the store when a node starts, and when the store refuses it."""
 
 import unittest
 from random import Random
 from types import SimpleNamespace
 
 from mesh_samples import RecordingLog
-from result import Ok
-from twisted.internet.task import Clock
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock, deferLater
 
 from rattanstile.connection.peer_messages import PeerMember
-from rattanstile.process.mesh.ports import FleetMembers
+from rattanstile.process.mesh.fleet_join import FleetJoin, JoinHandlers
+from rattanstile.process.mesh.ports import (
+    FleetMembers,
+    OperatorRecords,
+    StoreUnavailableError,
+)
 from rattanstile.process.mesh.store_follower import StoreFollower
+from rattanstile.process.mesh.store_retry import StoreRetry
 from rattanstile.process.mesh.target_watch import TargetDeparture
 
 OWN = PeerMember('n1', '10.0.0.1:1', 'registry', 'east')
@@ -37,24 +44,25 @@
 class JoinTest(unittest.TestCase):
     """Store calls of a starting node."""
 
-    def join(self, *members):
+    def join(self, *members, is_new_fleet=False):
         self.found_members = []
         self.restored = []
         self.store = FakeStore(members)
-        follower = StoreFollower(
-            Clock(),
+        clock = Clock()
+        joining = FleetJoin(
             self.store,
-            None,
-            lambda: OWN,
-            lambda members: self.found_members.extend(members),
-            self.restored.append,
-            SimpleNamespace(),
+            StoreRetry(clock, Random(1)),
+            JoinHandlers(
+                lambda: OWN,
+                lambda members: self.found_members.extend(members),
+                self.restored.append,
+            ),
             RecordingLog(),
-            Random(1),
+            is_new_fleet=is_new_fleet,
         )
-        joining = follower._join()
-        with self.assertRaises(StopIteration):
-            joining.send(None)
+        self.joined = Deferred.fromCoroutine(joining.join())
+        clock.advance(1.0)
+        self.assertTrue(self.joined.called)
 
     def test_new_node_reads_members_again_after_announcing(self):
         """Nodes that start together are missing from the first read."""
@@ -68,7 +76,81 @@
         self.assertEqual(self.store.calls, ['members'])
         self.assertIn(OTHER, self.found_members)
 
+    def test_node_of_a_new_fleet_makes_two_calls(self):
+        """No earlier run can have stored anything to read first."""
+        self.join(OTHER, is_new_fleet=True)
+        self.assertEqual(self.store.calls, ['announce', 'members'])
+        self.assertIn(OTHER, self.found_members)
+        self.assertEqual(self.restored, [TargetDeparture('', 0)])
+
     def test_restores_target_that_left(self):
         """The departure was announced to an earlier run of the node."""
         self.join(PeerMember('n1', '10.0.0.1:1', 'registry', 'east', 'i-1', 10))
         self.assertEqual(self.restored, [TargetDeparture('i-1', 10)])
+
+
+class StartTest(unittest.TestCase):
+    """A node that starts among others that have the operators' state."""
+
+    def setUp(self):
+        self.clock = Clock()
+        self.calls = 0
+        self.readable = []
+        self.is_reader = False
+        self.is_down = False
+        self.state = SimpleNamespace(
+            state=SimpleNamespace(offset=0),
+            apply_snapshot=lambda *_: None,
+            apply_records=lambda *_: None,
+        )
+        store = SimpleNamespace(
+            newest_records=self.read, records_after=self.wait
+        )
+        role = SimpleNamespace(
+            is_reader=lambda: self.is_reader,
+            set_store_readable=lambda can_read: self.readable.append(can_read),
+        )
+        retry = StoreRetry(self.clock, Random(1))
+        follower = StoreFollower(
+            store, retry, self.state, role, None, RecordingLog()
+        )
+        self.following = Deferred.fromCoroutine(follower._follow())
+
+    async def read(self, *_):
+        self.calls += 1
+        if self.is_down:
+            return Err(StoreUnavailableError('refused'))
+        return Ok(OperatorRecords((), 0))
+
+    async def wait(self, offset, wait_s):
+        await deferLater(self.clock, 1.0)
+        return await self.read()
+
+    def run_until(self, until_s):
+        while self.clock.seconds() < until_s:
+            self.clock.advance(0.05)
+
+    def test_copy_of_another_node_saves_the_read(self):
+        """195 nodes that lost power read the records 195 times."""
+        self.run_until(0.4)
+        self.state.state.offset = 7
+        self.run_until(5.0)
+        self.assertEqual(self.calls, 0)
+
+    def test_node_without_readers_reads_for_itself(self):
+        """The readers of its domain have reported that the store refuses them."""
+        self.run_until(2.0)
+        self.assertEqual(self.calls, 0)
+        self.is_reader = True
+        self.run_until(2.3)
+        self.assertGreater(self.calls, 0)
+
+    def test_refused_reader_says_so_from_the_start(self):
+        """The others counted on it for as long as the store refused it."""
+        self.is_reader = True
+        self.is_down = True
+        self.run_until(1.0)
+        self.assertEqual(self.readable, [False])
+        self.is_down = False
+        self.run_until(3.0)
+        self.assertEqual(self.readable, [False, True])
