--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -28,6 +28,8 @@
 MAX_FRAME_BYTES = 72 * 1024 * 1024
 """Room for the largest body that operators can allow, and its headers."""
 
+MAX_PORT = 65535
+
 _LENGTH = Struct('>I')
 
 
@@ -306,6 +308,13 @@
     left: TargetId = TargetId('')
     left_born_ms: int = 0
 
+    @property
+    def has_address(self) -> bool:
+        """Return whether the address is a host and a port."""
+        host, _, port = self.address.rpartition(':')
+        is_number = port.isascii() and port.isdigit()
+        return bool(host) and is_number and int(port) <= MAX_PORT
+
 
 class MembersRequest(msgspec.Struct, frozen=True, array_like=True, tag=17):
     """Requests the nodes that the receiver knows.
--- a/src/rattanstile/connection/peer_pool.py
+++ b/src/rattanstile/connection/peer_pool.py
@@ -200,7 +200,7 @@
 
     def add_member(self, member: PeerMember) -> None:
         """Add a node; a connection to it is opened when it is kept."""
-        if member.node_id == self.place.node_id:
+        if member.node_id == self.place.node_id or not member.has_address:
             return
         known = self._peers.get(member.node_id)
         if known is not None:
--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -223,6 +223,8 @@
     position = _READ_HEADER.size
     records: list[OperatorRecord] = []
     while position < len(body):
+        if position + _RECORD_LENGTH.size > len(body):
+            raise ValueError('the length of a record is truncated')
         size_bytes = _RECORD_LENGTH.unpack_from(body, position)[0]
         position += _RECORD_LENGTH.size
         record = body[position : position + size_bytes]
@@ -254,8 +256,12 @@
 
 
 def _decode_member(content: bytes) -> PeerMember | None:
+    """Return the node that an entry names; None if it names none.
+
+    Entries may come from other writers.
+    """
     try:
-        return msgspec.msgpack.decode(content, type=PeerMember)
+        member = msgspec.msgpack.decode(content, type=PeerMember)
     except msgspec.MsgspecError:
-        # Entries of other writers name no node.
         return None
+    return member if member.has_address else None
--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -27,8 +27,11 @@
 """Longest time by which a reader of the store lags behind a change."""
 COMPRESSION_LEVEL = 1
 """The fastest level; it still reduces a configuration to a tenth."""
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+"""Many times a configuration of tens of thousands of routes."""
 COPY_TIMEOUT_S = 0.5
-"""Time to wait for a requested copy before another request is sent."""
+"""Time to wait for a requested copy before another request is sent; also after
+one that can't be unpacked."""
 
 RelayMessage = ConfigNotice | ConfigRequest | ConfigResponse
 
@@ -161,13 +164,22 @@
             case ConfigRequest(offset):
                 self._send_copy(link, offset)
             case ConfigResponse():
-                self._operator_state.apply_copy(
-                    message.offset,
-                    zlib.decompress(message.packed),
-                    frozenset(message.evacuated),
-                    f'peer:{link.node_id}',
-                )
-                self._copy_deadline_s = 0
+                self._copy_received(link, message)
+
+    def _copy_received(self, link: PeerLink, message: ConfigResponse) -> None:
+        unpacker = zlib.decompressobj()
+        try:
+            document = unpacker.decompress(message.packed, MAX_DOCUMENT_BYTES)
+        except zlib.error:
+            return
+        if unpacker.eof:
+            self._copy_deadline_s = 0
+            self._operator_state.apply_copy(
+                message.offset,
+                document,
+                frozenset(message.evacuated),
+                f'peer:{link.node_id}',
+            )
 
     def _send_copy(self, link: PeerLink, offset: int) -> None:
         state = self._operator_state.state
--- a/src/rattanstile/process/mesh/settings.py
+++ b/src/rattanstile/process/mesh/settings.py
@@ -75,6 +75,19 @@
         text = Path(file_name).read_text(encoding='utf-8')
     except OSError as error:
         raise SettingsError(file_name, '$', str(error)) from error
+    return parse_mesh_settings(file_name, text)
+
+
+def parse_mesh_settings(file_name: str, text: str) -> MeshSettings:
+    """Parse and check settings.
+
+    Args:
+        file_name: Where they come from, for the error message.
+        text: The settings in JSON.
+
+    Raises:
+        SettingsError: A field is invalid.
+    """
     try:
         settings = msgspec.json.decode(
             _COMMENT.sub('', text), type=MeshSettings
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -110,13 +110,18 @@
 class PlatformFleet:
     """The stand-ins and `node_count` nodes, each as a process."""
 
-    def __init__(self, node_count=2, proxies=None):
+    def __init__(self, node_count=2, proxies=None, domains=('east',)):
         """Set up a fleet; `start` assigns addresses and starts processes.
 
-        With `proxies`, each node reaches the store, its target and the other
-        nodes through proxies named `store-N`, `target-N` and `peer-N`.
+        Args:
+            node_count: Number of nodes, each with a target.
+            proxies: If given, each node reaches the store, its target and the
+                other nodes through proxies named `store-N`, `target-N` and
+                `peer-N`.
+            domains: Failure domains that the nodes are spread over.
         """
         self.proxies = proxies
+        self.domains = domains
         self.temp_directory = tempfile.TemporaryDirectory()
         self.node_count = node_count
         self.standin = None
@@ -134,8 +139,6 @@
 
         Raises:
             AssertionError: Every start attempt failed.
-            RuntimeError: A second attempt was needed with proxies, whose
-                thread can be started only once.
         """
         for _ in range(MAX_START_ATTEMPTS):
             # Assign all ports at once: the system may reassign a released port.
@@ -147,10 +150,10 @@
                 self._settings_of_node(node_index)
                 for node_index in range(self.node_count)
             ]
-            self._set_up_proxies()
             try:
+                self._set_up_proxies()
                 self._start_once(with_config)
-            except ProcessExitedError:
+            except (ProcessExitedError, OSError):
                 self._kill_processes()
             else:
                 return
@@ -236,7 +239,7 @@
             if process is not None:
                 process.kill()
                 process.wait()
-        if self.standin is not None:
+        if self.standin is not None and self.standin.stdin is not None:
             self.standin.stdin.close()
         self.standin = None
         self.node_processes = {}
@@ -293,14 +296,14 @@
     def wait_until_served(self, node_index):
         self.wait_until(lambda: self._is_served(node_index))
 
-    def wait_until(self, condition):
+    def wait_until(self, condition, polls=MAX_POLLS):
         """Poll until a condition holds.
 
         Raises:
-            AssertionError: It did not hold within `MAX_POLLS` polls.
+            AssertionError: It did not hold within this number of polls.
             ProcessExitedError: A process exited by itself.
         """
-        for _ in range(MAX_POLLS):
+        for _ in range(polls):
             if condition():
                 return
             self._check_alive()
@@ -321,7 +324,7 @@
         return {
             'node_id': f'node-{node_index}',
             'service': 'claims',
-            'failure_domain': 'east',
+            'failure_domain': self.domains[node_index % len(self.domains)],
             **{f'{name}_address': address for name, address in addresses},
             'store_address': self.store,
             'grace': '6s',
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,17 +3,18 @@
 import time
 from collections import Counter
 
-from platform_fleet import PlatformFleet
+from platform_fleet import MAX_POLLS, POLL_PERIOD_S, PlatformFleet
 
 from soak.callers import Caller, RequestLog
 from soak.checks import Violation, find_violations, status_summary
 from soak.faults import FaultInjector
 from soak.wire import Proxies
 
-DEFAULT_NODES = 5
+DEFAULT_NODES = 6
+DOMAINS = ('east', 'south', 'west')
 CALLERS_PER_NODE = 2
 MAX_KEY_WITHDRAWAL_S = 5.0
-"""Time after a withdrawal by which no connected node admits the key."""
+"""Time after the last fault by which no node admits a withdrawn key."""
 
 
 def run_soak(seed, steps, node_count=DEFAULT_NODES):
@@ -25,7 +26,7 @@
         node_count: Number of nodes, each with a target.
     """
     proxies = Proxies()
-    fleet = PlatformFleet(node_count, proxies)
+    fleet = PlatformFleet(node_count, proxies, DOMAINS)
     try:
         return _run(seed, steps, fleet, proxies)
     finally:
@@ -79,16 +80,17 @@
     """
     active_key = sorted(injector.active_keys)[0]
     for node_index in range(fleet.node_count):
-        for status, key in (
-            (200, active_key),
+        withdrawal_polls = int(MAX_KEY_WITHDRAWAL_S / POLL_PERIOD_S)
+        for status, key, polls in (
             *(
-                (401, withdrawn_key)
+                (401, withdrawn_key, withdrawal_polls)
                 for withdrawn_key in injector.withdrawn_at_s
             ),
+            (200, active_key, MAX_POLLS),
         ):
             try:
                 fleet.wait_until(
-                    lambda: _status(fleet, node_index, key) == status
+                    lambda: _status(fleet, node_index, key) == status, polls
                 )
             except AssertionError:
                 actual = _status(fleet, node_index, key)
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -93,16 +93,27 @@
         self.by_name = {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever)
+        self._servers = []
 
     def add(self, name, listen_address, destination_address):
         """Add a proxy; both addresses are HOST:PORT."""
         self.by_name[name] = Proxy(listen_address, destination_address)
 
     def start(self):
-        """Start the thread and accept connections on all proxies."""
-        self._thread.start()
+        """Accept connections on all proxies, and no longer on earlier ones.
+
+        Raises:
+            OSError: Another process has taken a port.
+        """
+        if not self._thread.is_alive():
+            self._thread.start()
+        while self._servers:
+            self._loop.call_soon_threadsafe(self._servers.pop().close)
         for proxy in self.by_name.values():
-            asyncio.run_coroutine_threadsafe(proxy.serve(), self._loop).result()
+            serving = asyncio.run_coroutine_threadsafe(
+                proxy.serve(), self._loop
+            )
+            self._servers.append(serving.result())
 
     def reset(self, name):
         """Drop the open connections of a proxy."""
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -214,6 +214,13 @@
         self.relay.broadcast_offset()
         self.assertEqual(self.sent, [ConfigNotice(1, reads=False)])
 
+    def test_copy_that_cannot_be_unpacked_is_ignored(self):
+        """Another node is asked after a while."""
+        whole = zlib.compress(b'6', 1)
+        for packed in (b'not packed', whole[:-1], b''):
+            self.relay.message(self.local_link, ConfigResponse(4, packed, ()))
+        self.assertEqual(self.operator_state.state.config.number, 1)
+
     def test_applies_received_copy(self):
         """It then sends the copy to other nodes on request."""
         copy = ConfigResponse(4, zlib.compress(b'6', 1), ('west',))
