--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     'rates',
     'membership',
     'loans',
+    'fleet_links',
 )
 PROCESSES = 4
 FAILED = 'FAILED'
