Budget of repeats: counted over the window, with inherited repeats

A node saved one repeat at most, and used two fifths of the ratio, since calls that repeated runs make count as repeats and couldn't be told apart.

Change: first attempts and repeats are counted over the ten seconds of the window; a call says whether its run is a repeat, and what a target calls meanwhile counts as repeats by the share of such runs.

--- a/src/rattanstile/process/mesh/entry_call.py
+++ b/src/rattanstile/process/mesh/entry_call.py
@@ -65,6 +65,8 @@
             if no earlier attempt may have run.
         last_refusal: Why the last node did not run the request.
         held_until_s: Monotonic time until which a held request waits.
+        is_repeat: Whether its runs count as repeats: it is sent again after it
+            has reached a target, or a repeated run has made it.
         sink: Receives a large answer in parts; None keeps any answer until it
             is complete.
     """
@@ -88,6 +90,7 @@
     may_have_run: UnknownReason | None = None
     last_refusal: NotRunReason = NotRunReason.NO_TARGET
     held_until_s: float = 0.0
+    is_repeat: bool = False
     sink: AnswerSink | None = None
 
     @property
@@ -152,6 +155,7 @@
             path=caller_request.path,
             headers=caller_request.headers,
             body=caller_request.body,
+            is_repeat=self.is_repeat,
         )
 
     def refusal(
--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -161,17 +161,28 @@
         allowed_s = route.timeout_s
         if caller_request.deadline_ms:
             allowed_s = min(allowed_s, caller_request.deadline_ms / MS_PER_S)
+        is_inner = caller_request.key is None and route.open_to_all
         return EntryCall(
             caller_request=caller_request,
             on_end=on_end,
             route=route,
             service=self._splitter.choose(route),
             organisation=self._organisation(caller_request),
-            is_inner=caller_request.key is None and route.open_to_all,
+            is_inner=is_inner,
             arrived_s=now_s,
             deadline_s=now_s + allowed_s,
+            is_repeat=is_inner and self._is_made_by_repeat(),
         )
 
+    def _is_made_by_repeat(self) -> bool:
+        """Return whether a repeated run makes a call of the local target.
+
+        The call doesn't say which run makes it: drawn by the share of the
+        target's runs that are repeats.
+        """
+        share = self._serving.repeated_share
+        return share > 0 and self._context.rng.random() < share
+
     def _organisation(
         self, caller_request: IncomingRequest
     ) -> Organisation | None:
@@ -284,7 +295,9 @@
 
     def _place(self, now_s: float, call: EntryCall) -> None:
         if not call.attempts and not call.moves:
-            self._reruns.record_first_attempt(call.service)
+            self._reruns.record_first_attempt(
+                now_s, call.service, is_repeat=call.is_repeat
+            )
         if not self.attempts.send(now_s, call):
             self._hold(now_s, call)
 
@@ -326,13 +339,20 @@
         self._context.counters.moves += 1
         if now_s >= call.deadline_s or call.moves >= MAX_MOVES:
             self._end_unplaced(call)
-        elif reason is NotRunReason.TARGET_REFUSED and not self._reruns.spend(
-            call.service
-        ):
-            # The attempt reached a target, so sending it again is a retry.
-            self._end_unplaced(call)
-        else:
+        elif self._may_move(now_s, call, reason):
             self._place(now_s, call)
+        else:
+            self._end_unplaced(call)
+
+    def _may_move(
+        self, now_s: float, call: EntryCall, reason: NotRunReason
+    ) -> bool:
+        """Return whether an attempt that did not run may be sent again."""
+        if reason is not NotRunReason.TARGET_REFUSED:
+            return True
+        # The attempt has reached a target, so sending it again is a repeat.
+        call.is_repeat = True
+        return self._reruns.spend(now_s, call.service)
 
     def _rerun_or_end(self, call: EntryCall, ending: Unknown) -> None:
         now_s = self._context.timers.now_s()
@@ -340,6 +360,7 @@
             self._end(call, ending)
             return
         self._context.counters.reruns += 1
+        call.is_repeat = True
         call.tried.add(call.receiver)
         if not self.attempts.has_untried_candidate(call):
             call.tried.clear()
@@ -350,7 +371,7 @@
             call.route.idempotent
             and call.attempts < call.route.most_attempts
             and now_s + MIN_RERUN_TIME_S < call.deadline_s
-            and self._reruns.spend(call.service)
+            and self._reruns.spend(now_s, call.service)
         )
 
     # Periodic work
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -89,7 +89,7 @@
         self._drain: Drain | None = None
         self._admission_due_s = 0.0
         self._slow_due_s = 0.0
-        self.rates_due_s = 0.0
+        self._rates_due_s = 0.0
         self._operator_state = OperatorState(
             adapters.store.decode_config, self._config_changed, log
         )
@@ -148,7 +148,9 @@
         self.rates = RateService(
             context, self.peers, self.links, self.admission
         )
-        self._reruns = RerunBudget(settings.rerun_ratio, settings.rerun_slack)
+        self._reruns = RerunBudget(
+            settings.rerun_ratio, settings.rerun_slack, context.rng.random
+        )
         self.entry = EntryHandler(
             context,
             self.serving,
@@ -279,12 +281,12 @@
         self._relay.check(now_s)
         self.peer_service.check(now_s)
         self.links.check(now_s)
-        if now_s >= self.rates_due_s:
+        if now_s >= self._rates_due_s:
             is_near_capacity = self.admission.is_near_capacity
             period_s = (
                 FAST_RATES_PERIOD_S if is_near_capacity else RATES_PERIOD_S
             )
-            self.rates_due_s = now_s + period_s - TICK_S / 2
+            self._rates_due_s = now_s + period_s - TICK_S / 2
             self.rates.report(now_s)
             self._reruns.set_node_count(self.rates.fleet_size)
             self._log_tight_services()
--- a/src/rattanstile/process/mesh/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving_handler.py
@@ -89,6 +89,7 @@
         self._log = context.log
         self._status_changed = status_changed
         self._pending = PendingCalls()
+        self._repeated_runs = 0
         self._was_usable = False
         self._prober = TargetProber(
             context,
@@ -145,6 +146,11 @@
         """Return how many calls wait or run."""
         return len(self._pending)
 
+    @property
+    def repeated_share(self) -> float:
+        """Return the share of the target's runs that are repeats."""
+        return self._repeated_runs / max(1, self.queue.in_flight)
+
     # Calls
 
     def begin(
@@ -318,6 +324,7 @@
         call = waiting.call
         remaining_ms = max(1, int((waiting.deadline_s - now_s) * MS_PER_S))
         self.attribution.began(now_s, call.route)
+        self._repeated_runs += call.is_repeat
         self._pending.start_timeout(pending)
         pending.exchange = self._pool.send(
             self._codec.encode_call(call, self.watch.target_id, remaining_ms),
@@ -350,6 +357,7 @@
             now_s, waiting, has_run=isinstance(run_end, RunAnswered)
         )
         self.attribution.ended(now_s, waiting.call.route)
+        self._repeated_runs -= waiting.call.is_repeat
         if end is not ExchangeFailure.ABANDONED:
             self._failing.add(now_s, is_failed=_is_failed(run_end))
         is_awaited = self._pending.pop(waiting.key) is not None
--- a/src/rattanstile/request/exchange.py
+++ b/src/rattanstile/request/exchange.py
@@ -184,6 +184,7 @@
         remaining_ms: Time left when the attempt was sent.
         caller_service: Service of the VM where the request came in.
         organisation: Owner of the key presented; empty for none.
+        is_repeat: Whether calls that its run makes are repeated calls.
     """
 
     request_id: str
@@ -202,6 +203,7 @@
     path: str
     headers: tuple[RawHeader, ...]
     body: bytes
+    is_repeat: bool = False
 
 
 class ServiceUsage(msgspec.Struct, frozen=True, array_like=True):
