Rates: token requests in a module of their own; service load summed less often

Change: requests for tokens, their retries and forwarding stand apart from reports and shares. The sums are made four times a second while no demand is near the capacity of a service, and ten times otherwise.

--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -222,7 +222,7 @@
             self._check_load(now_s, call)
         elif rate.may_use_pool:
             call.phase = Phase.AWAITING_TOKEN
-            self._rates.request_token(
+            self._rates.tokens.request(
                 organisation,
                 lambda taken: self._token_answered(call, rate, taken),
             )
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -34,7 +34,11 @@
 from rattanstile.process.mesh.ports import NodeAdapters
 from rattanstile.process.mesh.rate_service import RateService
 from rattanstile.process.mesh.rerun_budget import RerunBudget
-from rattanstile.process.mesh.root_admission import STEP_S, RootAdmission
+from rattanstile.process.mesh.root_admission import (
+    STEP_S,
+    RootAdmission,
+    ServiceView,
+)
 from rattanstile.process.mesh.serving_handler import ServingHandler
 from rattanstile.process.mesh.settings import MeshSettings
 from rattanstile.process.mesh.store_follower import StoreFollower
@@ -43,11 +47,14 @@
 from rattanstile.process.mesh.target_watch import TargetWatch
 from rattanstile.process.reactor import Reactor
 from rattanstile.process.timers import TimerService
+from rattanstile.request.ids import ServiceName
 from rattanstile.version.fleet_config import CallerLimits, FleetState
 
 TICK_S = 0.05
 """A tenth of the tolerance within which timeouts must fire."""
 SLOW_TICK_S = 0.25
+VIEWS_PERIOD_S = 0.25
+"""How often the load of services is summed while no demand is near it."""
 RATES_PERIOD_S = 0.5
 FAST_RATES_PERIOD_S = 0.25
 """Used while the demand for a service is close to its capacity."""
@@ -88,6 +95,8 @@
         self._reactor = reactor
         self._drain: Drain | None = None
         self._admission_due_s = 0.0
+        self._views_due_s = 0.0
+        self._views: dict[ServiceName, ServiceView | None] = {}
         self._slow_due_s = 0.0
         self._rates_due_s = 0.0
         self._operator_state = OperatorState(
@@ -260,11 +269,14 @@
 
     def _tick(self, now_s: float) -> None:
         self.serving.check(now_s)
-        self.rates.check(now_s)
+        self.rates.tokens.check(now_s)
         self.entry.check(now_s)
         if now_s >= self._admission_due_s:
             self._admission_due_s = now_s + STEP_S - TICK_S / 2
-            self.admission.step(self.links.views(now_s))
+            if self.admission.is_near_capacity or now_s >= self._views_due_s:
+                self._views_due_s = now_s + VIEWS_PERIOD_S
+                self._views = self.links.views(now_s)
+            self.admission.step(self._views)
         if now_s >= self._slow_due_s:
             self._slow_due_s = now_s + SLOW_TICK_S - TICK_S / 2
             self._slow_tick(now_s)
--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rate_service.py
@@ -6,8 +6,7 @@
 node exchanges these with one other node, whatever the size of the fleet.
 """
 
-from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from collections.abc import Collection
 
 from rattanstile.connection.peer_link import PeerLink
 from rattanstile.connection.peer_messages import (
@@ -19,7 +18,6 @@
     TokenResponse,
 )
 from rattanstile.connection.peer_pool import PeerPool
-from rattanstile.process.decision_log import LineKind
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.delegates import MIN_CONNECTED_S, Delegates
 from rattanstile.process.mesh.domain_ledger import DomainLedger
@@ -33,6 +31,7 @@
     RatePool,
 )
 from rattanstile.process.mesh.root_admission import RootAdmission
+from rattanstile.process.mesh.token_requests import TokenRequests
 from rattanstile.request.ids import (
     FailureDomainId,
     NodeId,
@@ -41,42 +40,19 @@
 )
 from rattanstile.version.fleet_config import Organisation
 
-TOKEN_TIMEOUT_S = 0.1
-"""Many times the round trip to another failure domain."""
-RELAYED_TOKEN_TIMEOUT_S = 0.25
-"""Longer than a delegate takes to ask two nodes one after the other."""
-LINK_WAIT_S = 0.15
-"""Links that were reset are open again within this time."""
 MAX_NEAR_DIRECT = 40
 """Nodes of a domain up to which each of them hears from all the others."""
 NO_DOMAIN = FailureDomainId('')
 
-TokenHandler = Callable[[PoolDecision], None]
 
-
-@dataclass(eq=False, slots=True)
-class _TokenRequest:
-    """A request that waits for a token of the pool.
+class RateService:
+    """Reports demand, receives rate shares, and keeps the pool if it is to.
 
     Attributes:
-        on_answer: Called once with the decision of the pool.
-        receiver: Node that was asked for the token.
-        is_last_attempt: Whether a timeout refuses the token; set for a request
-            that is retried or forwarded.
-        link_deadline_s: Until when it may wait for a link.
-        sent_s: When it was last sent.
-    """
-
-    organisation: Organisation
-    on_answer: TokenHandler
-    receiver: NodeId
-    is_last_attempt: bool
-    link_deadline_s: float
-    sent_s: float = 0.0
-
-
-class RateService:
-    """Reports demand, receives rate shares, and requests tokens of the pool.
+        limiter: Admits requests within the shares of this node.
+        tokens: Requests tokens of the pool for requests beyond them.
+        fleet_size: Number of nodes, as far as known.
+        delegates: Whom this node reports to.
 
     Args:
         context: Shared components of the node.
@@ -105,20 +81,18 @@
         self._peers = peers
         self._links = links
         self._timers = context.timers
-        self._log = context.log
         self._admission = admission
         self._ledger = DomainLedger()
         self._allocator = RateAllocator()
         self._pool = RatePool()
         self._calls_per_s: dict[ServiceName, float] = {}
         self._sequence = 0
-        self._in_flight: dict[int, _TokenRequest] = {}
-        self._waiting: list[_TokenRequest] = []
+        self.tokens = TokenRequests(context, peers, self.limiter, self)
 
     def config_changed(self) -> None:
         """Start to collect tokens for new organisations."""
         self.limiter.add_organisations(
-            self._timers.now_s(), self._organisations().values()
+            self._timers.now_s(), self.organisations().values()
         )
 
     # Reports
@@ -129,7 +103,7 @@
         demand = Demand(
             self.limiter.demand(now_s), self._admission.own_demand(), 1
         )
-        self._choose(now_s)
+        self.choose(now_s)
         if self.delegates.is_delegate:
             self._ledger.record_report(now_s, self._node_id, demand)
             return
@@ -171,33 +145,11 @@
                 )
             )
 
-    def request_token(
-        self, organisation: Organisation, on_answer: TokenHandler
-    ) -> None:
-        """Request a token of the pool; `on_answer` is called once, soon."""
-        link_deadline_s = self._timers.now_s() + LINK_WAIT_S
-        self._send_request(
-            _TokenRequest(
-                organisation,
-                on_answer,
-                self.delegates.upstream_id,
-                is_last_attempt=False,
-                link_deadline_s=link_deadline_s,
-            )
-        )
-
     def peer_lost(self, node_id: NodeId) -> None:
         """Report to the next node when the one that was reported to is lost."""
         if node_id == self.delegates.upstream_id:
             self._report_now(self._timers.now_s())
 
-    def check(self, now_s: float) -> None:
-        """Retry the token requests that wait for a link."""
-        waiting = self._waiting
-        self._waiting = []
-        for request in waiting:
-            self._send_request(request)
-
     def message(
         self,
         link: PeerLink,
@@ -216,45 +168,13 @@
                 self._answer_domain(now_s, link, message)
             case RateSharesResponse():
                 self._shares_received(now_s, message)
-            case TokenRequest():
-                self._answer_request(now_s, link, message)
-            case TokenResponse(sequence, is_granted, wait_ms):
-                request = self._in_flight.pop(sequence, None)
-                if request is not None:
-                    self._complete(
-                        request, PoolDecision(is_granted, wait_ms / 1000)
-                    )
+            case TokenRequest() | TokenResponse():
+                self.tokens.message(now_s, link, message)
 
-    def _send_request(self, request: _TokenRequest) -> None:
-        now_s = self._timers.now_s()
-        link = self._peers.link_to(self.delegates.upstream_id)
-        if link is None:
-            self._choose(now_s)
-            link = self._peers.link_to(self.delegates.upstream_id)
-        request.receiver = self.delegates.upstream_id
-        request.sent_s = now_s
-        if link is None:
-            self._take_from_own_pool(now_s, request)
-            return
-        self._sequence += 1
-        sequence = self._sequence
-        self._in_flight[sequence] = request
-        self._timers.after(
-            self._token_timeout_s(), lambda _: self._timed_out(sequence)
-        )
-        link.send(TokenRequest(sequence, request.organisation.name))
-
-    def _take_from_own_pool(self, now_s: float, request: _TokenRequest) -> None:
-        """Take a token of the own pool, unless links may reopen soon."""
-        is_alone = self.fleet_size > 1 and not self._peers.connected()
-        if is_alone and now_s < request.link_deadline_s:
-            self._waiting.append(request)
-            return
-        self._complete(request, self._take_token(now_s, request.organisation))
-
-    def _take_token(
+    def take_token(
         self, now_s: float, organisation: Organisation
     ) -> PoolDecision:
+        """Take a token of the pool that this node keeps."""
         if not self._pool.is_open:
             self._report_now(now_s)
         return self._pool.take(now_s, organisation)
@@ -263,13 +183,7 @@
         self.report(now_s)
         self.report_domain(now_s)
 
-    def _token_timeout_s(self) -> float:
-        """Return how long an answer may take; a delegate may ask another."""
-        if self.delegates.is_delegate:
-            return TOKEN_TIMEOUT_S
-        return RELAYED_TOKEN_TIMEOUT_S
-
-    def _choose(self, now_s: float) -> None:
+    def choose(self, now_s: float) -> None:
         """Choose the node to report to."""
         self.delegates.choose(
             now_s,
@@ -291,7 +205,8 @@
             self.fleet_size += count if reported is None else reported
         return self.fleet_size
 
-    def _organisations(self) -> dict[OrganisationId, Organisation]:
+    def organisations(self) -> dict[OrganisationId, Organisation]:
+        """Return all organisations by name."""
         config = self._state().config
         if config is None:
             return {}
@@ -301,7 +216,7 @@
         }
 
     def _allocate(self, now_s: float) -> None:
-        organisations = self._organisations()
+        organisations = self.organisations()
         node_count = self._known_fleet_size(now_s)
         self._allocator.allocate(now_s, node_count, organisations)
         self._fill_pool(now_s, node_count)
@@ -313,7 +228,7 @@
     def _fill_pool(self, now_s: float, node_count: int) -> None:
         self._pool.refill(
             now_s,
-            self._organisations().values(),
+            self.organisations().values(),
             self._allocator.reachable_share(now_s, node_count),
             self._allocator.held_shares,
         )
@@ -401,90 +316,3 @@
                 is_for_domain=True,
             )
         )
-
-    def _answer_request(
-        self, now_s: float, link: PeerLink, message: TokenRequest
-    ) -> None:
-        organisation = self._organisations().get(message.organisation)
-        if organisation is None:
-            link.send(TokenResponse(message.sequence, False, 0))
-            return
-        if not self.delegates.is_allocator:
-            self._forward(now_s, link, message.sequence, organisation)
-            return
-        taken = self._take_token(now_s, organisation)
-        link.send(
-            TokenResponse(
-                message.sequence, taken.is_granted, int(taken.wait_s * 1000)
-            )
-        )
-
-    def _forward(
-        self,
-        now_s: float,
-        link: PeerLink,
-        sequence: int,
-        organisation: Organisation,
-    ) -> None:
-        """Forward the request of a node of this domain, or of a delegate."""
-
-        def on_answer(taken: PoolDecision) -> None:
-            link.send(
-                TokenResponse(
-                    sequence, taken.is_granted, int(taken.wait_s * 1000)
-                )
-            )
-
-        self._send_request(
-            _TokenRequest(
-                organisation,
-                on_answer,
-                self.delegates.upstream_id,
-                is_last_attempt=False,
-                link_deadline_s=now_s,
-            )
-        )
-
-    def _timed_out(self, sequence: int) -> None:
-        request = self._in_flight.pop(sequence, None)
-        if request is None:
-            return
-        now_s = self._timers.now_s()
-        if (
-            now_s - request.sent_s > 2 * self._token_timeout_s()
-            and not request.is_last_attempt
-        ):
-            # This process was paused; the answer may still be unread.
-            request.is_last_attempt = True
-            self._send_request(request)
-            return
-        self.delegates.suspect(now_s, request.receiver)
-        self._choose(now_s)
-        self._log.write(
-            LineKind.RATE,
-            'rate_sharer_doubted',
-            sharer=request.receiver,
-            waited_s=round(now_s - request.sent_s, 2),
-            next=self.delegates.upstream_id,
-        )
-        if request.is_last_attempt:
-            self._complete(
-                request,
-                PoolDecision(is_granted=False, wait_s=TOKEN_TIMEOUT_S),
-            )
-        else:
-            request.is_last_attempt = True
-            self._send_request(request)
-
-    def _complete(self, request: _TokenRequest, taken: PoolDecision) -> None:
-        if not taken.is_granted:
-            self.limiter.record_empty_pool(
-                self._timers.now_s(), request.organisation, taken.wait_s
-            )
-        elif taken.wait_s:
-            granted = PoolDecision(is_granted=True)
-            self._timers.after(
-                taken.wait_s, lambda _: request.on_answer(granted)
-            )
-            return
-        request.on_answer(taken)
--- a/tests/test_rate_asks.py
+++ b/tests/test_rate_asks.py
@@ -15,10 +15,10 @@
     TokenResponse,
 )
 from rattanstile.process.mesh.fleet_digests import FleetDigests
-from rattanstile.process.mesh.rate_service import (
+from rattanstile.process.mesh.rate_service import RateService
+from rattanstile.process.mesh.token_requests import (
     RELAYED_TOKEN_TIMEOUT_S,
     TOKEN_TIMEOUT_S,
-    RateService,
 )
 from rattanstile.version.fleet_config import FleetState
 
@@ -102,13 +102,13 @@
 
     def test_a_token_is_granted(self):
         """The allocator is the node with the smallest id."""
-        self.rates.request_token(NORTH, self.answers.append)
+        self.rates.tokens.request(NORTH, self.answers.append)
         self.answer('n1', True)
         self.assertEqual(self.granted(), [True])
 
     def test_a_token_that_comes_soon_is_waited_for(self):
         """The wait is the one that the pool returns."""
-        self.rates.request_token(NORTH, self.answers.append)
+        self.rates.tokens.request(NORTH, self.answers.append)
         self.answer('n1', True, wait_ms=50)
         self.assertEqual(self.answers, [])
         self.clock.advance(0.06)
@@ -116,7 +116,7 @@
 
     def test_a_silent_allocator_is_bypassed(self):
         """After a timeout the node with the next id is asked instead."""
-        self.rates.request_token(NORTH, self.answers.append)
+        self.rates.tokens.request(NORTH, self.answers.append)
         self.clock.advance(RELAYED_TOKEN_TIMEOUT_S + 0.01)
         self.answer('n2', True)
         self.assertEqual(self.granted(), [True])
@@ -137,7 +137,7 @@
 
         The allocator wasn't at fault. Found by the soak test with seed 1.
         """
-        self.rates.request_token(NORTH, self.answers.append)
+        self.rates.tokens.request(NORTH, self.answers.append)
         self.clock.advance(3.0)
         self.assertEqual(len(self.token_requests('n1')), 2)
         self.assertEqual(self.token_requests('n2'), [])
@@ -150,7 +150,7 @@
         self.peers.unsettled = {'n1'}
         self.clock.advance(2.0)
         self.rates.report(2.0)
-        self.rates.request_token(NORTH, self.answers.append)
+        self.rates.tokens.request(NORTH, self.answers.append)
         self.assertEqual(len(self.token_requests('n2')), 1)
 
     def test_the_next_allocator_gets_a_report_at_once(self):
