--- a/src/rattanstile/connection/peer_pool.py
+++ b/src/rattanstile/connection/peer_pool.py
@@ -241,13 +241,6 @@
         if peer is not None:
             peer.has_left = True
 
-    def fleet_size(self) -> int:
-        """Return the number of nodes, excluding those that have left.
-
-        This node and nodes that are not connected are included.
-        """
-        return 1 + sum(not peer.has_left for peer in self._peers.values())
-
     # Connections
 
     def keep_only(self, node_ids: Iterable[NodeId]) -> None:
@@ -259,12 +252,6 @@
             else:
                 peer.is_kept = False
 
-    def keep_also(self, node_id: NodeId) -> None:
-        """Keep a connection to one more node until the next `keep_only`."""
-        peer = self._peers.get(node_id)
-        if peer is not None:
-            peer.keep()
-
     def connect_now(self, node_id: NodeId) -> None:
         """Connect to a kept node without delay, since it is known to live."""
         peer = self._peers.get(node_id)
--- a/src/rattanstile/process/mesh/token_requests.py
+++ b/src/rattanstile/process/mesh/token_requests.py
@@ -60,7 +60,7 @@
         on_answer: Called once with the decision of the pool.
         receiver: Node that was asked for the token.
         is_last_attempt: Whether a timeout refuses the token; set for a request
-            that is retried or forwarded.
+            that is sent again.
         link_deadline_s: Until when it may wait for a link.
         sent_s: When it was last sent.
     """
