Fleet load: sent to the nodes of a domain while demand is near capacity

Cause: the demand of the fleet, by which each node admits its part, takes two hops more than before and waited for the node's next report: half a second on average.

Change: a delegate that is near the capacity of a service passes on what it has just learnt to the nodes of its domain.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -281,6 +281,18 @@
     is_for_domain: bool = False
 
 
+class FleetLoad(msgspec.Struct, frozen=True, array_like=True, tag=22):
+    """Demand and load of the fleet, from a delegate to the nodes of its domain.
+
+    Sent while the demand for a service is near its capacity, so that nodes
+    don't wait for the response to their next report. See `RateSharesResponse`.
+    """
+
+    calls_per_s: dict[ServiceName, float]
+    nodes: int
+    digests: tuple[DomainDigest, ...]
+
+
 class ShutdownNotice(msgspec.Struct, frozen=True, array_like=True, tag=11):
     """The process of the sender is about to exit."""
 
@@ -360,6 +372,7 @@
     | DemandReport
     | DomainReport
     | RateSharesResponse
+    | FleetLoad
     | ShutdownNotice
     | PeerPing
     | PeerPong
--- a/src/rattanstile/process/mesh/peer_handler.py
+++ b/src/rattanstile/process/mesh/peer_handler.py
@@ -15,6 +15,7 @@
     ConfigResponse,
     DemandReport,
     DomainReport,
+    FleetLoad,
     MembersRequest,
     MembersResponse,
     PeerHello,
@@ -229,6 +230,7 @@
                 DemandReport()
                 | DomainReport()
                 | RateSharesResponse()
+                | FleetLoad()
                 | TokenRequest()
                 | TokenResponse()
             ):
--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rate_service.py
@@ -13,6 +13,7 @@
     DemandReport,
     DomainDigest,
     DomainReport,
+    FleetLoad,
     RateSharesResponse,
     TokenRequest,
     TokenResponse,
@@ -156,6 +157,7 @@
         message: DemandReport
         | DomainReport
         | RateSharesResponse
+        | FleetLoad
         | TokenRequest
         | TokenResponse,
     ) -> None:
@@ -168,6 +170,8 @@
                 self._answer_domain(now_s, link, message)
             case RateSharesResponse():
                 self._shares_received(now_s, message)
+            case FleetLoad():
+                self._fleet_load_received(now_s, message)
             case TokenRequest() | TokenResponse():
                 self.tokens.message(now_s, link, message)
 
@@ -241,6 +245,30 @@
         own = self._ledger.shares_of(now_s, self._node_id)
         self.limiter.set_shares(now_s, own, lease_s)
         self._admission.set_fleet_demand(self._calls_per_s, self.fleet_size)
+        if self._admission.is_near_capacity:
+            self._send_fleet_load(now_s)
+
+    def _send_fleet_load(self, now_s: float) -> None:
+        """Tell the nodes of the domain what the delegate has just learnt.
+
+        The load pattern: a surge comes in at all nodes, and each admits its
+        part by what it knows of the whole. A later figure admits too much.
+        """
+        services = self._calls_per_s.keys()
+        digests = self._digests_for_node(now_s, services)
+        self._peers.broadcast(
+            FleetLoad(self._calls_per_s, self.fleet_size, digests),
+            near_only=True,
+        )
+
+    def _fleet_load_received(self, now_s: float, message: FleetLoad) -> None:
+        if self.delegates.is_delegate:
+            return
+        for digest in message.digests:
+            self._links.digests.record(now_s, digest)
+        self._calls_per_s = message.calls_per_s
+        self.fleet_size = message.nodes
+        self._admission.set_fleet_demand(self._calls_per_s, self.fleet_size)
 
     def _shares_received(
         self, now_s: float, message: RateSharesResponse
--- a/tests/test_rate_asks.py
+++ b/tests/test_rate_asks.py
@@ -9,6 +9,7 @@
     DemandReport,
     DomainDigest,
     DomainReport,
+    FleetLoad,
     PeerMember,
     RateSharesResponse,
     TokenRequest,
@@ -30,6 +31,8 @@
 
     def __init__(self, domains):
         self.unsettled = set()
+        self.fleet_demands = []
+        self.broadcasts = []
         self.members = {
             name: PeerMember(name, f'{name}:1', 'registry', domain)
             for name, domain in domains.items()
@@ -43,6 +46,9 @@
     def link_to(self, name):
         return self.links.get(name)
 
+    def broadcast(self, message, *, near_only):
+        self.broadcasts.append(message)
+
     def connected(self):
         return tuple(self.members[name] for name in self.links)
 
@@ -62,7 +68,12 @@
     state = FleetState(config=config(routes=(route(),), organisations=(NORTH,)))
     node_context, clock, _ = context(state, node_id=node_id)
     peers = Peers(domains)
-    admission = SimpleNamespace(own_demand=dict, set_fleet_demand=lambda *_: 0)
+    told = peers.fleet_demands
+    admission = SimpleNamespace(
+        own_demand=dict,
+        set_fleet_demand=lambda calls, nodes: told.append(calls),
+        is_near_capacity=False,
+    )
     links = SimpleNamespace(
         digests=FleetDigests(),
         near_count=len(domains),
@@ -162,6 +173,12 @@
             any(isinstance(message, DemandReport) for message in sent)
         )
 
+    def test_fleet_load_of_the_delegate_is_used(self):
+        """It comes between two responses."""
+        message = FleetLoad({'registry': 70.0}, 4, ())
+        self.rates.message(self.peers.links['n1'], message)
+        self.assertEqual(self.peers.fleet_demands[-1], {'registry': 70.0})
+
     def test_reports_go_to_the_allocator(self):
         """No other node receives one."""
         sent = self.peers.links['n1'].sent
@@ -249,6 +266,21 @@
         answered = [each for each in link.sent if type(each) is TokenResponse]
         self.assertEqual(len(answered), 1)
 
+    def test_nodes_hear_of_a_surge_at_once(self):
+        """They don't wait for the response to their next report.
+
+        A later figure of the demand admits too much, or too little after it.
+        """
+        late = RateSharesResponse(
+            1, {}, {'registry': 900.0}, 5, 4000, (), is_for_domain=True
+        )
+        self.rates.message(self.peers.links['a1'], late)
+        self.assertEqual(self.peers.broadcasts, [])
+        self.rates._admission.is_near_capacity = True
+        self.rates.message(self.peers.links['a1'], late)
+        told = FleetLoad({'registry': 900.0}, 5, ())
+        self.assertEqual(self.peers.broadcasts, [told])
+
     def test_domain_that_is_cut_off_allocates_for_itself(self):
         """Its pool grows only with the nodes that it reaches."""
         for name in ('a1', 'z1'):
