Invalid requests: log what decided, count them by reason

What operators saw: `request_malformed` with a reason only, `request_refused` with a version only. Neither tells a request that is wrong from a node that is behind, or a limit of before from a parser that lost its place. Both shared their bound on lines with all other refusals, so that they were left out in the very seconds in which much is refused. Refusals of the decoder weren't counted.

Change: `request_malformed` names the request, what is wrong (the parser's words, or the limit that was passed), the bytes and the age of the request and its place on the connection. Both have a bound of their own, 20 lines a second. `config_in_force` and `config_unreadable` name sizes and source. New on the metrics address: `requests_invalid_total` by reason, `version_age_seconds`.

--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -48,6 +48,27 @@
 ReceivedRequest = HttpRequest | BadRequest
 
 
+@dataclass(frozen=True, slots=True)
+class RequestFault:
+    """What was known of a request when it was refused.
+
+    Attributes:
+        detail: What is wrong, in a few words; nothing that the caller sent.
+        headers: Headers received until then, with lower-case names.
+        head_bytes: Size of the head until then.
+        body_bytes: Size of the body until then.
+        age_s: Time since the first byte of the request.
+        requests_before: Requests received before on the connection.
+    """
+
+    detail: str
+    headers: tuple[RawHeader, ...]
+    head_bytes: int
+    body_bytes: int
+    age_s: float
+    requests_before: int
+
+
 class RequestHandler(Interface):
     """Handles the requests that arrive at one address."""
 
@@ -116,12 +137,14 @@
         handler_context: Handler's own data for the request being answered.
         on_writable: Called when the caller has taken what was written of a
             response in parts; None for none.
+        fault: Describes the refused request; None if none was refused.
     """
 
     def __init__(self, state: ServerState) -> None:
         """Initialize the connection before its first request."""
         self.handler_context: Any = None
         self.on_writable: Callable[[], None] | None = None
+        self.fault: RequestFault | None = None
         self._state = state
         self._parser = httptools.HttpRequestParser(self)
         self._overhead = OverheadMeter()
@@ -130,6 +153,8 @@
         self._is_closing = False
         self._is_writing_paused = False
         self._parse_error: BadRequest | None = None
+        self._parse_error_detail = ''
+        self._requests_received = 0
         self._waiting_since_s = state.now_s()
         self._request_start_s: float | None = None
         self._keeps_alive = True
@@ -153,10 +178,15 @@
         self._overhead.add_received(len(data))
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._refuse(self._parse_error or BadRequest.MALFORMED)
+        except httptools.HttpParserUpgrade:
+            self._refuse(BadRequest.MALFORMED, 'upgrade')
+        except httptools.HttpParserError as error:
+            self._refuse(
+                self._parse_error or BadRequest.MALFORMED,
+                self._parse_error_detail or str(error),
+            )
         if self._overhead.is_exceeded:
-            self._refuse(BadRequest.HEAD_TOO_LARGE)
+            self._refuse(BadRequest.HEAD_TOO_LARGE, 'overhead')
         self._start_next()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
@@ -241,7 +271,9 @@
                 self._is_closing = True
                 self.transport.loseConnection()  # type: ignore[union-attr]
         elif now_s - self._request_start_s > self._request_timeout_s(limits):
-            self._refuse(BadRequest.TOO_SLOW)
+            self._refuse(
+                BadRequest.TOO_SLOW, 'head' if self._is_in_head else 'body'
+            )
             self._start_next()
 
     def _request_timeout_s(self, limits: CallerLimits) -> float:
@@ -279,9 +311,11 @@
         """Append a part of the body, within the limits."""
         limits = self._state.limits()
         if self._body_bytes + len(body) > limits.body_bytes:
-            self._stop_parsing(BadRequest.BODY_TOO_LARGE)
+            self._stop_parsing(
+                BadRequest.BODY_TOO_LARGE, f'received over {limits.body_bytes}'
+            )
         if not self._state.body_budget.has_room(len(body)):
-            self._stop_parsing(BadRequest.NO_MEMORY)
+            self._stop_parsing(BadRequest.NO_MEMORY, 'bodies of all callers')
         self._body_bytes += len(body)
         self._overhead.add_body(len(body))
         self._state.body_budget.held_bytes += len(body)
@@ -299,9 +333,10 @@
         self._body_bytes = 0
         self._reset_request()
         self._request_start_s = None
+        self._requests_received += 1
         self._pending_requests.append(request)
         if len(self._pending_requests) > MAX_PIPELINED:
-            self._stop_parsing(BadRequest.MALFORMED)
+            self._stop_parsing(BadRequest.MALFORMED, 'pipelined')
 
     def _reset_request(self) -> None:
         self._overhead.reset()
@@ -314,24 +349,43 @@
 
     def _count_head(self, size_bytes: int) -> None:
         self._head_bytes += size_bytes
-        if self._head_bytes > self._state.limits().head_bytes:
-            self._stop_parsing(BadRequest.HEAD_TOO_LARGE)
+        limit_bytes = self._state.limits().head_bytes
+        if self._head_bytes > limit_bytes:
+            self._stop_parsing(BadRequest.HEAD_TOO_LARGE, f'over {limit_bytes}')
 
     def _check_length(self, content: bytes) -> None:
-        if content.isdigit() and (
-            int(content) > self._state.limits().body_bytes
-        ):
-            self._stop_parsing(BadRequest.BODY_TOO_LARGE)
+        limit_bytes = self._state.limits().body_bytes
+        if content.isdigit() and int(content) > limit_bytes:
+            self._stop_parsing(
+                BadRequest.BODY_TOO_LARGE,
+                f'length of {int(content)} over {limit_bytes}',
+            )
 
-    def _stop_parsing(self, error: BadRequest) -> None:
+    def _stop_parsing(self, error: BadRequest, detail: str) -> None:
         self._parse_error = error
+        self._parse_error_detail = detail
         raise _StopParsing
 
-    def _refuse(self, error: BadRequest) -> None:
-        if not self._is_closing:
-            self._is_closing = True
-            self._release_partial_body()
-            self._pending_requests.append(error)
+    def _refuse(self, error: BadRequest, detail: str) -> None:
+        if self._is_closing:
+            return
+        self._is_closing = True
+        self.fault = self._describe(detail)
+        self._release_partial_body()
+        self._pending_requests.append(error)
+
+    def _describe(self, detail: str) -> RequestFault:
+        age_s = 0.0
+        if self._request_start_s is not None:
+            age_s = self._state.now_s() - self._request_start_s
+        return RequestFault(
+            detail=detail,
+            headers=tuple(self._headers),
+            head_bytes=self._head_bytes,
+            body_bytes=self._body_bytes,
+            age_s=age_s,
+            requests_before=self._requests_received,
+        )
 
     def _release_partial_body(self) -> None:
         self._state.body_budget.held_bytes -= self._body_bytes
--- a/src/rattanstile/platform/callers.py
+++ b/src/rattanstile/platform/callers.py
@@ -7,10 +7,12 @@
     encode_chunk,
     encode_response,
     encode_response_head,
+    find_header,
     forwardable_headers,
 )
 from rattanstile.connection.http_server import BadRequest
 from rattanstile.platform import headers
+from rattanstile.process.mesh.ports import InvalidRequest
 from rattanstile.request.exchange import (
     Answered,
     AnswerHead,
@@ -58,21 +60,21 @@
 
     def decode(
         self, request: HttpRequest | BadRequest
-    ) -> Result[IncomingRequest, NotRun]:
-        """Return the caller's request, or the reason to refuse it."""
+    ) -> Result[IncomingRequest, InvalidRequest]:
+        """Return the caller's request, or why it can't be decoded."""
         if isinstance(request, BadRequest):
-            return Err(_BAD_REQUEST_ENDINGS[request])
+            return Err(InvalidRequest(_BAD_REQUEST_ENDINGS[request]))
         request_id = request.header(headers.REQUEST_ID)
         host = request.header(headers.HOST)
         deadline = request.header(headers.DEADLINE_MS) or b'0'
-        if (
-            not request_id
-            or not host
-            or not request.path.startswith('/')
-            or not deadline.isdigit()
-            or len(deadline) > MAX_DEADLINE_DIGITS
-        ):
-            return Err(NotRun(NotRunReason.MALFORMED))
+        if not request_id:
+            return _malformed('no request id')
+        if not host:
+            return _malformed('no host')
+        if not request.path.startswith('/'):
+            return _malformed('path without slash')
+        if not deadline.isdigit() or len(deadline) > MAX_DEADLINE_DIGITS:
+            return _malformed('deadline')
         return Ok(
             IncomingRequest(
                 request_id=request_id.decode('latin-1'),
@@ -88,6 +90,11 @@
             )
         )
 
+    def request_id(self, request_headers: tuple[RawHeader, ...]) -> str:
+        """Return the identifier in a request's headers; empty for none."""
+        request_id = find_header(request_headers, headers.REQUEST_ID) or b''
+        return request_id.decode('latin-1')
+
     def encode_head(self, head: AnswerHead, *, closes: bool) -> bytes:
         """Return the encoded start of an answer in parts."""
         return encode_response_head(
@@ -130,6 +137,10 @@
                 return _node_response(request_id, status, 0, closes=closes)
 
 
+def _malformed(detail: str) -> Err[InvalidRequest]:
+    return Err(InvalidRequest(NotRun(NotRunReason.MALFORMED), detail))
+
+
 def _node_response(
     request_id: str, status: int, retry_after_s: float, *, closes: bool
 ) -> bytes:
--- a/src/rattanstile/process/decision_log.py
+++ b/src/rattanstile/process/decision_log.py
@@ -20,7 +20,12 @@
 
 @unique
 class LineKind(Enum):
-    """Kinds of lines, each with its own limit of lines per second."""
+    """Kinds of lines, each with its own limit of lines per second.
+
+    Attributes:
+        INVALID: Refusals that no retry can change, which must not be left
+            out because of many others.
+    """
 
     PROCESS = 1
     STORE = 2
@@ -34,6 +39,7 @@
     PLACED = 10
     PLACED_AGAIN = 11
     ADMISSION = 12
+    INVALID = 13
 
 
 MAX_LINES_PER_S = {
@@ -49,6 +55,7 @@
     LineKind.PLACED: 4,
     LineKind.PLACED_AGAIN: 20,
     LineKind.ADMISSION: 8,
+    LineKind.INVALID: 20,
 }
 """Failures and refusals have higher limits than successes."""
 
--- a/src/rattanstile/process/mesh/caller_service.py
+++ b/src/rattanstile/process/mesh/caller_service.py
@@ -8,12 +8,19 @@
 from rattanstile.connection.http_server import (
     HttpServerConnection,
     ReceivedRequest,
+    RequestFault,
 )
-from rattanstile.process.decision_log import DecisionLog, LineKind
+from rattanstile.process.decision_log import LineKind
+from rattanstile.process.mesh.attempts import MS_PER_S
 from rattanstile.process.mesh.caller_answer import CallerAnswer
+from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.entry_call import EntryCall, Phase
 from rattanstile.process.mesh.entry_handler import EntryHandler
-from rattanstile.process.mesh.ports import CallerCodec
+from rattanstile.process.mesh.ports import CallerCodec, InvalidRequest
+from rattanstile.request.exchange import RawHeader
+
+MAX_ID_CHARACTERS = 64
+MAX_DETAIL_CHARACTERS = 80
 
 
 class CallerService:
@@ -22,14 +29,14 @@
     Args:
         codec: Decodes requests and encodes responses.
         entry: Handles the requests.
-        log: Receives a line for each malformed request.
+        context: Its log receives a line for each malformed request.
     """
 
     def __init__(
-        self, codec: CallerCodec, entry: EntryHandler, log: DecisionLog
+        self, codec: CallerCodec, entry: EntryHandler, context: NodeContext
     ) -> None:
-        """Initialize with the codec, the request handler and the log."""
-        self._log = log
+        """Initialize with the codec and the request handler."""
+        self._context = context
         self._codec = codec
         self._entry = entry
 
@@ -40,14 +47,10 @@
         decoded = self._codec.decode(request)
         is_head = isinstance(request, HttpRequest) and request.method == 'HEAD'
         if isinstance(decoded, Err):
-            reason = decoded.err_value.reason
-            self._log.write(
-                LineKind.REFUSED,
-                'request_malformed',
-                reason=reason.name.lower(),
-            )
+            invalid = decoded.err_value
+            self._log_invalid(connection, request, invalid)
             encoded = self._codec.encode(
-                '', decoded.err_value, closes=True, is_head=is_head
+                '', invalid.ending, closes=True, is_head=is_head
             )
             connection.respond(encoded, closes=True)
             return
@@ -68,3 +71,37 @@
         call = connection.handler_context
         if isinstance(call, EntryCall):
             self._entry.abandon(call)
+
+    def _log_invalid(
+        self,
+        connection: HttpServerConnection,
+        request: ReceivedRequest,
+        invalid: InvalidRequest,
+    ) -> None:
+        reason = invalid.ending.reason.name.lower()
+        self._context.counters.invalid[reason] += 1
+        fields: dict[str, object] = {'detail': invalid.detail}
+        request_headers: tuple[RawHeader, ...] = ()
+        if isinstance(request, HttpRequest):
+            request_headers = request.headers
+        elif connection.fault is not None:
+            request_headers = connection.fault.headers
+            fields = _fault_fields(connection.fault)
+        self._context.log.write(
+            LineKind.INVALID,
+            'request_malformed',
+            request=self._codec.request_id(request_headers)[:MAX_ID_CHARACTERS],
+            reason=reason,
+            version=self._context.version,
+            **fields,
+        )
+
+
+def _fault_fields(fault: RequestFault) -> dict[str, object]:
+    return {
+        'detail': fault.detail[:MAX_DETAIL_CHARACTERS],
+        'head_bytes': fault.head_bytes,
+        'body_bytes': fault.body_bytes,
+        'age_ms': int(fault.age_s * MS_PER_S),
+        'requests_before': fault.requests_before,
+    }
--- a/src/rattanstile/process/mesh/counters.py
+++ b/src/rattanstile/process/mesh/counters.py
@@ -49,6 +49,8 @@
 
     Attributes:
         outcomes: Requests by outcome.
+        invalid: Requests that can't be decoded, or that no configuration in
+            force here allows, by reason.
         latencies: Time from arrival to end, by route.
         runs: Calls that this node's target ran.
         not_taken: Calls that this node or its target refused, by reason.
@@ -59,6 +61,7 @@
     """
 
     outcomes: Counter[str] = field(default_factory=Counter)
+    invalid: Counter[str] = field(default_factory=Counter)
     latencies: dict[str, LatencyHistogram] = field(default_factory=dict)
     runs: int = 0
     not_taken: Counter[str] = field(default_factory=Counter)
--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -11,6 +11,7 @@
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.entry_call import EntryCall, Phase
 from rattanstile.process.mesh.fleet_links import FleetLinks
+from rattanstile.process.mesh.invalid_request import invalid_request_fields
 from rattanstile.process.mesh.rate_limiter import (
     PoolDecision,
     RateDecision,
@@ -122,7 +123,11 @@
         """
         validated = _validate(self._context.state().config, caller_request)
         if isinstance(validated, Err):
-            self._refuse(caller_request, validated.err_value, on_end)
+            refused = validated.err_value
+            if refused.reason is NotRunReason.NOT_READY:
+                self._refuse(caller_request, refused, on_end)
+            else:
+                self._refuse_invalid(caller_request, refused, on_end)
             return None
         now_s = self._context.timers.now_s()
         call = self._entry_call(
@@ -210,6 +215,31 @@
         )
         on_end(refused)
 
+    def _refuse_invalid(
+        self,
+        caller_request: IncomingRequest,
+        refused: NotRun,
+        on_end: EndingHandler,
+    ) -> None:
+        """Refuse a request that the configuration in force doesn't allow."""
+        name = ending_label(refused).name
+        self._context.counters.outcomes[name] += 1
+        self._context.counters.invalid[name] += 1
+        if self._context.log.reserve_line(LineKind.INVALID):
+            self._context.log.append(
+                'request_refused',
+                request=caller_request.request_id,
+                host=caller_request.host,
+                path=caller_request.path,
+                reason=name,
+                **invalid_request_fields(
+                    self._context.state(),
+                    caller_request,
+                    self._context.timers.now_s(),
+                ),
+            )
+        on_end(refused)
+
     # Admission
 
     def _check_rate(self, now_s: float, call: EntryCall) -> None:
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -21,6 +21,8 @@
     counters = node.context.counters
     for name, count in sorted(counters.outcomes.items()):
         yield _line('requests_total', count, outcome=name)
+    for name, count in sorted(counters.invalid.items()):
+        yield _line('requests_invalid_total', count, reason=name)
     for name, count in sorted(counters.not_taken.items()):
         yield _line('calls_not_taken_total', count, reason=name)
     yield _line('runs_total', counters.runs)
@@ -39,9 +41,7 @@
 def _gauges(node: 'MeshNode') -> Iterator[str]:
     now_s = node.timers.now_s()
     serving = node.serving
-    state = node.context.state()
-    yield _line('version_in_force', node.context.version)
-    yield _line('operator_log_offset', state.offset)
+    yield from _version_gauges(node, now_s)
     yield _line('requests_in_hand', node.entry.in_hand)
     yield _line('calls_waiting', serving.queue.waiting)
     yield _line('calls_in_flight', serving.queue.in_flight)
@@ -62,6 +62,13 @@
         )
 
 
+def _version_gauges(node: 'MeshNode', now_s: float) -> Iterator[str]:
+    state = node.context.state()
+    yield _line('version_in_force', node.context.version)
+    yield _line('version_age_seconds', now_s - state.origin.in_force_s)
+    yield _line('operator_log_offset', state.offset)
+
+
 def _histograms(node: 'MeshNode') -> Iterator[str]:
     for route, latencies in sorted(node.context.counters.latencies.items()):
         yield from _histogram(route, latencies)
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -100,7 +100,10 @@
         self._slow_due_s = 0.0
         self._rates_due_s = 0.0
         self._operator_state = OperatorState(
-            adapters.store.decode_config, self._config_changed, log
+            adapters.store.decode_config,
+            self._config_changed,
+            log,
+            self.timers.now_s,
         )
         self._build_services(adapters)
         self._build_servers(adapters)
@@ -189,7 +192,7 @@
 
     def _build_servers(self, adapters: NodeAdapters) -> None:
         settings = self.settings
-        callers = CallerService(adapters.callers, self.entry, self.context.log)
+        callers = CallerService(adapters.callers, self.entry, self.context)
         announcements = AnnouncementService(adapters.announcements, self)
         self._caller_state = self._server_state(callers)
         self._servers = {
--- a/src/rattanstile/process/mesh/operator_state.py
+++ b/src/rattanstile/process/mesh/operator_state.py
@@ -1,5 +1,6 @@
 """Applies the operators' records to the state; older ones are ignored."""
 
+import time
 from collections.abc import Callable
 
 from result import Err, Result
@@ -12,7 +13,11 @@
     OperatorRecords,
 )
 from rattanstile.request.ids import FailureDomainId
-from rattanstile.version.fleet_config import FleetConfig, FleetState
+from rattanstile.version.fleet_config import (
+    ConfigOrigin,
+    FleetConfig,
+    FleetState,
+)
 
 ConfigDecoder = Callable[[bytes], Result[FleetConfig, ConfigUnreadableError]]
 
@@ -24,6 +29,7 @@
         decode: Decodes a published configuration.
         on_change: Called after each change, with the previous state.
         log: Receives a line for each configuration in force or unreadable.
+        now_s: Returns monotonic seconds.
     """
 
     def __init__(
@@ -31,12 +37,14 @@
         decode: ConfigDecoder,
         on_change: Callable[[FleetState], None],
         log: DecisionLog,
+        now_s: Callable[[], float] = time.monotonic,
     ) -> None:
         """Initialize with nothing in force."""
         self.state = FleetState()
         self._decode = decode
         self._on_change = on_change
         self._log = log
+        self._now_s = now_s
 
     def apply_records(self, records: OperatorRecords, source: str) -> None:
         """Apply records that were read from the operators' log.
@@ -108,28 +116,42 @@
         source: str,
     ) -> None:
         previous = self.state
-        config = self._newer_config(document)
+        config = self._newer_config(document, offset, source)
+        origin = previous.origin
+        if config is not None:
+            origin = ConfigOrigin(source, self._now_s(), offset)
         self.state = FleetState(
             offset=offset,
             config=config or previous.config,
             document=document if config else previous.document,
             evacuated=evacuated,
+            origin=origin,
         )
         if self.state == previous:
             return
         if config is not None or evacuated != previous.evacuated:
-            self._log.write(
-                LineKind.CONFIG,
-                'config_in_force',
-                version=self.state.config.number if self.state.config else 0,
-                before=previous.config.number if previous.config else 0,
-                offset=offset,
-                evacuated=','.join(sorted(evacuated)) or '-',
-                source=source,
-            )
+            self._log_in_force(previous, source)
             self._on_change(previous)
 
-    def _newer_config(self, document: bytes) -> FleetConfig | None:
+    def _log_in_force(self, previous: FleetState, source: str) -> None:
+        state = self.state
+        config = state.config
+        self._log.write(
+            LineKind.CONFIG,
+            'config_in_force',
+            version=config.number if config else 0,
+            before=previous.config.number if previous.config else 0,
+            offset=state.offset,
+            evacuated=','.join(sorted(state.evacuated)) or '-',
+            source=source,
+            routes=config.route_count if config else 0,
+            keys=len(config.organisations) if config else 0,
+            size_bytes=len(state.document),
+        )
+
+    def _newer_config(
+        self, document: bytes, offset: int, source: str
+    ) -> FleetConfig | None:
         if not document or document == self.state.document:
             return None
         decoded = self._decode(document)
@@ -138,6 +160,9 @@
                 LineKind.CONFIG,
                 'config_unreadable',
                 why=decoded.err_value.message,
+                offset=offset,
+                source=source,
+                size_bytes=len(document),
             )
             return None
         config = decoded.ok_value
--- a/src/rattanstile/process/mesh/ports.py
+++ b/src/rattanstile/process/mesh/ports.py
@@ -24,6 +24,7 @@
     Ending,
     IncomingRequest,
     NotRun,
+    RawHeader,
     ServedCall,
     WholeAnswer,
 )
@@ -85,13 +86,29 @@
         """Return the health that a response to a probe reports."""
 
 
+@dataclass(frozen=True, slots=True)
+class InvalidRequest:
+    """A caller's request that can't be decoded.
+
+    Attributes:
+        ending: The refusal.
+        detail: What is wrong, in a few words; empty if the connection knows.
+    """
+
+    ending: NotRun
+    detail: str = ''
+
+
 class CallerCodec(Protocol):
     """Decodes requests of callers and encodes the responses to them."""
 
     def decode(
         self, request: HttpRequest | BadRequest
-    ) -> Result[IncomingRequest, NotRun]:
-        """Return the caller's request, or the reason to refuse it."""
+    ) -> Result[IncomingRequest, InvalidRequest]:
+        """Return the caller's request, or why it can't be decoded."""
+
+    def request_id(self, request_headers: tuple[RawHeader, ...]) -> str:
+        """Return the identifier in a request's headers; empty for none."""
 
     def encode(
         self, request_id: str, ending: Ending, *, closes: bool, is_head: bool
--- a/src/rattanstile/version/fleet_config.py
+++ b/src/rattanstile/version/fleet_config.py
@@ -102,6 +102,11 @@
         """Return whether routes that aren't open to all require a key."""
         return bool(self.organisations)
 
+    @property
+    def route_count(self) -> int:
+        """Return the number of routes of all hosts."""
+        return sum(len(host_routes) for host_routes in self.routes.values())
+
     def route(self, host: str, path: str) -> FleetRoute | None:
         """Return the route with the longest prefix of the path, if any."""
         host_routes = self.routes.get(host, {})
@@ -114,6 +119,21 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigOrigin:
+    """How the configuration in force came to a node, for its log.
+
+    Attributes:
+        source: Who sent it; empty before the first configuration.
+        in_force_s: Monotonic time at which it came into force; 0 before.
+        offset: Offset in the operators' log up to which the source had read.
+    """
+
+    source: str = ''
+    in_force_s: float = 0
+    offset: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class FleetState:
     """What operators have set, as of one offset in their log.
@@ -123,9 +143,11 @@
         config: None before the first configuration.
         document: The configuration as it was published, for relaying.
         evacuated: Failure domains that get no new work.
+        origin: How the configuration came here.
     """
 
     offset: int = 0
     config: FleetConfig | None = None
     document: bytes = b''
     evacuated: frozenset[FailureDomainId] = field(default_factory=frozenset)
+    origin: ConfigOrigin = field(default_factory=ConfigOrigin, compare=False)
