Test: versions read together, the last of which is older or unreadable

What callers would see: 401 for a key, or 404 for a route, that a version in force allows, at the nodes whose reader got several versions in one read.

Cause: of the records of one read only the last version is looked at, by its offset. An append that got no answer may be done seconds later, after a newer version; the offset then passes the newer one, and it is never read again.

--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -103,6 +103,27 @@
         self.assertEqual(operator_state.state.config.number, 5)
         self.assertEqual(operator_state.state.offset, 2)
 
+    def test_older_version_done_late_does_not_hide_the_newest(self):
+        """Both in one read: an append without an answer may be done later."""
+        operator_state = new_operator_state()
+        operator_state.apply_records(
+            records(2, (0, ConfigPublished(b'6')), (1, ConfigPublished(b'5'))),
+            'store',
+        )
+        self.assertEqual(operator_state.state.config.number, 6)
+        self.assertEqual(operator_state.state.document, b'6')
+
+    def test_unreadable_version_does_not_hide_the_one_before(self):
+        """Both in one read; the offset passes them for good."""
+        operator_state = new_operator_state()
+        operator_state.apply_records(
+            records(
+                2, (0, ConfigPublished(b'6')), (1, ConfigPublished(b'bad'))
+            ),
+            'store',
+        )
+        self.assertEqual(operator_state.state.config.number, 6)
+
     def test_snapshot_without_evacuation_restores_domain(self):
         """After a gap in the log, the newest records lack the evacuation."""
         operator_state = new_operator_state()
