Operator state: the newest readable version of a read comes into force

What callers would see: 401 or 404 for what a version in force allows, at nodes whose reader got it in one read with an older one done late, or with one that can't be read, until the next version.

Cause: see the test before: the last version by offset stood for all of them.

Change: each version of a read is applied in order, by the same rule as versions of separate reads: only a newer number replaces the one in force. A read of several large versions now decodes each of them.

Evidence: before, AssertionError: 5 != 6 and "'NoneType' object has no attribute 'number'"; now test_mesh_state (29), test_config_spread (7) and test_invalid_requests (4) pass.

--- a/src/rattanstile/process/mesh/operator_state.py
+++ b/src/rattanstile/process/mesh/operator_state.py
@@ -1,7 +1,8 @@
 """Applies the operators' records to the state; older ones are ignored."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from result import Err, Result
 
@@ -54,14 +55,14 @@
             source: Origin of the records, for the log.
         """
         current_offset = self.state.offset
-        document = b''
+        documents: list[bytes] = []
         evacuated = set(self.state.evacuated)
         for record in sorted(records.records, key=lambda item: item.offset):
             if record.offset < current_offset:
                 continue
             match record.change:
                 case ConfigPublished(published):
-                    document = published
+                    documents.append(published)
                 case DomainEvacuated(domain, is_evacuated):
                     if is_evacuated:
                         evacuated.add(domain)
@@ -69,7 +70,7 @@
                         evacuated.discard(domain)
         self._advance(
             max(current_offset, records.end),
-            document,
+            documents,
             frozenset(evacuated),
             source,
         )
@@ -86,16 +87,16 @@
         """
         if records.end < self.state.offset:
             return
-        document = b''
+        documents: list[bytes] = []
         evacuated: set[FailureDomainId] = set()
         for record in records.records:
             match record.change:
                 case ConfigPublished(published):
-                    document = published
+                    documents.append(published)
                 case DomainEvacuated(domain, is_evacuated):
                     if is_evacuated:
                         evacuated.add(domain)
-        self._advance(records.end, document, frozenset(evacuated), source)
+        self._advance(records.end, documents, frozenset(evacuated), source)
 
     def apply_copy(
         self,
@@ -106,30 +107,21 @@
     ) -> None:
         """Apply the state of another node if it is newer."""
         if offset > self.state.offset:
-            self._advance(offset, document, evacuated, source)
+            self._advance(offset, [document], evacuated, source)
 
     def _advance(
         self,
         offset: int,
-        document: bytes,
+        documents: Iterable[bytes],
         evacuated: frozenset[FailureDomainId],
         source: str,
     ) -> None:
         previous = self.state
-        config = self._newer_config(document, offset, source)
-        origin = previous.origin
-        if config is not None:
-            origin = ConfigOrigin(source, self._now_s(), offset)
-        self.state = FleetState(
-            offset=offset,
-            config=config or previous.config,
-            document=document if config else previous.document,
-            evacuated=evacuated,
-            origin=origin,
-        )
-        if self.state == previous:
-            return
-        if config is not None or evacuated != previous.evacuated:
+        self.state = replace(previous, offset=offset, evacuated=evacuated)
+        for document in documents:
+            self._apply_document(document, source)
+        is_new_config = self.state.config is not previous.config
+        if is_new_config or evacuated != previous.evacuated:
             self._log_in_force(previous, source)
             self._on_change(previous)
 
@@ -149,9 +141,21 @@
             size_bytes=len(state.document),
         )
 
-    def _newer_config(
-        self, document: bytes, offset: int, source: str
-    ) -> FleetConfig | None:
+    def _apply_document(self, document: bytes, source: str) -> None:
+        """Put a version in force if it is newer than the one in force.
+
+        Records may be out of order: an append may be done late.
+        """
+        config = self._newer_config(document, source)
+        if config is not None:
+            self.state = replace(
+                self.state,
+                config=config,
+                document=document,
+                origin=ConfigOrigin(source, self._now_s(), self.state.offset),
+            )
+
+    def _newer_config(self, document: bytes, source: str) -> FleetConfig | None:
         if not document or document == self.state.document:
             return None
         decoded = self._decode(document)
@@ -160,7 +164,7 @@
                 LineKind.CONFIG,
                 'config_unreadable',
                 why=decoded.err_value.message,
-                offset=offset,
+                offset=self.state.offset,
                 source=source,
                 size_bytes=len(document),
             )
