Store reads: the first reader of a domain waits for a short time

What callers would see: 401 and 404 for what a version in force allows, at all nodes, for up to 26 seconds after the store lost answers or turned readers away without an answer.

Cause: see the test before: a read that hangs looks like one that waits, for 25 seconds, and the other nodes rely on it.

Change: the first reader of each domain waits 1.25 s for a record; it gives up a longer read that it began before it was the first. After a failed read the next one doesn't wait, so that a store that is well again is noticed by its answer and not by the next version. Cancelling a call of HttpExchanger abandons it.

Tests: the fake role of test_store_follower got the new question, answered with no. test_one_node_that_is_served_is_enough is new; it fails ({1}, not {2}) if the longer read isn't given up (seen with the bound set to 100 s).

Price: 0.85 reads a second of each domain while nothing changes, which were 0.04 a reader before (by the constants).

--- a/src/rattanstile/connection/http_exchange.py
+++ b/src/rattanstile/connection/http_exchange.py
@@ -39,7 +39,10 @@
     def send(
         self, encoded_request: bytes, timeout_s: float
     ) -> 'Deferred[ExchangeResult]':
-        """Send a call and return its result; the Deferred never fails."""
+        """Send a call and return its result; the Deferred never fails.
+
+        Cancelling the Deferred abandons the call, as a timeout does.
+        """
         call = _Call(self, encoded_request)
         call.timer = self._timers.after(timeout_s, lambda _: call.time_out())
         connection = self._take_idle()
@@ -82,7 +85,9 @@
     """One call, until its result is delivered."""
 
     def __init__(self, owner: HttpExchanger, encoded_request: bytes) -> None:
-        self.result: Deferred[ExchangeResult] = Deferred()
+        self.result: Deferred[ExchangeResult] = Deferred(
+            lambda _: self.time_out()
+        )
         self.timer: object = None
         self._owner = owner
         self._encoded_request = encoded_request
--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -98,6 +98,10 @@
         """Return whether this node is to read the store itself."""
         return self._readers.is_reader(self._timers.now_s())
 
+    def is_first_reader(self) -> bool:
+        """Return whether this node is the first reader of its domain."""
+        return self._readers.is_first_reader(self._timers.now_s())
+
     @property
     def reads(self) -> bool:
         """Return whether this node reads the store and the store answers."""
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -294,6 +294,7 @@
         self._target_pool.check(now_s)
         self.context.log.flush()
         self._relay.check(now_s)
+        self._follower.check(now_s)
         self.peer_service.check(now_s)
         self.links.check(now_s)
         if now_s >= self._rates_due_s:
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable
 from typing import Protocol
 
-from result import Err, Result
+from result import Err
 from twisted.internet.defer import Deferred
 
 from rattanstile.process.decision_log import DecisionLog, LineKind
@@ -15,14 +15,18 @@
     OperatorRecords,
     StoreError,
 )
+from rattanstile.process.mesh.store_poll import (
+    FIRST_READER_POLL_S,
+    LONG_POLL_S,
+    PollResult,
+    StorePoll,
+)
 from rattanstile.process.mesh.store_retry import (
     FIRST_RETRY_DELAY_S,
     MAX_RETRY_DELAY_S,
     StoreRetry,
 )
 
-LONG_POLL_S = 25.0
-"""Long-poll timeout; below the longest wait that the store allows."""
 BATCH_DELAY_S = 0.3
 """Delay after a change, so that a burst of changes takes few reads; a small
 part of the time within which a version must be in force."""
@@ -40,6 +44,9 @@
     def is_reader(self) -> bool:
         """Return whether this node is to read the operators' log."""
 
+    def is_first_reader(self) -> bool:
+        """Return whether the other readers of its domain rely on this one."""
+
     def set_store_readable(self, *, can_read: bool) -> None:
         """Record whether the store answers this node."""
 
@@ -74,6 +81,7 @@
         self._joining = joining
         self._log = log
         self._is_reported_readable = True
+        self._poll = StorePoll(store)
         self._tasks: list[Deferred[None]] = []
 
     def start(self) -> None:
@@ -85,6 +93,12 @@
         """Stop before the next read."""
         self._retry.is_running = False
 
+    def check(self, now_s: float) -> None:
+        """Give up a read that hangs; called periodically."""
+        self._poll.check(
+            now_s, is_first_reader=self._reader_role.is_first_reader()
+        )
+
     async def _follow(self) -> None:
         await self._wait_for_copy()
         has_offset = self._operator_state.state.offset > 0
@@ -94,6 +108,8 @@
                 await self._retry.sleep(READER_CHECK_PERIOD_S)
                 continue
             read = await self._read(has_offset=has_offset)
+            if read is None:
+                continue
             if isinstance(read, Err):
                 has_offset = self._read_failed(read.err_value) and has_offset
                 await self._retry.sleep(delay_s)
@@ -101,15 +117,21 @@
                 continue
             self._read_succeeded()
             delay_s = FIRST_RETRY_DELAY_S
-            if has_offset:
-                self._operator_state.apply_records(read.ok_value, 'store')
-                if read.ok_value.records:
-                    await self._retry.sleep(BATCH_DELAY_S)
-            else:
-                self._operator_state.apply_snapshot(read.ok_value, 'store')
-                await self._retry.sleep(READER_CHECK_PERIOD_S)
+            await self._apply(read.ok_value, has_offset=has_offset)
             has_offset = True
 
+    async def _apply(
+        self, records: OperatorRecords, *, has_offset: bool
+    ) -> None:
+        """Apply what was read, and wait until the next read is due."""
+        if not has_offset:
+            self._operator_state.apply_snapshot(records, 'store')
+            await self._retry.sleep(READER_CHECK_PERIOD_S)
+            return
+        self._operator_state.apply_records(records, 'store')
+        if records.records:
+            await self._retry.sleep(BATCH_DELAY_S)
+
     async def _wait_for_copy(self) -> None:
         """Wait for the state while other nodes of the domain read it.
 
@@ -123,15 +145,26 @@
                 return
             await self._retry.sleep(FIRST_RETRY_DELAY_S)
 
-    def _read(
-        self, *, has_offset: bool
-    ) -> Awaitable[Result[OperatorRecords, StoreError]]:
+    def _read(self, *, has_offset: bool) -> Awaitable[PollResult | None]:
+        """Read what is new; the result is None if the read is given up."""
         if has_offset:
-            return self._store.records_after(
-                self._operator_state.state.offset, LONG_POLL_S
+            return self._poll.records_after(
+                self._operator_state.state.offset, self._wait_s()
             )
         return self._store.newest_records()
 
+    def _wait_s(self) -> float:
+        """Return how long the next read may wait for a record.
+
+        After a failure it doesn't wait, so that its answer shows at once that
+        the store is well again.
+        """
+        if not self._is_reported_readable:
+            return 0
+        if self._reader_role.is_first_reader():
+            return FIRST_READER_POLL_S
+        return LONG_POLL_S
+
     def _read_failed(self, error: StoreError) -> bool:
         """Record a failed read and return whether the offset is still valid."""
         if self.is_reachable:
--- a/src/rattanstile/process/mesh/store_readers.py
+++ b/src/rattanstile/process/mesh/store_readers.py
@@ -57,13 +57,23 @@
         It is, unless `READERS_PER_DOMAIN` connected nodes of the domain with
         larger IDs have sent recent heartbeats.
         """
+        return self._preferred_readers(now_s) < READERS_PER_DOMAIN
+
+    def is_first_reader(self, now_s: float) -> bool:
+        """Return whether no other reader of the domain is preferred.
+
+        The first reader must notice by itself that its reads hang; it tells
+        the others what it reads.
+        """
+        return not self._preferred_readers(now_s)
+
+    def _preferred_readers(self, now_s: float) -> int:
         since_s = now_s - HEARTBEAT_TIMEOUT_S
-        preferred_readers = sum(
+        return sum(
             node_id > self._node_id
             and self._last_heartbeat_s.get(node_id, since_s) > since_s
             for node_id in self._neighbours()
         )
-        return preferred_readers < READERS_PER_DOMAIN
 
     def is_heartbeat_due(self, now_s: float) -> bool:
         """Return, once a period, whether this reader must send a heartbeat."""
--- a/tests/test_hung_reads.py
+++ b/tests/test_hung_reads.py
@@ -33,7 +33,8 @@
 class Exchange:
     """One call of a node, until it is answered or abandoned."""
 
-    def __init__(self, clock, encoded, timeout_s):
+    def __init__(self, clock, node_id, encoded, timeout_s):
+        self.node_id = node_id
         path = encoded.split(b' ', 2)[1].decode()
         url = urlsplit(path)
         query = parse_qs(url.query)
@@ -80,7 +81,7 @@
 
     def _send(self, node_id, encoded, timeout_s):
         self.calls += 1
-        exchange = Exchange(self.clock, encoded, timeout_s)
+        exchange = Exchange(self.clock, node_id, encoded, timeout_s)
         if node_id in self.turned_away:
             return exchange.result
         if exchange.is_newest or exchange.start < len(self.records):
@@ -91,7 +92,7 @@
         return exchange.result
 
     def _answer(self, exchange):
-        if self.loses_answers:
+        if self.loses_answers or exchange.node_id in self.turned_away:
             exchange.is_lost = True
         if not exchange.is_lost:
             exchange.end(HttpResponse(200, b'OK', (), self._body(exchange)))
@@ -138,6 +139,7 @@
 
     def check(self, now_s):
         self.relay.check(now_s)
+        self.follower.check(now_s)
 
     def broadcast(self, message, *, near_only):
         for other in self._fleet.others(self.node_id):
@@ -222,6 +224,14 @@
         self.fleet.run(IN_FORCE_S)
         self.assertEqual(self.fleet.versions(), {2})
 
+    def test_one_node_that_is_served_is_enough(self):
+        """Reads that began before the node became the first reader hang too."""
+        self.store.turned_away = {'n1', 'n2', 'n3', 'n4'}
+        self.fleet.run(10.0)
+        self.store.publish(2)
+        self.fleet.run(IN_FORCE_S)
+        self.assertEqual(self.fleet.versions(), {2})
+
     def test_quiet_store_is_rarely_read(self):
         """Its calls are counted by all users of the store."""
         calls = self.store.calls
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -108,6 +108,7 @@
         )
         role = SimpleNamespace(
             is_reader=lambda: self.is_reader,
+            is_first_reader=lambda: False,
             set_store_readable=lambda can_read: self.readable.append(can_read),
         )
         retry = StoreRetry(self.clock, Random(1))
