Target answers: a 3xx or 4xx without signature isn't passed on

Change: each response of a target below 500 needs the signature and the ID; else the attempt is of unknown outcome (502), which may be repeated if the route allows it. Errors of a server stay unchecked: after them callers may repeat anyway, and some targets don't sign them.

--- a/src/rattanstile/platform/targets.py
+++ b/src/rattanstile/platform/targets.py
@@ -26,6 +26,7 @@
 
 _MISDIRECTED = 421
 _HEALTHY = 200
+_FIRST_SERVER_ERROR = 500
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Callers take these as a guarantee that the request did not run; from a
 target they are one only with `headers.NOT_RUN`, or if the status is 421."""
@@ -121,12 +122,12 @@
 
 
 def _is_unmodified(response: HttpResponse) -> bool:
-    """Return whether a success comes from the target, with an unchanged body.
+    """Return whether a response comes from the target, with an unchanged body.
 
-    Other responses are not checked.
+    Errors of a server are not checked: callers may repeat a request after them
+    as after the node's own.
     """
-    is_success = 200 <= response.status < 300  # noqa: PLR2004
-    if not is_success:
+    if response.status >= _FIRST_SERVER_ERROR:
         return True
     return (
         response.header(headers.SIGNATURE) is not None
