Test: limits on requests before the first version

What callers would see: 413 or 431 for a request that the configuration allows, from a node that has no configuration yet. They don't repeat it; after the 503 that such a node owes they do.

Cause: the built-in limits hold until the first version.

Seen failing on this code: test_limits_do_not_count_before_the_first_version, AssertionError: b'HTTP/1.1 503 ' not found in b'HTTP/1.1 413 ...'. test_limits_of_the_version_in_force_count passes.

--- a/tests/test_invalid_requests.py
+++ b/tests/test_invalid_requests.py
@@ -81,7 +81,9 @@
     """Requests that can't be decoded."""
 
     def setUp(self):
-        self.context, self.clock, _ = context()
+        self.context, self.clock, self.holder = context(
+            FleetState(config=config(7))
+        )
         service = CallerService(PlatformCallerCodec(), None, self.context)
         state = ServerState(
             service, lambda: CallerLimits(body_bytes=10), self.clock.seconds
@@ -111,3 +113,17 @@
         fields = self.refused_fields(HEAD, b'request-deadline-ms: soon\r\n\r\n')
         self.assertEqual(fields['request'], 'r-1')
         self.assertEqual(fields['detail'], 'deadline')
+
+    def test_limits_do_not_count_before_the_first_version(self):
+        """Callers don't repeat a request after 413 or 431, but after 503."""
+        self.holder.state = FleetState()
+        self.refused_fields(HEAD, b'content-length: 11\r\n\r\n')
+        written = self.connection.transport.take()
+        self.assertIn(b'HTTP/1.1 503 ', written)
+        self.assertIn(b'request-id: r-1\r\n', written)
+        self.assertIn(b'retry-after: ', written)
+
+    def test_limits_of_the_version_in_force_count(self):
+        """A retry can't change this one."""
+        self.refused_fields(HEAD, b'content-length: 11\r\n\r\n')
+        self.assertIn(b'HTTP/1.1 413 ', self.connection.transport.take())
