Callers: before the first version a request over a limit is refused as not ready

Change: while no version is known, a request over the built-in limits gets the 503 with Retry-After that each other request gets. Refusals of the decoder name the request, as the other refusals do.

--- a/src/rattanstile/process/mesh/caller_service.py
+++ b/src/rattanstile/process/mesh/caller_service.py
@@ -15,13 +15,18 @@
 from rattanstile.process.mesh.caller_answer import CallerAnswer
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.entry_call import EntryCall, Phase
-from rattanstile.process.mesh.entry_handler import EntryHandler
+from rattanstile.process.mesh.entry_handler import (
+    NOT_READY_RETRY_S,
+    EntryHandler,
+)
 from rattanstile.process.mesh.ports import CallerCodec, InvalidRequest
-from rattanstile.request.exchange import RawHeader
+from rattanstile.request.exchange import NotRun, NotRunReason, RawHeader
 
 MAX_ID_CHARACTERS = 64
 MAX_DETAIL_CHARACTERS = 80
 
+_LIMITS = frozenset((NotRunReason.HEAD_TOO_LARGE, NotRunReason.BODY_TOO_LARGE))
+
 
 class CallerService:
     """Passes on callers' requests and sends the responses.
@@ -48,9 +53,12 @@
         is_head = isinstance(request, HttpRequest) and request.method == 'HEAD'
         if isinstance(decoded, Err):
             invalid = decoded.err_value
-            self._log_invalid(connection, request, invalid)
+            request_id = self._codec.request_id(
+                _known_headers(connection, request)
+            )
+            self._log_invalid(connection, request_id, invalid)
             encoded = self._codec.encode(
-                '', invalid.ending, closes=True, is_head=is_head
+                request_id, self._refusal(invalid), closes=True, is_head=is_head
             )
             connection.respond(encoded, closes=True)
             return
@@ -72,31 +80,46 @@
         if isinstance(call, EntryCall):
             self._entry.abandon(call)
 
+    def _refusal(self, invalid: InvalidRequest) -> NotRun:
+        """Return what the caller is told.
+
+        Before the first version the limits that operators set are unknown.
+        """
+        has_limits = self._context.state().config is not None
+        if has_limits or invalid.ending.reason not in _LIMITS:
+            return invalid.ending
+        return NotRun(NotRunReason.NOT_READY, NOT_READY_RETRY_S)
+
     def _log_invalid(
         self,
         connection: HttpServerConnection,
-        request: ReceivedRequest,
+        request_id: str,
         invalid: InvalidRequest,
     ) -> None:
         reason = invalid.ending.reason.name.lower()
         self._context.counters.invalid[reason] += 1
         fields: dict[str, object] = {'detail': invalid.detail}
-        request_headers: tuple[RawHeader, ...] = ()
-        if isinstance(request, HttpRequest):
-            request_headers = request.headers
-        elif connection.fault is not None:
-            request_headers = connection.fault.headers
+        if not invalid.detail and connection.fault is not None:
             fields = _fault_fields(connection.fault)
         self._context.log.write(
             LineKind.INVALID,
             'request_malformed',
-            request=self._codec.request_id(request_headers)[:MAX_ID_CHARACTERS],
+            request=request_id[:MAX_ID_CHARACTERS],
             reason=reason,
             version=self._context.version,
             **fields,
         )
 
 
+def _known_headers(
+    connection: HttpServerConnection, request: ReceivedRequest
+) -> tuple[RawHeader, ...]:
+    """Return the headers of a request as far as they were received."""
+    if isinstance(request, HttpRequest):
+        return request.headers
+    return () if connection.fault is None else connection.fault.headers
+
+
 def _fault_fields(fault: RequestFault) -> dict[str, object]:
     return {
         'detail': fault.detail[:MAX_DETAIL_CHARACTERS],
