--- a/src/rattanstile/process/mesh/caller_service.py
+++ b/src/rattanstile/process/mesh/caller_service.py
@@ -8,12 +8,24 @@
 from rattanstile.connection.http_server import (
     HttpServerConnection,
     ReceivedRequest,
+    RequestFault,
 )
-from rattanstile.process.decision_log import DecisionLog, LineKind
+from rattanstile.process.decision_log import LineKind
+from rattanstile.process.mesh.attempts import MS_PER_S
 from rattanstile.process.mesh.caller_answer import CallerAnswer
+from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.entry_call import EntryCall, Phase
-from rattanstile.process.mesh.entry_handler import EntryHandler
-from rattanstile.process.mesh.ports import CallerCodec
+from rattanstile.process.mesh.entry_handler import (
+    NOT_READY_RETRY_S,
+    EntryHandler,
+)
+from rattanstile.process.mesh.ports import CallerCodec, InvalidRequest
+from rattanstile.request.exchange import NotRun, NotRunReason, RawHeader
+
+MAX_ID_CHARACTERS = 64
+MAX_DETAIL_CHARACTERS = 80
+
+_LIMITS = frozenset((NotRunReason.HEAD_TOO_LARGE, NotRunReason.BODY_TOO_LARGE))
 
 
 class CallerService:
@@ -22,14 +34,14 @@
     Args:
         codec: Decodes requests and encodes responses.
         entry: Handles the requests.
-        log: Receives a line for each malformed request.
+        context: Its log receives a line for each malformed request.
     """
 
     def __init__(
-        self, codec: CallerCodec, entry: EntryHandler, log: DecisionLog
+        self, codec: CallerCodec, entry: EntryHandler, context: NodeContext
     ) -> None:
-        """Initialize with the codec, the request handler and the log."""
-        self._log = log
+        """Initialize with the codec and the request handler."""
+        self._context = context
         self._codec = codec
         self._entry = entry
 
@@ -40,14 +52,13 @@
         decoded = self._codec.decode(request)
         is_head = isinstance(request, HttpRequest) and request.method == 'HEAD'
         if isinstance(decoded, Err):
-            reason = decoded.err_value.reason
-            self._log.write(
-                LineKind.REFUSED,
-                'request_malformed',
-                reason=reason.name.lower(),
+            invalid = decoded.err_value
+            request_id = self._codec.request_id(
+                _known_headers(connection, request)
             )
+            self._log_invalid(connection, request_id, invalid)
             encoded = self._codec.encode(
-                '', decoded.err_value, closes=True, is_head=is_head
+                request_id, self._refusal(invalid), closes=True, is_head=is_head
             )
             connection.respond(encoded, closes=True)
             return
@@ -68,3 +79,52 @@
         call = connection.handler_context
         if isinstance(call, EntryCall):
             self._entry.abandon(call)
+
+    def _refusal(self, invalid: InvalidRequest) -> NotRun:
+        """Return what the caller is told.
+
+        Before the first version the limits that operators set are unknown.
+        """
+        has_limits = self._context.state().config is not None
+        if has_limits or invalid.ending.reason not in _LIMITS:
+            return invalid.ending
+        return NotRun(NotRunReason.NOT_READY, NOT_READY_RETRY_S)
+
+    def _log_invalid(
+        self,
+        connection: HttpServerConnection,
+        request_id: str,
+        invalid: InvalidRequest,
+    ) -> None:
+        reason = invalid.ending.reason.name.lower()
+        self._context.counters.invalid[reason] += 1
+        fields: dict[str, object] = {'detail': invalid.detail}
+        if not invalid.detail and connection.fault is not None:
+            fields = _fault_fields(connection.fault)
+        self._context.log.write(
+            LineKind.INVALID,
+            'request_malformed',
+            request=request_id[:MAX_ID_CHARACTERS],
+            reason=reason,
+            version=self._context.version,
+            **fields,
+        )
+
+
+def _known_headers(
+    connection: HttpServerConnection, request: ReceivedRequest
+) -> tuple[RawHeader, ...]:
+    """Return the headers of a request as far as they were received."""
+    if isinstance(request, HttpRequest):
+        return request.headers
+    return () if connection.fault is None else connection.fault.headers
+
+
+def _fault_fields(fault: RequestFault) -> dict[str, object]:
+    return {
+        'detail': fault.detail[:MAX_DETAIL_CHARACTERS],
+        'head_bytes': fault.head_bytes,
+        'body_bytes': fault.body_bytes,
+        'age_ms': int(fault.age_s * MS_PER_S),
+        'requests_before': fault.requests_before,
+    }
--- a/src/rattanstile/process/mesh/operator_state.py
+++ b/src/rattanstile/process/mesh/operator_state.py
@@ -1,6 +1,8 @@
 """Applies the operators' records to the state; older ones are ignored."""
 
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from result import Err, Result
 
@@ -12,7 +14,11 @@
     OperatorRecords,
 )
 from rattanstile.request.ids import FailureDomainId
-from rattanstile.version.fleet_config import FleetConfig, FleetState
+from rattanstile.version.fleet_config import (
+    ConfigOrigin,
+    FleetConfig,
+    FleetState,
+)
 
 ConfigDecoder = Callable[[bytes], Result[FleetConfig, ConfigUnreadableError]]
 
@@ -24,6 +30,7 @@
         decode: Decodes a published configuration.
         on_change: Called after each change, with the previous state.
         log: Receives a line for each configuration in force or unreadable.
+        now_s: Returns monotonic seconds.
     """
 
     def __init__(
@@ -31,12 +38,14 @@
         decode: ConfigDecoder,
         on_change: Callable[[FleetState], None],
         log: DecisionLog,
+        now_s: Callable[[], float] = time.monotonic,
     ) -> None:
         """Initialize with nothing in force."""
         self.state = FleetState()
         self._decode = decode
         self._on_change = on_change
         self._log = log
+        self._now_s = now_s
 
     def apply_records(self, records: OperatorRecords, source: str) -> None:
         """Apply records that were read from the operators' log.
@@ -46,14 +55,14 @@
             source: Origin of the records, for the log.
         """
         current_offset = self.state.offset
-        document = b''
+        documents: list[bytes] = []
         evacuated = set(self.state.evacuated)
         for record in sorted(records.records, key=lambda item: item.offset):
             if record.offset < current_offset:
                 continue
             match record.change:
                 case ConfigPublished(published):
-                    document = published
+                    documents.append(published)
                 case DomainEvacuated(domain, is_evacuated):
                     if is_evacuated:
                         evacuated.add(domain)
@@ -61,7 +70,7 @@
                         evacuated.discard(domain)
         self._advance(
             max(current_offset, records.end),
-            document,
+            documents,
             frozenset(evacuated),
             source,
         )
@@ -78,16 +87,16 @@
         """
         if records.end < self.state.offset:
             return
-        document = b''
+        documents: list[bytes] = []
         evacuated: set[FailureDomainId] = set()
         for record in records.records:
             match record.change:
                 case ConfigPublished(published):
-                    document = published
+                    documents.append(published)
                 case DomainEvacuated(domain, is_evacuated):
                     if is_evacuated:
                         evacuated.add(domain)
-        self._advance(records.end, document, frozenset(evacuated), source)
+        self._advance(records.end, documents, frozenset(evacuated), source)
 
     def apply_copy(
         self,
@@ -98,38 +107,55 @@
     ) -> None:
         """Apply the state of another node if it is newer."""
         if offset > self.state.offset:
-            self._advance(offset, document, evacuated, source)
+            self._advance(offset, [document], evacuated, source)
 
     def _advance(
         self,
         offset: int,
-        document: bytes,
+        documents: Iterable[bytes],
         evacuated: frozenset[FailureDomainId],
         source: str,
     ) -> None:
         previous = self.state
-        config = self._newer_config(document)
-        self.state = FleetState(
-            offset=offset,
-            config=config or previous.config,
-            document=document if config else previous.document,
-            evacuated=evacuated,
+        self.state = replace(previous, offset=offset, evacuated=evacuated)
+        for document in documents:
+            self._apply_document(document, source)
+        is_new_config = self.state.config is not previous.config
+        if is_new_config or evacuated != previous.evacuated:
+            self._log_in_force(previous, source)
+            self._on_change(previous)
+
+    def _log_in_force(self, previous: FleetState, source: str) -> None:
+        state = self.state
+        config = state.config
+        self._log.write(
+            LineKind.CONFIG,
+            'config_in_force',
+            version=config.number if config else 0,
+            before=previous.config.number if previous.config else 0,
+            offset=state.offset,
+            evacuated=','.join(sorted(state.evacuated)) or '-',
+            source=source,
+            routes=config.route_count if config else 0,
+            keys=len(config.organisations) if config else 0,
+            size_bytes=len(state.document),
         )
-        if self.state == previous:
-            return
-        if config is not None or evacuated != previous.evacuated:
-            self._log.write(
-                LineKind.CONFIG,
-                'config_in_force',
-                version=self.state.config.number if self.state.config else 0,
-                before=previous.config.number if previous.config else 0,
-                offset=offset,
-                evacuated=','.join(sorted(evacuated)) or '-',
-                source=source,
+
+    def _apply_document(self, document: bytes, source: str) -> None:
+        """Put a version in force if it is newer than the one in force.
+
+        Records may be out of order: an append may be done late.
+        """
+        config = self._newer_config(document, source)
+        if config is not None:
+            self.state = replace(
+                self.state,
+                config=config,
+                document=document,
+                origin=ConfigOrigin(source, self._now_s(), self.state.offset),
             )
-            self._on_change(previous)
 
-    def _newer_config(self, document: bytes) -> FleetConfig | None:
+    def _newer_config(self, document: bytes, source: str) -> FleetConfig | None:
         if not document or document == self.state.document:
             return None
         decoded = self._decode(document)
@@ -138,6 +164,9 @@
                 LineKind.CONFIG,
                 'config_unreadable',
                 why=decoded.err_value.message,
+                offset=self.state.offset,
+                source=source,
+                size_bytes=len(document),
             )
             return None
         config = decoded.ok_value
