Store: its era on each answer, and log lines that tell a restored store apart

What operators saw: 'store_lost why=/v1/log-read?topic=...' for a read refused as gone, whether records were past retention or the store had come back from an older copy; newest records that were ignored left no line at all.

Change: the era is a field of the port's answers and of 'history gone'; the follower logs 'store_restored' and names the reason of 'store_lost'; ignored newest records are logged as 'snapshot_ignored'; gauge store_era. What is put in force is decided as before. The types of the port say which era acknowledged a write; nothing uses it yet.

Evidence: test_log_tells_a_restored_store_from_expired_records; without the change it can't run (HistoryGoneError has no era).

--- a/src/rattanstile/platform/headers.py
+++ b/src/rattanstile/platform/headers.py
@@ -13,6 +13,7 @@
 SIGNATURE = b'response-signature'
 NOT_RUN = b'not-executed'
 COLD_MS = b'cold-ms'
+STORE_ERA = b'store-era'
 CONTENT_ENCODING = b'content-encoding'
 
 KEY_SCHEME = 'token '
--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store: a log of records, and the newest by key."""
 
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 from struct import Struct
 from typing import TypeVar
 from urllib.parse import quote
@@ -12,6 +13,7 @@
 from rattanstile.connection.http_exchange import HttpExchanger
 from rattanstile.connection.http_messages import HttpResponse, encode_request
 from rattanstile.connection.peer_messages import PeerMember
+from rattanstile.platform.headers import STORE_ERA
 from rattanstile.platform.operators import decode_fleet_config
 from rattanstile.process.mesh.ports import (
     ConfigPublished,
@@ -26,7 +28,7 @@
     StoreError,
     StoreUnavailableError,
 )
-from rattanstile.request.ids import FailureDomainId
+from rattanstile.request.ids import NO_ERA, FailureDomainId, StoreEra
 from rattanstile.version.fleet_config import FleetConfig
 
 CALL_TIMEOUT_S = 1.5
@@ -43,6 +45,7 @@
 _RECORD_LENGTH = Struct('>I')
 _READ_HEADER = Struct('>QQ')
 _MS_PER_S = 1000
+_MAX_ERA_DIGITS = 18
 
 _Decoded = TypeVar('_Decoded')
 
@@ -71,6 +74,32 @@
     has_more: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """A successful response.
+
+    Attributes:
+        era: Era of the store that sent it.
+    """
+
+    body: bytes
+    era: StoreEra
+
+
+@dataclass(frozen=True, slots=True)
+class _AllNewest:
+    """Newest record of each key, of all pages.
+
+    Attributes:
+        end: Offset of the next record of the log, of the first page.
+        era: Era of the store that sent them.
+    """
+
+    items: tuple[_Item, ...]
+    end: int
+    era: StoreEra
+
+
 class PlatformStore:
     """See `rattanstile.process.mesh.ports.FleetStore`.
 
@@ -96,6 +125,7 @@
                     for item in newest.ok_value.items
                 ),
                 end=newest.ok_value.end,
+                era=newest.ok_value.era,
             )
         )
 
@@ -104,15 +134,17 @@
     ) -> Result[OperatorRecords, StoreError]:
         """Return the records from an offset on; wait for the first one."""
         wait_ms = int(wait_s * _MS_PER_S)
-        response = await self._call(
+        answer = await self._call(
             'GET',
             f'/v1/log-read?topic={_OPERATOR_TOPIC}&part=0&from={offset}'
             f'&maxKb={MAX_READ_KB}&waitMs={wait_ms}',
             timeout_s=wait_s + READ_TIMEOUT_MARGIN_S,
         )
-        if isinstance(response, Err):
-            return response
-        return _decode_response(_decode_records, response.ok_value, offset)
+        if isinstance(answer, Err):
+            return answer
+        era = answer.ok_value.era
+        decoded = _decode_response(_decode_records, answer.ok_value, offset)
+        return decoded.map(lambda records: replace(records, era=era))
 
     async def members(
         self,
@@ -125,9 +157,11 @@
         by_id = {
             member.node_id: member for member in decoded if member is not None
         }
-        return Ok(FleetMembers(by_id, decoded.count(None)))
+        return Ok(FleetMembers(by_id, decoded.count(None), newest.ok_value.era))
 
-    async def announce(self, member: PeerMember) -> Result[None, StoreError]:
+    async def announce(
+        self, member: PeerMember
+    ) -> Result[StoreEra, StoreError]:
         """Store an entry by which other nodes find this one."""
         return await self._append_member(
             member.node_id, msgspec.msgpack.encode(member)
@@ -144,37 +178,35 @@
 
     async def _append_member(
         self, key: str, content: bytes
-    ) -> Result[None, StoreError]:
+    ) -> Result[StoreEra, StoreError]:
         encoded_key = key.encode()
         record = bytes((len(encoded_key),)) + encoded_key + content
-        response = await self._call(
+        answer = await self._call(
             'POST',
             f'/v1/log-append?topic={_MEMBER_TOPIC}&part=0',
             _RECORD_LENGTH.pack(len(record)) + record,
         )
-        return response if isinstance(response, Err) else Ok(None)
+        return answer.map(lambda acknowledged: acknowledged.era)
 
-    async def _read_newest(
-        self, topic: str
-    ) -> Result[_NewestRecords, StoreError]:
+    async def _read_newest(self, topic: str) -> Result[_AllNewest, StoreError]:
         """Return all pages as one, with the `end` of the first page."""
         items: list[_Item] = []
         end: int | None = None
         after_query = ''
         while True:
-            response = await self._call(
+            answer = await self._call(
                 'GET', f'/v1/log-newest?topic={topic}&part=0{after_query}'
             )
-            if isinstance(response, Err):
-                return response
-            decoded = _decode_response(_decode_newest, response.ok_value, 0)
+            if isinstance(answer, Err):
+                return answer
+            decoded = _decode_response(_decode_newest, answer.ok_value, 0)
             if isinstance(decoded, Err):
                 return decoded
             page = decoded.ok_value
             items.extend(page.items)
             end = page.end if end is None else end
             if not page.has_more or not page.items:
-                return Ok(_NewestRecords(items, end))
+                return Ok(_AllNewest(tuple(items), end, answer.ok_value.era))
             after_query = f'&after={quote(page.items[-1].key, safe="")}'
 
     async def _call(
@@ -183,25 +215,39 @@
         path: str,
         body: bytes = b'',
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Result[HttpResponse, StoreError]:
+    ) -> Result[_Answer, StoreError]:
         encoded = encode_request(method, path, ((b'host', b'store'),), body)
         result = await self._exchanger.send(encoded, timeout_s)
         if isinstance(result, ExchangeFailure):
             return Err(StoreUnavailableError(f'{path}: {result.value}'))
+        era = _decode_era(result)
+        if era is None:
+            return Err(StoreUnavailableError(f'{path}: invalid era'))
         if result.status == _GONE:
-            return Err(HistoryGoneError(path))
+            return Err(HistoryGoneError(path, era))
         if result.status != _OK:
             return Err(StoreUnavailableError(f'{path}: status {result.status}'))
-        return Ok(result)
+        return Ok(_Answer(result.body, era))
+
+
+def _decode_era(response: HttpResponse) -> StoreEra | None:
+    """Return the era that a response names; None if it can't be read.
+
+    A store that is never restored from a copy names none.
+    """
+    content = response.header(STORE_ERA)
+    if content is None:
+        return NO_ERA
+    if not content.isdigit() or len(content) > _MAX_ERA_DIGITS:
+        return None
+    return StoreEra(int(content))
 
 
 def _decode_response(
-    decode: Callable[[bytes, int], _Decoded],
-    response: HttpResponse,
-    offset: int,
+    decode: Callable[[bytes, int], _Decoded], answer: _Answer, offset: int
 ) -> Result[_Decoded, StoreError]:
     try:
-        return Ok(decode(response.body, offset))
+        return Ok(decode(answer.body, offset))
     except (msgspec.MsgspecError, ValueError) as error:
         return Err(StoreUnavailableError(f'invalid response: {error}'))
 
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -39,9 +39,7 @@
 def _gauges(node: 'MeshNode') -> Iterator[str]:
     now_s = node.timers.now_s()
     serving = node.serving
-    state = node.context.state()
-    yield _line('version_in_force', node.context.version)
-    yield _line('operator_log_offset', state.offset)
+    yield from _operator_gauges(node)
     yield _line('requests_in_hand', node.entry.in_hand)
     yield _line('calls_waiting', serving.queue.waiting)
     yield _line('calls_in_flight', serving.queue.in_flight)
@@ -62,6 +60,13 @@
         )
 
 
+def _operator_gauges(node: 'MeshNode') -> Iterator[str]:
+    state = node.context.state()
+    yield _line('version_in_force', node.context.version)
+    yield _line('operator_log_offset', state.offset)
+    yield _line('store_era', state.era)
+
+
 def _histograms(node: 'MeshNode') -> Iterator[str]:
     for route, latencies in sorted(node.context.counters.latencies.items()):
         yield from _histogram(route, latencies)
--- a/src/rattanstile/process/mesh/operator_state.py
+++ b/src/rattanstile/process/mesh/operator_state.py
@@ -11,7 +11,7 @@
     DomainEvacuated,
     OperatorRecords,
 )
-from rattanstile.request.ids import FailureDomainId
+from rattanstile.request.ids import FailureDomainId, StoreEra
 from rattanstile.version.fleet_config import FleetConfig, FleetState
 
 ConfigDecoder = Callable[[bytes], Result[FleetConfig, ConfigUnreadableError]]
@@ -64,6 +64,7 @@
             document,
             frozenset(evacuated),
             source,
+            records.era,
         )
 
     def apply_snapshot(self, records: OperatorRecords, source: str) -> None:
@@ -77,6 +78,15 @@
             source: Origin of the records, for the log.
         """
         if records.end < self.state.offset:
+            self._log.write(
+                LineKind.STORE,
+                'snapshot_ignored',
+                why='older_end',
+                era=records.era,
+                end=records.end,
+                offset=self.state.offset,
+                source=source,
+            )
             return
         document = b''
         evacuated: set[FailureDomainId] = set()
@@ -87,7 +97,9 @@
                 case DomainEvacuated(domain, is_evacuated):
                     if is_evacuated:
                         evacuated.add(domain)
-        self._advance(records.end, document, frozenset(evacuated), source)
+        self._advance(
+            records.end, document, frozenset(evacuated), source, records.era
+        )
 
     def apply_copy(
         self,
@@ -106,6 +118,7 @@
         document: bytes,
         evacuated: frozenset[FailureDomainId],
         source: str,
+        era: StoreEra | None = None,
     ) -> None:
         previous = self.state
         config = self._newer_config(document)
@@ -114,6 +127,7 @@
             config=config or previous.config,
             document=document if config else previous.document,
             evacuated=evacuated,
+            era=previous.era if era is None else era,
         )
         if self.state == previous:
             return
@@ -123,6 +137,7 @@
                 'config_in_force',
                 version=self.state.config.number if self.state.config else 0,
                 before=previous.config.number if previous.config else 0,
+                era=self.state.era,
                 offset=offset,
                 evacuated=','.join(sorted(evacuated)) or '-',
                 source=source,
--- a/src/rattanstile/process/mesh/ports.py
+++ b/src/rattanstile/process/mesh/ports.py
@@ -27,7 +27,13 @@
     ServedCall,
     WholeAnswer,
 )
-from rattanstile.request.ids import FailureDomainId, NodeId, TargetId
+from rattanstile.request.ids import (
+    NO_ERA,
+    FailureDomainId,
+    NodeId,
+    StoreEra,
+    TargetId,
+)
 from rattanstile.version.fleet_config import FleetConfig
 
 
@@ -178,10 +184,12 @@
 
     Attributes:
         end: The offset after the last record that was read.
+        era: Era of the store that the offsets belong to.
     """
 
     records: tuple[OperatorRecord, ...]
     end: int
+    era: StoreEra = NO_ERA
 
 
 class StoreUnavailableError(UnavailableError):
@@ -189,7 +197,18 @@
 
 
 class HistoryGoneError(RattanstileError):
-    """The requested records are past retention."""
+    """The store has no records at the requested offset.
+
+    They are past retention, or the store was restored from an older copy.
+
+    Attributes:
+        era: Era of the store that answered.
+    """
+
+    def __init__(self, message: str, era: StoreEra) -> None:
+        """Store the era of the answer."""
+        super().__init__(message)
+        self.era = era
 
 
 class ConfigUnreadableError(RattanstileError):
@@ -206,10 +225,12 @@
     Attributes:
         by_id: The members by node ID.
         unreadable: Number of entries of other writers, which name no node.
+        era: Era of the store that answered.
     """
 
     by_id: Mapping[NodeId, PeerMember]
     unreadable: int
+    era: StoreEra = NO_ERA
 
 
 NO_MEMBERS = FleetMembers({}, 0)
@@ -238,8 +259,12 @@
 
     def announce(
         self, member: PeerMember
-    ) -> Awaitable[Result[None, StoreError]]:
-        """Store an entry by which other nodes find this one."""
+    ) -> Awaitable[Result[StoreEra, StoreError]]:
+        """Store an entry by which other nodes find this one.
+
+        Returns:
+            The era of the store that acknowledged it.
+        """
 
     def decode_config(
         self, document: bytes
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -20,6 +20,7 @@
     MAX_RETRY_DELAY_S,
     StoreRetry,
 )
+from rattanstile.request.ids import NO_ERA, StoreEra
 
 LONG_POLL_S = 25.0
 """Long-poll timeout; below the longest wait that the store allows."""
@@ -74,6 +75,7 @@
         self._joining = joining
         self._log = log
         self._is_reported_readable = True
+        self._last_era = NO_ERA
         self._tasks: list[Deferred[None]] = []
 
     def start(self) -> None:
@@ -99,7 +101,7 @@
                 await self._retry.sleep(delay_s)
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
                 continue
-            self._read_succeeded()
+            self._read_succeeded(read.ok_value.era)
             delay_s = FIRST_RETRY_DELAY_S
             if has_offset:
                 self._operator_state.apply_records(read.ok_value, 'store')
@@ -134,13 +136,18 @@
 
     def _read_failed(self, error: StoreError) -> bool:
         """Record a failed read and return whether the offset is still valid."""
+        why = error.message
+        if isinstance(error, HistoryGoneError):
+            is_restored = self._record_era(error.era)
+            why = 'store_restored' if is_restored else 'history_gone'
         if self.is_reachable:
-            self._log.write(LineKind.STORE, 'store_lost', why=error.message)
+            self._log.write(LineKind.STORE, 'store_lost', why=why)
         self.is_reachable = False
         self._report_readable(can_read=False)
         return not isinstance(error, HistoryGoneError)
 
-    def _read_succeeded(self) -> None:
+    def _read_succeeded(self, era: StoreEra) -> None:
+        self._record_era(era)
         if not self.is_reachable:
             self._log.write(
                 LineKind.STORE,
@@ -150,6 +157,23 @@
         self.is_reachable = True
         self._report_readable(can_read=True)
 
+    def _record_era(self, era: StoreEra) -> bool:
+        """Return whether the store was restored since its last answer."""
+        before = self._last_era
+        self._last_era = era
+        if before in {era, NO_ERA}:
+            return False
+        state = self._operator_state.state
+        self._log.write(
+            LineKind.STORE,
+            'store_restored',
+            era=era,
+            era_before=before,
+            offset_before=state.offset,
+            version=state.config.number if state.config else 0,
+        )
+        return True
+
     def _report_readable(self, *, can_read: bool) -> None:
         """Tell the other nodes, which rely on this one until they know."""
         if can_read != self._is_reported_readable:
--- a/src/rattanstile/request/ids.py
+++ b/src/rattanstile/request/ids.py
@@ -17,3 +17,7 @@
 """Wall-clock milliseconds at process start; increases with each restart."""
 VersionNumber = NewType('VersionNumber', int)
 LogOffset = NewType('LogOffset', int)
+StoreEra = NewType('StoreEra', int)
+"""Increases by one when the platform's store is restored from a copy."""
+NO_ERA = StoreEra(0)
+"""Of a store that doesn't name its era, or that was not heard of yet."""
--- a/src/rattanstile/version/fleet_config.py
+++ b/src/rattanstile/version/fleet_config.py
@@ -4,9 +4,11 @@
 from dataclasses import dataclass, field
 
 from rattanstile.request.ids import (
+    NO_ERA,
     FailureDomainId,
     OrganisationId,
     ServiceName,
+    StoreEra,
 )
 
 
@@ -123,9 +125,11 @@
         config: None before the first configuration.
         document: The configuration as it was published, for relaying.
         evacuated: Failure domains that get no new work.
+        era: Era of the store that the offset belongs to.
     """
 
     offset: int = 0
     config: FleetConfig | None = None
     document: bytes = b''
     evacuated: frozenset[FailureDomainId] = field(default_factory=frozenset)
+    era: StoreEra = NO_ERA
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -13,6 +13,7 @@
 from rattanstile.process.mesh.fleet_join import FleetJoin, JoinHandlers
 from rattanstile.process.mesh.ports import (
     FleetMembers,
+    HistoryGoneError,
     OperatorRecords,
     StoreUnavailableError,
 )
@@ -98,8 +99,11 @@
         self.readable = []
         self.is_reader = False
         self.is_down = False
+        self.gone_in_era = None
+        self.era = 0
+        self.log = RecordingLog()
         self.state = SimpleNamespace(
-            state=SimpleNamespace(offset=0),
+            state=SimpleNamespace(offset=0, config=None),
             apply_snapshot=lambda *_: None,
             apply_records=lambda *_: None,
         )
@@ -111,16 +115,23 @@
             set_store_readable=lambda can_read: self.readable.append(can_read),
         )
         retry = StoreRetry(self.clock, Random(1))
-        follower = StoreFollower(
-            store, retry, self.state, role, None, RecordingLog()
-        )
+        follower = StoreFollower(store, retry, self.state, role, None, self.log)
         self.following = Deferred.fromCoroutine(follower._follow())
 
     async def read(self, *_):
         self.calls += 1
+        if self.gone_in_era is not None:
+            return Err(HistoryGoneError('/v1/log-read', self.gone_in_era))
         if self.is_down:
             return Err(StoreUnavailableError('refused'))
-        return Ok(OperatorRecords((), 0))
+        return Ok(OperatorRecords((), 0, self.era))
+
+    def lost_reasons(self):
+        return [
+            fields['why']
+            for event, fields in self.log.lines
+            if event == 'store_lost'
+        ]
 
     async def wait(self, offset, wait_s):
         await deferLater(self.clock, 1.0)
@@ -154,3 +165,26 @@
         self.is_down = False
         self.run_until(3.0)
         self.assertEqual(self.readable, [False, True])
+
+    def test_log_tells_a_restored_store_from_expired_records(self):
+        """Both were logged as the path of the read that was refused."""
+        self.is_reader = True
+        self.era = 3
+        self.run_until(1.0)
+        self.gone_in_era = 3
+        self.run_until(2.0)
+        self.gone_in_era = 4
+        self.run_until(4.0)
+        self.assertIn('history_gone', self.lost_reasons())
+        self.gone_in_era = None
+        self.era = 4
+        self.run_until(6.0)
+        self.gone_in_era = 5
+        self.run_until(8.0)
+        self.assertIn('store_restored', self.lost_reasons())
+        restored = [
+            (fields['era_before'], fields['era'])
+            for event, fields in self.log.lines
+            if event == 'store_restored'
+        ]
+        self.assertEqual(restored, [(3, 4), (4, 5)])
