--- a/src/rattanstile/standin/platform_fleet.py
+++ b/src/rattanstile/standin/platform_fleet.py
@@ -71,6 +71,12 @@
                 self._store.fault = StoreFault(arguments[0])
             case 'forget':
                 self._store.expire_records()
+            case 'copy':
+                self._store.copy()
+            case 'restore':
+                self._store.restore()
+            case 'append-lost':
+                self._store.append_lost()
             case 'leave':
                 self._targets[arguments[0]].is_draining = True
             case 'deregister':
@@ -86,6 +92,8 @@
                     name: target.received_headers
                     for name, target in self._targets.items()
                 }
+            case 'members':
+                return self._store.keys('keyed.members')
             case 'calls':
                 return self._store.calls
         return {name: target.runs for name, target in self._targets.items()}
--- a/src/rattanstile/standin/platform_store.py
+++ b/src/rattanstile/standin/platform_store.py
@@ -1,7 +1,9 @@
 """Stand-in for the store: topics, offsets, newest by key, long polls.
 
 It is written from the published protocol and keeps everything in memory.
-`StoreStandIn.fault` selects the fault that it simulates.
+`StoreStandIn.fault` selects the fault that it simulates. It can be restored
+from an older copy of itself: what was appended since is lost, its offsets are
+assigned again, and the era in all responses rises by one.
 """
 
 import base64
@@ -18,12 +20,15 @@
     HttpServerConnection,
     ReceivedRequest,
 )
+from rattanstile.platform.headers import STORE_ERA
 from rattanstile.process.timers import TimerService
 
 _RECORD_LENGTH = Struct('>I')
 _READ_HEADER = Struct('>QQ')
 _MS_PER_S = 1000
 SLOW_DELAY_S = 0.3
+_FOREIGN_TOPICS = ('keyed.op', 'keyed.servers')
+"""Topics of operators and targets, who append again what was lost."""
 
 
 @unique
@@ -44,21 +49,30 @@
     Attributes:
         records: All records, also those past retention.
         first_offset: First offset that is within retention.
-        waiting_reads: Callbacks that end the long polls of the topic.
+        waiting_reads: Long polls of the topic.
     """
 
     records: list[bytes] = field(default_factory=list)
     first_offset: int = 0
-    waiting_reads: list[Callable[[], None]] = field(default_factory=list)
+    waiting_reads: list['_LongPoll'] = field(default_factory=list)
 
     def append(self, records: list[bytes]) -> int:
         """Append records and return the offset of the first."""
         offset = len(self.records)
         self.records.extend(records)
-        for finish_read in tuple(self.waiting_reads):
-            finish_read()
+        for read in tuple(self.waiting_reads):
+            read.finish()
         return offset
 
+    def truncate(self, end: int) -> list[bytes]:
+        """Remove and return the records from an offset on."""
+        lost = self.records[end:]
+        del self.records[end:]
+        self.first_offset = min(self.first_offset, end)
+        for read in tuple(self.waiting_reads):
+            read.abort()
+        return lost
+
 
 class StoreStandIn:
     """Responds to the calls of the store's clients.
@@ -66,6 +80,7 @@
     Attributes:
         fault: Simulated fault.
         calls: Number of calls received.
+        era: Rises by one each time that the store is restored.
 
     Args:
         timers: Ends the waits of long polls and delays responses.
@@ -75,8 +90,11 @@
         """Initialize without records."""
         self.fault = StoreFault.NONE
         self.calls = 0
+        self.era = 1
         self._timers = timers
         self._topics: dict[str, _Topic] = {}
+        self._copied_ends: dict[str, int] = {}
+        self._lost: dict[str, list[bytes]] = {}
 
     def put(self, topic: str, key: str, content: bytes) -> None:
         """Append a record as operators do."""
@@ -90,6 +108,34 @@
         for topic in self._topics.values():
             topic.first_offset = len(topic.records)
 
+    def copy(self) -> None:
+        """Make the copy that the store is restored from."""
+        self._copied_ends = {
+            name: len(topic.records) for name, topic in self._topics.items()
+        }
+
+    def restore(self) -> None:
+        """Continue from the last copy, or without any record."""
+        self.era += 1
+        for name, topic in self._topics.items():
+            lost = topic.truncate(self._copied_ends.get(name, 0))
+            if name in _FOREIGN_TOPICS:
+                self._lost.setdefault(name, []).extend(lost)
+
+    def append_lost(self) -> None:
+        """Append the newest lost record of each key, as their writers do."""
+        for name, lost in self._lost.items():
+            newest = {record[: 1 + record[0]]: record for record in lost}
+            self._topic(name).append(list(newest.values()))
+        self._lost.clear()
+
+    def keys(self, topic: str) -> list[str]:
+        """Return the keys of the records of a topic."""
+        records = self._topics.get(topic, _Topic()).records
+        return sorted(
+            {record[1 : 1 + record[0]].decode() for record in records}
+        )
+
     def request_received(
         self, connection: HttpServerConnection, request: ReceivedRequest
     ) -> None:
@@ -97,7 +143,7 @@
         self.calls += 1
         match self.fault:
             case StoreFault.DOWN:
-                _respond(connection, 503, b'')
+                self._respond(connection, 503, b'')
             case StoreFault.SILENT:
                 return
             case StoreFault.SLOW:
@@ -115,7 +161,7 @@
         self, connection: HttpServerConnection, request: ReceivedRequest
     ) -> None:
         if not isinstance(request, HttpRequest):
-            _respond(connection, 400, b'')
+            self._respond(connection, 400, b'')
             return
         url = urlsplit(request.path)
         query = dict(parse_qsl(url.query))
@@ -127,7 +173,7 @@
             case '/v1/log-read':
                 self._read(connection, query)
             case _:
-                _respond(connection, 404, b'')
+                self._respond(connection, 404, b'')
 
     def _append(
         self,
@@ -138,7 +184,7 @@
         topic = self._topic(query['topic'])
         end = len(topic.records)
         if 'at' in query and int(query['at']) != end:
-            _respond(connection, 412, msgspec.json.encode({'end': end}))
+            self._respond(connection, 412, msgspec.json.encode({'end': end}))
             return
         offset = topic.append(_split_records(body))
         if self.fault is StoreFault.ANSWERS_LOST:
@@ -146,7 +192,7 @@
             return
         end = len(topic.records)
         response_body = msgspec.json.encode({'offset': offset, 'end': end})
-        _respond(connection, 200, response_body)
+        self._respond(connection, 200, response_body)
 
     def _newest(
         self, connection: HttpServerConnection, query: dict[str, str]
@@ -167,43 +213,63 @@
             if content
         ]
         page = {'items': items, 'hasMore': False, 'end': len(topic.records)}
-        _respond(connection, 200, msgspec.json.encode(page))
+        self._respond(connection, 200, msgspec.json.encode(page))
 
     def _read(
         self, connection: HttpServerConnection, query: dict[str, str]
     ) -> None:
         topic = self._topic(query['topic'])
         start = int(query['from'])
-        if start < topic.first_offset:
+        if not topic.first_offset <= start <= len(topic.records):
             response_body = msgspec.json.encode({'first': topic.first_offset})
-            _respond(connection, 410, response_body)
+            self._respond(connection, 410, response_body)
             return
-        read = _LongPoll(connection, topic, start)
+        read = _LongPoll(connection, topic, start, self._respond)
         connection.handler_context = read
         if start < len(topic.records):
             read.finish()
             return
-        topic.waiting_reads.append(read.finish)
+        topic.waiting_reads.append(read)
         wait_s = int(query.get('waitMs', '0')) / _MS_PER_S
         self._timers.after(wait_s, lambda _: read.finish())
 
     def _topic(self, name: str) -> _Topic:
         return self._topics.setdefault(name, _Topic())
 
+    def _respond(
+        self, connection: HttpServerConnection, status: int, body: bytes
+    ) -> None:
+        closes = connection.closes_after_response
+        headers = ((STORE_ERA, str(self.era).encode()),)
+        connection.respond(
+            encode_response(status, headers, body, closes=closes),
+            closes=closes,
+        )
+
 
 class _LongPoll:
     """A read that waits for its first record, for a limited time."""
 
     def __init__(
-        self, connection: HttpServerConnection, topic: _Topic, start: int
+        self,
+        connection: HttpServerConnection,
+        topic: _Topic,
+        start: int,
+        respond: Callable[[HttpServerConnection, int, bytes], None],
     ) -> None:
         self._connection = connection
         self._topic = topic
         self._start = start
+        self._respond = respond
+
+    def abort(self) -> None:
+        self._topic.waiting_reads.remove(self)
+        if self._connection.handler_context is self:
+            self._connection.abort()
 
     def finish(self) -> None:
-        if self.finish in self._topic.waiting_reads:
-            self._topic.waiting_reads.remove(self.finish)
+        if self in self._topic.waiting_reads:
+            self._topic.waiting_reads.remove(self)
         if self._connection.handler_context is not self:
             return
         records = self._topic.records
@@ -211,7 +277,7 @@
         for record in records[self._start :]:
             parts.append(_RECORD_LENGTH.pack(len(record)))
             parts.append(record)
-        _respond(self._connection, 200, b''.join(parts))
+        self._respond(self._connection, 200, b''.join(parts))
 
 
 def _split_records(body: bytes) -> list[bytes]:
@@ -224,12 +290,3 @@
         records.append(body[start : start + size_bytes])
         start += size_bytes
     return records
-
-
-def _respond(
-    connection: HttpServerConnection, status: int, body: bytes
-) -> None:
-    closes = connection.closes_after_response
-    connection.respond(
-        encode_response(status, (), body, closes=closes), closes=closes
-    )
