Operators' state: a store restored from a copy is a new log, not an older one

Cause: positions in the operators' log were compared by the offset alone, by the node and between nodes. A restored store assigns offsets again. It may also end at the very offset that a node has read: a read that waits then waits for 25 s.

Change: - A position is era and offset, ordered by era first; the era comes with each answer of the store, and in notices, requests, copies and first messages of nodes. Records of another era are never applied to the offset; the newest are read again. After a failed read the era is compared before a read that waits. - Version numbers alone decide which configuration is newer, from any source: one that the copy has lost stays; a node that knows less than its peers asks them, also at the same position. A node that isn't a reader and knows what a notice lacks answers with its own, at most each 0.5 s. - Evacuations are known apart from the log: of a domain that the copy has otherwise than this node, the known state is kept until a record of the new log decides, 15 s at most (evacuated) or 2 s (withdrawn). What is kept, for how long and what is decided goes with copies and isn't prolonged on the way. - A read that is refused as gone is an answer: the node goes on as a reader. - store_restored is logged where the state changes, also by a copy of a peer.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -18,10 +18,12 @@
     WholeAnswer,
 )
 from rattanstile.request.ids import (
+    NO_ERA,
     FailureDomainId,
     NodeId,
     OrganisationId,
     ServiceName,
+    StoreEra,
     TargetId,
 )
 
@@ -73,6 +75,9 @@
         offset: See `ConfigNotice`.
         reads: See `ConfigNotice`.
         takes_parts: Whether it accepts answers in parts.
+        era: See `ConfigNotice`.
+        version: See `ConfigNotice`.
+        kept: See `ConfigNotice`.
     """
 
     node_id: NodeId
@@ -84,6 +89,9 @@
     load: TargetLoad
     reads: bool = True
     takes_parts: bool = False
+    era: StoreEra = NO_ERA
+    version: int = 0
+    kept: tuple[FailureDomainId, ...] = ()
 
 
 class CallRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -155,19 +163,44 @@
     Attributes:
         reads: Whether the sender reads the log from the store and the store
             responds.
+        era: Era of the store that the offset belongs to.
+        version: Number of the configuration in force; 0 for none. A node may
+            know a newer one than the log has, after the store was restored.
+        kept: See `rattanstile.version.fleet_config.FleetState`.
     """
 
     offset: int
     reads: bool = True
+    era: StoreEra = NO_ERA
+    version: int = 0
+    kept: tuple[FailureDomainId, ...] = ()
 
 
 class ConfigRequest(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """Requests the operators' state if it is newer than `offset`.
+    """Requests the operators' state if it is newer than the sender's.
 
-    Sent by a node that doesn't read the operators' log itself or can't read it.
+    Sent by a node that doesn't read the operators' log itself or can't read it,
+    or that knows less than the receiver after the store was restored.
+
+    Attributes:
+        era: See `ConfigNotice`.
+        version: See `ConfigNotice`.
     """
 
     offset: int
+    era: StoreEra = NO_ERA
+    version: int = 0
+
+
+class KeptEvacuation(msgspec.Struct, frozen=True, array_like=True):
+    """A failure domain of which the log says the opposite.
+
+    Attributes:
+        left_ms: Time for which the opposite stays in force.
+    """
+
+    domain: FailureDomainId
+    left_ms: int
 
 
 class ConfigResponse(msgspec.Struct, frozen=True, array_like=True, tag=8):
@@ -175,11 +208,18 @@
 
     Attributes:
         packed: The configuration as published, compressed with zlib.
+        evacuated: Failure domains that get no new work.
+        era: See `ConfigNotice`.
+        kept: Of which failure domains the log says the opposite.
+        settled: Failure domains that were decided since the store was restored.
     """
 
     offset: int
     packed: bytes
     evacuated: tuple[FailureDomainId, ...]
+    era: StoreEra = NO_ERA
+    kept: tuple[KeptEvacuation, ...] = ()
+    settled: tuple[FailureDomainId, ...] = ()
 
 
 class ServiceDigest(msgspec.Struct, frozen=True, array_like=True):
--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -1,9 +1,12 @@
 """Relays operator state to nodes that can't read it from the store.
 
 A few nodes of each failure domain read the store (see `store_readers`). Nodes
-report the log offset that they have reached. A node that is behind
+report the position in the log that they have reached. A node that is behind
 another one, and has not caught up within a short delay, requests a copy; so
 versions reach the nodes that don't read and those that the store refuses.
+
+After the store was restored from a copy, a node may know more than the log at
+its position has: a newer version, or evacuations. Nodes report these as well.
 """
 
 import zlib
@@ -16,12 +19,15 @@
     ConfigNotice,
     ConfigRequest,
     ConfigResponse,
+    KeptEvacuation,
 )
 from rattanstile.connection.peer_pool import PeerPool
-from rattanstile.process.mesh.operator_state import OperatorState
+from rattanstile.process.mesh.evacuations import Evacuations
+from rattanstile.process.mesh.operator_state import OperatorState, StateCopy
 from rattanstile.process.mesh.store_readers import StoreReaders
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import NodeId
+from rattanstile.version.fleet_config import FleetState, LogPosition
 
 MAX_STORE_READ_LAG_S = 0.4
 """Longest time by which a reader of the store lags behind a change."""
@@ -33,19 +39,24 @@
 """Time to wait for a requested copy before another request is sent; also after
 one that can't be unpacked."""
 
+_MS_PER_S = 1000
+
+REPLY_PERIOD_S = 0.5
+"""Minimum time between reports to a node that lacks what was lost."""
+
 RelayMessage = ConfigNotice | ConfigRequest | ConfigResponse
 
 
 @dataclass(frozen=True, slots=True)
-class _PeerOffset:
-    """The log offset of a peer that is ahead.
+class _PeerAhead:
+    """A peer that knows what this node doesn't.
 
     Attributes:
-        offset: The offset that the peer last reported.
+        notice: What the peer last reported.
         since_s: Monotonic time of its first report of being ahead.
     """
 
-    offset: int
+    notice: ConfigNotice
     since_s: float
 
 
@@ -79,20 +90,29 @@
         self._is_gateway = is_gateway
         self._rng = rng
         self._can_read = True
-        self._peers_ahead: dict[NodeId, _PeerOffset] = {}
+        self._peers_ahead: dict[NodeId, _PeerAhead] = {}
         self._copy_deadline_s = 0.0
+        self._reply_due_s: dict[NodeId, float] = {}
+
+    def notice(self) -> ConfigNotice:
+        """Return what this node has of the operators' state."""
+        state = self._operator_state.state
+        return ConfigNotice(
+            state.offset,
+            self.reads,
+            state.era,
+            state.version,
+            tuple(sorted(state.kept)),
+        )
 
-    def broadcast_offset(self) -> None:
-        """Report the log offset of this node and whether it reads.
+    def broadcast_notice(self) -> None:
+        """Report what this node has and whether it reads.
 
         Only readers and gateways do: the others have their state from them.
         """
         is_gateway = self._is_gateway()
-        reads = self.reads
-        if reads or is_gateway:
-            offset = self._operator_state.state.offset
-            notice = ConfigNotice(offset, reads)
-            self._peers.broadcast(notice, near_only=not is_gateway)
+        if self.reads or is_gateway:
+            self._peers.broadcast(self.notice(), near_only=not is_gateway)
 
     def is_reader(self) -> bool:
         """Return whether this node is to read the store itself."""
@@ -106,38 +126,47 @@
     def set_store_readable(self, *, can_read: bool) -> None:
         """Record and report whether this node can read the store."""
         self._can_read = can_read
-        notice = ConfigNotice(self._operator_state.state.offset, self.reads)
-        self._peers.broadcast(notice, near_only=True)
+        self._peers.broadcast(self.notice(), near_only=True)
 
-    def notice_received(
-        self, node_id: NodeId, offset: int, *, reads: bool
-    ) -> None:
-        """Record the log offset of a node and whether it reads the store."""
-        self._readers.record_notice(self._timers.now_s(), node_id, reads=reads)
-        if offset <= self._operator_state.state.offset:
+    def notice_received(self, link: PeerLink, notice: ConfigNotice) -> None:
+        """Record what a node has and whether it reads the store."""
+        node_id = link.node_id
+        self._readers.record_notice(
+            self._timers.now_s(), node_id, reads=notice.reads
+        )
+        if _lacks_what_was_lost(notice, self._operator_state.state):
+            self._reply(link)
+        if not self._is_ahead(notice):
             self._peers_ahead.pop(node_id, None)
             return
         earlier = self._peers_ahead.get(node_id)
         since_s = self._timers.now_s() if earlier is None else earlier.since_s
-        self._peers_ahead[node_id] = _PeerOffset(offset, since_s)
+        self._peers_ahead[node_id] = _PeerAhead(notice, since_s)
         if self._operator_state.state.config is None:
             self._request_copy(self._timers.now_s())
 
     def check(self, now_s: float) -> None:
-        """Report the offset when it is due, and request a missing copy."""
+        """Report the state when it is due, and request a missing copy."""
         if self._readers.is_heartbeat_due(now_s):
-            self.broadcast_offset()
+            self.broadcast_notice()
         self._request_copy(now_s)
 
+    def _reply(self, link: PeerLink) -> None:
+        now_s = self._timers.now_s()
+        if now_s >= self._reply_due_s.get(link.node_id, now_s):
+            self._reply_due_s[link.node_id] = now_s + REPLY_PERIOD_S
+            link.send(self.notice())
+
     def _request_copy(self, now_s: float) -> None:
         """Request a copy from a node that has been ahead for long enough."""
         if now_s < self._copy_deadline_s:
             return
         for node_id, ahead in tuple(self._peers_ahead.items()):
-            if ahead.offset <= self._operator_state.state.offset:
+            if not self._is_ahead(ahead.notice):
                 self._peers_ahead.pop(node_id)
+        state = self._operator_state.state
         min_lead_s = 0.0
-        if self._operator_state.state.config is not None and self.is_reader():
+        if state.config is not None and self.is_reader():
             min_lead_s = MAX_STORE_READ_LAG_S
         links = [
             link
@@ -154,15 +183,15 @@
         chosen = self._rng.choice(near or links)
         self._peers_ahead.pop(chosen.node_id)
         self._copy_deadline_s = now_s + COPY_TIMEOUT_S
-        chosen.send(ConfigRequest(self._operator_state.state.offset))
+        chosen.send(ConfigRequest(state.offset, state.era, state.version))
 
     def message(self, link: PeerLink, message: RelayMessage) -> None:
         """Handle a message of another node."""
         match message:
-            case ConfigNotice(offset, reads):
-                self.notice_received(link.node_id, offset, reads=reads)
-            case ConfigRequest(offset):
-                self._send_copy(link, offset)
+            case ConfigNotice():
+                self.notice_received(link, message)
+            case ConfigRequest():
+                self._send_copy(link, message)
             case ConfigResponse():
                 self._copy_received(link, message)
 
@@ -174,17 +203,67 @@
             return
         if unpacker.eof:
             self._copy_deadline_s = 0
+            position = LogPosition(message.era, message.offset)
+            evacuations = self._decode_evacuations(message)
             self._operator_state.apply_copy(
-                message.offset,
-                document,
-                frozenset(message.evacuated),
+                StateCopy(position, document, evacuations),
                 f'peer:{link.node_id}',
             )
 
-    def _send_copy(self, link: PeerLink, offset: int) -> None:
+    def _decode_evacuations(self, message: ConfigResponse) -> Evacuations:
+        now_s = self._timers.now_s()
+        kept_until_s = {
+            each.domain: now_s + each.left_ms / _MS_PER_S
+            for each in message.kept
+        }
+        in_log = frozenset(message.evacuated) ^ frozenset(kept_until_s)
+        return Evacuations(in_log, kept_until_s, frozenset(message.settled))
+
+    def _send_copy(self, link: PeerLink, request: ConfigRequest) -> None:
         state = self._operator_state.state
-        if state.offset > offset:
-            packed = zlib.compress(state.document, COMPRESSION_LEVEL)
-            link.send(
-                ConfigResponse(state.offset, packed, tuple(state.evacuated))
+        position = LogPosition(request.era, request.offset)
+        is_newer = (
+            state.position > position
+            or state.version > request.version
+            or (state.position == position and state.kept)
+        )
+        if not is_newer:
+            return
+        now_s = self._timers.now_s()
+        evacuations = self._operator_state.evacuations
+        kept = tuple(
+            KeptEvacuation(domain, max(0, int((until_s - now_s) * _MS_PER_S)))
+            for domain, until_s in evacuations.kept_until_s.items()
+        )
+        link.send(
+            ConfigResponse(
+                state.offset,
+                zlib.compress(state.document, COMPRESSION_LEVEL),
+                tuple(state.evacuated),
+                state.era,
+                kept,
+                tuple(evacuations.settled),
             )
+        )
+
+    def _is_ahead(self, notice: ConfigNotice) -> bool:
+        """Return whether a node has what this one doesn't."""
+        state = self._operator_state.state
+        position = LogPosition(notice.era, notice.offset)
+        if position > state.position or notice.version > state.version:
+            return True
+        known = state.kept | self._operator_state.evacuations.settled
+        return position == state.position and not known.issuperset(notice.kept)
+
+
+def _lacks_what_was_lost(notice: ConfigNotice, state: FleetState) -> bool:
+    """Return whether a node that isn't behind in the log lacks what it lost.
+
+    Nodes that don't read the log report only this without being asked.
+    """
+    position = LogPosition(notice.era, notice.offset)
+    if position < state.position:
+        return False
+    return notice.version < state.version or (
+        position == state.position and not state.kept.issubset(notice.kept)
+    )
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -65,6 +65,7 @@
     yield _line('version_in_force', node.context.version)
     yield _line('operator_log_offset', state.offset)
     yield _line('store_era', state.era)
+    yield _line('kept_evacuations', len(state.kept))
 
 
 def _histograms(node: 'MeshNode') -> Iterator[str]:
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -100,7 +100,10 @@
         self._slow_due_s = 0.0
         self._rates_due_s = 0.0
         self._operator_state = OperatorState(
-            adapters.store.decode_config, self._config_changed, log
+            adapters.store.decode_config,
+            self._config_changed,
+            log,
+            self.timers.now_s,
         )
         self._build_services(adapters)
         self._build_servers(adapters)
@@ -290,6 +293,7 @@
             state.check(now_s)
         self._target_pool.check(now_s)
         self.context.log.flush()
+        self._operator_state.check(now_s)
         self._relay.check(now_s)
         self.peer_service.check(now_s)
         self.links.check(now_s)
@@ -334,7 +338,7 @@
     def _config_changed(self, previous: FleetState) -> None:
         self.serving.config_changed()
         self.rates.config_changed()
-        self._relay.broadcast_offset()
+        self._relay.broadcast_notice()
         self.entry.peers_changed()
 
     def _server_state(self, handler: RequestHandler) -> ServerState:
--- a/src/rattanstile/process/mesh/operator_state.py
+++ b/src/rattanstile/process/mesh/operator_state.py
@@ -1,29 +1,59 @@
-"""Applies the operators' records to the state; older ones are ignored."""
+"""Applies the operators' records to the state; older ones are ignored.
 
-from collections.abc import Callable
+The position in the log tells which records are newer, ordered by the era of the
+store first. It doesn't tell which configuration is newer: a store that was
+restored from a copy may have lost one that is in force. Version numbers do.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from result import Err, Result
 
 from rattanstile.process.decision_log import DecisionLog, LineKind
+from rattanstile.process.mesh.evacuations import Evacuations
 from rattanstile.process.mesh.ports import (
     ConfigPublished,
     ConfigUnreadableError,
     DomainEvacuated,
+    OperatorRecord,
     OperatorRecords,
 )
-from rattanstile.request.ids import FailureDomainId, StoreEra
-from rattanstile.version.fleet_config import FleetConfig, FleetState
+from rattanstile.request.ids import FailureDomainId
+from rattanstile.version.fleet_config import (
+    FleetConfig,
+    FleetState,
+    LogPosition,
+)
 
 ConfigDecoder = Callable[[bytes], Result[FleetConfig, ConfigUnreadableError]]
 
 
+@dataclass(frozen=True, slots=True)
+class StateCopy:
+    """The operator state of another node.
+
+    Attributes:
+        document: The configuration as published.
+    """
+
+    position: LogPosition
+    document: bytes
+    evacuations: Evacuations
+
+
 class OperatorState:
     """The operator state as of the latest record that this node has.
 
+    Attributes:
+        evacuations: What the node knows of evacuations.
+
     Args:
         decode: Decodes a published configuration.
-        on_change: Called after each change, with the previous state.
+        on_change: Called after each change of the configuration, evacuations
+            or era, with the previous state.
         log: Receives a line for each configuration in force or unreadable.
+        now_s: Returns monotonic seconds.
     """
 
     def __init__(
@@ -31,117 +61,146 @@
         decode: ConfigDecoder,
         on_change: Callable[[FleetState], None],
         log: DecisionLog,
+        now_s: Callable[[], float],
     ) -> None:
         """Initialize with nothing in force."""
         self.state = FleetState()
+        self.evacuations = Evacuations()
         self._decode = decode
         self._on_change = on_change
         self._log = log
+        self._now_s = now_s
 
-    def apply_records(self, records: OperatorRecords, source: str) -> None:
+    def apply_records(self, records: OperatorRecords, source: str) -> bool:
         """Apply records that were read from the operators' log.
 
+        Records of another era are ignored: the offset that they were read from
+        belongs to another log.
+
         Args:
             records: In any order; those already applied change nothing.
             source: Origin of the records, for the log.
+
+        Returns:
+            Whether the records are of the era of this state.
         """
-        current_offset = self.state.offset
+        if records.era != self.state.era:
+            self._log_ignored('other_era', records, source)
+            return False
         document = b''
-        evacuated = set(self.state.evacuated)
+        evacuations = self.evacuations
         for record in sorted(records.records, key=lambda item: item.offset):
-            if record.offset < current_offset:
+            if record.offset < self.state.offset:
                 continue
             match record.change:
                 case ConfigPublished(published):
                     document = published
                 case DomainEvacuated(domain, is_evacuated):
-                    if is_evacuated:
-                        evacuated.add(domain)
-                    else:
-                        evacuated.discard(domain)
-        self._advance(
-            max(current_offset, records.end),
-            document,
-            frozenset(evacuated),
-            source,
-            records.era,
-        )
+                    evacuations = evacuations.after_record(
+                        domain, is_evacuated=is_evacuated
+                    )
+        end = max(self.state.offset, records.end)
+        position = LogPosition(records.era, end)
+        self._advance(position, document, evacuations, source)
+        return True
 
-    def apply_snapshot(self, records: OperatorRecords, source: str) -> None:
+    def apply_snapshot(self, records: OperatorRecords, source: str) -> bool:
         """Apply the newest record of each key.
 
-        An evacuation without a record has been withdrawn. Records that end
-        before the current offset are ignored.
+        An evacuation without a record has been withdrawn, unless the store was
+        restored from a copy. Records that end before the current position are
+        ignored.
 
         Args:
             records: The newest record of each key of the log.
             source: Origin of the records, for the log.
+
+        Returns:
+            Whether the records were applied.
         """
-        if records.end < self.state.offset:
-            self._log.write(
-                LineKind.STORE,
-                'snapshot_ignored',
-                why='older_end',
-                era=records.era,
-                end=records.end,
-                offset=self.state.offset,
-                source=source,
-            )
-            return
+        position = LogPosition(records.era, records.end)
+        if position < self.state.position:
+            is_older = records.era < self.state.era
+            why = 'older_era' if is_older else 'older_end'
+            self._log_ignored(why, records, source)
+            return False
         document = b''
-        evacuated: set[FailureDomainId] = set()
         for record in records.records:
             match record.change:
                 case ConfigPublished(published):
                     document = published
-                case DomainEvacuated(domain, is_evacuated):
-                    if is_evacuated:
-                        evacuated.add(domain)
-        self._advance(
-            records.end, document, frozenset(evacuated), source, records.era
+        evacuations = self._evacuations_of_snapshot(records)
+        self._advance(position, document, evacuations, source)
+        return True
+
+    def apply_copy(self, copy: StateCopy, source: str) -> None:
+        """Apply what another node knows and this one doesn't."""
+        position = max(copy.position, self.state.position)
+        evacuations = self._evacuations_of_copy(copy)
+        self._advance(position, copy.document, evacuations, source)
+
+    def check(self, now_s: float) -> None:
+        """End what was kept against the log for long enough."""
+        evacuations = self.evacuations.at(now_s)
+        if evacuations != self.evacuations:
+            self._advance(self.state.position, b'', evacuations, 'timeout')
+
+    def _evacuations_of_snapshot(self, records: OperatorRecords) -> Evacuations:
+        evacuated = _evacuated_in(records.records)
+        if not self.state.is_known:
+            return Evacuations(evacuated)
+        if records.era == self.state.era:
+            return self.evacuations.later_in_log(evacuated)
+        # A record at an offset that this node had not read yet is no part of
+        # what it knows of the lost log.
+        news = _evacuated_in(
+            record
+            for record in records.records
+            if record.offset >= self.state.offset
         )
+        return self.evacuations.restored(self._now_s(), evacuated, news)
 
-    def apply_copy(
-        self,
-        offset: int,
-        document: bytes,
-        evacuated: frozenset[FailureDomainId],
-        source: str,
-    ) -> None:
-        """Apply the state of another node if it is newer."""
-        if offset > self.state.offset:
-            self._advance(offset, document, evacuated, source)
+    def _evacuations_of_copy(self, copy: StateCopy) -> Evacuations:
+        own = self.evacuations
+        theirs = copy.evacuations
+        if copy.position < self.state.position:
+            return own
+        if not self.state.is_known:
+            return theirs
+        if copy.position.era > self.state.era:
+            own = own.restored(self._now_s(), theirs.in_log, theirs.settled)
+        else:
+            own = own.later_in_log(theirs.in_log, theirs.settled)
+        return own.merged(theirs)
 
     def _advance(
         self,
-        offset: int,
+        position: LogPosition,
         document: bytes,
-        evacuated: frozenset[FailureDomainId],
+        evacuations: Evacuations,
         source: str,
-        era: StoreEra | None = None,
     ) -> None:
         previous = self.state
         config = self._newer_config(document)
+        self.evacuations = evacuations
         self.state = FleetState(
-            offset=offset,
+            offset=position.offset,
             config=config or previous.config,
             document=document if config else previous.document,
-            evacuated=evacuated,
-            era=previous.era if era is None else era,
+            evacuated=evacuations.in_force,
+            era=position.era,
+            kept=evacuations.kept,
         )
         if self.state == previous:
             return
-        if config is not None or evacuated != previous.evacuated:
-            self._log.write(
-                LineKind.CONFIG,
-                'config_in_force',
-                version=self.state.config.number if self.state.config else 0,
-                before=previous.config.number if previous.config else 0,
-                era=self.state.era,
-                offset=offset,
-                evacuated=','.join(sorted(evacuated)) or '-',
-                source=source,
-            )
+        if previous.is_known and position.era != previous.era:
+            self._log_restored(previous, source)
+        is_change = (
+            config is not None or previous.evacuated != self.state.evacuated
+        )
+        if is_change:
+            self._log_in_force(previous, source)
+        if is_change or previous.era != self.state.era:
             self._on_change(previous)
 
     def _newer_config(self, document: bytes) -> FleetConfig | None:
@@ -160,3 +219,58 @@
         if in_force is not None and config.number <= in_force.number:
             return None
         return config
+
+    def _log_ignored(
+        self, why: str, records: OperatorRecords, source: str
+    ) -> None:
+        self._log.write(
+            LineKind.STORE,
+            'snapshot_ignored',
+            why=why,
+            era=records.era,
+            era_before=self.state.era,
+            end=records.end,
+            offset=self.state.offset,
+            source=source,
+        )
+
+    def _log_restored(self, previous: FleetState, source: str) -> None:
+        self._log.write(
+            LineKind.STORE,
+            'store_restored',
+            era=self.state.era,
+            era_before=previous.era,
+            offset=self.state.offset,
+            offset_before=previous.offset,
+            version=self.state.version,
+            kept=_joined(self.state.kept),
+            source=source,
+        )
+
+    def _log_in_force(self, previous: FleetState, source: str) -> None:
+        self._log.write(
+            LineKind.CONFIG,
+            'config_in_force',
+            version=self.state.version,
+            before=previous.version,
+            era=self.state.era,
+            offset=self.state.offset,
+            evacuated=_joined(self.state.evacuated),
+            source=source,
+        )
+
+
+def _evacuated_in(
+    records: Iterable[OperatorRecord],
+) -> frozenset[FailureDomainId]:
+    """Return the domains that the newest records evacuate."""
+    return frozenset(
+        record.change.domain
+        for record in records
+        if isinstance(record.change, DomainEvacuated)
+        and record.change.is_evacuated
+    )
+
+
+def _joined(domains: frozenset[FailureDomainId]) -> str:
+    return ','.join(sorted(domains)) or '-'
--- a/src/rattanstile/process/mesh/peer_handler.py
+++ b/src/rattanstile/process/mesh/peer_handler.py
@@ -42,8 +42,6 @@
 from rattanstile.request.exchange import AnswerHead, Ending, ServiceUsage
 from rattanstile.request.ids import NodeId
 
-USAGE_REPORT_PERIOD_S = 0.2
-"""Minimum time between reports of the usage of a route to a peer."""
 USAGE_REPORT_PERIOD_S = 0.2
 """Minimum time between reports of the usage of a route to a peer."""
 INCARNATION_BITS = 48
@@ -112,16 +110,20 @@
 
     def hello(self) -> PeerHello:
         """Return the first message on a connection."""
+        notice = self._relay.notice()
         return PeerHello(
             node_id=self._context.node_id,
             address=self._address,
             service=self._serving.watch.service,
             domain=self._context.domain,
             incarnation=self._incarnation,
-            offset=self._context.state().offset,
+            offset=notice.offset,
             load=self._serving.load(),
-            reads=self._relay.reads,
+            reads=notice.reads,
             takes_parts=True,
+            era=notice.era,
+            version=notice.version,
+            kept=notice.kept,
         )
 
     def member(self) -> PeerMember:
@@ -178,7 +180,14 @@
             usable=hello.load.is_usable,
         )
         self._relay.notice_received(
-            hello.node_id, hello.offset, reads=hello.reads
+            link,
+            ConfigNotice(
+                hello.offset,
+                hello.reads,
+                hello.era,
+                hello.version,
+                hello.kept,
+            ),
         )
         self._entry.peers_changed()
 
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -20,7 +20,7 @@
     MAX_RETRY_DELAY_S,
     StoreRetry,
 )
-from rattanstile.request.ids import NO_ERA, StoreEra
+from rattanstile.request.ids import StoreEra
 
 LONG_POLL_S = 25.0
 """Long-poll timeout; below the longest wait that the store allows."""
@@ -75,7 +75,7 @@
         self._joining = joining
         self._log = log
         self._is_reported_readable = True
-        self._last_era = NO_ERA
+        self._has_position = False
         self._tasks: list[Deferred[None]] = []
 
     def start(self) -> None:
@@ -89,28 +89,49 @@
 
     async def _follow(self) -> None:
         await self._wait_for_copy()
-        has_offset = self._operator_state.state.offset > 0
+        self._has_position = self._operator_state.state.offset > 0
         delay_s = FIRST_RETRY_DELAY_S
         while self._retry.is_running:
-            if has_offset and not self._reader_role.is_reader():
+            if self._is_known and not self._reader_role.is_reader():
                 await self._retry.sleep(READER_CHECK_PERIOD_S)
                 continue
-            read = await self._read(has_offset=has_offset)
-            if isinstance(read, Err):
-                has_offset = self._read_failed(read.err_value) and has_offset
+            wait_s = await self._read_once()
+            if wait_s is None:
                 await self._retry.sleep(delay_s)
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
                 continue
-            self._read_succeeded(read.ok_value.era)
             delay_s = FIRST_RETRY_DELAY_S
-            if has_offset:
-                self._operator_state.apply_records(read.ok_value, 'store')
-                if read.ok_value.records:
-                    await self._retry.sleep(BATCH_DELAY_S)
-            else:
-                self._operator_state.apply_snapshot(read.ok_value, 'store')
-                await self._retry.sleep(READER_CHECK_PERIOD_S)
-            has_offset = True
+            if wait_s:
+                await self._retry.sleep(wait_s)
+
+    @property
+    def _is_known(self) -> bool:
+        """Return whether this node has the operators' state."""
+        return self._has_position or self._operator_state.state.offset > 0
+
+    async def _read_once(self) -> float | None:
+        """Read and apply records.
+
+        Returns:
+            Seconds until the next read; None after a read that gave nothing.
+        """
+        read = await self._read()
+        if isinstance(read, Err):
+            self._read_failed(read.err_value)
+            return None
+        self._read_succeeded()
+        records = read.ok_value
+        if self._has_position:
+            if self._operator_state.apply_records(records, 'store'):
+                return BATCH_DELAY_S if records.records else 0.0
+            # The offset belongs to another log. An older era is that of a late
+            # answer: a peer has told of the newer one.
+            self._has_position = records.era < self._operator_state.state.era
+            return None
+        self._has_position = True
+        if self._operator_state.apply_snapshot(records, 'store'):
+            return READER_CHECK_PERIOD_S
+        return None
 
     async def _wait_for_copy(self) -> None:
         """Wait for the state while other nodes of the domain read it.
@@ -125,29 +146,35 @@
                 return
             await self._retry.sleep(FIRST_RETRY_DELAY_S)
 
-    def _read(
-        self, *, has_offset: bool
-    ) -> Awaitable[Result[OperatorRecords, StoreError]]:
-        if has_offset:
+    def _read(self) -> Awaitable[Result[OperatorRecords, StoreError]]:
+        if self._has_position:
+            # A store that was away may be restored and end at this offset: its
+            # era is compared before a read that waits.
+            wait_s = LONG_POLL_S if self.is_reachable else 0.0
             return self._store.records_after(
-                self._operator_state.state.offset, LONG_POLL_S
+                self._operator_state.state.offset, wait_s
             )
         return self._store.newest_records()
 
-    def _read_failed(self, error: StoreError) -> bool:
-        """Record a failed read and return whether the offset is still valid."""
-        why = error.message
-        if isinstance(error, HistoryGoneError):
-            is_restored = self._record_era(error.era)
-            why = 'store_restored' if is_restored else 'history_gone'
+    def _read_failed(self, error: StoreError) -> None:
+        """Record a failed read; without records there, read the newest."""
+        is_gone = isinstance(error, HistoryGoneError)
         if self.is_reachable:
+            why = error.message
+            if isinstance(error, HistoryGoneError):
+                why = self._gone_reason(error.era)
             self._log.write(LineKind.STORE, 'store_lost', why=why)
         self.is_reachable = False
-        self._report_readable(can_read=False)
-        return not isinstance(error, HistoryGoneError)
+        self._has_position = self._has_position and not is_gone
+        if not is_gone:
+            self._report_readable(can_read=False)
+
+    def _gone_reason(self, era: StoreEra) -> str:
+        if era == self._operator_state.state.era:
+            return 'history_gone'
+        return 'store_restored'
 
-    def _read_succeeded(self, era: StoreEra) -> None:
-        self._record_era(era)
+    def _read_succeeded(self) -> None:
         if not self.is_reachable:
             self._log.write(
                 LineKind.STORE,
@@ -157,23 +184,6 @@
         self.is_reachable = True
         self._report_readable(can_read=True)
 
-    def _record_era(self, era: StoreEra) -> bool:
-        """Return whether the store was restored since its last answer."""
-        before = self._last_era
-        self._last_era = era
-        if before in {era, NO_ERA}:
-            return False
-        state = self._operator_state.state
-        self._log.write(
-            LineKind.STORE,
-            'store_restored',
-            era=era,
-            era_before=before,
-            offset_before=state.offset,
-            version=state.config.number if state.config else 0,
-        )
-        return True
-
     def _report_readable(self, *, can_read: bool) -> None:
         """Tell the other nodes, which rely on this one until they know."""
         if can_read != self._is_reported_readable:
--- a/src/rattanstile/version/fleet_config.py
+++ b/src/rattanstile/version/fleet_config.py
@@ -116,9 +116,21 @@
         return None
 
 
+@dataclass(frozen=True, order=True, slots=True)
+class LogPosition:
+    """Position in the operators' log.
+
+    A store that is restored from a copy assigns offsets again: those of a later
+    era are the newer ones.
+    """
+
+    era: StoreEra = NO_ERA
+    offset: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class FleetState:
-    """What operators have set, as of one offset in their log.
+    """What operators have set, as of one position in their log.
 
     Attributes:
         offset: Number of log records taken into account.
@@ -126,6 +138,8 @@
         document: The configuration as it was published, for relaying.
         evacuated: Failure domains that get no new work.
         era: Era of the store that the offset belongs to.
+        kept: Failure domains of which the log says the opposite since the
+            store was restored from a copy.
     """
 
     offset: int = 0
@@ -133,3 +147,19 @@
     document: bytes = b''
     evacuated: frozenset[FailureDomainId] = field(default_factory=frozenset)
     era: StoreEra = NO_ERA
+    kept: frozenset[FailureDomainId] = field(default_factory=frozenset)
+
+    @property
+    def position(self) -> LogPosition:
+        """Return the position up to which the log was taken into account."""
+        return LogPosition(self.era, self.offset)
+
+    @property
+    def version(self) -> int:
+        """Return the number of the configuration; 0 for none."""
+        return 0 if self.config is None else self.config.number
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether anything of the log was taken into account."""
+        return self.config is not None or self.offset > 0
