Members: entries lost with a restored store are stored again

What operators would see: after the store came back from a copy, a node that starts later finds only the members of the copy; and a node whose target had left, acknowledged, believes a health probe of that target after a restart.

Cause: an entry counted as stored for ever once it was acknowledged.

Change: a node remembers in which era its entry was acknowledged. When its state is of a later era, read or told by a peer, it stores the entry with the last departure again, within a second (longer in a fleet of more than 100 nodes: 100 a second), and reads the members once more, to find those that were lost with the copy.

--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -340,6 +340,7 @@
         self.rates.config_changed()
         self._relay.broadcast_notice()
         self.entry.peers_changed()
+        self._joining.era_seen(self._state().era)
 
     def _server_state(self, handler: RequestHandler) -> ServerState:
         return ServerState(
--- a/src/rattanstile/process/mesh/store_retry.py
+++ b/src/rattanstile/process/mesh/store_retry.py
@@ -41,6 +41,10 @@
         jitter = self._rng.uniform(MIN_JITTER, 1)
         await deferLater(self._clock, delay_s * jitter)
 
+    async def spread(self, max_s: float) -> None:
+        """Wait for a random part of a time in which all nodes call."""
+        await deferLater(self._clock, self._rng.uniform(0, max_s))
+
     async def until_ok(
         self, call: Callable[[], Awaitable[Result[_Value, StoreError]]]
     ) -> _Value | None:
