Store: pages of two eras are not joined

What callers could see: newest records read in pages while the store is restored from a copy mix two logs, with the end of the older one.

Change: a page of another era ends the read as unavailable; it is repeated.

--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -189,9 +189,13 @@
         return answer.map(lambda acknowledged: acknowledged.era)
 
     async def _read_newest(self, topic: str) -> Result[_AllNewest, StoreError]:
-        """Return all pages as one, with the `end` of the first page."""
+        """Return all pages as one, with the `end` of the first page.
+
+        Pages of different eras are of different logs, and an error.
+        """
         items: list[_Item] = []
         end: int | None = None
+        era: StoreEra | None = None
         after_query = ''
         while True:
             answer = await self._call(
@@ -199,6 +203,9 @@
             )
             if isinstance(answer, Err):
                 return answer
+            if era not in {None, answer.ok_value.era}:
+                return Err(StoreUnavailableError('restored between two pages'))
+            era = answer.ok_value.era
             decoded = _decode_response(_decode_newest, answer.ok_value, 0)
             if isinstance(decoded, Err):
                 return decoded
@@ -206,7 +213,7 @@
             items.extend(page.items)
             end = page.end if end is None else end
             if not page.has_more or not page.items:
-                return Ok(_AllNewest(tuple(items), end, answer.ok_value.era))
+                return Ok(_AllNewest(tuple(items), end, era))
             after_query = f'&after={quote(page.items[-1].key, safe="")}'
 
     async def _call(
