--- a/src/rattanstile/process/mesh/operator_state.py
+++ b/src/rattanstile/process/mesh/operator_state.py
@@ -147,8 +147,6 @@
 
     def _evacuations_of_snapshot(self, records: OperatorRecords) -> Evacuations:
         evacuated = _evacuated_in(records.records)
-        if not self.state.is_known:
-            return Evacuations(evacuated)
         if records.era == self.state.era:
             return self.evacuations.later_in_log(evacuated)
         # A record at an offset that this node had not read yet is no part of
--- a/tests/test_restored_store_nodes.py
+++ b/tests/test_restored_store_nodes.py
@@ -9,7 +9,7 @@
 """Four seconds, within which a change must be in force."""
 OUTAGE_S = 0.5
 MAX_CALLS = 15
-"""Store calls of three nodes within four seconds, from one second after a restore on."""
+"""Store calls of three nodes in four seconds, from a second after a restore."""
 NODES = 3
 
 
