Readers: the era is compared before each first read that waits

What callers could see: a node that begins to read the store again, after others of its domain had, waits at its offset for 25 s although the store was restored and ends there; a version that its peers don't tell it of is late.

Cause: the era was compared only after a failed read of this node.

Change: also when the node wasn't a reader in between.

Evidence: test_node_that_becomes_a_reader_again fails without it (version 12 instead of 13 after 2 s). test_records_already_applied_change_nothing is the missing test of records below the offset; it fails without that check.

--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -76,6 +76,7 @@
         self._log = log
         self._is_reported_readable = True
         self._has_position = False
+        self._is_era_compared = False
         self._tasks: list[Deferred[None]] = []
 
     def start(self) -> None:
@@ -93,6 +94,7 @@
         delay_s = FIRST_RETRY_DELAY_S
         while self._retry.is_running:
             if self._is_known and not self._reader_role.is_reader():
+                self._is_era_compared = False
                 await self._retry.sleep(READER_CHECK_PERIOD_S)
                 continue
             wait_s = await self._read_once()
@@ -148,9 +150,9 @@
 
     def _read(self) -> Awaitable[Result[OperatorRecords, StoreError]]:
         if self._has_position:
-            # A store that was away may be restored and end at this offset: its
-            # era is compared before a read that waits.
-            wait_s = LONG_POLL_S if self.is_reachable else 0.0
+            # The store may have been restored since the last answer, and end
+            # at this offset: its era is compared before a read that waits.
+            wait_s = LONG_POLL_S if self._is_era_compared else 0.0
             return self._store.records_after(
                 self._operator_state.state.offset, wait_s
             )
@@ -159,6 +161,7 @@
     def _read_failed(self, error: StoreError) -> None:
         """Record a failed read; without records there, read the newest."""
         is_gone = isinstance(error, HistoryGoneError)
+        self._is_era_compared = False
         if self.is_reachable:
             why = error.message
             if isinstance(error, HistoryGoneError):
@@ -182,6 +185,7 @@
                 offset=self._operator_state.state.offset,
             )
         self.is_reachable = True
+        self._is_era_compared = True
         self._report_readable(can_read=True)
 
     def _report_readable(self, *, can_read: bool) -> None:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -125,6 +125,13 @@
         self.assertFalse(self.apply_records(1, 9, (8, published(12))))
         self.assertEqual(self.operator_state.state.position, LogPosition(2, 3))
 
+    def test_records_already_applied_change_nothing(self):
+        """Two reads of the same records, the first one answered last."""
+        self.apply_records(1, 7, (6, WEST_EVACUATED))
+        self.apply_records(1, 8, (7, WEST_WITHDRAWN))
+        self.apply_records(1, 7, (6, WEST_EVACUATED))
+        self.assertEqual(self.evacuated, frozenset())
+
     def test_evacuation_that_the_copy_lacks_stays(self):
         """Until its record is written again and then withdrawn."""
         self.apply_records(1, 7, (6, WEST_EVACUATED))
@@ -405,8 +412,10 @@
         self.operator_state = OperatorState(
             decode, lambda before: None, self.log, self.clock.seconds
         )
+        self.is_reader = True
         role = SimpleNamespace(
-            is_reader=lambda: True, set_store_readable=lambda can_read: None
+            is_reader=lambda: self.is_reader,
+            set_store_readable=lambda can_read: None,
         )
         follower = StoreFollower(
             self.store,
@@ -445,6 +454,16 @@
         self.run_for(2)
         self.assertEqual(self.operator_state.state.version, 13)
 
+    def test_node_that_becomes_a_reader_again(self):
+        """The store was restored while others read; their word was lost."""
+        self.is_reader = False
+        self.store.log.append(published(12))
+        self.run_for(1)
+        self.restore(3, 13)
+        self.is_reader = True
+        self.run_for(2)
+        self.assertEqual(self.operator_state.state.version, 13)
+
     def test_version_before_the_known_offset_of_a_longer_log(self):
         """Read on, only the record behind it would have been seen."""
         self.restore(1, 13, 12, 12)
