Operators' documents: one without routes or services isn't a configuration

What callers would see: a record under the key of the configuration that has a version and nothing else is put in force, and every request gets 404; a route without a service, or with weights of 0 only, answers none of its requests.

Change: routes and services are required, a route needs a service and a weight, a prefix begins and ends at a slash.

Evidence: both tests of InvalidDocumentTest failed before ('not raised').

--- a/src/rattanstile/platform/operators.py
+++ b/src/rattanstile/platform/operators.py
@@ -82,8 +82,8 @@
     """A configuration."""
 
     version: int
-    routes: list[_Route] = []
-    services: list[_Service] = []
+    routes: list[_Route]
+    services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
     tenants: list[_Tenant] = []
 
@@ -98,7 +98,8 @@
 
     Raises:
         msgspec.MsgspecError: The document is not a valid configuration.
-        ValueError: A duration is invalid.
+        ValueError: A duration is invalid, or a route matches no request or
+            leads to no service.
     """
     config = _decoder.decode(document)
     routes: dict[str, dict[str, FleetRoute]] = {}
@@ -130,6 +131,7 @@
         )
     else:
         shares = (Share(ServiceName(route.service), 1),)
+    _check_route(route, shares)
     timeout_s = _parse_duration_s(route.timeout)
     return FleetRoute(
         name=route.name,
@@ -146,6 +148,16 @@
     )
 
 
+def _check_route(route: _Route, shares: tuple[Share, ...]) -> None:
+    prefix = route.path_prefix
+    if not (prefix.startswith('/') and prefix.endswith('/')):
+        raise ValueError(f'route {route.name}: invalid prefix {prefix}')
+    if not all(share.service and share.weight >= 0 for share in shares):
+        raise ValueError(f'route {route.name}: invalid service or weight')
+    if not any(share.weight for share in shares):
+        raise ValueError(f'route {route.name}: all weights are 0')
+
+
 def _service(service: _Service) -> FleetService:
     return FleetService(
         name=ServiceName(service.name),
--- a/tests/test_operator_documents.py
+++ b/tests/test_operator_documents.py
@@ -3,10 +3,20 @@
 import json
 import unittest
 
+import msgspec
 from platform_fleet import HOST, config_document
 
 from rattanstile.platform.operators import decode_fleet_config
 
+INVALID_ROUTES = (
+    {'service': ''},
+    {'trafficSplit': [{'service': '', 'weight': 1}]},
+    {'trafficSplit': [{'service': 'claims', 'weight': -1}]},
+    {'trafficSplit': [{'service': 'claims', 'weight': 0}]},
+    {'pathPrefix': '/claims'},
+    {'pathPrefix': 'claims/'},
+)
+
 
 def decoded_route(route_type):
     document = config_document()
@@ -28,3 +38,25 @@
         self.assertFalse(decoded_route('unsafe').idempotent)
         self.assertFalse(decoded_route('').idempotent)
         self.assertFalse(decoded_route('append').idempotent)
+
+
+class InvalidDocumentTest(unittest.TestCase):
+    """The configuration in force stays."""
+
+    def assert_invalid(self, document):
+        with self.assertRaises((msgspec.MsgspecError, ValueError)):
+            decode_fleet_config(json.dumps(document).encode())
+
+    def test_document_without_routes_or_services(self):
+        """It was put in force, and every request got 404."""
+        for field in ('routes', 'services'):
+            document = config_document()
+            del document[field]
+            self.assert_invalid(document)
+
+    def test_route_that_no_request_can_take(self):
+        """It goes to no service, or its prefix doesn't end at a slash."""
+        for changes in INVALID_ROUTES:
+            document = config_document()
+            document['routes'][0].update(changes)
+            self.assert_invalid(document)
