Members: a late acknowledgement of an older era changes nothing

What the store would see: one more append of an entry that is stored already.

Cause: the last acknowledgement decided, not the newest.

Evidence: test_late_acknowledgement_after_the_entry_is_stored_again failed before ('2 != 1').

--- a/src/rattanstile/process/mesh/fleet_join.py
+++ b/src/rattanstile/process/mesh/fleet_join.py
@@ -97,7 +97,7 @@
             lambda: self._store.announce(self._handlers.member())
         )
         if era is not None:
-            self._stored_era = era
+            self._stored_era = max(era, self._stored_era or NO_ERA)
 
     async def _join(self) -> None:
         if self._is_new_fleet:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -589,6 +589,19 @@
         self.run_for(3)
         self.assertIn('n3', self.store.by_id)
 
+    def test_late_acknowledgement_after_the_entry_is_stored_again(self):
+        """It was taken for the last one, and the entry stored once more."""
+        self.restore()
+        self.run_for(3)
+        self.store.announced_s.clear()
+        self.store.era = 1
+        Deferred.fromCoroutine(self.nodes[3].persist_member())
+        self.run_for(0.5)
+        self.store.era = 2
+        self.nodes[3].era_seen(2)
+        self.run_for(3)
+        self.assertEqual(len(self.store.announced_s), 1)
+
     def test_same_era_stores_nothing(self):
         """Each change of the configuration reports the era."""
         for node in self.nodes:
