--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -41,7 +41,7 @@
 def _gauges(node: 'MeshNode') -> Iterator[str]:
     now_s = node.timers.now_s()
     serving = node.serving
-    yield from _version_gauges(node, now_s)
+    yield from _operator_gauges(node, now_s)
     yield _line('requests_in_hand', node.entry.in_hand)
     yield _line('calls_waiting', serving.queue.waiting)
     yield _line('calls_in_flight', serving.queue.in_flight)
@@ -62,11 +62,13 @@
         )
 
 
-def _version_gauges(node: 'MeshNode', now_s: float) -> Iterator[str]:
+def _operator_gauges(node: 'MeshNode', now_s: float) -> Iterator[str]:
     state = node.context.state()
     yield _line('version_in_force', node.context.version)
     yield _line('version_age_seconds', now_s - state.origin.in_force_s)
     yield _line('operator_log_offset', state.offset)
+    yield _line('store_era', state.era)
+    yield _line('kept_evacuations', len(state.kept))
 
 
 def _histograms(node: 'MeshNode') -> Iterator[str]:
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -293,6 +293,7 @@
             state.check(now_s)
         self._target_pool.check(now_s)
         self.context.log.flush()
+        self._operator_state.check(now_s)
         self._relay.check(now_s)
         self._follower.check(now_s)
         self.peer_service.check(now_s)
@@ -338,8 +339,9 @@
     def _config_changed(self, previous: FleetState) -> None:
         self.serving.config_changed()
         self.rates.config_changed()
-        self._relay.broadcast_offset()
+        self._relay.broadcast_notice()
         self.entry.peers_changed()
+        self._joining.era_seen(self._state().era)
 
     def _server_state(self, handler: RequestHandler) -> ServerState:
         return ServerState(
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -12,7 +12,6 @@
 from rattanstile.process.mesh.ports import (
     FleetStore,
     HistoryGoneError,
-    OperatorRecords,
     StoreError,
 )
 from rattanstile.process.mesh.store_poll import (
@@ -26,6 +25,7 @@
     MAX_RETRY_DELAY_S,
     StoreRetry,
 )
+from rattanstile.request.ids import StoreEra
 
 BATCH_DELAY_S = 0.3
 """Delay after a change, so that a burst of changes takes few reads; a small
@@ -82,6 +82,8 @@
         self._log = log
         self._is_reported_readable = True
         self._poll = StorePoll(store)
+        self._has_position = False
+        self._is_era_compared = False
         self._tasks: list[Deferred[None]] = []
 
     def start(self) -> None:
@@ -101,36 +103,53 @@
 
     async def _follow(self) -> None:
         await self._wait_for_copy()
-        has_offset = self._operator_state.state.offset > 0
+        self._has_position = self._operator_state.state.offset > 0
         delay_s = FIRST_RETRY_DELAY_S
         while self._retry.is_running:
-            if has_offset and not self._reader_role.is_reader():
+            if self._is_known and not self._reader_role.is_reader():
+                self._is_era_compared = False
                 await self._retry.sleep(READER_CHECK_PERIOD_S)
                 continue
-            read = await self._read(has_offset=has_offset)
-            if read is None:
-                continue
-            if isinstance(read, Err):
-                has_offset = self._read_failed(read.err_value) and has_offset
+            wait_s = await self._read_once()
+            if wait_s is None:
                 await self._retry.sleep(delay_s)
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
                 continue
-            self._read_succeeded()
             delay_s = FIRST_RETRY_DELAY_S
-            await self._apply(read.ok_value, has_offset=has_offset)
-            has_offset = True
+            if wait_s:
+                await self._retry.sleep(wait_s)
 
-    async def _apply(
-        self, records: OperatorRecords, *, has_offset: bool
-    ) -> None:
-        """Apply what was read, and wait until the next read is due."""
-        if not has_offset:
-            self._operator_state.apply_snapshot(records, 'store')
-            await self._retry.sleep(READER_CHECK_PERIOD_S)
-            return
-        self._operator_state.apply_records(records, 'store')
-        if records.records:
-            await self._retry.sleep(BATCH_DELAY_S)
+    @property
+    def _is_known(self) -> bool:
+        """Return whether this node has the operators' state."""
+        return self._has_position or self._operator_state.state.offset > 0
+
+    async def _read_once(self) -> float | None:
+        """Read and apply records.
+
+        Returns:
+            Seconds until the next read; None after a read that gave nothing.
+        """
+        read = await self._read()
+        if read is None:
+            self._is_era_compared = False
+            return 0.0
+        if isinstance(read, Err):
+            self._read_failed(read.err_value)
+            return None
+        self._read_succeeded()
+        records = read.ok_value
+        if self._has_position:
+            if self._operator_state.apply_records(records, 'store'):
+                return BATCH_DELAY_S if records.records else 0.0
+            # The offset belongs to another log. An older era is that of a late
+            # answer: a peer has told of the newer one.
+            self._has_position = records.era < self._operator_state.state.era
+            return None
+        self._has_position = True
+        if self._operator_state.apply_snapshot(records, 'store'):
+            return READER_CHECK_PERIOD_S
+        return None
 
     async def _wait_for_copy(self) -> None:
         """Wait for the state while other nodes of the domain read it.
@@ -145,9 +164,9 @@
                 return
             await self._retry.sleep(FIRST_RETRY_DELAY_S)
 
-    def _read(self, *, has_offset: bool) -> Awaitable[PollResult | None]:
+    def _read(self) -> Awaitable[PollResult | None]:
         """Read what is new; the result is None if the read is given up."""
-        if has_offset:
+        if self._has_position:
             return self._poll.records_after(
                 self._operator_state.state.offset, self._wait_s()
             )
@@ -156,22 +175,34 @@
     def _wait_s(self) -> float:
         """Return how long the next read may wait for a record.
 
-        After a failure it doesn't wait, so that its answer shows at once that
-        the store is well again.
+        The store may have been restored since the last answer, and end at this
+        offset: its era is compared before a read that waits. The answer also
+        shows at once that a store is well again.
         """
-        if not self._is_reported_readable:
+        if not self._is_era_compared:
             return 0
         if self._reader_role.is_first_reader():
             return FIRST_READER_POLL_S
         return LONG_POLL_S
 
-    def _read_failed(self, error: StoreError) -> bool:
-        """Record a failed read and return whether the offset is still valid."""
+    def _read_failed(self, error: StoreError) -> None:
+        """Record a failed read; without records there, read the newest."""
+        is_gone = isinstance(error, HistoryGoneError)
+        self._is_era_compared = False
         if self.is_reachable:
-            self._log.write(LineKind.STORE, 'store_lost', why=error.message)
+            why = error.message
+            if isinstance(error, HistoryGoneError):
+                why = self._gone_reason(error.era)
+            self._log.write(LineKind.STORE, 'store_lost', why=why)
         self.is_reachable = False
-        self._report_readable(can_read=False)
-        return not isinstance(error, HistoryGoneError)
+        self._has_position = self._has_position and not is_gone
+        if not is_gone:
+            self._report_readable(can_read=False)
+
+    def _gone_reason(self, era: StoreEra) -> str:
+        if era == self._operator_state.state.era:
+            return 'history_gone'
+        return 'store_restored'
 
     def _read_succeeded(self) -> None:
         if not self.is_reachable:
@@ -181,6 +212,7 @@
                 offset=self._operator_state.state.offset,
             )
         self.is_reachable = True
+        self._is_era_compared = True
         self._report_readable(can_read=True)
 
     def _report_readable(self, *, can_read: bool) -> None:
--- a/src/rattanstile/version/fleet_config.py
+++ b/src/rattanstile/version/fleet_config.py
@@ -4,9 +4,11 @@
 from dataclasses import dataclass, field
 
 from rattanstile.request.ids import (
+    NO_ERA,
     FailureDomainId,
     OrganisationId,
     ServiceName,
+    StoreEra,
 )
 
 
@@ -119,6 +121,18 @@
         return None
 
 
+@dataclass(frozen=True, order=True, slots=True)
+class LogPosition:
+    """Position in the operators' log.
+
+    A store that is restored from a copy assigns offsets again: those of a later
+    era are the newer ones.
+    """
+
+    era: StoreEra = NO_ERA
+    offset: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigOrigin:
     """How the configuration in force came to a node, for its log.
@@ -136,7 +150,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetState:
-    """What operators have set, as of one offset in their log.
+    """What operators have set, as of one position in their log.
 
     Attributes:
         offset: Number of log records taken into account.
@@ -144,6 +158,9 @@
         document: The configuration as it was published, for relaying.
         evacuated: Failure domains that get no new work.
         origin: How the configuration came here.
+        era: Era of the store that the offset belongs to.
+        kept: Failure domains of which the log says the opposite since the
+            store was restored from a copy.
     """
 
     offset: int = 0
@@ -151,3 +168,20 @@
     document: bytes = b''
     evacuated: frozenset[FailureDomainId] = field(default_factory=frozenset)
     origin: ConfigOrigin = field(default_factory=ConfigOrigin, compare=False)
+    era: StoreEra = NO_ERA
+    kept: frozenset[FailureDomainId] = field(default_factory=frozenset)
+
+    @property
+    def position(self) -> LogPosition:
+        """Return the position up to which the log was taken into account."""
+        return LogPosition(self.era, self.offset)
+
+    @property
+    def version(self) -> int:
+        """Return the number of the configuration; 0 for none."""
+        return 0 if self.config is None else self.config.number
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether anything of the log was taken into account."""
+        return self.config is not None or self.offset > 0
