Readers: a late answer from an offset of the lost log is not applied

What callers could see: an evacuation or a version missing at a reader, for good: a read that had begun at an offset of the lost log is answered with records of the new one, after a peer has told the node of it; those in between are skipped.

Cause: the era of the answer was compared with that of the state when it came, not with that of the offset that was sent.

Evidence: test_late_answer_from_an_offset_of_the_lost_log failed before ('frozenset() != {'west'}').

--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -20,7 +20,7 @@
     MAX_RETRY_DELAY_S,
     StoreRetry,
 )
-from rattanstile.request.ids import StoreEra
+from rattanstile.request.ids import NO_ERA, StoreEra
 
 LONG_POLL_S = 25.0
 """Long-poll timeout; below the longest wait that the store allows."""
@@ -77,6 +77,7 @@
         self._is_reported_readable = True
         self._has_position = False
         self._is_era_compared = False
+        self._read_era = NO_ERA
         self._retry_delay_s = FIRST_RETRY_DELAY_S
         self._tasks: list[Deferred[None]] = []
 
@@ -121,7 +122,9 @@
         return self._back_off_s()
 
     def _apply_records(self, records: OperatorRecords) -> float:
-        if self._operator_state.apply_records(records, 'store'):
+        # A peer may have told of the next log while this read waited.
+        is_same_log = records.era == self._read_era
+        if is_same_log and self._operator_state.apply_records(records, 'store'):
             self._retry_delay_s = FIRST_RETRY_DELAY_S
             return BATCH_DELAY_S if records.records else 0.0
         if records.era < self._operator_state.state.era:
@@ -155,9 +158,9 @@
             # The store may have been restored since the last answer, and end
             # at this offset: its era is compared before a read that waits.
             wait_s = LONG_POLL_S if self._is_era_compared else 0.0
-            return self._store.records_after(
-                self._operator_state.state.offset, wait_s
-            )
+            state = self._operator_state.state
+            self._read_era = state.era
+            return self._store.records_after(state.offset, wait_s)
         return self._store.newest_records()
 
     def _read_failed(self, error: StoreError) -> float:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -369,6 +369,7 @@
     Attributes:
         reads: Offset and wait of each read; None for the newest records.
         is_away: Whether calls are refused; waiting reads end at once.
+        breaks_reads: Whether a restore ends the reads that wait.
     """
 
     def __init__(self, clock):
@@ -377,6 +378,7 @@
         self.log = [published(version) for version in (3, 7, 11)]
         self.reads = []
         self.is_away = False
+        self.breaks_reads = True
 
     async def newest_records(self):
         self.reads.append(None)
@@ -384,7 +386,11 @@
         if self.is_away:
             return Err(StoreUnavailableError('away'))
         end = len(self.log)
-        return Ok(records(self.era, end, (end - 1, self.log[-1])))
+        newest = {
+            getattr(change, 'domain', 'config'): (offset, change)
+            for offset, change in enumerate(self.log)
+        }
+        return Ok(records(self.era, end, *newest.values()))
 
     async def records_after(self, offset, wait_s):
         self.reads.append((offset, wait_s))
@@ -392,7 +398,8 @@
         until_s = self.clock.seconds() + wait_s
         await deferLater(self.clock, 0.01)
         while True:
-            if self.is_away or era != self.era:
+            is_broken = self.breaks_reads and era != self.era
+            if self.is_away or is_broken:
                 return Err(StoreUnavailableError('reset'))
             if offset > len(self.log):
                 return Err(HistoryGoneError('past the end', self.era))
@@ -475,11 +482,29 @@
     async def newest_of_longer_log(self):
         return Ok(records(2, 4, (1, published(13))))
 
+    def test_late_answer_from_an_offset_of_the_lost_log(self):
+        """A peer has told of the new log; records in between were skipped."""
+        self.store.breaks_reads = False
+        self.store.era = 2
+        self.store.log = [
+            published(3),
+            WEST_EVACUATED,
+            published(12),
+            published(13),
+        ]
+        copy = StateCopy(LogPosition(2, 1), b'11', Evacuations())
+        self.operator_state.apply_copy(copy, 'peer')
+        self.run_for(2)
+        self.assertEqual(self.operator_state.state.version, 13)
+        self.assertEqual(self.operator_state.state.evacuated, {'west'})
+
     def test_newest_records_are_read_soon_after_an_outage(self):
         """The delay of the last failed read, a second, came before them."""
         self.restore(1, 13)
         answered_s = None
-        while self.operator_state.state.version != 13:
+        for _ in range(60):
+            if self.operator_state.state.version == 13:
+                break
             self.run_for(0.05)
             if answered_s is None and self.store.reads:
                 answered_s = self.clock.seconds()
