--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -38,11 +38,9 @@
 COPY_TIMEOUT_S = 0.5
 """Time to wait for a requested copy before another request is sent; also after
 one that can't be unpacked."""
-
-_MS_PER_S = 1000
-
 REPLY_PERIOD_S = 0.5
 """Minimum time between reports to a node that lacks what was lost."""
+_MS_PER_S = 1000
 
 RelayMessage = ConfigNotice | ConfigRequest | ConfigResponse
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -570,25 +570,26 @@
         self.clock = Clock()
         self.store = MemberStore(self.clock)
         self.found = []
+        self.entries = {}
         self.nodes = [self.node(f'n{number}') for number in range(20)]
         self.run_for(2)
         self.store.announced_s.clear()
 
     def node(self, node_id):
-        self.member = PeerMember(node_id, f'{node_id}:1', 'registry', 'east')
-        member = self.member
+        self.entries[node_id] = PeerMember(
+            node_id, f'{node_id}:1', 'registry', 'east'
+        )
         joining = FleetJoin(
             self.store,
             StoreRetry(self.clock, Random(node_id)),
             JoinHandlers(
-                lambda: member if node_id != 'n0' else self.departed or member,
+                lambda: self.entries[node_id],
                 self.found.append,
                 lambda departure: None,
             ),
             RecordingLog(),
             is_new_fleet=False,
         )
-        self.departed = None
         Deferred.fromCoroutine(joining.join())
         return joining
 
@@ -615,7 +616,9 @@
 
     def test_departure_is_stored_again(self):
         """A later run of the node believes it."""
-        self.departed = PeerMember('n0', 'n0:1', 'registry', 'east', 'i-1', 10)
+        self.entries['n0'] = PeerMember(
+            'n0', 'n0:1', 'registry', 'east', 'i-1', 10
+        )
         self.restore()
         self.run_for(3)
         self.assertEqual(self.store.by_id['n0'].left, 'i-1')
