--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -12,6 +12,7 @@
 from rattanstile.process.mesh.ports import (
     FleetStore,
     HistoryGoneError,
+    OperatorRecords,
     StoreError,
 )
 from rattanstile.process.mesh.store_poll import (
@@ -25,7 +26,7 @@
     MAX_RETRY_DELAY_S,
     StoreRetry,
 )
-from rattanstile.request.ids import StoreEra
+from rattanstile.request.ids import NO_ERA, StoreEra
 
 BATCH_DELAY_S = 0.3
 """Delay after a change, so that a burst of changes takes few reads; a small
@@ -84,6 +85,8 @@
         self._poll = StorePoll(store)
         self._has_position = False
         self._is_era_compared = False
+        self._read_era = NO_ERA
+        self._retry_delay_s = FIRST_RETRY_DELAY_S
         self._tasks: list[Deferred[None]] = []
 
     def start(self) -> None:
@@ -104,18 +107,12 @@
     async def _follow(self) -> None:
         await self._wait_for_copy()
         self._has_position = self._operator_state.state.offset > 0
-        delay_s = FIRST_RETRY_DELAY_S
         while self._retry.is_running:
             if self._is_known and not self._reader_role.is_reader():
                 self._is_era_compared = False
                 await self._retry.sleep(READER_CHECK_PERIOD_S)
                 continue
             wait_s = await self._read_once()
-            if wait_s is None:
-                await self._retry.sleep(delay_s)
-                delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
-                continue
-            delay_s = FIRST_RETRY_DELAY_S
             if wait_s:
                 await self._retry.sleep(wait_s)
 
@@ -124,32 +121,41 @@
         """Return whether this node has the operators' state."""
         return self._has_position or self._operator_state.state.offset > 0
 
-    async def _read_once(self) -> float | None:
-        """Read and apply records.
-
-        Returns:
-            Seconds until the next read; None after a read that gave nothing.
-        """
+    async def _read_once(self) -> float:
+        """Read and apply records; return the seconds until the next read."""
         read = await self._read()
         if read is None:
             self._is_era_compared = False
             return 0.0
         if isinstance(read, Err):
-            self._read_failed(read.err_value)
-            return None
+            return self._read_failed(read.err_value)
         self._read_succeeded()
-        records = read.ok_value
         if self._has_position:
-            if self._operator_state.apply_records(records, 'store'):
-                return BATCH_DELAY_S if records.records else 0.0
-            # The offset belongs to another log. An older era is that of a late
-            # answer: a peer has told of the newer one.
-            self._has_position = records.era < self._operator_state.state.era
-            return None
+            return self._apply_records(read.ok_value)
         self._has_position = True
-        if self._operator_state.apply_snapshot(records, 'store'):
+        if self._operator_state.apply_snapshot(read.ok_value, 'store'):
+            self._retry_delay_s = FIRST_RETRY_DELAY_S
             return READER_CHECK_PERIOD_S
-        return None
+        return self._back_off_s()
+
+    def _apply_records(self, records: OperatorRecords) -> float:
+        # A peer may have told of the next log while this read waited.
+        is_same_log = records.era == self._read_era
+        if is_same_log and self._operator_state.apply_records(records, 'store'):
+            self._retry_delay_s = FIRST_RETRY_DELAY_S
+            return BATCH_DELAY_S if records.records else 0.0
+        if records.era < self._operator_state.state.era:
+            # A late answer: a peer has told of the newer era.
+            return self._back_off_s()
+        # The offset belongs to another log.
+        self._has_position = False
+        return FIRST_RETRY_DELAY_S
+
+    def _back_off_s(self) -> float:
+        """Return the delay after a read that gave nothing, and double it."""
+        delay_s = self._retry_delay_s
+        self._retry_delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
+        return delay_s
 
     async def _wait_for_copy(self) -> None:
         """Wait for the state while other nodes of the domain read it.
@@ -167,9 +173,9 @@
     def _read(self) -> Awaitable[PollResult | None]:
         """Read what is new; the result is None if the read is given up."""
         if self._has_position:
-            return self._poll.records_after(
-                self._operator_state.state.offset, self._wait_s()
-            )
+            state = self._operator_state.state
+            self._read_era = state.era
+            return self._poll.records_after(state.offset, self._wait_s())
         return self._store.newest_records()
 
     def _wait_s(self) -> float:
@@ -185,8 +191,12 @@
             return FIRST_READER_POLL_S
         return LONG_POLL_S
 
-    def _read_failed(self, error: StoreError) -> None:
-        """Record a failed read; without records there, read the newest."""
+    def _read_failed(self, error: StoreError) -> float:
+        """Record a failed read; without records there, read the newest.
+
+        Returns:
+            Seconds until the next read.
+        """
         is_gone = isinstance(error, HistoryGoneError)
         self._is_era_compared = False
         if self.is_reachable:
@@ -195,9 +205,11 @@
                 why = self._gone_reason(error.era)
             self._log.write(LineKind.STORE, 'store_lost', why=why)
         self.is_reachable = False
-        self._has_position = self._has_position and not is_gone
-        if not is_gone:
-            self._report_readable(can_read=False)
+        if is_gone:
+            self._has_position = False
+            return FIRST_RETRY_DELAY_S
+        self._report_readable(can_read=False)
+        return self._back_off_s()
 
     def _gone_reason(self, era: StoreEra) -> str:
         if era == self._operator_state.state.era:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -369,6 +369,7 @@
     Attributes:
         reads: Offset and wait of each read; None for the newest records.
         is_away: Whether calls are refused; waiting reads end at once.
+        breaks_reads: Whether a restore ends the reads that wait.
     """
 
     def __init__(self, clock):
@@ -377,6 +378,7 @@
         self.log = [published(version) for version in (3, 7, 11)]
         self.reads = []
         self.is_away = False
+        self.breaks_reads = True
 
     async def newest_records(self):
         self.reads.append(None)
@@ -384,7 +386,11 @@
         if self.is_away:
             return Err(StoreUnavailableError('away'))
         end = len(self.log)
-        return Ok(records(self.era, end, (end - 1, self.log[-1])))
+        newest = {
+            getattr(change, 'domain', 'config'): (offset, change)
+            for offset, change in enumerate(self.log)
+        }
+        return Ok(records(self.era, end, *newest.values()))
 
     async def records_after(self, offset, wait_s):
         self.reads.append((offset, wait_s))
@@ -392,7 +398,8 @@
         until_s = self.clock.seconds() + wait_s
         await deferLater(self.clock, 0.01)
         while True:
-            if self.is_away or era != self.era:
+            is_broken = self.breaks_reads and era != self.era
+            if self.is_away or is_broken:
                 return Err(StoreUnavailableError('reset'))
             if offset > len(self.log):
                 return Err(HistoryGoneError('past the end', self.era))
@@ -476,6 +483,45 @@
     async def newest_of_longer_log(self):
         return Ok(records(2, 4, (1, published(13))))
 
+    def test_late_answer_from_an_offset_of_the_lost_log(self):
+        """A peer has told of the new log; records in between were skipped."""
+        self.store.breaks_reads = False
+        self.store.era = 2
+        self.store.log = [
+            published(3),
+            WEST_EVACUATED,
+            published(12),
+            published(13),
+        ]
+        copy = StateCopy(LogPosition(2, 1), b'11', Evacuations())
+        self.operator_state.apply_copy(copy, 'peer')
+        self.run_for(2)
+        self.assertEqual(self.operator_state.state.version, 13)
+        self.assertEqual(self.operator_state.state.evacuated, {'west'})
+
+    def test_newest_records_are_read_soon_after_an_outage(self):
+        """The delay of the last failed read, a second, came before them."""
+        self.restore(1, 13)
+        answered_s = None
+        for _ in range(60):
+            if self.operator_state.state.version == 13:
+                break
+            self.run_for(0.05)
+            if answered_s is None and self.store.reads:
+                answered_s = self.clock.seconds()
+        self.assertLess(self.clock.seconds() - answered_s, 0.3)
+
+    def test_store_that_goes_back_without_an_era_is_read_rarely(self):
+        """Refused and ignored in turn, up to ten times a second."""
+        self.store.is_away = True
+        self.run_for(1)
+        del self.store.log[1:]
+        self.store.is_away = False
+        self.run_for(5)
+        self.store.reads.clear()
+        self.run_for(10)
+        self.assertLessEqual(len(self.store.reads), 20)
+
     def test_reads_after_a_restore_are_few(self):
         """308 calls of 14 nodes until the end of the day."""
         self.restore(1)
@@ -525,25 +571,26 @@
         self.clock = Clock()
         self.store = MemberStore(self.clock)
         self.found = []
+        self.entries = {}
         self.nodes = [self.node(f'n{number}') for number in range(20)]
         self.run_for(2)
         self.store.announced_s.clear()
 
     def node(self, node_id):
-        self.member = PeerMember(node_id, f'{node_id}:1', 'registry', 'east')
-        member = self.member
+        self.entries[node_id] = PeerMember(
+            node_id, f'{node_id}:1', 'registry', 'east'
+        )
         joining = FleetJoin(
             self.store,
             StoreRetry(self.clock, Random(node_id)),
             JoinHandlers(
-                lambda: member if node_id != 'n0' else self.departed or member,
+                lambda: self.entries[node_id],
                 self.found.append,
                 lambda departure: None,
             ),
             RecordingLog(),
             is_new_fleet=False,
         )
-        self.departed = None
         Deferred.fromCoroutine(joining.join())
         return joining
 
@@ -570,7 +617,9 @@
 
     def test_departure_is_stored_again(self):
         """A later run of the node believes it."""
-        self.departed = PeerMember('n0', 'n0:1', 'registry', 'east', 'i-1', 10)
+        self.entries['n0'] = PeerMember(
+            'n0', 'n0:1', 'registry', 'east', 'i-1', 10
+        )
         self.restore()
         self.run_for(3)
         self.assertEqual(self.store.by_id['n0'].left, 'i-1')
