Config relay: a peer that sent no copy is asked last

Change: the peer whose copy didn't come is passed over while another one that is ahead can be asked, also one of another failure domain. A copy from any peer clears this.

--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -81,6 +81,7 @@
         self._can_read = True
         self._peers_ahead: dict[NodeId, _PeerOffset] = {}
         self._copy_deadline_s = 0.0
+        self._unanswered_id: NodeId | None = None
 
     def broadcast_offset(self) -> None:
         """Report the log offset of this node and whether it reads.
@@ -151,15 +152,28 @@
         ]
         if not links:
             return
-        # Traffic within a failure domain costs little.
-        near = [
-            link for link in links if self._readers.is_neighbour(link.node_id)
-        ]
-        chosen = self._rng.choice(near or links)
+        chosen = self._choose_source(links)
         self._peers_ahead.pop(chosen.node_id)
+        self._unanswered_id = chosen.node_id
         self._copy_deadline_s = now_s + COPY_TIMEOUT_S
         chosen.send(ConfigRequest(self._operator_state.state.offset))
 
+    def _choose_source(self, links: list[PeerLink]) -> PeerLink:
+        """Return the peer to request a copy from.
+
+        Traffic within a failure domain costs little. A peer that is heard may
+        still not be reached: the one that sent no copy is asked last.
+        """
+        answering = [
+            link for link in links if link.node_id != self._unanswered_id
+        ]
+        near = [
+            link
+            for link in answering
+            if self._readers.is_neighbour(link.node_id)
+        ]
+        return self._rng.choice(near or answering or links)
+
     def message(self, link: PeerLink, message: RelayMessage) -> None:
         """Handle a message of another node."""
         match message:
@@ -178,6 +192,7 @@
             return
         if unpacker.eof:
             self._copy_deadline_s = 0
+            self._unanswered_id = None
             self._operator_state.apply_copy(
                 message.offset,
                 document,
