--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -219,15 +219,15 @@
     def test_peer_that_sends_no_copy_is_not_asked_again_at_once(self):
         """It is heard but not reached, e.g. over a link that is cut one way."""
         for now_s in (0.5, 1.1, 1.7):
-            self.relay.message(self.local_link, ConfigNotice(5))
-            self.relay.message(self.remote_link, ConfigNotice(5))
+            self.relay.message(self.local_link, ConfigNotice(5, version=2))
+            self.relay.message(self.remote_link, ConfigNotice(5, version=2))
             self.relay.check(now_s)
         self.assertEqual(self.requested_nodes, ['n2', 'n3', 'n2'])
 
     def test_only_peer_ahead_is_asked_again(self):
         """Its copy may have been lost with a connection."""
         for now_s in (0.5, 1.1):
-            self.relay.message(self.local_link, ConfigNotice(5))
+            self.relay.message(self.local_link, ConfigNotice(5, version=2))
             self.relay.check(now_s)
         self.assertEqual(self.requested_nodes, ['n2', 'n2'])
 
