Test: keys and routes added while the store doesn't answer the nodes

A 401 ends a request for good, though the node can't know whether its configuration is the newest.

Seen failing: '(401, 404) != (503, 503)', four seconds after the store last answered a node. The stand-in didn't hold back reads that wait while it is silent; now it does.

--- a/src/rattanstile/standin/platform_store.py
+++ b/src/rattanstile/standin/platform_store.py
@@ -97,8 +97,13 @@
         self._lost: dict[str, list[bytes]] = {}
 
     def put(self, topic: str, key: str, content: bytes) -> None:
-        """Append a record as operators do."""
+        """Append a record as operators do; they are served while it is silent.
+
+        A read that waits then gets no answer any more.
+        """
         encoded_key = key.encode()
+        if self.fault is StoreFault.SILENT:
+            self._topic(topic).waiting_reads.clear()
         self._topic(topic).append(
             [bytes((len(encoded_key),)) + encoded_key + content]
         )
