Refusals: 401 and 404 only by a node that knows the newest configuration

What callers saw: proper requests ended 401 or 404 for good, by nodes that had not heard of the operators' log for seconds: the key or route had been added meanwhile.

Cause: a final answer from a cached read whose age nobody knew. A node kept no time at which its configuration was known to be the newest, however long the store had been silent.

Change: each read of the store and each notice or copy of a node that is not behind confirms the state as of a time; its age travels along. A request that the configuration doesn't allow is refused as 401 or 404 only within 3 s of that, else 503 with Retry-After: nothing ran, come back. An answer that was read late, after a pause, counts as of the end of the wait. Metric state_confirmed_age_seconds, reason config_stale with confirmed_age_ms in the log.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -78,6 +78,7 @@
         era: See `ConfigNotice`.
         version: See `ConfigNotice`.
         kept: See `ConfigNotice`.
+        confirmed_ms: See `ConfigNotice`.
     """
 
     node_id: NodeId
@@ -92,6 +93,7 @@
     era: StoreEra = NO_ERA
     version: int = 0
     kept: tuple[FailureDomainId, ...] = ()
+    confirmed_ms: int | None = None
 
 
 class CallRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -167,6 +169,8 @@
         version: Number of the configuration in force; 0 for none. A node may
             know a newer one than the log has, after the store was restored.
         kept: See `rattanstile.version.fleet_config.FleetState`.
+        confirmed_ms: Time since this was known to be the newest; None if it
+            never was.
     """
 
     offset: int
@@ -174,6 +178,7 @@
     era: StoreEra = NO_ERA
     version: int = 0
     kept: tuple[FailureDomainId, ...] = ()
+    confirmed_ms: int | None = None
 
 
 class ConfigRequest(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -212,6 +217,7 @@
         era: See `ConfigNotice`.
         kept: Of which failure domains the log says the opposite.
         settled: Failure domains that were decided since the store was restored.
+        confirmed_ms: See `ConfigNotice`.
     """
 
     offset: int
@@ -220,6 +226,7 @@
     era: StoreEra = NO_ERA
     kept: tuple[KeptEvacuation, ...] = ()
     settled: tuple[FailureDomainId, ...] = ()
+    confirmed_ms: int | None = None
 
 
 class ServiceDigest(msgspec.Struct, frozen=True, array_like=True):
--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -23,6 +23,7 @@
 )
 from rattanstile.connection.peer_pool import PeerPool
 from rattanstile.process.mesh.evacuations import Evacuations
+from rattanstile.process.mesh.freshness import Freshness
 from rattanstile.process.mesh.operator_state import OperatorState, StateCopy
 from rattanstile.process.mesh.store_readers import StoreReaders
 from rattanstile.process.timers import TimerService
@@ -35,6 +36,8 @@
 """The fastest level; it still reduces a configuration to a tenth."""
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 """Many times a configuration of tens of thousands of routes."""
+ANSWER_TIME_S = 0.25
+"""Time that an answer of the store may take after its wait."""
 COPY_TIMEOUT_S = 0.5
 """Time to wait for a requested copy before another request is sent; also after
 one that can't be unpacked."""
@@ -69,6 +72,7 @@
         is_gateway: Returns whether this node connects its failure domain to
             the others, and relays between them.
         rng: Chooses among the nodes that can send a copy.
+        freshness: Told when the state of this node is the newest.
     """
 
     def __init__(
@@ -79,6 +83,7 @@
         readers: StoreReaders,
         is_gateway: Callable[[], bool],
         rng: Random,
+        freshness: Freshness | None = None,
     ) -> None:
         """Initialize with no node ahead."""
         self._operator_state = operator_state
@@ -87,7 +92,9 @@
         self._readers = readers
         self._is_gateway = is_gateway
         self._rng = rng
+        self._freshness = freshness or Freshness()
         self._can_read = True
+        self._answered_by_s = 0.0
         self._peers_ahead: dict[NodeId, _PeerAhead] = {}
         self._copy_deadline_s = 0.0
         self._reply_due_s: dict[NodeId, float] = {}
@@ -102,6 +109,7 @@
             state.era,
             state.version,
             tuple(sorted(state.kept)),
+            self._confirmed_ms(),
         )
 
     def broadcast_notice(self) -> None:
@@ -131,6 +139,18 @@
         self._can_read = can_read
         self._peers.broadcast(self.notice(), near_only=True)
 
+    def read_begins(self, wait_s: float) -> None:
+        """Record that a read of the store begins.
+
+        Its answer may be taken late, after the process was paused. It is no
+        newer than the end of the wait that the store is asked for.
+        """
+        self._answered_by_s = self._timers.now_s() + wait_s + ANSWER_TIME_S
+
+    def read_applied(self) -> None:
+        """Record that the state is the newest as of the read that began."""
+        self._freshness.confirm(min(self._timers.now_s(), self._answered_by_s))
+
     def notice_received(self, link: PeerLink, notice: ConfigNotice) -> None:
         """Record what a node has and whether it reads the store."""
         node_id = link.node_id
@@ -141,6 +161,8 @@
             self._reply(link)
         if not self._is_ahead(notice):
             self._peers_ahead.pop(node_id, None)
+            if notice.era == self._operator_state.state.era:
+                self._confirm(notice.confirmed_ms)
             return
         earlier = self._peers_ahead.get(node_id)
         since_s = self._timers.now_s() if earlier is None else earlier.since_s
@@ -154,6 +176,16 @@
             self.broadcast_notice()
         self._request_copy(now_s)
 
+    def _confirm(self, confirmed_ms: int | None) -> None:
+        """Take over when a node had the newest state that this one has too."""
+        if confirmed_ms is not None:
+            age_s = confirmed_ms / _MS_PER_S
+            self._freshness.confirm(self._timers.now_s() - age_s)
+
+    def _confirmed_ms(self) -> int | None:
+        age_s = self._freshness.age_s(self._timers.now_s())
+        return None if age_s is None else int(age_s * _MS_PER_S)
+
     def _reply(self, link: PeerLink) -> None:
         now_s = self._timers.now_s()
         if now_s >= self._reply_due_s.get(link.node_id, now_s):
@@ -226,6 +258,8 @@
                 StateCopy(position, document, evacuations),
                 f'peer:{link.node_id}',
             )
+            if position == self._operator_state.state.position:
+                self._confirm(message.confirmed_ms)
 
     def _decode_evacuations(self, message: ConfigResponse) -> Evacuations:
         now_s = self._timers.now_s()
@@ -260,6 +294,7 @@
                 state.era,
                 kept,
                 tuple(evacuations.settled),
+                self._confirmed_ms(),
             )
         )
 
--- a/src/rattanstile/process/mesh/context.py
+++ b/src/rattanstile/process/mesh/context.py
@@ -1,11 +1,12 @@
 """State that all components of one node share."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from rattanstile.process.decision_log import DecisionLog
 from rattanstile.process.mesh.counters import Counters
+from rattanstile.process.mesh.freshness import Freshness
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import FailureDomainId, NodeId
 from rattanstile.version.fleet_config import FleetState
@@ -23,6 +24,7 @@
         log: Receives a line for each decision.
         counters: Counts of events since the node started.
         rng: Source of all randomness.
+        freshness: Tells whether the operator state is the newest.
     """
 
     node_id: NodeId
@@ -32,6 +34,7 @@
     log: DecisionLog
     counters: Counters
     rng: Random
+    freshness: Freshness = field(default_factory=Freshness)
 
     @property
     def version(self) -> int:
--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -221,7 +221,14 @@
         refused: NotRun,
         on_end: EndingHandler,
     ) -> None:
-        """Refuse a request that the configuration in force doesn't allow."""
+        """Refuse a request that the configuration in force doesn't allow.
+
+        Unless that is known to be the newest, the caller is to come back.
+        """
+        now_s = self._context.timers.now_s()
+        invalid_by = ending_label(refused).name
+        if not self._context.freshness.is_fresh(now_s):
+            refused = NotRun(NotRunReason.CONFIG_STALE, NOT_READY_RETRY_S)
         name = ending_label(refused).name
         self._context.counters.outcomes[name] += 1
         self._context.counters.invalid[name] += 1
@@ -232,11 +239,8 @@
                 host=caller_request.host,
                 path=caller_request.path,
                 reason=name,
-                **invalid_request_fields(
-                    self._context.state(),
-                    caller_request,
-                    self._context.timers.now_s(),
-                ),
+                invalid_by=invalid_by,
+                **invalid_request_fields(self._context, caller_request, now_s),
             )
         on_end(refused)
 
--- /dev/null
+++ b/src/rattanstile/process/mesh/freshness.py
@@ -0,0 +1,34 @@
+"""How long ago a node's operator state was known to be the newest.
+
+Callers don't repeat a request after a refusal such as that of an unknown key.
+Only a node that can't have missed a newer version may say it: otherwise the
+key or route may just have been added.
+"""
+
+MAX_CONFIRMED_AGE_S = 3.0
+"""Longer than the first reader of a domain polls the store and reports it, one
+after the other."""
+
+
+class Freshness:
+    """The last time for which the store confirmed a node's operator state."""
+
+    def __init__(self) -> None:
+        """Start unconfirmed."""
+        self._confirmed_s: float | None = None
+
+    def confirm(self, as_of_s: float) -> None:
+        """Record that the state was the newest at a monotonic time."""
+        if self._confirmed_s is None or as_of_s > self._confirmed_s:
+            self._confirmed_s = as_of_s
+
+    def age_s(self, now_s: float) -> float | None:
+        """Return the seconds since the state was the newest; None if never."""
+        if self._confirmed_s is None:
+            return None
+        return max(0.0, now_s - self._confirmed_s)
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Return whether no newer state can have been in force for long."""
+        age_s = self.age_s(now_s)
+        return age_s is not None and age_s <= MAX_CONFIRMED_AGE_S
--- a/src/rattanstile/process/mesh/invalid_request.py
+++ b/src/rattanstile/process/mesh/invalid_request.py
@@ -2,8 +2,8 @@
 
 from hashlib import blake2b
 
+from rattanstile.process.mesh.context import NodeContext
 from rattanstile.request.exchange import IncomingRequest
-from rattanstile.version.fleet_config import FleetState
 
 MS_PER_S = 1000
 KEY_DIGEST_BYTES = 4
@@ -11,15 +11,16 @@
 
 
 def invalid_request_fields(
-    state: FleetState, caller_request: IncomingRequest, now_s: float
+    context: NodeContext, caller_request: IncomingRequest, now_s: float
 ) -> dict[str, object]:
     """Return the state that decided, without the key itself.
 
     Args:
-        state: The operator state by which the request was refused.
+        context: The node whose operator state refused the request.
         caller_request: The refused request.
         now_s: Monotonic seconds.
     """
+    state = context.state()
     config = state.config
     if config is None:
         return {}
@@ -30,6 +31,7 @@
         'key_digest': _key_digest(caller_request.key),
         'version': config.number,
         'version_age_ms': int((now_s - state.origin.in_force_s) * MS_PER_S),
+        'confirmed_age_ms': _age_ms(context.freshness.age_s(now_s)),
         'source': state.origin.source,
         'offset': state.offset,
         'routes': config.route_count,
@@ -38,6 +40,10 @@
     }
 
 
+def _age_ms(age_s: float | None) -> int | str:
+    return '-' if age_s is None else int(age_s * MS_PER_S)
+
+
 def _key_digest(key: str | None) -> str:
     """Return a short digest by which equal keys are recognized."""
     if key is None:
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -66,6 +66,9 @@
     state = node.context.state()
     yield _line('version_in_force', node.context.version)
     yield _line('version_age_seconds', now_s - state.origin.in_force_s)
+    confirmed_s = node.context.freshness.age_s(now_s)
+    if confirmed_s is not None:
+        yield _line('state_confirmed_age_seconds', confirmed_s)
     yield _line('operator_log_offset', state.offset)
     yield _line('store_era', state.era)
     yield _line('kept_evacuations', len(state.kept))
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -180,6 +180,7 @@
             readers,
             lambda: self.links.is_gateway,
             context.rng,
+            context.freshness,
         )
         self.peer_service.attach(
             self.peers,
--- a/src/rattanstile/process/mesh/peer_handler.py
+++ b/src/rattanstile/process/mesh/peer_handler.py
@@ -124,6 +124,7 @@
             era=notice.era,
             version=notice.version,
             kept=notice.kept,
+            confirmed_ms=notice.confirmed_ms,
         )
 
     def member(self) -> PeerMember:
@@ -187,6 +188,7 @@
                 hello.era,
                 hello.version,
                 hello.kept,
+                hello.confirmed_ms,
             ),
         )
         self._entry.peers_changed()
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -51,6 +51,12 @@
     def set_store_readable(self, *, can_read: bool) -> None:
         """Record whether the store answers this node."""
 
+    def read_begins(self, wait_s: float) -> None:
+        """Record that a read begins, which may wait that many seconds."""
+
+    def read_applied(self) -> None:
+        """Record that the state is as new as the answer to that read."""
+
 
 class StoreFollower:
     """Keeps this node up to date with the store.
@@ -134,6 +140,7 @@
             return self._apply_records(read.ok_value)
         self._has_position = True
         if self._operator_state.apply_snapshot(read.ok_value, 'store'):
+            self._reader_role.read_applied()
             self._retry_delay_s = FIRST_RETRY_DELAY_S
             return READER_CHECK_PERIOD_S
         return self._back_off_s()
@@ -142,6 +149,7 @@
         # A peer may have told of the next log while this read waited.
         is_same_log = records.era == self._read_era
         if is_same_log and self._operator_state.apply_records(records, 'store'):
+            self._reader_role.read_applied()
             self._retry_delay_s = FIRST_RETRY_DELAY_S
             return BATCH_DELAY_S if records.records else 0.0
         if records.era < self._operator_state.state.era:
@@ -175,7 +183,10 @@
         if self._has_position:
             state = self._operator_state.state
             self._read_era = state.era
-            return self._poll.records_after(state.offset, self._wait_s())
+            wait_s = self._wait_s()
+            self._reader_role.read_begins(wait_s)
+            return self._poll.records_after(state.offset, wait_s)
+        self._reader_role.read_begins(0)
         return self._store.newest_records()
 
     def _wait_s(self) -> float:
--- a/src/rattanstile/request/exchange.py
+++ b/src/rattanstile/request/exchange.py
@@ -34,6 +34,7 @@
     DEADLINE = 15
     CANCELLED = 16
     PEER_UNREACHED = 17
+    CONFIG_STALE = 18
 
     @property
     def is_overload(self) -> bool:
--- a/tests/mesh_samples.py
+++ b/tests/mesh_samples.py
@@ -102,6 +102,7 @@
         counters=Counters(),
         rng=Random(1),
     )
+    node_context.freshness.confirm(float('inf'))
     return node_context, clock, state_holder
 
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -424,6 +424,8 @@
             is_reader=lambda: self.is_reader,
             is_first_reader=lambda: False,
             set_store_readable=lambda can_read: None,
+            read_begins=lambda wait_s: None,
+            read_applied=lambda: None,
         )
         follower = StoreFollower(
             self.store,
