Refusals: 413 and 431 only by a node that knows the newest limits

What callers would see: while the store is silent operators raise a limit, and a request that the new one allows is refused as 413 or 431 by a node that hasn't heard of it. Callers don't repeat a request after these. Seen in a test only.

Cause: the limits are of the same cached configuration as routes and keys, of unknown age; only 401 and 404 asked for its age.

Change: unless the configuration is known to be the newest, 503 with Retry-After.

Evidence: the new test failed with 'HTTP/1.1 503 not found in HTTP/1.1 413 Request Entity Too Large' and passes. The set-up of its class is split in two for it; no check is changed.

--- a/src/rattanstile/process/mesh/caller_service.py
+++ b/src/rattanstile/process/mesh/caller_service.py
@@ -83,12 +83,17 @@
     def _refusal(self, invalid: InvalidRequest) -> NotRun:
         """Return what the caller is told.
 
-        Before the first version the limits that operators set are unknown.
+        Before the first version the limits that operators set are unknown; a
+        version that this node hasn't heard of may have raised them.
         """
-        has_limits = self._context.state().config is not None
-        if has_limits or invalid.ending.reason not in _LIMITS:
+        if invalid.ending.reason not in _LIMITS:
             return invalid.ending
-        return NotRun(NotRunReason.NOT_READY, NOT_READY_RETRY_S)
+        context = self._context
+        if context.state().config is None:
+            return NotRun(NotRunReason.NOT_READY, NOT_READY_RETRY_S)
+        if not context.freshness.is_fresh(context.timers.now_s()):
+            return NotRun(NotRunReason.CONFIG_STALE, NOT_READY_RETRY_S)
+        return invalid.ending
 
     def _log_invalid(
         self,
--- a/tests/test_invalid_requests.py
+++ b/tests/test_invalid_requests.py
@@ -1,6 +1,7 @@
 """Refusals that no retry can change: what the log and counters say of them."""
 
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 from mesh_samples import caller_request, config, context, organisation, route
@@ -13,6 +14,7 @@
 from rattanstile.platform.callers import PlatformCallerCodec
 from rattanstile.process.mesh.caller_service import CallerService
 from rattanstile.process.mesh.entry_handler import EntryHandler
+from rattanstile.process.mesh.freshness import Freshness
 from rattanstile.version.fleet_config import (
     CallerLimits,
     ConfigOrigin,
@@ -84,7 +86,10 @@
         self.context, self.clock, self.holder = context(
             FleetState(config=config(7))
         )
-        service = CallerService(PlatformCallerCodec(), None, self.context)
+        self.connect(self.context)
+
+    def connect(self, node_context):
+        service = CallerService(PlatformCallerCodec(), None, node_context)
         state = ServerState(
             service, lambda: CallerLimits(body_bytes=10), self.clock.seconds
         )
@@ -123,6 +128,14 @@
         self.assertIn(b'request-id: r-1\r\n', written)
         self.assertIn(b'retry-after: ', written)
 
+    def test_limits_of_a_version_of_unknown_age_do_not_count(self):
+        """A newer version may have raised them."""
+        self.connect(replace(self.context, freshness=Freshness()))
+        self.refused_fields(HEAD, b'content-length: 11\r\n\r\n')
+        written = self.connection.transport.take()
+        self.assertIn(b'HTTP/1.1 503 ', written)
+        self.assertIn(b'retry-after: ', written)
+
     def test_limits_of_the_version_in_force_count(self):
         """A retry can't change this one."""
         self.refused_fields(HEAD, b'content-length: 11\r\n\r\n')
