Refusals: not final while a peer reports a newer version

What callers would see: 401 or 404 for good for a key or route that is in force at other nodes. After the store was restored from a copy, a node that started late reads the older version there and each read confirms it as the newest, although its peers report the newer one: until it has their copy. A node that can't decode the newer version does so without end.

Cause: a confirmation is relative to the store, which may have lost versions. That a peer has reported a newer one wasn't kept.

Change: the largest version reported is kept; a node with an older one answers 503 with Retry-After. The line of a refusal has it as newest_version.

--- a/src/rattanstile/process/mesh/caller_service.py
+++ b/src/rattanstile/process/mesh/caller_service.py
@@ -91,7 +91,7 @@
         context = self._context
         if context.state().config is None:
             return NotRun(NotRunReason.NOT_READY, NOT_READY_RETRY_S)
-        if not context.freshness.is_fresh(context.timers.now_s()):
+        if not context.knows_newest(context.timers.now_s()):
             return NotRun(NotRunReason.CONFIG_STALE, NOT_READY_RETRY_S)
         return invalid.ending
 
--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -157,6 +157,7 @@
         self._readers.record_notice(
             self._timers.now_s(), node_id, reads=notice.reads
         )
+        self._freshness.version_reported(notice.version)
         if _lacks_what_was_lost(notice, self._operator_state.state):
             self._reply(link)
         if not self._is_ahead(notice):
--- a/src/rattanstile/process/mesh/context.py
+++ b/src/rattanstile/process/mesh/context.py
@@ -41,3 +41,13 @@
         """Return the number of the configuration in force; 0 for none."""
         config = self.state().config
         return 0 if config is None else config.number
+
+    def knows_newest(self, now_s: float) -> bool:
+        """Return whether no newer configuration can be in force for long.
+
+        Args:
+            now_s: Monotonic seconds.
+        """
+        if self.version < self.freshness.newest_version:
+            return False
+        return self.freshness.is_fresh(now_s)
--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -227,7 +227,7 @@
         """
         now_s = self._context.timers.now_s()
         invalid_by = ending_label(refused).name
-        if not self._context.freshness.is_fresh(now_s):
+        if not self._context.knows_newest(now_s):
             refused = NotRun(NotRunReason.CONFIG_STALE, NOT_READY_RETRY_S)
         name = ending_label(refused).name
         self._context.counters.outcomes[name] += 1
--- a/src/rattanstile/process/mesh/freshness.py
+++ b/src/rattanstile/process/mesh/freshness.py
@@ -11,10 +11,16 @@
 
 
 class Freshness:
-    """The last time for which the store confirmed a node's operator state."""
+    """The last time for which the store confirmed a node's operator state.
+
+    Attributes:
+        newest_version: Largest number of a configuration that a peer has
+            reported; a store restored from a copy may confirm an older one.
+    """
 
     def __init__(self) -> None:
         """Start unconfirmed."""
+        self.newest_version = 0
         self._confirmed_s: float | None = None
 
     def confirm(self, as_of_s: float) -> None:
@@ -22,6 +28,10 @@
         if self._confirmed_s is None or as_of_s > self._confirmed_s:
             self._confirmed_s = as_of_s
 
+    def version_reported(self, version: int) -> None:
+        """Record the number of the configuration of a peer."""
+        self.newest_version = max(self.newest_version, version)
+
     def age_s(self, now_s: float) -> float | None:
         """Return the seconds since the state was the newest; None if never."""
         if self._confirmed_s is None:
--- a/src/rattanstile/process/mesh/invalid_request.py
+++ b/src/rattanstile/process/mesh/invalid_request.py
@@ -30,6 +30,7 @@
         'organisation': organisation.name if organisation else '-',
         'key_digest': _key_digest(caller_request.key),
         'version': config.number,
+        'newest_version': max(config.number, context.freshness.newest_version),
         'version_age_ms': int((now_s - state.origin.in_force_s) * MS_PER_S),
         'confirmed_age_ms': _age_ms(context.freshness.age_s(now_s)),
         'source': state.origin.source,
--- a/tests/test_freshness_of_state.py
+++ b/tests/test_freshness_of_state.py
@@ -1,10 +1,11 @@
 """When a node may refuse a request as wrong."""
 
 import unittest
+from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
 
-from mesh_samples import RecordingLog
+from mesh_samples import RecordingLog, context
 from twisted.internet.task import Clock
 
 from rattanstile.connection.peer_messages import ConfigNotice
@@ -50,9 +51,9 @@
     def age_s(self):
         return self.freshness.age_s(self.clock.seconds())
 
-    def hear(self, offset, confirmed_ms, era=1):
+    def hear(self, offset, confirmed_ms, era=1, version=0):
         link = SimpleNamespace(node_id='n2', send=lambda message: None)
-        notice = ConfigNotice(offset, True, era, 0, (), confirmed_ms)
+        notice = ConfigNotice(offset, True, era, version, (), confirmed_ms)
         self.relay.message(link, notice)
 
     def test_node_that_never_heard_is_not_fresh(self):
@@ -83,6 +84,16 @@
         self.hear(4, None)
         self.assertIsNone(self.age_s())
 
+    def test_newer_version_of_a_peer_outweighs_the_store(self):
+        """A store restored from a copy confirms what lacks the new key."""
+        node_context, _, _ = context(clock=self.clock)
+        node_context = replace(node_context, freshness=self.freshness)
+        self.relay.read_begins(0)
+        self.relay.read_applied()
+        self.assertTrue(node_context.knows_newest(AT_S))
+        self.hear(4, 0, version=7)
+        self.assertFalse(node_context.knows_newest(AT_S))
+
     def test_older_confirmation_changes_nothing(self):
         """Notices of several peers arrive in any order."""
         self.hear(4, 500)
