HTTP client: close a connection on which another head has begun

Callers would see a success with the body of a failure (MIXED): a target sends, behind a complete answer, the start of one more head, "HTTP/1.1 200 OK" and part of a header. The connection was used again, the parser took the status from the begun head and the rest from the next answer.

Cause: only finished headers and a complete head counted as bytes behind an answer; the parser holds the rest itself.

Change: on_message_begin records the first byte of a head. Bytes that arrive after the next request has been written still can't be told from its answer.

Evidence, without the change: 32 starts of 33 of a head left the connection in use ("True is not false"), and b'fail', the body of a 500, was delivered with another status ("b'fail' unexpectedly found in [b'ok', b'fail']"). With it test_http_client passes (20 tests).

--- a/src/rattanstile/connection/http_client.py
+++ b/src/rattanstile/connection/http_client.py
@@ -227,6 +227,10 @@
 
     # Callbacks of httptools
 
+    def on_message_begin(self) -> None:
+        """Record the first byte of a head; the parser keeps the rest of it."""
+        self._has_begun = True
+
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store a header."""
         self._headers.append((name.lower(), content))
@@ -334,12 +338,12 @@
                 self.abort()
             return
         self._completed = None
-        is_between_responses = not (self._headers or self._status)
+        # The rest of a begun head would be read from the next response.
         keeps_alive = (
             response.keeps_alive
             and not self._is_unusable
             and not self._has_other_response
-            and is_between_responses
+            and not self._has_begun
         )
         self._is_unusable = not keeps_alive
         self._record_keep_alive(response)
@@ -362,6 +366,7 @@
             on_end(result)
 
     def _reset_response(self) -> None:
+        self._has_begun = False
         self._status = 0
         self._phrase = b''
         self._headers: list[RawHeader] = []
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -21,6 +21,9 @@
     b'HTTP/1.1 503 Full\r\nrequest-id: a\r\nnot-executed: 1\r\n'
     b'content-length: 0\r\n\r\n'
 )
+FAILURE = (
+    b'HTTP/1.1 500 Error\r\nrequest-id: a\r\ncontent-length: 4\r\n\r\nfail'
+)
 NAMELESS = b'HTTP/1.1 503 Full\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n'
 LATE_WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\nrequest-id: z\r\n\r\nsome'
 
@@ -87,6 +90,25 @@
         self.assertEqual(self.results[0].body, b'ok')
         self.assertFalse(self.results[0].keeps_alive)
 
+    def test_start_of_another_head_prevents_reuse_of_the_connection(self):
+        """Only its finished headers were seen; the parser kept the rest."""
+        head = LATE.partition(b'\r\n\r\n')[0]
+        for end in range(1, len(head)):
+            with self.subTest(begun=head[:end]):
+                self.setUp()
+                self.connection.dataReceived(MATCHING + head[:end])
+                self.assertEqual(self.results[0].body, b'ok')
+                self.assertFalse(self.results[0].keeps_alive)
+                self.assertFalse(self.connection.is_usable)
+
+    def test_failure_does_not_get_the_status_of_a_begun_head(self):
+        """It ended the line, and all of the failure's head but its status."""
+        self.connection.dataReceived(MATCHING + b'HTTP/1.1 200 OK\r\nx: ')
+        if self.connection.is_usable:
+            self.send_again()
+            self.connection.dataReceived(FAILURE)
+        self.assertNotIn(b'fail', [each.body for each in self.results])
+
     def test_invalid_bytes_end_the_exchange(self):
         """The failure is SPOILED."""
         self.connection.dataReceived(b'rubbish\r\n\r\n')
