HTTP server: close a connection behind an answer that is read slowly

Callers that wait for the close announced by "Connection: close" would have waited 30 s behind an answer that their kernel did not take at once; a request sent on such a connection was never read. Seen in the stand-in of a target: after 300 kB with a close, the next call on the connection ended 504 at the timeout of its route (2.0 s), in 6 of 6 cases.

Cause: with a paused producer, Twisted asks it for more data when all is sent, and does not close.

Change: the producer is unregistered before the connection is to close.

Evidence, without the change: "AssertionError: None is not ConnectionDone('Connection done')". With it test_http_server passes (4 tests), over a real socket. tests/transports.py got the method that is called.

--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -197,7 +197,7 @@
         write_now(self.transport, encoded)
         if closes or not self._keeps_alive:
             self._is_closing = True
-            self.transport.loseConnection()  # type: ignore[union-attr]
+            self._close_when_sent()
         else:
             self._start_next()
 
@@ -220,6 +220,15 @@
         """Return whether a request is being answered or is queued."""
         return self._is_busy or bool(self._pending_requests)
 
+    def _close_when_sent(self) -> None:
+        """Close the connection when the buffered data has been sent.
+
+        With a paused producer, Twisted asks for more data instead.
+        """
+        transport: Any = self.transport
+        transport.unregisterProducer()
+        transport.loseConnection()
+
     def abort(self) -> None:
         """Close the connection at once, without sending buffered data."""
         self.transport.abortConnection()  # type: ignore[union-attr]
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,8 +1,12 @@
-"""Connections of callers: bytes that never become a request."""
+"""Connections of callers: bytes that never become a request, and closing."""
 
+import socket
 import unittest
+from types import SimpleNamespace
 
 from transports import FakeTcpTransport
+from twisted.internet.main import CONNECTION_DONE
+from twisted.internet.tcp import Connection
 
 from rattanstile.connection.http_server import (
     BadRequest,
@@ -12,6 +16,7 @@
 from rattanstile.version.fleet_config import CallerLimits
 
 MAX_FED_BYTES = 4_000_000
+LARGE_BYTES = 16_000_000
 CHUNKED = (
     b'POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
     b'2\r\nok\r\n'
@@ -67,3 +72,41 @@
             self.connection.dataReceived(request)
             self.connection.respond(b'HTTP/1.1 204 No Content\r\n\r\n')
         self.assertEqual(len(self.handler.received), 20)
+
+
+class CloseTest(unittest.TestCase):
+    """A connection over a real socket that closes after its response."""
+
+    def setUp(self):
+        self.writers = set()
+        ignore = lambda *_: None  # noqa: E731
+        reactor = SimpleNamespace(
+            addReader=ignore,
+            removeReader=ignore,
+            addWriter=self.writers.add,
+            removeWriter=self.writers.discard,
+        )
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.caller = socket.create_connection(listener.getsockname())
+        server, _ = listener.accept()
+        for opened in (listener, server, self.caller):
+            self.addCleanup(opened.close)
+        state = ServerState(Handler(), CallerLimits, lambda: 0.0)
+        self.connection = HttpServerConnection(state)
+        server.setblocking(False)
+        self.transport = Connection(server, self.connection, reactor)
+        self.transport.connected = True
+        self.connection.makeConnection(self.transport)
+
+    def test_connection_closes_behind_a_response_that_is_read_slowly(self):
+        """It stayed open and unread until the timeout of slow callers."""
+        self.connection.dataReceived(b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n')
+        self.connection.respond(b'x' * LARGE_BYTES, closes=True)
+        self.assertEqual(self.writers, {self.transport})
+        received_bytes = 0
+        ends = []
+        while received_bytes < LARGE_BYTES:
+            received_bytes += len(self.caller.recv(1 << 20))
+            if self.writers:
+                ends.append(self.transport.doWrite())
+        self.assertIs(ends[-1], CONNECTION_DONE)
--- a/tests/transports.py
+++ b/tests/transports.py
@@ -49,6 +49,9 @@
     def registerProducer(self, producer, streaming):  # noqa: N802
         """Do nothing."""
 
+    def unregisterProducer(self):  # noqa: N802
+        """Do nothing."""
+
     def setTcpNoDelay(self, enabled):  # noqa: N802
         """Do nothing."""
 
