Tests: responses that are cut at every byte

Report of another operator: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. Not found here: a head counts only with its blank line, and a body without length only after a head and a clean close.

--- a/src/rattanstile/standin/platform_target.py
+++ b/src/rattanstile/standin/platform_target.py
@@ -188,6 +188,8 @@
     ) -> None:
         if 'child' in query:
             self._call_child(connection, request, query['child'])
+        elif 'cut' in query:
+            self._answer_cut(connection, request, query)
         elif 'bytes' in query:
             self._answer(connection, request, b'x' * int(query['bytes']))
         else:
@@ -234,6 +236,23 @@
             body = b'whole %s' % request.body
         self._respond(connection, 200, _signed_headers(request), body)
 
+    def _answer_cut(
+        self,
+        connection: HttpServerConnection,
+        request: HttpRequest,
+        query: dict[str, str],
+    ) -> None:
+        """Write the first bytes of an answer and close the connection."""
+        body = b'x' * int(query.get('bytes', '5'))
+        length_bytes: int | None = len(body)
+        written_body = body
+        if query.get('framing') == 'chunked':
+            length_bytes = None
+            written_body = encode_chunk(body) + encode_chunk(b'')
+        head = encode_response_head(200, _signed_headers(request), length_bytes)
+        written = (head + written_body)[: int(query['cut'])]
+        connection.respond(written, closes=True)
+
     def _write_without_end(
         self, connection: HttpServerConnection, request: HttpRequest
     ) -> None:
