Drain: answer the requests in progress before the process ends

Report of another operator: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end.

A request that waited for a target or a token was cut though it had not run.

Change: at the end of the drain, what was sent ends as unknown (502, outcome=unknown_shutdown), what was not is refused (503: true).

--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -397,13 +397,26 @@
         if self._held:
             self.check(self._context.timers.now_s())
 
+    def end_all(self) -> None:
+        """End all requests, because the process ends before them."""
+        refusal = NotRun(NotRunReason.NOT_READY, NOT_READY_RETRY_S)
+        for _, _, call in tuple(self._deadlines):
+            if call.phase is not Phase.ENDED:
+                self._end_unfinished(call, UnknownReason.SHUTDOWN, refusal)
+
     def _expire(self, call: EntryCall) -> None:
+        refusal = NotRun(call.last_refusal)
+        self._end_unfinished(call, UnknownReason.DEADLINE, refusal)
+
+    def _end_unfinished(
+        self, call: EntryCall, unknown: UnknownReason, refusal: NotRun
+    ) -> None:
         was_sent = call.phase in {Phase.SENT, Phase.STREAMING}
         self.attempts.withdraw(call)
         if was_sent:
-            self._end(call, Unknown(UnknownReason.DEADLINE))
+            self._end(call, Unknown(unknown))
         else:
-            self._end(call, call.refusal(call.last_refusal))
+            self._end(call, call.refusal(refusal.reason, refusal.retry_after_s))
 
     def _add_deadline(self, call: EntryCall, at_s: float) -> None:
         self._arrivals += 1
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -318,6 +318,8 @@
                     took_s=round(now_s - drain.began_s, 2),
                     in_hand=self.in_hand,
                 )
+                self.serving.stop_accepting()
+                self.entry.end_all()
                 self.peers.broadcast(ShutdownNotice(), near_only=False)
                 self._reactor.stop()
 
--- a/src/rattanstile/request/exchange.py
+++ b/src/rattanstile/request/exchange.py
@@ -59,6 +59,7 @@
     ANSWER_LOST = 2
     ANSWER_SPOILED = 3
     PEER_LOST = 4
+    SHUTDOWN = 5
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_entry_desk.py
+++ b/tests/test_entry_desk.py
@@ -20,7 +20,12 @@
 from rattanstile.process.mesh.rate_limiter import RateDecision
 from rattanstile.process.mesh.rerun_budget import RerunBudget
 from rattanstile.process.mesh.root_admission import RootAdmission
-from rattanstile.request.exchange import NotRun, NotRunReason
+from rattanstile.request.exchange import (
+    NotRun,
+    NotRunReason,
+    Unknown,
+    UnknownReason,
+)
 from rattanstile.version.fleet_config import FleetState
 
 NODES = 6
@@ -61,13 +66,17 @@
         fleet_links = SimpleNamespace(
             candidates=CandidateTable(), record_call=self.record_call
         )
-        admitted = RateDecision(
+        self.rate = RateDecision(
             is_admitted=True, may_use_pool=False, tokens=1, part=1
         )
+        self.token_requests = []
         rates = SimpleNamespace(
             limiter=SimpleNamespace(
-                take=lambda now_s, one: admitted, give_back=lambda one: None
-            )
+                take=lambda now_s, one: self.rate, give_back=lambda one: None
+            ),
+            tokens=SimpleNamespace(
+                request=lambda one, answer: self.token_requests.append(answer)
+            ),
         )
         serving = SimpleNamespace(
             watch=SimpleNamespace(service='other'),
@@ -140,6 +149,28 @@
         self.desk.begin(caller_request('short', deadline_ms=1000), print)
         self.assertEqual(len(self.sent), 1)
 
+    def test_process_that_ends_answers_what_it_has_sent(self):
+        """Requests in progress were cut, or not, by the order of sockets."""
+        self.desk.begin(caller_request('sent'), self.ends.append)
+        self.desk.end_all()
+        self.assertEqual(self.ends, [Unknown(UnknownReason.SHUTDOWN)])
+        self.assertEqual(len(self.desk.attempts), 0)
+
+    def test_process_that_ends_refuses_what_it_has_not_sent(self):
+        """It has not run: held for a target, or waiting for a token."""
+        for name in tuple(self.candidates.by_id):
+            self.candidates.remove(name)
+        self.desk.begin(caller_request('held'), self.ends.append)
+        self.rate = RateDecision(
+            is_admitted=False, may_use_pool=True, tokens=0, part=0
+        )
+        self.desk.begin(caller_request('waits'), self.ends.append)
+        self.assertEqual((len(self.token_requests), self.ends), (1, []))
+        self.desk.end_all()
+        reasons = [end.reason for end in self.ends]
+        self.assertEqual(reasons, [NotRunReason.NOT_READY] * 2)
+        self.assertEqual((self.desk.in_hand, self.desk.roots), (0, 0))
+
     def test_a_response_on_another_connection_is_ignored(self):
         """Only the node that got the attempt knows how it ended."""
         self.desk.begin(caller_request(), self.ends.append)
