Drain: keep half of a short grace period for requests in progress

Callers would see, with a grace period of under 6 s, every request of the grace taken and passed on until the process ends: with 3 s, in one stop, 15 requests were cut with no answer and 38 got 502 (of 128 sent to the stopping node), the last ones 0.05 s before its end, among them requests that may not be repeated.

Cause: requests that may outlast the process were refused from 3.0 s after the signal on, whatever the grace period; the process ends 0.6 s before its end.

Change: from half of the grace period on, at the latest from 3.0 s on.

Evidence, without the change: "AssertionError: unexpectedly None" for 1, 2, 3 and 4 s.

--- a/src/rattanstile/process/mesh/drain.py
+++ b/src/rattanstile/process/mesh/drain.py
@@ -15,8 +15,10 @@
 """Minimum time for which the target still accepts calls of other nodes."""
 MAX_FINISH_S = 2.5
 """Part of the grace period reserved for finishing calls in progress."""
-ACCEPT_ALL_S = 3.0
+MAX_ACCEPT_ALL_S = 3.0
 """Callers have been rerouted by then, if there is a node to go to."""
+MAX_ACCEPT_ALL_SHARE = 0.5
+"""The rest of a short grace period is left to requests in progress."""
 MIN_DRAIN_S = 2.3
 MIN_IDLE_S = 0.3
 """Time without work in progress after which no more is expected."""
@@ -82,6 +84,9 @@
         Returns:
             Monotonic seconds; None while requests of any length are accepted.
         """
-        if now_s - self.began_s < ACCEPT_ALL_S:
+        accept_all_s = min(
+            MAX_ACCEPT_ALL_S, self._grace_s * MAX_ACCEPT_ALL_SHARE
+        )
+        if now_s - self.began_s < accept_all_s:
             return None
         return self.began_s + self._grace_s - GRACE_MARGIN_S
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -265,6 +265,17 @@
         self.assertIsNone(drain.end_s(12.9))
         self.assertAlmostEqual(drain.end_s(13.1), 15.4)
 
+    def test_requests_late_in_a_short_grace_period_are_refused(self):
+        """Any were accepted until the process ended, and then cut off."""
+        for grace_s in (1, 2, 3, 4, 6, 20):
+            drain = Drain(10.0, grace_s)
+            steps = [drain.step(10 + tick / 20, 1, 1) for tick in range(400)]
+            end_s = 10 + steps.index(DrainStep.END) / 20
+            with self.subTest(grace_s=grace_s):
+                middle_s = 10 + grace_s / 2
+                self.assertIsNotNone(drain.end_s(middle_s))
+                self.assertLess(drain.end_s(middle_s), end_s + 0.05)
+
     def test_each_request_restarts_idle_time(self):
         """A caller that still arrives is served."""
         drain = Drain(0, grace_s=6)
