Drain: refuse calls of other nodes that may outlast the process

Callers of another node got 502 for requests that may not be repeated: sent 3.1 to 3.45 s after SIGTERM, passed on by their node to the stopping one, taken there and cut at its end at 5.4 s (4, 2 and 4 in three stops, requests each 50 ms, targets that take 3 s). Their node could have sent them elsewhere.

Cause: late in the grace, only requests that the stopping node's own callers send were refused; its target served calls of other nodes, and calls already in its queue, as long as it had requests in progress.

Change: from the same moment on, the serving handler refuses them as not run.

Evidence, without the change: "Lists differ: [] != [NotRun(TARGET_LEAVING)]" (and no accept_until for the waiting ones).

--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -306,6 +306,8 @@
 
     def _advance_drain(self, now_s: float, drain: Drain) -> None:
         self.entry.end_s = drain.end_s(now_s)
+        if self.entry.end_s is not None:
+            self.serving.accept_until(self.entry.end_s)
         match drain.step(now_s, self.entry.roots, self.in_hand):
             case DrainStep.KEEP_SERVING:
                 return
--- a/src/rattanstile/process/mesh/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving_handler.py
@@ -81,6 +81,7 @@
         self.attribution = CallAttribution()
         self._failing = FailingShare()
         self._is_stopping = False
+        self._end_s = float('inf')
         self._context = context
         self._state = context.state
         self._pool = pool
@@ -170,10 +171,10 @@
                 keeps any answer until it is complete.
         """
         now_s = self._timers.now_s()
-        reason = self._refusal_reason(call)
         waiting = WaitingCall(
             key, call, now_s, now_s + call.remaining_ms / MS_PER_S
         )
+        reason = self._refusal_reason(waiting)
         if reason is None:
             reason = self.queue.offer(
                 now_s, waiting, is_cold=self.watch.is_cold(now_s)
@@ -236,6 +237,16 @@
         self.send_waiting()
         self._prober.check(now_s)
 
+    def accept_until(self, end_s: float) -> None:
+        """Refuse the calls that may not have ended when the process ends.
+
+        Args:
+            end_s: Monotonic time at which it ends.
+        """
+        self._end_s = end_s
+        for waiting in self.queue.pop_later(end_s):
+            self._refuse(waiting, NotRunReason.TARGET_LEAVING)
+
     def stop_accepting(self) -> None:
         """Accept no new calls and refuse the waiting ones."""
         if not self._is_stopping:
@@ -426,11 +437,13 @@
 
     # Refusals
 
-    def _refusal_reason(self, call: ServedCall) -> NotRunReason | None:
-        if call.service != self.watch.service:
+    def _refusal_reason(self, waiting: WaitingCall) -> NotRunReason | None:
+        if waiting.call.service != self.watch.service:
             return NotRunReason.NO_TARGET
         if self.watch.is_leaving or self._is_stopping:
             return NotRunReason.TARGET_LEAVING
+        if waiting.deadline_s > self._end_s:
+            return NotRunReason.TARGET_LEAVING
         if not self.is_usable:
             return NotRunReason.NO_TARGET
         return None
--- a/src/rattanstile/process/mesh/target_gate.py
+++ b/src/rattanstile/process/mesh/target_gate.py
@@ -10,6 +10,7 @@
 import heapq
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from rattanstile.request.exchange import NotRunReason, ServedCall
@@ -142,11 +143,21 @@
 
     def pop_expired(self, now_s: float) -> list[WaitingCall]:
         """Remove and return the waiting calls with too little time left."""
+        return self._pop(
+            lambda waiting: now_s + EXPIRY_MARGIN_S >= waiting.deadline_s
+        )
+
+    def pop_later(self, end_s: float) -> list[WaitingCall]:
+        """Remove and return the waiting calls that may end after a time."""
+        return self._pop(lambda waiting: waiting.deadline_s > end_s)
+
+    def _pop(
+        self, is_chosen: Callable[[WaitingCall], bool]
+    ) -> list[WaitingCall]:
         removed = [
             entry.waiting
             for entry in self._heap
-            if not entry.waiting.is_removed
-            and now_s + EXPIRY_MARGIN_S >= entry.waiting.deadline_s
+            if not entry.waiting.is_removed and is_chosen(entry.waiting)
         ]
         for waiting in removed:
             self.cancel(waiting)
--- a/tests/test_serving_desk.py
+++ b/tests/test_serving_desk.py
@@ -180,6 +180,28 @@
         self.begin()
         self.assertEqual(self.ends, [NotRun(NotRunReason.TARGET_LEAVING)])
 
+    def test_a_call_that_outlasts_the_process_is_refused(self):
+        """It was cut at the end of the process, though it had not to begin."""
+        self.desk.accept_until(1.5)
+        self.begin('long', idempotent=False)
+        self.assertEqual(self.ends, [NotRun(NotRunReason.TARGET_LEAVING)])
+        self.assertEqual(self.pool.sent, [])
+        self.begin('short', remaining_ms=1400)
+        self.assertEqual(len(self.pool.sent), 1)
+
+    def test_a_waiting_call_that_outlasts_the_process_is_refused(self):
+        """It would be sent to the target while the process is about to end."""
+        for name in ('a', 'b', 'c'):
+            self.begin(name)
+        sent_calls = len(self.pool.sent)
+        waiting_calls = self.desk.queue.waiting
+        self.assertGreater(waiting_calls, 0)
+        self.desk.accept_until(1.5)
+        refused = [NotRun(NotRunReason.TARGET_LEAVING)] * waiting_calls
+        self.assertEqual(self.ends, refused)
+        self.pool.sent[0].ended(RESPONSE)
+        self.assertEqual(len(self.pool.sent), sent_calls)
+
     def test_an_evacuated_domain_gets_no_calls(self):
         """Its target is probed before it is used again."""
         self.kept.state = FleetState(2, config(), b'', frozenset(('east',)))
