Drain: send nothing again that may outlast the process

Callers would have seen requests cut that a stopping node took early, but passed on late in its grace period: after a refusal of the first target, or a wait for a target or a token.

Cause: the end of the process was checked when a request arrived, not when it was sent.

Change: late in the grace such a request is refused, or stays unknown if an earlier attempt may have run.

Evidence, without the change: "Lists differ: [CallRequest(sequence=2 ...)] != []" in both tests. With it test_entry_desk passes (11 tests).

--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -129,9 +129,10 @@
             now_s, caller_request, validated.ok_value, on_end
         )
         call.sink = sink
-        if self.end_s is not None and call.deadline_s > self.end_s:
-            retry_after_s = NOT_READY_RETRY_S + max(0.0, self.end_s - now_s)
-            refused = NotRun(NotRunReason.NOT_READY, retry_after_s)
+        if self._may_outlast_process(call):
+            refused = NotRun(
+                NotRunReason.NOT_READY, self._return_to_next_s(now_s)
+            )
             self._refuse(caller_request, refused, on_end)
             return None
         self._add_deadline(call, call.deadline_s)
@@ -293,7 +294,19 @@
 
     # Placement
 
+    def _may_outlast_process(self, call: EntryCall) -> bool:
+        return self.end_s is not None and call.deadline_s > self.end_s
+
+    def _return_to_next_s(self, now_s: float) -> float:
+        """Return when a caller finds the next process at this address."""
+        end_s = now_s if self.end_s is None else self.end_s
+        return NOT_READY_RETRY_S + max(0.0, end_s - now_s)
+
     def _place(self, now_s: float, call: EntryCall) -> None:
+        if self._may_outlast_process(call):
+            retry_after_s = self._return_to_next_s(now_s)
+            self._end(call, call.refusal(NotRunReason.NOT_READY, retry_after_s))
+            return
         if not call.attempts and not call.moves:
             self._reruns.record_first_attempt(
                 now_s, call.service, is_repeat=call.is_repeat
@@ -371,6 +384,7 @@
             call.route.idempotent
             and call.attempts < call.route.most_attempts
             and now_s + MIN_RERUN_TIME_S < call.deadline_s
+            and not self._may_outlast_process(call)
             and self._reruns.spend(now_s, call.service)
         )
 
--- a/tests/test_entry_desk.py
+++ b/tests/test_entry_desk.py
@@ -143,6 +143,23 @@
         self.assertGreaterEqual(refused.retry_after_s, 1.5)
         self.assertEqual(self.sent, [])
 
+    def test_request_is_not_sent_again_late_in_a_drain(self):
+        """It was accepted early; its second attempt would be cut."""
+        self.desk.begin(caller_request('early'), self.ends.append)
+        self.desk.end_s = 1.5
+        self.refuse(NotRunReason.QUEUE_FULL)
+        self.assertEqual(self.sent, [])
+        self.assertEqual(self.ends[0].reason, NotRunReason.NOT_READY)
+
+    def test_request_that_may_have_run_stays_unknown_late_in_a_drain(self):
+        """It isn't refused: only its second attempt has not run."""
+        self.desk.begin(caller_request('early'), self.ends.append)
+        self.desk.end_s = 1.5
+        call = self.desk.attempts._sent[self.sent.pop().sequence]
+        self.desk.attempts.link_lost(call.link)
+        self.assertEqual(self.sent, [])
+        self.assertEqual(self.ends, [Unknown(UnknownReason.PEER_LOST)])
+
     def test_request_that_ends_before_the_process_is_accepted(self):
         """The process ends later than the request's deadline."""
         self.desk.end_s = 1.5
