Drain: count a request that waits for a token as work

A drain that seemed idle for 0.3 s ended while a caller's request waited for a token of its organisation's rate, and cut it (0.25 s and a second try); since "answer the requests in progress" it would have been refused.

Cause: only requests at a target or a peer and held ones were counted.

Evidence, without the change: "AssertionError: 39 != 54". With it test_mesh_state passes (29 tests).

--- a/src/rattanstile/process/mesh/drain.py
+++ b/src/rattanstile/process/mesh/drain.py
@@ -57,7 +57,8 @@
         Args:
             now_s: Monotonic seconds.
             root_requests: Callers' requests in progress.
-            in_progress: All requests and calls in progress.
+            in_progress: Requests and calls at a target or a peer, and unsent
+                responses.
         """
         elapsed_s = now_s - self.began_s
         remaining_s = self._grace_s - elapsed_s
@@ -68,7 +69,7 @@
         ):
             self._idle_since_s = None
             return DrainStep.KEEP_SERVING
-        if in_progress:
+        if root_requests or in_progress:
             self._idle_since_s = None
             return DrainStep.FINISH
         if self._idle_since_s is None:
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -249,6 +249,12 @@
         steps = [drain.step(tenth / 10, 0, 1) for tenth in range(60)]
         self.assertEqual(steps.index(DrainStep.END), 54)
 
+    def test_waits_for_a_request_that_is_not_sent_yet(self):
+        """One that waits for a token was cut by a drain that seemed idle."""
+        drain = Drain(0, grace_s=6)
+        steps = [drain.step(tenth / 10, 1, 0) for tenth in range(60)]
+        self.assertEqual(steps.index(DrainStep.END), 54)
+
     def test_target_is_reachable_while_callers_arrive(self):
         """The target used to be unreachable for 4 s of a 5.4 s drain."""
         drain = Drain(0, grace_s=6)
