Tests: requests in the whole grace period of a node

520 requests at both nodes, each 50 ms from SIGTERM until after the grace period, on kept and on new connections, of routes whose requests may and may not run twice, with targets that take 0.1, 1 and 3 s. Each is answered by the target, refused and has not run, or unknown because it was sent in the first half and its target took too long; a connection without an answer has carried nothing that ran.

The fleet of the tests gets slots, timeouts and connections to choose; the parameter "services" of its configuration, which nothing used, is gone.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -37,13 +37,18 @@
 
 
 def config_document(
-    version=1, keys=(API_KEY,), rate_per_s=5000, services=('claims',)
+    version=1,
+    keys=(API_KEY,),
+    rate_per_s=5000,
+    timeout='2000ms',
+    max_connections=50,
+    idle_timeout='5000ms',
 ):
     """Return a configuration document in the form operators publish."""
     routes = [
-        _route('claims', 'unsafe', False),
-        _route('lookup', 'safe', False),
-        _route('inner', 'safe', True),
+        _route('claims', 'unsafe', False, timeout),
+        _route('lookup', 'safe', False, timeout),
+        _route('inner', 'safe', True, timeout),
     ]
     return {
         'version': version,
@@ -52,7 +57,7 @@
             {
                 'name': 'claims',
                 'healthPath': '/healthz',
-                'maxConnections': 50,
+                'maxConnections': max_connections,
                 'protocol': 'h1',
                 'tls': False,
                 'coldStart': '3s',
@@ -63,7 +68,7 @@
             'maxHeaderBytes': 16384,
             'maxBodyBytes': 100000,
             'headerTimeout': '1000ms',
-            'idleTimeout': '5000ms',
+            'idleTimeout': idle_timeout,
         },
         'tenants': [
             {
@@ -76,13 +81,13 @@
     }
 
 
-def _route(name, route_type, public):
+def _route(name, route_type, public, timeout):
     return {
         'name': f'r-{name}',
         'host': HOST,
         'pathPrefix': f'/{name}/',
         'routeType': route_type,
-        'timeout': '2000ms',
+        'timeout': timeout,
         'targetLatency': '1000ms',
         'priority': 1,
         'service': 'claims',
@@ -110,7 +115,7 @@
 class PlatformFleet:
     """The stand-ins and `node_count` nodes, each as a process."""
 
-    def __init__(self, node_count=2, proxies=None, domains=('east',)):
+    def __init__(self, node_count=2, proxies=None, domains=('east',), slots=10):
         """Set up a fleet; `start` assigns addresses and starts processes.
 
         Args:
@@ -119,7 +124,9 @@
                 other nodes through proxies named `store-N`, `target-N` and
                 `peer-N`.
             domains: Failure domains that the nodes are spread over.
+            slots: Calls that each target runs at the same time.
         """
+        self.slots = slots
         self.proxies = proxies
         self.domains = domains
         self.temp_directory = tempfile.TemporaryDirectory()
@@ -195,6 +202,7 @@
                     'announce_to': node['announcement_address'],
                     'calls_to': node['caller_address'],
                     'child_host': HOST,
+                    'slots': self.slots,
                 }
                 for node_index, node in enumerate(self.node_settings)
             ],
