--- a/src/rattanstile/process/mesh/drain.py
+++ b/src/rattanstile/process/mesh/drain.py
@@ -15,8 +15,10 @@
 """Minimum time for which the target still accepts calls of other nodes."""
 MAX_FINISH_S = 2.5
 """Part of the grace period reserved for finishing calls in progress."""
-ACCEPT_ALL_S = 3.0
+MAX_ACCEPT_ALL_S = 2.9
 """Callers have been rerouted by then, if there is a node to go to."""
+MAX_ACCEPT_ALL_SHARE = 0.5
+"""The rest of a short grace period is left to requests in progress."""
 MIN_DRAIN_S = 2.3
 MIN_IDLE_S = 0.3
 """Time without work in progress after which no more is expected."""
@@ -55,7 +57,8 @@
         Args:
             now_s: Monotonic seconds.
             root_requests: Callers' requests in progress.
-            in_progress: All requests and calls in progress.
+            in_progress: Requests and calls at a target or a peer, and unsent
+                responses.
         """
         elapsed_s = now_s - self.began_s
         remaining_s = self._grace_s - elapsed_s
@@ -66,7 +69,7 @@
         ):
             self._idle_since_s = None
             return DrainStep.KEEP_SERVING
-        if in_progress:
+        if root_requests or in_progress:
             self._idle_since_s = None
             return DrainStep.FINISH
         if self._idle_since_s is None:
@@ -82,6 +85,9 @@
         Returns:
             Monotonic seconds; None while requests of any length are accepted.
         """
-        if now_s - self.began_s < ACCEPT_ALL_S:
+        accept_all_s = min(
+            MAX_ACCEPT_ALL_S, self._grace_s * MAX_ACCEPT_ALL_SHARE
+        )
+        if now_s - self.began_s < accept_all_s:
             return None
         return self.began_s + self._grace_s - GRACE_MARGIN_S
