--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -235,11 +235,16 @@
             self._log_start()
             yield
 
-    def drain(self) -> None:
-        """Stop taking work, finish calls in progress, then stop the reactor."""
+    def drain(self, signalled_s: float) -> None:
+        """Stop taking work, finish calls in progress, then stop the reactor.
+
+        Args:
+            signalled_s: Monotonic time of the stop signal; the reactor may
+                have been busy since.
+        """
         if self._drain is not None:
             return
-        self._drain = Drain(self.timers.now_s(), self.settings.grace_s)
+        self._drain = Drain(signalled_s, self.settings.grace_s)
         self._caller_state.is_closing = True
         self.context.log.write(
             LineKind.PROCESS, 'drain_began', in_hand=self.in_hand
@@ -312,6 +317,8 @@
 
     def _advance_drain(self, now_s: float, drain: Drain) -> None:
         self.entry.end_s = drain.end_s(now_s)
+        if self.entry.end_s is not None:
+            self.serving.accept_until(self.entry.end_s)
         match drain.step(now_s, self.entry.roots, self.in_hand):
             case DrainStep.KEEP_SERVING:
                 return
@@ -324,6 +331,8 @@
                     took_s=round(now_s - drain.began_s, 2),
                     in_hand=self.in_hand,
                 )
+                self.serving.stop_accepting()
+                self.entry.end_all()
                 self.peers.broadcast(ShutdownNotice(), near_only=False)
                 self._reactor.stop()
 
