--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from result import Err, Ok, Result
+from result import Err
 
 from rattanstile.connection.peer_pool import PeerPool
 from rattanstile.process.decision_log import LineKind
@@ -11,12 +11,15 @@
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.entry_call import EntryCall, Phase
 from rattanstile.process.mesh.fleet_links import FleetLinks
-from rattanstile.process.mesh.invalid_request import invalid_request_fields
 from rattanstile.process.mesh.rate_limiter import (
     PoolDecision,
     RateDecision,
 )
 from rattanstile.process.mesh.rate_service import RateService
+from rattanstile.process.mesh.request_checks import (
+    NOT_READY_RETRY_S,
+    RequestChecks,
+)
 from rattanstile.process.mesh.rerun_budget import RerunBudget
 from rattanstile.process.mesh.retry_after import (
     return_at_token_s,
@@ -40,15 +43,10 @@
     Unknown,
     UnknownReason,
 )
-from rattanstile.version.fleet_config import (
-    FleetConfig,
-    FleetRoute,
-    Organisation,
-)
+from rattanstile.version.fleet_config import FleetRoute, Organisation
 
 MAX_MOVES = 8
 """Maximum number of nodes that one request is offered to."""
-NOT_READY_RETRY_S = 0.5
 MIN_RERUN_TIME_S = 0.02
 """Time that must be left before the deadline to rerun a request."""
 
@@ -91,6 +89,7 @@
         self._admission = admission
         self._reruns = reruns
         self._splitter = Splitter()
+        self._checks = RequestChecks(context)
         self.roots = 0
         self.end_s: float | None = None
         self._arrivals = 0
@@ -121,13 +120,9 @@
         Returns:
             The request in progress, or None if it was refused immediately.
         """
-        validated = _validate(self._context.state().config, caller_request)
+        validated = self._checks.route_of(caller_request)
         if isinstance(validated, Err):
-            refused = validated.err_value
-            if refused.reason is NotRunReason.NOT_READY:
-                self._refuse(caller_request, refused, on_end)
-            else:
-                self._refuse_invalid(caller_request, refused, on_end)
+            on_end(validated.err_value)
             return None
         now_s = self._context.timers.now_s()
         call = self._entry_call(
@@ -138,7 +133,8 @@
             refused = NotRun(
                 NotRunReason.NOT_READY, self._return_to_next_s(now_s)
             )
-            self._refuse(caller_request, refused, on_end)
+            self._checks.log_refused(caller_request, refused)
+            on_end(refused)
             return None
         self._add_deadline(call, call.deadline_s)
         if call.is_inner:
@@ -197,54 +193,6 @@
             return None
         return config.organisations.get(caller_request.key)
 
-    def _refuse(
-        self,
-        caller_request: IncomingRequest,
-        refused: NotRun,
-        on_end: EndingHandler,
-    ) -> None:
-        name = ending_label(refused).name
-        self._context.counters.outcomes[name] += 1
-        self._context.log.write(
-            LineKind.REFUSED,
-            'request_refused',
-            request=caller_request.request_id,
-            host=caller_request.host,
-            path=caller_request.path,
-            reason=name,
-            version=self._context.version,
-        )
-        on_end(refused)
-
-    def _refuse_invalid(
-        self,
-        caller_request: IncomingRequest,
-        refused: NotRun,
-        on_end: EndingHandler,
-    ) -> None:
-        """Refuse a request that the configuration in force doesn't allow.
-
-        Unless that is known to be the newest, the caller is to come back.
-        """
-        now_s = self._context.timers.now_s()
-        invalid_by = ending_label(refused).name
-        if not self._context.knows_newest(now_s):
-            refused = NotRun(NotRunReason.CONFIG_STALE, NOT_READY_RETRY_S)
-        name = ending_label(refused).name
-        self._context.counters.outcomes[name] += 1
-        self._context.counters.invalid[name] += 1
-        if self._context.log.reserve_line(LineKind.INVALID):
-            self._context.log.append(
-                'request_refused',
-                request=caller_request.request_id,
-                host=caller_request.host,
-                path=caller_request.path,
-                reason=name,
-                invalid_by=invalid_by,
-                **invalid_request_fields(self._context, caller_request, now_s),
-            )
-        on_end(refused)
-
     # Admission
 
     def _check_rate(self, now_s: float, call: EntryCall) -> None:
@@ -510,28 +458,3 @@
             allowed_ms=int((call.deadline_s - call.arrived_s) * MS_PER_S),
             version=context.version,
         )
-
-
-def _validate(
-    config: FleetConfig | None, caller_request: IncomingRequest
-) -> Result[FleetRoute, NotRun]:
-    """Return the route of a request, or why the request is refused.
-
-    A request is refused without configuration, without a matching route, or
-    without a valid key where the route needs one.
-    """
-    if config is None:
-        return Err(NotRun(NotRunReason.NOT_READY, NOT_READY_RETRY_S))
-    route = config.route(
-        caller_request.host, caller_request.path.partition('?')[0]
-    )
-    if route is None:
-        return Err(NotRun(NotRunReason.NO_ROUTE))
-    if route.open_to_all or not config.requires_keys:
-        return Ok(route)
-    if (
-        caller_request.key is None
-        or caller_request.key not in config.organisations
-    ):
-        return Err(NotRun(NotRunReason.KEY_REFUSED))
-    return Ok(route)
