Bytes from outside: nested too deeply, they end nothing

Callers would see: one entry of another writer in the member list, nested more than about 1,000 levels deep, and every node that reads the list never ends its join: it isn't announced, its last departure isn't restored, and so its target is never probed. A configuration like that stops what follows the operators' log; a heartbeat gets no response; a frame ends its connection without a line.

Cause: msgspec raises RecursionError, no MsgspecError, also for fields that it only skips. The decoders caught MsgspecError. The exception ended the coroutine of the join or of the follower, and nothing logged it.

Change: one function, `decode_untrusted`, through which all bytes of the store, of targets, of peers and of the settings are decoded; it returns a typed error.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -9,7 +9,9 @@
 from struct import Struct
 
 import msgspec
+from result import Err
 
+from rattanstile.decoding import decode_untrusted
 from rattanstile.errors import RattanstileError
 from rattanstile.request.exchange import (
     AnswerHead,
@@ -434,7 +436,7 @@
 
 
 def _decode(payload: bytes) -> PeerMessage:
-    try:
-        return _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
-        raise PeerFrameError(f'invalid message: {error}') from error
+    decoded = decode_untrusted(_decoder.decode, payload)
+    if isinstance(decoded, Err):
+        raise PeerFrameError(f'invalid message: {decoded.err_value.message}')
+    return decoded.ok_value
--- a/src/rattanstile/platform/announcements.py
+++ b/src/rattanstile/platform/announcements.py
@@ -3,9 +3,11 @@
 import re
 
 import msgspec
+from result import Err
 
 from rattanstile.connection.http_messages import HttpRequest, encode_response
 from rattanstile.connection.http_server import BadRequest
+from rattanstile.decoding import decode_untrusted
 from rattanstile.process.mesh.ports import InvalidAnnouncement
 from rattanstile.process.mesh.settings import duration_s
 from rattanstile.process.mesh.target_watch import (
@@ -60,6 +62,10 @@
     born: int = 0
 
 
+_heartbeat_decoder = msgspec.json.Decoder(_Heartbeat)
+_deregistration_decoder = msgspec.json.Decoder(_Deregistration)
+
+
 class PlatformAnnouncementCodec:
     """See `rattanstile.process.mesh.ports.AnnouncementCodec`.
 
@@ -82,13 +88,12 @@
         if path_match is None or request.method != 'POST':
             return InvalidAnnouncement('unknown path', is_unknown_path=True)
         target_id = TargetId(path_match.group(1))
-        try:
-            if path_match.group(2) == 'deregister':
-                return _decode_departure(target_id, request.body)
-            heartbeat = msgspec.json.decode(request.body, type=_Heartbeat)
-        except msgspec.MsgspecError as error:
-            return InvalidAnnouncement(str(error))
-        return self._announcement(target_id, heartbeat)
+        if path_match.group(2) == 'deregister':
+            return _decode_departure(target_id, request.body)
+        heartbeat = decode_untrusted(_heartbeat_decoder.decode, request.body)
+        if isinstance(heartbeat, Err):
+            return InvalidAnnouncement(heartbeat.err_value.message)
+        return self._announcement(target_id, heartbeat.ok_value)
 
     def acknowledge(self, *, closes: bool) -> bytes:
         """Return the encoded acknowledgement."""
@@ -124,8 +129,12 @@
         )
 
 
-def _decode_departure(target_id: TargetId, body: bytes) -> TargetDeparture:
-    deregistration = _Deregistration()
-    if body:
-        deregistration = msgspec.json.decode(body, type=_Deregistration)
-    return TargetDeparture(target_id, deregistration.born)
+def _decode_departure(
+    target_id: TargetId, body: bytes
+) -> TargetDeparture | InvalidAnnouncement:
+    if not body:
+        return TargetDeparture(target_id, _Deregistration().born)
+    decoded = decode_untrusted(_deregistration_decoder.decode, body)
+    if isinstance(decoded, Err):
+        return InvalidAnnouncement(decoded.err_value.message)
+    return TargetDeparture(target_id, decoded.ok_value.born)
--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -12,6 +12,7 @@
 from rattanstile.connection.http_exchange import HttpExchanger
 from rattanstile.connection.http_messages import HttpResponse, encode_request
 from rattanstile.connection.peer_messages import PeerMember
+from rattanstile.decoding import decode_untrusted
 from rattanstile.platform.operators import decode_fleet_config
 from rattanstile.process.mesh.ports import (
     ConfigPublished,
@@ -43,6 +44,7 @@
 _RECORD_LENGTH = Struct('>I')
 _READ_HEADER = Struct('>QQ')
 _MS_PER_S = 1000
+_member_decoder = msgspec.msgpack.Decoder(PeerMember)
 
 _Decoded = TypeVar('_Decoded')
 
@@ -137,10 +139,9 @@
         self, document: bytes
     ) -> Result[FleetConfig, ConfigUnreadableError]:
         """Decode a published configuration."""
-        try:
-            return Ok(decode_fleet_config(document))
-        except (msgspec.MsgspecError, ValueError) as error:
-            return Err(ConfigUnreadableError(str(error)))
+        return decode_untrusted(decode_fleet_config, document).map_err(
+            lambda error: ConfigUnreadableError(error.message)
+        )
 
     async def _append_member(
         self, key: str, content: bytes
@@ -200,10 +201,13 @@
     response: HttpResponse,
     offset: int,
 ) -> Result[_Decoded, StoreError]:
-    try:
-        return Ok(decode(response.body, offset))
-    except (msgspec.MsgspecError, ValueError) as error:
-        return Err(StoreUnavailableError(f'invalid response: {error}'))
+    return decode_untrusted(
+        lambda body: decode(body, offset), response.body
+    ).map_err(
+        lambda error: StoreUnavailableError(
+            f'invalid response: {error.message}'
+        )
+    )
 
 
 def _decode_newest(body: bytes, offset: int) -> _NewestRecords:
@@ -260,8 +264,8 @@
 
     Entries may come from other writers.
     """
-    try:
-        member = msgspec.msgpack.decode(content, type=PeerMember)
-    except msgspec.MsgspecError:
+    decoded = decode_untrusted(_member_decoder.decode, content)
+    if isinstance(decoded, Err):
         return None
+    member = decoded.ok_value
     return member if member.has_address else None
--- a/src/rattanstile/process/mesh/settings.py
+++ b/src/rattanstile/process/mesh/settings.py
@@ -4,7 +4,9 @@
 from pathlib import Path
 
 import msgspec
+from result import Err
 
+from rattanstile.decoding import decode_untrusted
 from rattanstile.errors import SettingsError
 from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
 
@@ -56,6 +58,9 @@
         return duration_s(self.grace) or 0
 
 
+_settings_decoder = msgspec.json.Decoder(MeshSettings)
+
+
 def duration_s(text: str) -> float | None:
     """Return the seconds of a duration such as ``250ms``; None if invalid."""
     parsed = _DURATION.fullmatch(text)
@@ -88,12 +93,12 @@
     Raises:
         SettingsError: A field is invalid.
     """
-    try:
-        settings = msgspec.json.decode(
-            _COMMENT.sub('', text), type=MeshSettings
-        )
-    except msgspec.MsgspecError as error:
-        raise SettingsError(file_name, '$', str(error)) from error
+    decoded = decode_untrusted(
+        _settings_decoder.decode, _COMMENT.sub('', text).encode()
+    )
+    if isinstance(decoded, Err):
+        raise SettingsError(file_name, '$', decoded.err_value.message)
+    settings = decoded.ok_value
     if duration_s(settings.grace) is None:
         raise SettingsError(
             file_name, '$.grace', 'must be a duration such as 6s or 500ms'
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -3,6 +3,7 @@
 Longer runs by hand: DECODER_EXAMPLES=200000 python -m unittest test_decoders.
 """
 
+import contextlib
 import json
 import os
 import unittest
@@ -34,6 +35,7 @@
 from rattanstile.platform import (
     PlatformAnnouncementCodec,
     PlatformCallerCodec,
+    PlatformStore,
 )
 from rattanstile.platform.operators import decode_fleet_config
 from rattanstile.platform.store import (
@@ -142,6 +144,44 @@
     return json.dumps(changed).encode()
 
 
+DEPTH = 3000
+"""More levels than Python's limit on nested calls."""
+ODD_JSON = (
+    '[' * DEPTH + ']' * DEPTH,
+    '{"a":' * DEPTH + '0' + '}' * DEPTH,
+    '9' * 25,
+    '9' * 400,
+    '9' * 5000,
+    '1e400',
+    '"' + '9' * 400 + 's"',
+    '"' + '9' * 25 + 's"',
+    '"' + '9' * 5000 + 'ms"',
+    '"\\ud800"',
+)
+"""Values that decoders raise more than their own errors for."""
+DEEP_MSGPACK = b'\x91' * DEPTH + b'\xc0'
+
+
+def with_odd_value(document, path, odd):
+    """Return a valid document with one field of any JSON, kept or added."""
+    changed = json.loads(json.dumps(document))
+    parent = changed
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = '@odd@'
+    return json.dumps(changed).replace('"@odd@"', odd).encode()
+
+
+def odd_documents(document):
+    """Return all valid documents with one odd value, for `sampled_from`."""
+    paths = [*_paths(document), ('unknown',)]
+    return [
+        with_odd_value(document, path, odd)
+        for path in paths
+        for odd in ODD_JSON
+    ]
+
+
 @st.composite
 def changed_bytes(draw, samples):
     """Return valid bytes that were cut, or some of which were replaced."""
@@ -157,6 +197,10 @@
     return len(content).to_bytes(4, 'big') + content
 
 
+NEWEST = {'items': [{'key': 'a', 'value': 'AA==', 'offset': 1}], 'end': 2}
+MEMBER = msgspec.msgpack.encode(
+    PeerMember('n1', '10.0.0.1:4', 'fees', 'east', 'i-1', 5)
+)
 READ_HEADER = (9).to_bytes(8, 'big') + (0).to_bytes(8, 'big')
 READS = (
     READ_HEADER,
@@ -183,28 +227,28 @@
         self.assertIsInstance(outcome, (Ok, Err))
 
     @thorough
-    @given(
-        st.binary(max_size=60)
-        | changed_documents(
-            {'items': [{'key': 'a', 'value': 'AA==', 'offset': 1}], 'end': 2}
-        )
-    )
+    @given(st.binary(max_size=60) | changed_documents(NEWEST))
     def test_newest_records(self, body):
         """Also without a field, or with one of another type."""
         response = type('Response', (), {'body': body})
         outcome = _decode_response(_decode_newest, response, 0)
         self.assertIsInstance(outcome, (Ok, Err))
 
+    def test_odd_newest_records(self):
+        """Nested too deeply, it ended what reads the store."""
+        for body in odd_documents(NEWEST):
+            response = type('Response', (), {'body': body})
+            outcome = _decode_response(_decode_newest, response, 0)
+            self.assertIsInstance(outcome, (Ok, Err), body[:60])
+
+    def test_entry_that_is_nested_too_deeply_names_no_node(self):
+        """It ended the join of each node that read the list."""
+        longer = b'\x97' + MEMBER[1:] + DEEP_MSGPACK
+        for content in (longer, DEEP_MSGPACK, b'\x96' + DEEP_MSGPACK):
+            self.assertIsNone(_decode_member(content))
+
     @thorough
-    @given(
-        changed_bytes(
-            [
-                msgspec.msgpack.encode(
-                    PeerMember('n1', '10.0.0.1:4', 'fees', 'east', 'i-1', 5)
-                )
-            ]
-        )
-    )
+    @given(changed_bytes([MEMBER]))
     def test_members(self, content):
         """Entries of other writers name no node that can't be connected to."""
         member = _decode_member(content)
@@ -226,6 +270,19 @@
         except (msgspec.MsgspecError, ValueError):
             return
 
+    def test_odd_configurations(self):
+        """Nested too deeply, it ended what follows the operators' log."""
+        store = PlatformStore(None)
+        for document in odd_documents(CONFIG):
+            outcome = store.decode_config(document)
+            self.assertIsInstance(outcome, (Ok, Err), document[:60])
+
+    def test_odd_settings(self):
+        """The error names the file."""
+        for document in odd_documents(NODE):
+            with contextlib.suppress(SettingsError):
+                parse_mesh_settings('node.json', document.decode())
+
     @thorough
     @given(changed_documents(NODE))
     def test_settings(self, document):
@@ -258,6 +315,15 @@
         path = '/v1/instances/i-1/heartbeat'
         self.assertIsNotNone(codec.decode(self.request(path, body)))
 
+    def test_odd_heartbeats_and_deregistrations(self):
+        """The target got no response to it."""
+        codec = PlatformAnnouncementCodec('10.0.0.1:2')
+        for kind in ('heartbeat', 'deregister'):
+            path = f'/v1/instances/i-1/{kind}'
+            for body in odd_documents(HEARTBEAT):
+                decoded = codec.decode(self.request(path, body))
+                self.assertIsNotNone(decoded, body[:60])
+
     @thorough
     @given(st.binary(max_size=40))
     def test_deregistrations(self, body):
@@ -318,6 +384,12 @@
         except PeerFrameError:
             return
 
+    def test_message_that_is_nested_too_deeply(self):
+        """The connection is closed with a line that says why."""
+        payload = b'\x92\x0c' + DEEP_MSGPACK
+        with self.assertRaises(PeerFrameError):
+            self.read(len(payload).to_bytes(4, 'big') + payload)
+
     def test_addresses(self):
         """A node can't be connected to at these; entries may be foreign."""
         for invalid in ('', ':1', '10.0.0.1', '10.0.0.1:x', '10.0.0.1:70000'):
