Member entries: a port of any length

Callers would see: an entry of another writer whose port has more than 4,300 digits ends the join of each node that reads it, as one that is nested too deeply did. The entry was decoded; its address was checked outside of any `except`.

Cause: `int` refuses to convert that many digits, with a ValueError.

Change: a port has at most five digits.

Evidence: test_decoders, test_port_with_too_many_digits; before "ValueError: Exceeds the limit (4300 digits) for integer string conversion: value has 5000 digits"; after, it passes. A port out of range, such as 70000, was refused already.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -31,6 +31,7 @@
 """Room for the largest body that operators can allow, and its headers."""
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 _LENGTH = Struct('>I')
 
@@ -326,8 +327,12 @@
     def has_address(self) -> bool:
         """Return whether the address is a host and a port."""
         host, _, port = self.address.rpartition(':')
-        is_number = port.isascii() and port.isdigit()
-        return bool(host) and is_number and int(port) <= MAX_PORT
+        return bool(host) and _is_port(port)
+
+
+def _is_port(text: str) -> bool:
+    is_number = text.isascii() and text.isdigit()
+    return is_number and len(text) <= MAX_PORT_DIGITS and int(text) <= MAX_PORT
 
 
 class MembersRequest(msgspec.Struct, frozen=True, array_like=True, tag=17):
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -396,6 +396,12 @@
             member = PeerMember('n1', invalid, 'fees', 'east')
             self.assertFalse(member.has_address, invalid)
 
+    def test_port_with_too_many_digits(self):
+        """Python refuses to convert more than 4,300 of them."""
+        for digits in ('9' * 5000, '0' * 5000 + '80', '000080'):
+            member = PeerMember('n1', f'10.0.0.1:{digits}', 'fees', 'east')
+            self.assertFalse(member.has_address, digits[:9])
+
     def test_frame_without_end_is_refused_at_its_length(self):
         """Nothing of it is kept."""
         length = (MAX_FRAME_BYTES + 1).to_bytes(4, 'big')
