Member entries: the host is an IP address

Callers would see: an entry of another writer with a name in place of an IP address has each node look the name up, again at each attempt to connect. On SIGTERM the process ends only when the look-ups have: past the grace it is killed. An address such as fe80::1%nope raises out of the connect call, which ends the planning of connections and the join in which it happens.

Cause: any text before the colon was taken for a host. Twisted looks names up in threads and waits for them at its end.

Change: an address is usable only if its host is an IP address; nodes state no other.

Evidence: test_decoders, test_host_that_is_not_an_ip_address; before "AssertionError: True is not false : node-1.example"; after, it passes.

Changed test: the sample nodes of test_peer_pool were at 'n1:1', which no node can be; now at 10.0.0.1:1. Its checks are unchanged.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterator
+from socket import AF_INET, AF_INET6, inet_pton
 from struct import Struct
 
 import msgspec
@@ -325,9 +326,22 @@
 
     @property
     def has_address(self) -> bool:
-        """Return whether the address is a host and a port."""
+        """Return whether the address is an IP address and a port."""
         host, _, port = self.address.rpartition(':')
-        return bool(host) and _is_port(port)
+        return _is_ip_address(host) and _is_port(port)
+
+
+def _is_ip_address(text: str) -> bool:
+    """Return whether no look-up of a name is needed.
+
+    Look-ups take threads, for which the end of the process waits.
+    """
+    family = AF_INET6 if ':' in text else AF_INET
+    try:
+        inet_pton(family, text)
+    except (OSError, ValueError):
+        return False
+    return True
 
 
 def _is_port(text: str) -> bool:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -402,6 +402,21 @@
             member = PeerMember('n1', f'10.0.0.1:{digits}', 'fees', 'east')
             self.assertFalse(member.has_address, digits[:9])
 
+    def test_host_that_is_not_an_ip_address(self):
+        """Looking names up takes threads that outlast the drain."""
+        for host in (
+            'node-1.example',
+            'a b',
+            '\x00',
+            'x' * 300,
+            '..',
+            'fe80::1%nope',
+            '1.2.3',
+            '010.0.0.1',
+        ):
+            member = PeerMember('n1', f'{host}:80', 'fees', 'east')
+            self.assertFalse(member.has_address, host)
+
     def test_frame_without_end_is_refused_at_its_length(self):
         """Nothing of it is kept."""
         length = (MAX_FRAME_BYTES + 1).to_bytes(4, 'big')
--- a/tests/test_peer_pool.py
+++ b/tests/test_peer_pool.py
@@ -29,7 +29,8 @@
 
     def __init__(self, node_id, domain='east', incarnation=1):
         self.reactor = FakeReactor()
-        self.member = PeerMember(node_id, f'{node_id}:1', 'registry', domain)
+        address = f'10.0.0.{node_id.removeprefix("n")}:1'
+        self.member = PeerMember(node_id, address, 'registry', domain)
         self.incarnation = incarnation
         self.events = []
         self.messages = []
