Store follower: an unexpected error is logged, and the task begun again

Callers would see: a node that neither is announced nor hears of another configuration until it is restarted, without a line in its log.

Cause: following the operators' log and joining the fleet are two coroutines. An exception that they don't expect ended them; their Deferreds are kept, so that Twisted never reported the failure either.

Change: each is run to its end; after an exception a line `store_task_failed` names the task and the error, and the task begins again after up to a second.

Evidence: test_store_follower, UnexpectedErrorTest; before, "test_join_goes_on: 'n1' not found in {'n2': ...}" and "test_following_goes_on: 0 not greater than 1"; after, 11 of 11 pass. test_undisturbed_node_joins_once and test_repeated_failures_are_delayed passed before as well: they bound the change.

--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -1,6 +1,6 @@
 """Follows the operators' log in the store."""
 
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from result import Err, Result
@@ -78,13 +78,34 @@
 
     def start(self) -> None:
         """Start following the operators' log and join the fleet."""
-        for task in (self._follow(), self._joining.join()):
-            self._tasks.append(Deferred.fromCoroutine(task))
+        for name, task in (
+            ('follow', self._follow),
+            ('join', self._joining.join),
+        ):
+            self._tasks.append(
+                Deferred.fromCoroutine(self._run_to_end(name, task))
+            )
 
     def stop(self) -> None:
         """Stop before the next read."""
         self._retry.is_running = False
 
+    async def _run_to_end(
+        self, name: str, task: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Run a task; begin it again after an error that it didn't expect."""
+        while self._retry.is_running:
+            try:
+                return await task()
+            except Exception as error:
+                self._log.write(
+                    LineKind.STORE,
+                    'store_task_failed',
+                    task=name,
+                    why=repr(error),
+                )
+            await self._retry.sleep(MAX_RETRY_DELAY_S)
+
     async def _follow(self) -> None:
         await self._wait_for_copy()
         has_offset = self._operator_state.state.offset > 0
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -89,6 +89,93 @@
         self.assertEqual(self.restored, [TargetDeparture('i-1', 10)])
 
 
+class UnexpectedErrorTest(unittest.TestCase):
+    """Errors that no caller expects: what follows the store must go on."""
+
+    def setUp(self):
+        self.clock = Clock()
+        self.log = RecordingLog()
+        self.failures_left = 1
+        self.restored = []
+        self.applied = []
+        self.store = FakeStore([OTHER])
+        self.store.newest_records = self.read
+        self.store.records_after = self.wait
+        retry = StoreRetry(self.clock, Random(1))
+        joining = FleetJoin(
+            self.store,
+            retry,
+            JoinHandlers(lambda: OWN, self.members_read, self.restored.append),
+            self.log,
+            is_new_fleet=False,
+        )
+        self.state = SimpleNamespace(
+            state=SimpleNamespace(offset=0),
+            apply_snapshot=self.apply,
+            apply_records=self.apply,
+        )
+        role = SimpleNamespace(
+            is_reader=lambda: True,
+            set_store_readable=lambda can_read: None,
+        )
+        self.follower = StoreFollower(
+            self.store, retry, self.state, role, joining, self.log
+        )
+
+    def fail_once(self):
+        if self.failures_left:
+            self.failures_left -= 1
+            raise RuntimeError('odd entry')
+
+    def members_read(self, members):
+        if self.fails_in == 'join':
+            self.fail_once()
+
+    def apply(self, records, source):
+        if self.fails_in == 'follow':
+            self.fail_once()
+        self.applied.append(records)
+
+    async def read(self):
+        return Ok(OperatorRecords((), 0))
+
+    async def wait(self, offset, wait_s):
+        await deferLater(self.clock, 1.0)
+        return await self.read()
+
+    def run_node(self, fails_in):
+        self.fails_in = fails_in
+        self.follower.start()
+        while self.clock.seconds() < 5:
+            self.clock.advance(0.05)
+        self.follower.stop()
+
+    def test_join_goes_on(self):
+        """The node was never announced, and its target never probed."""
+        self.run_node('join')
+        self.assertIn('n1', self.store.by_id)
+        self.assertEqual(self.restored[-1], TargetDeparture('', 0))
+        self.assertIn('store_task_failed', self.log.events())
+
+    def test_following_goes_on(self):
+        """No later configuration came into force."""
+        self.run_node('follow')
+        self.assertGreater(len(self.applied), 1)
+        self.assertIn('store_task_failed', self.log.events())
+
+    def test_repeated_failures_are_delayed(self):
+        """Each of them reads the store."""
+        self.failures_left = 1000
+        self.run_node('join')
+        self.assertLess(len(self.store.calls), 10)
+
+    def test_undisturbed_node_joins_once(self):
+        """Without an error nothing is begun again."""
+        self.run_node('nowhere')
+        self.assertEqual(self.store.calls, ['members', 'announce', 'members'])
+        self.assertNotIn('store_task_failed', self.log.events())
+
+
 class StartTest(unittest.TestCase):
     """A node that starts among others that have the operators' state."""
 
