Heartbeats: numbers within bounds

Callers would see: one heartbeat with a number too large, and the node can't tell others the load of its target any more: each report and each answer that carries it fails, until the next valid heartbeat. With a start too large the departure of the target can't be stored.

Cause: JSON knows numbers of any size. `slots`, `sequence` and `born` were taken as they came, and a duration of 300 digits as 1e300 s or as infinite. They are multiplied as floats, and sent as 64-bit integers.

Change: such numbers and durations (over a year) make a heartbeat, a deregistration or a configuration invalid; it gets a 400, the others hold.

Evidence: test_decoders, test_numbers_of_a_heartbeat_can_be_reckoned_with; before "OverflowError: can't serialize ints < -2**63 or > 2**64 - 1"; after, it passes.

--- a/src/rattanstile/platform/announcements.py
+++ b/src/rattanstile/platform/announcements.py
@@ -1,6 +1,7 @@
 """Codec of the announcements that a target sends to the node on its VM."""
 
 import re
+from typing import Annotated
 
 import msgspec
 from result import Err
@@ -17,6 +18,11 @@
 )
 from rattanstile.request.ids import ServiceName, TargetId
 
+MAX_SLOTS = 1_000_000
+MAX_WHOLE_NUMBER = 2**53
+"""Larger ones aren't exact in every program that reads JSON."""
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 _PATH = re.compile(r'/v1/instances/([^/?]+)/(heartbeat|deregister)')
 _JSON_HEADERS = ((b'content-type', b'application/json'),)
 _OK = 200
@@ -28,14 +34,14 @@
     """Constant part of a heartbeat."""
 
     service: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class _Status(msgspec.Struct, rename='camel'):
     """Variable part of a heartbeat."""
 
     state: str
-    sequence: int
+    sequence: _Count
     cold_remaining: str = '0ms'
 
 
@@ -49,7 +55,7 @@
     address: str
     info: _Info
     status: _Status
-    born: int = 0
+    born: _Count = 0
 
 
 class _Deregistration(msgspec.Struct):
@@ -59,7 +65,7 @@
         born: Start of the incarnation, in milliseconds since the epoch.
     """
 
-    born: int = 0
+    born: _Count = 0
 
 
 _heartbeat_decoder = msgspec.json.Decoder(_Heartbeat)
@@ -111,8 +117,8 @@
         cold_s = duration_s(status.cold_remaining)
         if status.state not in {state.value for state in TargetState}:
             return InvalidAnnouncement(f'unknown state {status.state}')
-        if cold_s is None or heartbeat.info.slots < 1:
-            return InvalidAnnouncement('invalid cold time or number of slots')
+        if cold_s is None:
+            return InvalidAnnouncement('invalid cold time')
         if heartbeat.address != self._target_address:
             return InvalidAnnouncement(
                 f'not the address of the target: {heartbeat.address}'
--- a/src/rattanstile/process/mesh/settings.py
+++ b/src/rattanstile/process/mesh/settings.py
@@ -10,6 +10,8 @@
 from rattanstile.errors import SettingsError
 from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
 
+MAX_DURATION_S = 366 * 24 * 3600
+
 _COMMENT = re.compile(r'^\s*//.*$', re.MULTILINE)
 _DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
 
@@ -66,8 +68,10 @@
     parsed = _DURATION.fullmatch(text)
     if parsed is None:
         return None
-    amount = float(parsed.group(1))
-    return amount / 1000 if parsed.group(2) == 'ms' else amount
+    parsed_s = float(parsed.group(1))
+    if parsed.group(2) == 'ms':
+        parsed_s /= 1000
+    return parsed_s if parsed_s <= MAX_DURATION_S else None
 
 
 def read_mesh_settings(file_name: str) -> MeshSettings:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -29,6 +29,7 @@
     RateSharesResponse,
     ServiceDigest,
     StatusReport,
+    TargetLoad,
     encode_peer_frame,
 )
 from rattanstile.errors import SettingsError
@@ -45,7 +46,12 @@
     _decode_response,
 )
 from rattanstile.process.mesh.settings import parse_mesh_settings
-from rattanstile.process.mesh.target_watch import TargetDeparture
+from rattanstile.process.mesh.target_gate import TargetQueue
+from rattanstile.process.mesh.target_watch import (
+    Announcement,
+    TargetDeparture,
+    TargetWatch,
+)
 
 thorough = settings(
     max_examples=int(os.environ.get('DECODER_EXAMPLES', '150')),
@@ -324,6 +330,35 @@
                 decoded = codec.decode(self.request(path, body))
                 self.assertIsNotNone(decoded, body[:60])
 
+    def test_numbers_of_a_heartbeat_can_be_reckoned_with(self):
+        """Too large, they made each report of the load fail."""
+        codec = PlatformAnnouncementCodec('10.0.0.1:2')
+        path = '/v1/instances/i-1/heartbeat'
+        for body in odd_documents(HEARTBEAT):
+            decoded = codec.decode(self.request(path, body))
+            if isinstance(decoded, Announcement):
+                self.assert_reportable(decoded)
+        path = '/v1/instances/i-1/deregister'
+        for body in odd_documents(HEARTBEAT):
+            decoded = codec.decode(self.request(path, body))
+            if isinstance(decoded, TargetDeparture):
+                msgspec.msgpack.encode(decoded.born_ms)
+
+    def assert_reportable(self, announcement):
+        """Check that a node can tell others of the target."""
+        watch = TargetWatch('fees')
+        watch.announced(1.0, announcement)
+        queue = TargetQueue()
+        queue.slots = watch.slots
+        load = TargetLoad(
+            limit=queue.limit,
+            capacity_deci_per_s=int(queue.capacity_per_s(is_cold=False) * 10),
+            cold_ms=int((watch.cold_until_s - 1.0) * 1000),
+        )
+        departure = (announcement.target_id, announcement.born_ms)
+        encode_peer_frame(StatusReport('fees', load))
+        msgspec.msgpack.encode(PeerMember('n1', 'a', 'b', 'c', *departure))
+
     @thorough
     @given(st.binary(max_size=40))
     def test_deregistrations(self, body):
