Probes: the cold time has at most nine digits

Callers would see: a response to a probe with a huge Cold-Ms makes each report of the target's load fail until a heartbeat comes; with more than 4,300 digits the response counts for nothing, so that the target isn't used again by probes.

Cause: the digits were converted whatever their number.

Change: a longer one is no cold time, like one with letters.

Evidence: test_decoders, test_cold_time_of_a_probe_can_be_reckoned_with; before "AssertionError: 1e+22 is not None : 25"; after, it passes.

--- a/src/rattanstile/platform/targets.py
+++ b/src/rattanstile/platform/targets.py
@@ -30,6 +30,7 @@
 """Callers take these as a guarantee that the request did not run; from a
 target they are one only with `headers.NOT_RUN`, or if the status is 421."""
 _MS_PER_S = 1000
+MAX_COLD_DIGITS = 9
 
 
 class PlatformTargetCodec:
@@ -104,7 +105,7 @@
         target_id = response.header(headers.TARGET_ID) or b''
         cold = response.header(headers.COLD_MS)
         cold_s = None
-        if cold is not None and cold.isdigit():
+        if cold is not None and _is_cold_time(cold):
             cold_s = int(cold) / _MS_PER_S
         return ProbeResult(
             target_id=TargetId(target_id.decode('latin-1')),
@@ -113,6 +114,10 @@
         )
 
 
+def _is_cold_time(content: bytes) -> bool:
+    return content.isdigit() and len(content) <= MAX_COLD_DIGITS
+
+
 def _is_refusal(response: HttpResponse) -> bool:
     return (
         response.status == _MISDIRECTED
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -14,7 +14,7 @@
 from mesh_samples import USABLE, served_call
 from result import Err, Ok
 
-from rattanstile.connection.http_messages import HttpRequest
+from rattanstile.connection.http_messages import HttpRequest, HttpResponse
 from rattanstile.connection.peer_messages import (
     MAX_FRAME_BYTES,
     CallRequest,
@@ -37,6 +37,7 @@
     PlatformAnnouncementCodec,
     PlatformCallerCodec,
     PlatformStore,
+    PlatformTargetCodec,
 )
 from rattanstile.platform.operators import decode_fleet_config
 from rattanstile.platform.store import (
@@ -359,6 +360,18 @@
         encode_peer_frame(StatusReport('fees', load))
         msgspec.msgpack.encode(PeerMember('n1', 'a', 'b', 'c', *departure))
 
+    def test_cold_time_of_a_probe_can_be_reckoned_with(self):
+        """Too large, it made each report of the load fail."""
+        for digits in (25, 400, 5000):
+            response = HttpResponse(
+                200,
+                b'OK',
+                ((b'instance-id', b'i-1'), (b'cold-ms', b'9' * digits)),
+                b'',
+            )
+            cold_s = PlatformTargetCodec().decode_probe(response).cold_s
+            self.assertIsNone(cold_s, digits)
+
     @thorough
     @given(st.binary(max_size=40))
     def test_deregistrations(self, body):
