Member entries: an entry counts under the ID of its node only

Callers would see: an entry of another writer, under a key of its own but with the ID of a node in it, takes the place of that node's entry: the node isn't connected to where it is, and when it starts again it takes the departure in the foreign entry for that of its own target, which it then doesn't use.

Cause: entries were read by the ID in their content, the last one won.

Change: an entry whose key isn't the ID that it contains names no node. Nodes write theirs under their ID.

Evidence: test_member_entries, test_entry_under_the_key_of_another_writer; before: by_id had 10.0.0.9:1 for n1, not 10.0.0.1:1; after, it passes.

--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -27,7 +27,7 @@
     StoreError,
     StoreUnavailableError,
 )
-from rattanstile.request.ids import FailureDomainId
+from rattanstile.request.ids import FailureDomainId, NodeId
 from rattanstile.version.fleet_config import FleetConfig
 
 CALL_TIMEOUT_S = 1.5
@@ -119,15 +119,23 @@
     async def members(
         self,
     ) -> Result[FleetMembers, StoreError]:
-        """Return all nodes that have announced themselves."""
+        """Return all nodes that have announced themselves.
+
+        An entry of another writer names no node: one that can't be decoded,
+        or whose key isn't the ID of the node.
+        """
         newest = await self._read_newest(_MEMBER_TOPIC)
         if isinstance(newest, Err):
             return newest
-        decoded = [_decode_member(item.value) for item in newest.ok_value.items]
-        by_id = {
-            member.node_id: member for member in decoded if member is not None
-        }
-        return Ok(FleetMembers(by_id, decoded.count(None)))
+        by_id: dict[NodeId, PeerMember] = {}
+        unreadable = 0
+        for item in newest.ok_value.items:
+            member = _decode_member(item.value)
+            if member is None or member.node_id != item.key:
+                unreadable += 1
+            else:
+                by_id[member.node_id] = member
+        return Ok(FleetMembers(by_id, unreadable))
 
     async def announce(self, member: PeerMember) -> Result[None, StoreError]:
         """Store an entry by which other nodes find this one."""
