Member entries: one that is none leaves the others as they are

Callers would see: nodes that start don't join, as long as one item of the list's response isn't as expected: a key that isn't UTF-8, a value that isn't Base64, a field missing or of another type. They are neither announced nor know other nodes, until one connects to them.

Cause: a page of the list was decoded as a whole.

Change: items are decoded one by one; those of the member list that can't be are counted as unreadable, which `members_read` logs. In the operators' records one still makes the read fail, as it could be the configuration. A page without any usable key, or with the one that was asked for, doesn't lead to another one.

Evidence: test_member_entries; before, test_entries_that_are_none: "Err(StoreUnavailableError('invalid response: Invalid UTF-8 encoded string')) is not an instance of Ok"; test_next_page_begins_after_the_last_entry...: Err; test_page_that_does_not_lead_on: read on and on, until no page was left. After, all pass. test_odd_operators_record_is_read_again passed before.

--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store: a log of records, and the newest by key."""
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from struct import Struct
 from typing import TypeVar
 from urllib.parse import quote
@@ -61,18 +62,50 @@
     offset: int
 
 
-class _NewestRecords(msgspec.Struct, rename='camel'):
-    """Newest record of each key, one page or all.
+class _NewestPage(msgspec.Struct, rename='camel'):
+    """One page of the newest record of each key.
 
     Attributes:
+        items: See `_Item`; decoded one by one, as other writers may have
+            written some of them.
         end: Offset of the next record of the log.
     """
 
-    items: list[_Item]
+    items: list[msgspec.Raw]
     end: int
     has_more: bool = False
 
 
+@dataclass(slots=True)
+class _NewestRecords:
+    """Newest record of each key.
+
+    Attributes:
+        unreadable: Number of items that are none.
+        end: Offset of the next record of the log.
+    """
+
+    items: list[_Item] = field(default_factory=list)
+    unreadable: int = 0
+    end: int = 0
+
+    def add(self, page_items: list[msgspec.Raw]) -> str | None:
+        """Add the items of a page; return its last key, None if it has none."""
+        last_key = None
+        for raw in page_items:
+            decoded = decode_untrusted(_item_decoder.decode, raw)
+            if isinstance(decoded, Err):
+                self.unreadable += 1
+                continue
+            last_key = decoded.ok_value.key
+            self.items.append(decoded.ok_value)
+        return last_key
+
+
+_item_decoder = msgspec.json.Decoder(_Item)
+_page_decoder = msgspec.json.Decoder(_NewestPage)
+
+
 class PlatformStore:
     """See `rattanstile.process.mesh.ports.FleetStore`.
 
@@ -89,6 +122,8 @@
         newest = await self._read_newest(_OPERATOR_TOPIC)
         if isinstance(newest, Err):
             return newest
+        if newest.ok_value.unreadable:
+            return Err(StoreUnavailableError('an unreadable record'))
         return Ok(
             OperatorRecords(
                 records=tuple(
@@ -128,7 +163,7 @@
         if isinstance(newest, Err):
             return newest
         by_id: dict[NodeId, PeerMember] = {}
-        unreadable = 0
+        unreadable = newest.ok_value.unreadable
         for item in newest.ok_value.items:
             member = _decode_member(item.value)
             if member is None or member.node_id != item.key:
@@ -167,24 +202,35 @@
         self, topic: str
     ) -> Result[_NewestRecords, StoreError]:
         """Return all pages as one, with the `end` of the first page."""
-        items: list[_Item] = []
-        end: int | None = None
-        after_query = ''
+        first = await self._read_page(topic, '')
+        if isinstance(first, Err):
+            return first
+        page = first.ok_value
+        newest = _NewestRecords(end=page.end)
+        after_key: str | None = None
         while True:
-            response = await self._call(
-                'GET', f'/v1/log-newest?topic={topic}&part=0{after_query}'
-            )
-            if isinstance(response, Err):
-                return response
-            decoded = _decode_response(_decode_newest, response.ok_value, 0)
-            if isinstance(decoded, Err):
-                return decoded
-            page = decoded.ok_value
-            items.extend(page.items)
-            end = page.end if end is None else end
+            last_key = newest.add(page.items)
             if not page.has_more or not page.items:
-                return Ok(_NewestRecords(items, end))
-            after_query = f'&after={quote(page.items[-1].key, safe="")}'
+                return Ok(newest)
+            if last_key is None or last_key == after_key:
+                return Err(StoreUnavailableError('a page does not lead on'))
+            after_key = last_key
+            following = await self._read_page(
+                topic, f'&after={quote(after_key, safe="")}'
+            )
+            if isinstance(following, Err):
+                return following
+            page = following.ok_value
+
+    async def _read_page(
+        self, topic: str, after_query: str
+    ) -> Result[_NewestPage, StoreError]:
+        response = await self._call(
+            'GET', f'/v1/log-newest?topic={topic}&part=0{after_query}'
+        )
+        if isinstance(response, Err):
+            return response
+        return _decode_response(_decode_newest, response.ok_value, 0)
 
     async def _call(
         self,
@@ -218,8 +264,8 @@
     )
 
 
-def _decode_newest(body: bytes, offset: int) -> _NewestRecords:
-    return msgspec.json.decode(body, type=_NewestRecords)
+def _decode_newest(body: bytes, offset: int) -> _NewestPage:
+    return _page_decoder.decode(body)
 
 
 def _decode_records(body: bytes, offset: int) -> OperatorRecords:
--- a/tests/test_member_entries.py
+++ b/tests/test_member_entries.py
@@ -5,7 +5,7 @@
 import unittest
 
 import msgspec
-from result import Ok
+from result import Err, Ok
 from twisted.internet.defer import Deferred, succeed
 
 from rattanstile.connection.http_messages import HttpResponse
@@ -13,6 +13,7 @@
 from rattanstile.platform import PlatformStore
 
 N1 = PeerMember('n1', '10.0.0.1:1', 'registry', 'east')
+N2 = PeerMember('n2', '10.0.0.2:1', 'registry', 'east')
 
 
 def entry(member, offset, key=None):
@@ -69,3 +70,36 @@
         members = self.members(entry(N1, 1), entry(forged, 2, key='odd'))
         self.assertEqual(members.by_id, {'n1': N1})
         self.assertEqual(members.unreadable, 1)
+
+    def test_entries_that_are_none(self):
+        """The whole list was unreadable, so that no node joined."""
+        for odd in (
+            b'{"key":"\xff","value":"AA==","offset":1}',
+            b'{"key":"odd","value":"?","offset":1}',
+            b'{"key":"odd","value":null,"offset":1}',
+            b'{"key":"odd","value":"AA=="}',
+            b'{"key":"odd","value":"AA==","offset":%s}' % (b'9' * 400),
+            b'7',
+        ):
+            members = self.members(entry(N1, 1), odd, entry(N2, 2))
+            self.assertEqual(members.by_id, {'n1': N1, 'n2': N2}, odd[:40])
+            self.assertEqual(members.unreadable, 1, odd[:40])
+
+    def test_next_page_begins_after_the_last_entry_that_has_a_key(self):
+        """An odd one at its end must not end the list, nor repeat it."""
+        outcome = self.outcome(
+            'members', page([entry(N1, 1), b'7'], True), page([entry(N2, 2)])
+        )
+        self.assertEqual(set(outcome.ok_value.by_id), {'n1', 'n2'})
+        self.assertIn(b'after=n1 ', self.exchanger.requests[1])
+
+    def test_page_that_does_not_lead_on(self):
+        """The list isn't read for ever."""
+        again = page([entry(N1, 1)], True)
+        for pages in ((page([b'7'], True),), (again, again)):
+            self.assertIsInstance(self.outcome('members', *pages), Err)
+
+    def test_odd_operators_record_is_read_again(self):
+        """Passed over, it could be the configuration."""
+        outcome = self.outcome('newest_records', page([b'7']))
+        self.assertIsInstance(outcome, Err)
