Member entries: the newest of an address wins

Callers would see: a node whose address another node had before isn't known to those that start later, if the earlier one's entry comes last in the store's response; calls that need it go elsewhere or are refused.

Cause: of two entries with one address the last one stays, and the store's response is in no order that is promised.

Change: entries are taken in the order in which they were written.

Evidence: test_member_entries, test_newest_entry_of_an_address_comes_last; before "Lists differ: ['a-new', 'n1'] != ['n1', 'a-new']"; after, it passes.

--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from operator import attrgetter
 from struct import Struct
 from typing import TypeVar
 from urllib.parse import quote
@@ -154,7 +155,7 @@
     async def members(
         self,
     ) -> Result[FleetMembers, StoreError]:
-        """Return all nodes that have announced themselves.
+        """Return all nodes that have announced themselves, oldest first.
 
         An entry of another writer names no node: one that can't be decoded,
         or whose key isn't the ID of the node.
@@ -164,7 +165,7 @@
             return newest
         by_id: dict[NodeId, PeerMember] = {}
         unreadable = newest.ok_value.unreadable
-        for item in newest.ok_value.items:
+        for item in sorted(newest.ok_value.items, key=attrgetter('offset')):
             member = _decode_member(item.value)
             if member is None or member.node_id != item.key:
                 unreadable += 1
--- a/tests/test_member_entries.py
+++ b/tests/test_member_entries.py
@@ -85,6 +85,12 @@
             self.assertEqual(members.by_id, {'n1': N1, 'n2': N2}, odd[:40])
             self.assertEqual(members.unreadable, 1, odd[:40])
 
+    def test_newest_entry_of_an_address_comes_last(self):
+        """The node that had the address before was taken for the present."""
+        new = PeerMember('a-new', N1.address, 'registry', 'east')
+        members = self.members(entry(new, 8), entry(N1, 1))
+        self.assertEqual(list(members.by_id), ['n1', 'a-new'])
+
     def test_next_page_begins_after_the_last_entry_that_has_a_key(self):
         """An odd one at its end must not end the list, nor repeat it."""
         outcome = self.outcome(
