Peers: an entry doesn't move a node that is connected

Callers would see: a stale entry, of a node that has another address now or of one that had the address of another before, ends the connection to a live node and with it the calls on it, as unknown; far nodes forget that node.

Cause: an entry of the store, or of a peer's list, counted as much as what a node says of itself on its connection.

Change: an entry with the ID or the address of a connected node is out of date and changes nothing. What a node says in its first message replaces, as before, whatever had its ID or its address.

Evidence: test_peer_pool, StaleEntryTest; before, test_connected_node_stays_at_ its_address and test_address_of_a_connected_node_stays_its_own: "None is not <PeerLink ...>"; after, 18 of 18 pass. The other three of that class passed before; one shows that an address that leads nowhere is tried a bounded number of times, then forgotten, and delays no other.

--- a/src/rattanstile/connection/peer_pool.py
+++ b/src/rattanstile/connection/peer_pool.py
@@ -199,7 +199,19 @@
     # Members
 
     def add_member(self, member: PeerMember) -> None:
-        """Add a node; a connection to it is opened when it is kept."""
+        """Add a node; a connection to it is opened when it is kept.
+
+        A node that is connected is where it has said itself; what an entry
+        says otherwise is out of date.
+        """
+        holder_id = self._by_address.get(member.address, member.node_id)
+        for node_id in (member.node_id, holder_id):
+            if self.link_to(node_id) is not None:
+                return
+        self._add_present(member)
+
+    def _add_present(self, member: PeerMember) -> None:
+        """Add a node, in place of any that had its ID or address before."""
         if member.node_id == self.place.node_id or not member.has_address:
             return
         known = self._peers.get(member.node_id)
@@ -326,10 +338,10 @@
         if link.is_outbound and link.expected_id != hello.node_id:
             # The address now belongs to another node.
             self.remove_member(link.expected_id)
-            self.add_member(member)
+            self._add_present(member)
             link.abort()
             return
-        self.add_member(member)
+        self._add_present(member)
         peer = self._peers.get(hello.node_id)
         if peer is None:
             link.abort()
--- a/tests/test_peer_pool.py
+++ b/tests/test_peer_pool.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+import msgspec
 from mesh_samples import RecordingLog, served_call
 
 from rattanstile.connection.peer_link import DROP_AFTER_S, NodePlace, PeerLink
@@ -17,6 +18,7 @@
     FAILURE_MEMORY_S,
     PASSIVE_DELAY_S,
     REDUNDANT_LINK_S,
+    UNREACHABLE_MEMBER_TIMEOUT_S,
     PeerPool,
 )
 from rattanstile.connection.peer_traffic import TrafficKind
@@ -188,6 +190,76 @@
         self.assertFalse(self.first.pool.is_failing('n2', 0))
 
 
+class StaleEntryTest(unittest.TestCase):
+    """Entries that were true once, or that somebody else has written."""
+
+    def setUp(self):
+        self.own = Node('n1')
+        self.other = Node('n2')
+
+    def entry(self, **changes):
+        return msgspec.structs.replace(self.other.member, **changes)
+
+    def connect(self):
+        self.own.know(self.other)
+        accept(self.own, self.other)
+        return self.own.link_to(self.other)
+
+    def test_connected_node_stays_at_its_address(self):
+        """Its entry is older than the address that it has said itself."""
+        link = self.connect()
+        self.own.pool.add_member(self.entry(address='10.0.0.9:1'))
+        self.assertIs(self.own.link_to(self.other), link)
+        self.assertFalse(link.transport.aborted)
+
+    def test_address_of_a_connected_node_stays_its_own(self):
+        """The entry is of a node that had the address before."""
+        link = self.connect()
+        self.own.pool.add_member(self.entry(node_id='n0'))
+        self.assertIs(self.own.link_to(self.other), link)
+        self.assertFalse(link.transport.aborted)
+
+    def test_node_that_says_hello_takes_over_an_address(self):
+        """The connection to the one before it isn't lost yet."""
+        old = self.connect()
+        successor = Node('n3')
+        successor.member = self.entry(node_id='n3')
+        successor.know(self.own)
+        successor.reactor.advance(PASSIVE_DELAY_S)
+        accept(successor, self.own)
+        self.assertTrue(old.transport.aborted)
+        self.assertIsNotNone(self.own.pool.link_to('n3'))
+        self.assertIsNone(self.own.pool.link_to('n2'))
+
+    def test_node_that_says_hello_from_another_address_is_there(self):
+        """Its process has moved with its ID."""
+        old = self.connect()
+        moved = Node('n2', incarnation=2)
+        moved.member = self.entry(address='10.0.0.9:1')
+        moved.know(self.own)
+        moved.reactor.advance(PASSIVE_DELAY_S)
+        accept(moved, self.own)
+        self.assertTrue(old.transport.aborted)
+        self.assertIn(moved.member, self.own.pool.connected())
+
+    def test_entry_that_leads_nowhere_delays_no_other(self):
+        """It is tried a bounded number of times, then forgotten."""
+        self.own.pool.add_member(self.entry(node_id='n0', address='10.0.0.9:1'))
+        self.own.pool.add_member(self.other.member)
+        self.own.pool.keep_only(['n0', 'n2'])
+        accept(self.own, self.other)
+        attempts = 0
+        while self.own.reactor.seconds() < UNREACHABLE_MEMBER_TIMEOUT_S + 5:
+            if len(self.own.reactor.factories) > attempts + 1:
+                attempts += 1
+                self.own.reactor.refuse_connection()
+            self.own.reactor.advance(0.05)
+        self.assertGreater(attempts, 0)
+        self.assertLess(attempts, 3 * UNREACHABLE_MEMBER_TIMEOUT_S)
+        self.assertIsNotNone(self.own.link_to(self.other))
+        self.assertEqual(self.own.pool.known_members(), (self.other.member,))
+
+
 class FarTest(unittest.TestCase):
     """Two nodes of different failure domains."""
 
