Heartbeats: a service that nobody names is no service of the target

Callers would see: after a heartbeat of another writer with the target's address and a service that neither the settings nor the configuration know, all calls to that target are refused until its own next heartbeat.

Cause: the service of any heartbeat became that of the target.

Change: such a heartbeat is rejected with a 400 and a line in the log. A service counts as known if the configuration in force or the node's settings name it, so that a target is used before the node has read a configuration.

Evidence: test_announcement_service, test_service_that_is_not_named_here; before "'nobody' != 'registry'"; after, it passes.

--- a/src/rattanstile/process/mesh/node_addresses.py
+++ b/src/rattanstile/process/mesh/node_addresses.py
@@ -17,7 +17,11 @@
     InvalidAnnouncement,
 )
 from rattanstile.process.mesh.serving_handler import ServingHandler
-from rattanstile.process.mesh.target_watch import TargetChange, TargetDeparture
+from rattanstile.process.mesh.target_watch import (
+    Announcement,
+    TargetChange,
+    TargetDeparture,
+)
 
 PERSIST_TIMEOUT_S = 0.6
 """Targets accept an acknowledgement that arrives within one second."""
@@ -119,7 +123,7 @@
     ) -> None:
         """Record an announcement or a departure and acknowledge it."""
         closes = connection.closes_after_response
-        decoded = self._codec.decode(request)
+        decoded = self._decode(request)
         match decoded:
             case InvalidAnnouncement(why):
                 self._node.context.log.write(
@@ -137,6 +141,16 @@
                 return
         connection.respond(rejection, closes=closes)
 
+    def _decode(
+        self, request: ReceivedRequest
+    ) -> Announcement | TargetDeparture | InvalidAnnouncement:
+        decoded = self._codec.decode(request)
+        if isinstance(decoded, Announcement) and (
+            not self._node.serving.is_named(decoded.service)
+        ):
+            return InvalidAnnouncement(f'unknown service {decoded.service}')
+        return decoded
+
     def _acknowledge(
         self, connection: HttpServerConnection, effect: TargetChange
     ) -> None:
--- a/src/rattanstile/process/mesh/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving_handler.py
@@ -40,6 +40,7 @@
     Unknown,
     UnknownReason,
 )
+from rattanstile.request.ids import ServiceName
 
 SPARE_CONNECTIONS = 8
 """Connections beyond the concurrency limit, as some are about to close."""
@@ -88,6 +89,7 @@
         self._timers = context.timers
         self._log = context.log
         self._status_changed = status_changed
+        self._settings_service = watch.service
         self._pending = PendingCalls()
         self._repeated_runs = 0
         self._was_usable = False
@@ -245,6 +247,12 @@
 
     # Target
 
+    def is_named(self, service: ServiceName) -> bool:
+        """Return whether the settings or the configuration name a service."""
+        config = self._state().config
+        is_configured = config is not None and service in config.services
+        return is_configured or service == self._settings_service
+
     def announced(self, announcement: Announcement) -> TargetChange:
         """Handle an announcement of the target."""
         change = self.watch.announced(self._timers.now_s(), announcement)
--- /dev/null
+++ b/tests/test_announcement_service.py
@@ -0,0 +1,82 @@
+"""Announcements that other writers send to the address of the target's own."""
+
+import json
+import unittest
+from types import SimpleNamespace
+
+from mesh_samples import config, context, route
+
+from rattanstile.connection.http_messages import HttpRequest
+from rattanstile.platform import PlatformAnnouncementCodec
+from rattanstile.process.mesh.node_addresses import AnnouncementService
+from rattanstile.process.mesh.serving_handler import ServingHandler
+from rattanstile.process.mesh.target_watch import TargetWatch
+from rattanstile.version.fleet_config import FleetState
+
+ADDRESS = '10.0.0.1:2'
+NOW_S = 1_700_000_000.0
+
+
+class AnnouncementServiceTest(unittest.TestCase):
+    """An odd announcement names no target; the one in use stays."""
+
+    def setUp(self):
+        self.statuses = []
+        node_context, _, self.holder = context(
+            FleetState(1, config(routes=(route(),)))
+        )
+        self.log = node_context.log
+        self.serving = ServingHandler(
+            node_context,
+            TargetWatch('fees'),
+            SimpleNamespace(connection_limit=8),
+            None,
+            lambda: None,
+        )
+        self.service = AnnouncementService(
+            PlatformAnnouncementCodec(ADDRESS),
+            SimpleNamespace(
+                serving=self.serving,
+                context=node_context,
+                persist_departure=self.persist,
+            ),
+        )
+
+    async def persist(self):
+        """Store nothing."""
+
+    def announce(self, target_id='i-1', service='registry', **changes):
+        born_ms = changes.pop('born', int(NOW_S * 1000) - 5000)
+        heartbeat = {
+            'address': ADDRESS,
+            'born': born_ms,
+            'info': {'service': service, 'slots': 9},
+            'status': {'state': 'ready', 'sequence': 1, **changes},
+        }
+        path = f'/v1/instances/{target_id}/heartbeat'
+        body = json.dumps(heartbeat).encode()
+        connection = SimpleNamespace(
+            closes_after_response=False, respond=self.respond
+        )
+        self.service.request_received(
+            connection, HttpRequest('POST', path, (), body)
+        )
+        return self.statuses[-1]
+
+    def respond(self, encoded, closes):
+        self.statuses.append(int(encoded.split()[1]))
+
+    def test_service_that_is_not_named_here(self):
+        """The target was out until its next heartbeat."""
+        self.assertEqual(self.announce(), 200)
+        odd_status = self.announce('i-2', 'nobody', sequence=2)
+        self.assertEqual(self.serving.watch.service, 'registry')
+        self.assertEqual(self.serving.watch.target_id, 'i-1')
+        self.assertEqual(odd_status, 400)
+        self.assertIn('announcement_rejected', self.log.events())
+
+    def test_service_of_the_settings_needs_no_configuration(self):
+        """A target announces itself before the node has read one."""
+        self.holder.state = FleetState()
+        self.assertEqual(self.announce(service='fees'), 200)
+        self.assertTrue(self.serving.watch.is_usable)
