Heartbeats: none from the future

Callers would see: after a heartbeat of another writer, whose start lies far in the future, with the state draining, calls to that target are refused for as long as its own process lives: all of its own heartbeats seem out of date.

Cause: incarnations are ordered by their start, whatever it is.

The target and the node are on one VM; a clock that was set back by less is no error.

Evidence: test_announcement_service, test_target_that_starts_in_the_future; before "AssertionError: False is not true" (the target isn't usable); after, it passes, and so does test_clock_that_was_set_back, which passed before as well.

--- a/src/rattanstile/platform/announcements.py
+++ b/src/rattanstile/platform/announcements.py
@@ -1,6 +1,8 @@
 """Codec of the announcements that a target sends to the node on its VM."""
 
 import re
+import time
+from collections.abc import Callable
 from typing import Annotated
 
 import msgspec
@@ -18,6 +20,8 @@
 )
 from rattanstile.request.ids import ServiceName, TargetId
 
+MAX_CLOCK_LEAD_S = 86_400
+"""The clock of the VM may have been set back since the target started."""
 MAX_SLOTS = 1_000_000
 MAX_WHOLE_NUMBER = 2**53
 """Larger ones aren't exact in every program that reads JSON."""
@@ -25,6 +29,7 @@
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 _PATH = re.compile(r'/v1/instances/([^/?]+)/(heartbeat|deregister)')
 _JSON_HEADERS = ((b'content-type', b'application/json'),)
+_MS_PER_S = 1000
 _OK = 200
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
@@ -78,11 +83,15 @@
     Args:
         target_address: Address of the target on this VM. Heartbeats that state
             another address are invalid.
+        now_s: Returns the time in seconds since the epoch.
     """
 
-    def __init__(self, target_address: str) -> None:
+    def __init__(
+        self, target_address: str, now_s: Callable[[], float] = time.time
+    ) -> None:
         """Initialize for the target at an address."""
         self._target_address = target_address
+        self._now_s = now_s
 
     def decode(
         self, request: HttpRequest | BadRequest
@@ -119,6 +128,8 @@
             return InvalidAnnouncement(f'unknown state {status.state}')
         if cold_s is None:
             return InvalidAnnouncement('invalid cold time')
+        if heartbeat.born > (self._now_s() + MAX_CLOCK_LEAD_S) * _MS_PER_S:
+            return InvalidAnnouncement('the target starts in the future')
         if heartbeat.address != self._target_address:
             return InvalidAnnouncement(
                 f'not the address of the target: {heartbeat.address}'
--- a/tests/test_announcement_service.py
+++ b/tests/test_announcement_service.py
@@ -15,6 +15,7 @@
 
 ADDRESS = '10.0.0.1:2'
 NOW_S = 1_700_000_000.0
+DAY_S = 86_400
 
 
 class AnnouncementServiceTest(unittest.TestCase):
@@ -34,7 +35,7 @@
             lambda: None,
         )
         self.service = AnnouncementService(
-            PlatformAnnouncementCodec(ADDRESS),
+            PlatformAnnouncementCodec(ADDRESS, lambda: NOW_S),
             SimpleNamespace(
                 serving=self.serving,
                 context=node_context,
@@ -80,3 +81,17 @@
         self.holder.state = FleetState()
         self.assertEqual(self.announce(service='fees'), 200)
         self.assertTrue(self.serving.watch.is_usable)
+
+    def test_target_that_starts_in_the_future(self):
+        """All later heartbeats of the target itself seemed out of date."""
+        future_ms = int((NOW_S + 2 * DAY_S) * 1000)
+        odd_status = self.announce('i-2', state='draining', born=future_ms)
+        self.assertEqual(self.announce(sequence=2), 200)
+        self.assertTrue(self.serving.watch.is_usable)
+        self.assertEqual(odd_status, 400)
+
+    def test_clock_that_was_set_back(self):
+        """The target seems to have started an hour from now."""
+        ahead_ms = int((NOW_S + DAY_S / 24) * 1000)
+        self.assertEqual(self.announce(born=ahead_ms), 200)
+        self.assertTrue(self.serving.watch.is_usable)
