Deregistrations: a foreign one doesn't hide that the target has left

Callers would see: a target that has deregistered, while a message of another writer or of an earlier incarnation came after its own, is used again once its node has been restarted; it ends with those calls.

Cause: the last departure was that of the last message, of whatever target.

Change: while the current target leaves, the departure of another one is kept beside its own and doesn't replace it.

Evidence: test_target_watch, test_a_foreign_deregistration_does_not_hide_the_ departure; before "'odd' != 'i-1'"; after, it passes. test_a_successor_may_ deregister_as_its_first_message passed before as well: it guards against simply ignoring the other departure, a form that was not run.

--- a/src/rattanstile/process/mesh/target_watch.py
+++ b/src/rattanstile/process/mesh/target_watch.py
@@ -162,8 +162,13 @@
 
     def deregistered(self, departure: TargetDeparture) -> TargetChange:
         """Apply a deregistration and return what it changed."""
+        is_current = departure.target_id == self.target_id
+        if self.is_leaving and not is_current:
+            # The departure of the current incarnation must not be forgotten.
+            self._replaced = departure
+            return TargetChange.NOTHING
         born_ms = departure.born_ms
-        if departure.target_id == self.target_id:
+        if is_current:
             born_ms = max(born_ms, self._born_ms)
         self.last_departure = TargetDeparture(departure.target_id, born_ms)
         if self.target_id not in {departure.target_id, TargetId('')}:
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -106,6 +106,25 @@
         self.assertEqual(change, TargetChange.NOTHING)
         self.assertFalse(watch.is_usable)
 
+    def test_a_foreign_deregistration_does_not_hide_the_departure(self):
+        """It was what a restarted node read, and the target was used again."""
+        watch = TargetWatch('registry')
+        watch.restore_departure(NO_DEPARTURE)
+        watch.probed(0, ProbeResult('i-1', is_healthy=True, cold_s=None))
+        watch.deregistered(TargetDeparture('i-1', 0))
+        foreign = watch.deregistered(TargetDeparture('odd', 0))
+        self.assertEqual(foreign, TargetChange.NOTHING)
+        self.assertEqual(watch.last_departure.target_id, 'i-1')
+
+    def test_a_successor_may_deregister_as_its_first_message(self):
+        """Its late heartbeat must not make it usable."""
+        watch = TargetWatch('registry')
+        watch.announced(0, announcement('i-1', state=TargetState.DRAINING))
+        watch.deregistered(TargetDeparture('i-2', 20))
+        late = announcement('i-2', born_ms=20)
+        self.assertEqual(watch.announced(1, late), TargetChange.NOTHING)
+        self.assertFalse(watch.is_usable)
+
     def test_a_late_announcement_does_not_restore_a_target_that_left(self):
         """Sequence numbers are lost at a restart: trouble-3 183784791010.
 
