Settings: a file that is no text is named in the error

Operators would see: a traceback in place of the line that names the file.

Cause: only the errors of opening the file were caught.

Change: bytes that aren't UTF-8 are an error of the settings as well.

Evidence: test_mesh_settings, test_file_that_is_no_text; before "UnicodeDecodeError: 'utf-8' codec can't decode byte 0xff in position 13"; after, it passes.

--- a/src/rattanstile/process/mesh/settings.py
+++ b/src/rattanstile/process/mesh/settings.py
@@ -82,7 +82,7 @@
     """
     try:
         text = Path(file_name).read_text(encoding='utf-8')
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(file_name, '$', str(error)) from error
     return parse_mesh_settings(file_name, text)
 
