Settings: a node's ID fits into a key of the store

Operators would see: a node with an ID of more than 255 bytes never joins, as its entry can't be encoded; one with an empty ID writes an entry without a key.

Cause: the ID was taken as it came.

Change: it has 1 to 255 bytes, or the settings are in error.

Evidence: test_mesh_settings, test_node_id_that_the_store_takes_for_no_key; before "AssertionError: SettingsError not raised"; after, it passes.

--- a/src/rattanstile/process/mesh/settings.py
+++ b/src/rattanstile/process/mesh/settings.py
@@ -10,6 +10,8 @@
 from rattanstile.errors import SettingsError
 from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
 
+MAX_NODE_ID_BYTES = 255
+"""The store takes no longer key for the node's member entry."""
 MAX_DURATION_S = 366 * 24 * 3600
 
 _COMMENT = re.compile(r'^\s*//.*$', re.MULTILINE)
@@ -103,6 +105,10 @@
     if isinstance(decoded, Err):
         raise SettingsError(file_name, '$', decoded.err_value.message)
     settings = decoded.ok_value
+    if not 0 < len(settings.node_id.encode()) <= MAX_NODE_ID_BYTES:
+        raise SettingsError(
+            file_name, '$.node_id', f'must have 1 to {MAX_NODE_ID_BYTES} bytes'
+        )
     if duration_s(settings.grace) is None:
         raise SettingsError(
             file_name, '$.grace', 'must be a duration such as 6s or 500ms'
