Product's node: records nested too deeply are malformed records

Callers would see: one record of another writer in the log, nested more than about 1,000 levels deep, and the node hears of no later one: the reader of the log logs `read_failed` once and doesn't read again. A control message or frame like that raises out of its connection.

Cause: as in the node of the platform, RecursionError is no MsgspecError.

Change: records, rates, bindings, pages of the log, control messages and frames are decoded through `decode_untrusted`.

--- a/src/rattanstile/connection/frames.py
+++ b/src/rattanstile/connection/frames.py
@@ -10,8 +10,10 @@
 from struct import Struct
 
 import msgspec
+from result import Err
 from xxhash import xxh32_intdigest
 
+from rattanstile.decoding import decode_untrusted
 from rattanstile.errors import RattanstileError
 from rattanstile.request.envelope import Call, Cancel, Header, Reply
 from rattanstile.request.ids import (
@@ -219,7 +221,7 @@
 def _decode(payload: bytes, checksum: int) -> Message:
     if xxh32_intdigest(payload) != checksum:
         raise FrameError('frame checksum mismatch')
-    try:
-        return _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
-        raise FrameError(f'invalid message: {error}') from error
+    decoded = decode_untrusted(_decoder.decode, payload)
+    if isinstance(decoded, Err):
+        raise FrameError(f'invalid message: {decoded.err_value.message}')
+    return decoded.ok_value
--- a/src/rattanstile/process/configuration/log_client.py
+++ b/src/rattanstile/process/configuration/log_client.py
@@ -25,6 +25,7 @@
 from twisted.web.iweb import IAgentEndpointFactory, IResponse
 from zope.interface import implementer
 
+from rattanstile.decoding import decode_untrusted
 from rattanstile.errors import (
     RattanstileError,
     UnavailableError,
@@ -110,6 +111,10 @@
     offset: int
 
 
+_page_decoder = msgspec.json.Decoder(_Page)
+_append_decoder = msgspec.json.Decoder(_AppendResponse)
+
+
 @implementer(IAgentEndpointFactory)
 class _AddressEndpoints:
     """Connects to IP addresses without a resolver and its threads."""
@@ -210,15 +215,15 @@
                     f'log returned status {response.code}; nothing was appended'
                 )
             )
-        try:
-            appended = msgspec.json.decode(body, type=_AppendResponse)
-        except msgspec.MsgspecError:
-            return Err(
-                AppendUncertain(
+        return (
+            decode_untrusted(_append_decoder.decode, body)
+            .map(lambda appended: LogOffset(appended.offset))
+            .map_err(
+                lambda _: AppendUncertain(
                     f'log returned no offset with status {response.code}'
                 )
             )
-        return Ok(LogOffset(appended.offset))
+        )
 
     async def _read(
         self, stream: str, from_offset: LogOffset, wait_s: float
@@ -238,12 +243,11 @@
     def _read_result(self, status: int, body: bytes) -> ReadResult:
         if status not in {HTTPStatus.OK, HTTPStatus.GONE}:
             return Err(LogUnavailable(f'log returned status {status}'))
-        try:
-            page = msgspec.json.decode(body, type=_Page)
-        except msgspec.MsgspecError as failure:
-            return Err(
-                LogUnavailable(f'invalid response from the log: {failure}')
-            )
+        decoded = decode_untrusted(_page_decoder.decode, body)
+        if isinstance(decoded, Err):
+            why = decoded.err_value.message
+            return Err(LogUnavailable(f'invalid response from the log: {why}'))
+        page = decoded.ok_value
         oldest = LogOffset(page.oldest_offset)
         next_offset = LogOffset(page.next_offset)
         if status == HTTPStatus.GONE:
--- a/src/rattanstile/process/control_service.py
+++ b/src/rattanstile/process/control_service.py
@@ -6,8 +6,10 @@
 
 import logbook
 import msgspec
+from result import Err
 
 from rattanstile.connection.control_bus import ControlBus
+from rattanstile.decoding import decode_untrusted
 from rattanstile.process.configuration.relay_messages import RelayMessage
 from rattanstile.process.key_values import key_values
 from rattanstile.process.membership.membership_messages import MembershipMessage
@@ -90,12 +92,17 @@
 
         Malformed messages are logged and dropped.
         """
-        try:
-            envelope = _envelope_decoder.decode(encoded)
-            message = _DECODERS[envelope.family].decode(envelope.payload)
-        except msgspec.MsgspecError as error:
-            _log.warning(key_values('control_malformed', cause=error))
+        decoded = decode_untrusted(_decode, encoded)
+        if isinstance(decoded, Err):
+            cause = decoded.err_value.message
+            _log.warning(key_values('control_malformed', cause=cause))
             return
+        envelope, message = decoded.ok_value
         handler = self.handlers.get(envelope.family)
         if handler is not None:
             handler(envelope.sender, message)
+
+
+def _decode(encoded: bytes) -> tuple[ControlEnvelope, Any]:
+    envelope = _envelope_decoder.decode(encoded)
+    return envelope, _DECODERS[envelope.family].decode(envelope.payload)
--- a/src/rattanstile/process/entry/binding_index.py
+++ b/src/rattanstile/process/entry/binding_index.py
@@ -4,7 +4,9 @@
 from hashlib import blake2b
 
 import msgspec
+from result import Err
 
+from rattanstile.decoding import decode_untrusted
 from rattanstile.request.ids import (
     CallId,
     LogOffset,
@@ -34,6 +36,9 @@
     refused: CallId = CallId('')
 
 
+_decoder = msgspec.msgpack.Decoder(BindingRecord)
+
+
 @dataclass(slots=True)
 class Binding:
     """The call id in force for a key.
@@ -90,10 +95,10 @@
             self._bindings.pop(key_digest)
 
     def _apply(self, offset: LogOffset, encoded: bytes) -> None:
-        try:
-            record = msgspec.msgpack.decode(encoded, type=BindingRecord)
-        except msgspec.MsgspecError:
+        decoded = decode_untrusted(_decoder.decode, encoded)
+        if isinstance(decoded, Err):
             return
+        record = decoded.ok_value
         binding = self._bindings.get(record.key_digest)
         if binding is not None and record.refused != binding.record.call_id:
             return
--- a/src/rattanstile/process/rates/rate_stream.py
+++ b/src/rattanstile/process/rates/rate_stream.py
@@ -5,8 +5,9 @@
 from random import Random
 
 import msgspec
-from result import Err, Ok, Result
+from result import Result
 
+from rattanstile.decoding import decode_untrusted
 from rattanstile.process.configuration.log_client import LogClient
 from rattanstile.process.configuration.log_reader import (
     LogReader,
@@ -69,7 +70,6 @@
 
 def decode(encoded: bytes) -> Result[RateRecord, MalformedRecord]:
     """Return the record, or why the bytes can't be decoded."""
-    try:
-        return Ok(_decoder.decode(encoded))
-    except msgspec.MsgspecError as error:
-        return Err(MalformedRecord(str(error)))
+    return decode_untrusted(_decoder.decode, encoded).map_err(
+        lambda error: MalformedRecord(error.message)
+    )
--- a/src/rattanstile/version/records.py
+++ b/src/rattanstile/version/records.py
@@ -1,8 +1,9 @@
 """Records of the platform's log, and their codec."""
 
 import msgspec
-from result import Err, Ok, Result
+from result import Result
 
+from rattanstile.decoding import decode_untrusted
 from rattanstile.errors import RattanstileError
 from rattanstile.request.envelope import Member
 from rattanstile.request.ids import (
@@ -164,8 +165,6 @@
 
 def decode_record(record_bytes: bytes) -> Result[Record, MalformedRecord]:
     """Return the decoded record, or an error if the bytes are malformed."""
-    try:
-        record: Record = _decoder.decode(record_bytes)
-    except (msgspec.DecodeError, msgspec.ValidationError) as failure:
-        return Err(MalformedRecord(str(failure)))
-    return Ok(record)
+    return decode_untrusted(_decoder.decode, record_bytes).map_err(
+        lambda error: MalformedRecord(error.message)
+    )
