Log reader: an unexpected error doesn't end the reading

Callers would see: the product's own node hears of no later record of a stream: no configuration, no member, until it is restarted.

Cause: an exception in the handling of a batch was logged as `read_failed`, and no further read was sent.

Change: the next read follows after the longest delay between reads.

Evidence: test_log_reader, test_unexpected_error_does_not_end_the_reading; before "Lists differ: [0] != [0, 2]"; after, 6 of 6 pass.

--- a/src/rattanstile/process/configuration/log_reader.py
+++ b/src/rattanstile/process/configuration/log_reader.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
 
 from rattanstile.process.configuration.log_client import (
     LogClient,
@@ -130,13 +131,14 @@
             self._stream, self._next_offset, READ_WAIT_S
         )
         reading.addCallback(self._on_result, started_s)
-        reading.addErrback(
-            lambda failure: _log.error(
-                'event=read_failed stream={} failure={}',
-                self._stream,
-                failure,
-            )
+        reading.addErrback(self._on_unexpected_error)
+
+    def _on_unexpected_error(self, failure: Failure) -> None:
+        """Log an error of the handler or the decoder, and read on."""
+        _log.error(
+            'event=read_failed stream={} failure={}', self._stream, failure
         )
+        self._clock.callLater(MAX_BACKOFF_S, self._read)
 
     def _on_result(self, read_result: ReadResult, started_s: float) -> None:
         if not self._running:
--- a/tests/test_log_reader.py
+++ b/tests/test_log_reader.py
@@ -95,6 +95,19 @@
         self.assertEqual(self.events, [StreamGap(40)])
         self.assertEqual(self.client.read_offsets, [0, 40])
 
+    def test_unexpected_error_does_not_end_the_reading(self):
+        """The node heard of no later record."""
+        self.reader._handler = self.fail_once
+        self.respond(batch(0, 2))
+        self.clock.advance(MAX_BACKOFF_S)
+        self.assertEqual(self.client.read_offsets, [0, 2])
+        self.respond(batch(2, 1))
+        self.assertEqual(self.client.read_offsets, [0, 2, 3])
+
+    def fail_once(self, event):
+        self.reader._handler = self.events.append
+        raise RuntimeError('odd record')
+
     def test_no_event_follows_stop(self):
         self.reader.stop()
         self.respond(batch(0, 2))
