Odd entries: a node process that reads eight of them joins and is connected

The stand-in of the store takes entries of other writers in the member list (`entry/KEY`); the test writes eight, kills a node and starts it again.

--- a/src/rattanstile/standin/platform_fleet.py
+++ b/src/rattanstile/standin/platform_fleet.py
@@ -67,6 +67,8 @@
         match command:
             case 'put':
                 self._store.put('keyed.op', '/'.join(arguments), request.body)
+            case 'entry':
+                self._store.put('keyed.members', arguments[0], request.body)
             case 'trouble':
                 self._store.fault = StoreFault(arguments[0])
             case 'forget':
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -5,8 +5,11 @@
 import time
 import unittest
 
+import msgspec
 from platform_fleet import HOST, PlatformFleet, config_document
 
+from rattanstile.connection.peer_messages import PeerMember
+
 
 class ServingTest(unittest.TestCase):
     """Two nodes in normal operation."""
@@ -211,6 +214,53 @@
             return 0
 
 
+class OddEntryTest(unittest.TestCase):
+    """Entries of another writer in the member list."""
+
+    def test_node_joins_and_is_connected(self):
+        """A node that read such a list was never announced nor connected."""
+        fleet = PlatformFleet(domains=('east', 'west'))
+        self.addCleanup(fleet.stop)
+        fleet.start()
+        peer_address = fleet.node_settings[0]['peer_address']
+        deep = b'\x91' * 100_000 + b'\xc0'
+        entries = {
+            'deep': b'\x97' + self.entry('deep', '127.0.0.1:1')[1:] + deep,
+            'large': self.entry('large', '127.0.0.1:' + '9' * 5000),
+            'range': self.entry('range', '127.0.0.1:70000'),
+            'name': self.entry('name', 'node-1.invalid:80'),
+            'scope': self.entry('scope', 'fe80::1%nope:80'),
+            'forged': self.entry('node-0', '127.0.0.1:1'),
+            'nobody': self.entry('nobody', '127.0.0.1:1'),
+            'zz-same': self.entry('zz-same', peer_address),
+        }
+        for key, content in entries.items():
+            fleet.send_order(f'entry/{key}', content)
+        lines_before = fleet.read_log(1).count('event=members_read')
+        fleet.node_processes[1].kill()
+        fleet.node_processes[1].wait()
+        fleet.start_node(1)
+        fleet.wait_until(
+            lambda: fleet.read_log(1).count('event=members_read') > lines_before
+        )
+        self.assertIn('unreadable=6', fleet.read_log(1))
+        fleet.wait_until_served(1)
+        started = fleet.read_log(1).rpartition('event=node_started')[2]
+        self.assertNotIn('event=store_task_failed', started)
+        fleet.wait_until(
+            lambda: (
+                'event=peer_ready peer=node-0'
+                in fleet.read_log(1).rpartition('event=node_started')[2]
+            )
+        )
+
+    def entry(self, node_id, address):
+        """Return an entry of a node in the failure domain of the reader."""
+        return msgspec.msgpack.encode(
+            PeerMember(node_id, address, 'claims', 'west')
+        )
+
+
 class DrainTest(unittest.TestCase):
     """Node restarts under load, and targets that drain or deregister."""
 
