Log stand-in: a read without valid numbers is refused

A test would see: a read from offset "x" served from the first record on, as if it had asked for that; a fault of a client stays hidden.

Change: what isn't a number of up to 18 digits is refused; a missing one is 0.

Evidence: test_log, test_read_without_valid_numbers_is_refused; before "<HTTPStatus.OK: 200> != 400 : b'from'"; after, test_log passes, and so do test_node_process and test_operators, which use the stand-in.

--- a/src/rattanstile/standin/log.py
+++ b/src/rattanstile/standin/log.py
@@ -25,6 +25,7 @@
 
 MAX_READ_RECORDS = 1_000
 MAX_WAIT_MS = 30_000
+MAX_QUERY_DIGITS = 18
 
 _log = Logger('standin.log')
 _json = msgspec.json.Encoder()
@@ -179,12 +180,12 @@
             self._answer(request, HTTPStatus.SERVICE_UNAVAILABLE)
             return NOT_DONE_YET
         from_offset = _query_number(request, b'from')
-        wait_ms = min(_query_number(request, b'wait_ms'), MAX_WAIT_MS)
+        wait_ms = _query_number(request, b'wait_ms')
         if from_offset is None or wait_ms is None:
             self._answer(request, HTTPStatus.BAD_REQUEST)
             return NOT_DONE_YET
         _Read(self._log_standin, self._name, from_offset, request).start(
-            wait_ms
+            min(wait_ms, MAX_WAIT_MS)
         )
         return NOT_DONE_YET
 
@@ -271,9 +272,12 @@
         return _json.encode(self._log_standin.switches)
 
 
-def _query_number(request: Request, name: bytes) -> int:
+def _query_number(request: Request, name: bytes) -> int | None:
+    """Return a number of the query; 0 if it has none, None if it is invalid."""
     text = (request.args or {}).get(name, [b'0'])[0]
-    return int(text) if text.isdigit() else 0
+    if not text.isdigit() or len(text) > MAX_QUERY_DIGITS:
+        return None
+    return int(text)
 
 
 def _answer_later(
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,6 +1,7 @@
 """Log stand-in and log client, over a loopback connection."""
 
 import unittest
+from types import SimpleNamespace
 
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
@@ -12,7 +13,12 @@
     LogUnavailable,
     OffsetTooOld,
 )
-from rattanstile.standin.log import LogStandin, Switches, running_log
+from rattanstile.standin.log import (
+    LogStandin,
+    Switches,
+    _Records,
+    running_log,
+)
 from rattanstile.standin.log_store import Retention, Stream
 
 
@@ -51,6 +57,31 @@
         page = stream.read(0, 100, lag_records=2)
         self.assertEqual((len(page.records), page.next_offset), (3, 3))
 
+    def test_read_without_valid_numbers_is_refused(self):
+        """It was served from the first record, without a wait."""
+        for name in (b'from', b'wait_ms'):
+            for text in (b'x', b'', b'-1', b'9' * 5000):
+                self.assertEqual(self.read_status({name: [text]}), 400, name)
+        self.assertEqual(self.read_status({}), 200)
+        self.assertEqual(
+            self.read_status({b'from': [b'0'], b'wait_ms': [b'0']}), 200
+        )
+
+    def read_status(self, args):
+        clock = Clock()
+        statuses = []
+        request = SimpleNamespace(
+            args=args,
+            channel=self,
+            setResponseCode=statuses.append,
+            setHeader=lambda *_: None,
+            write=lambda _: None,
+            finish=lambda: None,
+        )
+        _Records(LogStandin(clock), 'members').render_GET(request)
+        clock.advance(0)
+        return statuses[0]
+
     def test_appends_above_the_rate_limit_are_refused(self):
         clock = Clock()
         log = LogStandin(clock, switches=Switches(appends_per_s=2))
