--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -42,6 +42,14 @@
         self.assert_rejected('$', nodeid='x')
         self.assert_rejected('$.log.level', log={'level': 'loud'})
 
+    def test_missing_field_is_named(self):
+        for name in VALID_SETTINGS:
+            lacking = {**VALID_SETTINGS}
+            lacking.pop(name)
+            with self.assertRaises(SettingsError) as caught:
+                settings_from_text('node.json', json.dumps(lacking))
+            self.assertIn(f'`{name}`', caught.exception.message)
+
     def test_address_must_be_an_ip_address_with_a_port(self):
         for invalid in ('localhost:1', '127.0.0.1', '127.0.0.1:99999'):
             self.assert_rejected('$.log_address', log_address=invalid)
