Settings of the product's node: nested too deeply, they are named in the error

Operators would see: a traceback in place of the file's name.

Cause and change: RecursionError is no ValueError; both are caught.

--- a/src/rattanstile/process/settings.py
+++ b/src/rattanstile/process/settings.py
@@ -142,7 +142,7 @@
     """Validate the text of a settings file; see `read_settings`."""
     try:
         parsed = json5.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(file_name, '$', f'not JSON: {error}')
     try:
         settings = msgspec.convert(parsed, NodeSettings)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -50,6 +50,10 @@
                 settings_from_text('node.json', json.dumps(lacking))
             self.assertIn(f'`{name}`', caught.exception.message)
 
+    def test_file_that_is_nested_too_deeply_is_rejected(self):
+        with self.assertRaises(SettingsError):
+            settings_from_text('node.json', '[' * 3000 + ']' * 3000)
+
     def test_address_must_be_an_ip_address_with_a_port(self):
         for invalid in ('localhost:1', '127.0.0.1', '127.0.0.1:99999'):
             self.assert_rejected('$.log_address', log_address=invalid)
