--- a/tests/test_peer_pool.py
+++ b/tests/test_peer_pool.py
@@ -242,6 +242,16 @@
         self.assertTrue(old.transport.aborted)
         self.assertIn(moved.member, self.own.pool.connected())
 
+    def test_entry_that_leads_to_the_node_itself_is_forgotten(self):
+        """A node that had its address before has left it behind."""
+        own_address = self.own.member.address
+        self.own.pool.add_member(self.entry(node_id='n3', address=own_address))
+        self.own.pool.keep_only(['n3'])
+        wire = accept(self.own, self.own)
+        self.assertTrue(all(end.transport.aborted for end in wire.ends))
+        self.assertEqual(self.own.pool.known_members(), ())
+        self.assertEqual(self.own.events, [])
+
     def test_entry_that_leads_nowhere_delays_no_other(self):
         """It is tried a bounded number of times, then forgotten."""
         self.own.pool.add_member(self.entry(node_id='n0', address='10.0.0.9:1'))
