Link plan: entries that lead nowhere take no place among the near nodes

Callers would see: in a failure domain with more than 40 nodes of a service, a node that starts is connected to too few of them for 90 s, if the member list holds many entries of VMs that have gone: these fill its subset. Entries are never removed from the list.

Cause: the subset was the first 40 of the node's own order, reachable or not. Gateways that can't be reached were replaced after 2 s, near nodes were not.

Change: near nodes are replaced likewise, if there are more than 40.

Evidence: test_link_plan, test_entries_that_lead_nowhere_take_no_place; before "14 not greater than or equal to 39"; after, 14 of 14 pass. Up to 40 nodes of a service in a domain nothing changes.

--- a/src/rattanstile/process/mesh/link_plan.py
+++ b/src/rattanstile/process/mesh/link_plan.py
@@ -40,8 +40,8 @@
 SPILL_FOR_S = 6.0
 """How long the further connections are kept after the last call that found no
 room; shorter than most surges, longer than their waves."""
-GATEWAY_PATIENCE_S = 2.0
-"""A gateway that can't be connected to for this long is replaced."""
+PATIENCE_S = 2.0
+"""A node that can't be connected to for this long is replaced by another."""
 _MIXER = 0x9E3779B1
 _MASK = 0xFFFFFFFF
 
@@ -149,7 +149,7 @@
         """Return the nodes to keep connections to."""
         wanted: set[NodeId] = set()
         for of_service in self._services.values():
-            wanted.update(of_service.near[:MAX_NEAR_PER_SERVICE])
+            wanted.update(_near(of_service.near, facts))
         wanted.update(self._gateways(facts))
         for service, need in tuple(self._needs.items()):
             if now_s - need.used_s > USED_FOR_S:
@@ -162,13 +162,17 @@
 
     def _gateways(self, facts: LinkFacts) -> set[NodeId]:
         """Return the gateways that this node is to be connected to."""
-        own = _first_reachable(self._domains[self._domain], facts)
+        own = _first_reachable(
+            self._domains[self._domain], facts, GATEWAYS_PER_DOMAIN
+        )
         self.is_gateway = self._node_id in own
         gateways = set(own)
         if self.is_gateway:
             for domain, node_ids in self._domains.items():
                 if domain != self._domain:
-                    gateways.update(_first_reachable(node_ids, facts))
+                    gateways.update(
+                        _first_reachable(node_ids, facts, GATEWAYS_PER_DOMAIN)
+                    )
         return gateways
 
     def _far(
@@ -224,11 +228,23 @@
     return free + full
 
 
-def _first_reachable(node_ids: list[NodeId], facts: LinkFacts) -> list[NodeId]:
-    """Return the gateways of a domain, without those that can't be reached."""
+def _near(node_ids: list[NodeId], facts: LinkFacts) -> list[NodeId]:
+    """Return the nodes of a service in this domain to be connected to.
+
+    The load pattern: the entries of VMs that have gone stay in the member list.
+    """
+    if len(node_ids) <= MAX_NEAR_PER_SERVICE:
+        return node_ids
+    return _first_reachable(node_ids, facts, MAX_NEAR_PER_SERVICE)
+
+
+def _first_reachable(
+    node_ids: list[NodeId], facts: LinkFacts, limit: int
+) -> list[NodeId]:
+    """Return the first nodes without those that can't be reached."""
     reachable = [
         node_id
         for node_id in node_ids
-        if not facts.is_failing(node_id, GATEWAY_PATIENCE_S)
+        if not facts.is_failing(node_id, PATIENCE_S)
     ]
-    return (reachable or node_ids)[:GATEWAYS_PER_DOMAIN]
+    return (reachable or node_ids)[:limit]
--- a/tests/test_link_plan.py
+++ b/tests/test_link_plan.py
@@ -95,6 +95,18 @@
             node.call(service)
         self.assertEqual(len(node.wanted()), len(members) - 1)
 
+    def test_entries_that_lead_nowhere_take_no_place(self):
+        """Entries of VMs long gone filled the subset for 90 s."""
+        members = fleet(3 * MAX_NEAR_PER_SERVICE, (1,))
+        node = Node(members)
+        gone = node.wanted()
+        node.facts.failing.update(gone)
+        self.assertGreaterEqual(
+            len(node.wanted() - gone), MAX_NEAR_PER_SERVICE - 1
+        )
+        node.facts.failing.update(node.members)
+        self.assertEqual(len(node.wanted()), len(gone))
+
     def test_connections_are_bounded_at_every_size(self):
         """At 195 nodes each was connected to 194, twice."""
         for nodes_per_domain in (16, 39, 300, 2800):
