--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -6,10 +6,13 @@
 """
 
 from collections.abc import Iterator
+from socket import AF_INET, AF_INET6, inet_pton
 from struct import Struct
 
 import msgspec
+from result import Err
 
+from rattanstile.decoding import decode_untrusted
 from rattanstile.errors import RattanstileError
 from rattanstile.request.exchange import (
     AnswerHead,
@@ -31,6 +34,7 @@
 """Room for the largest body that operators can allow, and its headers."""
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 _LENGTH = Struct('>I')
 
@@ -362,10 +366,27 @@
 
     @property
     def has_address(self) -> bool:
-        """Return whether the address is a host and a port."""
+        """Return whether the address is an IP address and a port."""
         host, _, port = self.address.rpartition(':')
-        is_number = port.isascii() and port.isdigit()
-        return bool(host) and is_number and int(port) <= MAX_PORT
+        return _is_ip_address(host) and _is_port(port)
+
+
+def _is_ip_address(text: str) -> bool:
+    """Return whether no look-up of a name is needed.
+
+    Look-ups take threads, for which the end of the process waits.
+    """
+    family = AF_INET6 if ':' in text else AF_INET
+    try:
+        inet_pton(family, text)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
+def _is_port(text: str) -> bool:
+    is_number = text.isascii() and text.isdigit()
+    return is_number and len(text) <= MAX_PORT_DIGITS and int(text) <= MAX_PORT
 
 
 class MembersRequest(msgspec.Struct, frozen=True, array_like=True, tag=17):
@@ -474,7 +495,7 @@
 
 
 def _decode(payload: bytes) -> PeerMessage:
-    try:
-        return _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
-        raise PeerFrameError(f'invalid message: {error}') from error
+    decoded = decode_untrusted(_decoder.decode, payload)
+    if isinstance(decoded, Err):
+        raise PeerFrameError(f'invalid message: {decoded.err_value.message}')
+    return decoded.ok_value
--- a/src/rattanstile/platform/announcements.py
+++ b/src/rattanstile/platform/announcements.py
@@ -1,11 +1,16 @@
 """Codec of the announcements that a target sends to the node on its VM."""
 
 import re
+import time
+from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
+from result import Err
 
 from rattanstile.connection.http_messages import HttpRequest, encode_response
 from rattanstile.connection.http_server import BadRequest
+from rattanstile.decoding import decode_untrusted
 from rattanstile.process.mesh.ports import InvalidAnnouncement
 from rattanstile.process.mesh.settings import duration_s
 from rattanstile.process.mesh.target_watch import (
@@ -15,8 +20,16 @@
 )
 from rattanstile.request.ids import ServiceName, TargetId
 
+MAX_CLOCK_LEAD_S = 86_400
+"""The clock of the VM may have been set back since the target started."""
+MAX_SLOTS = 1_000_000
+MAX_WHOLE_NUMBER = 2**53
+"""Larger ones aren't exact in every program that reads JSON."""
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 _PATH = re.compile(r'/v1/instances/([^/?]+)/(heartbeat|deregister)')
 _JSON_HEADERS = ((b'content-type', b'application/json'),)
+_MS_PER_S = 1000
 _OK = 200
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
@@ -26,14 +39,14 @@
     """Constant part of a heartbeat."""
 
     service: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class _Status(msgspec.Struct, rename='camel'):
     """Variable part of a heartbeat."""
 
     state: str
-    sequence: int
+    sequence: _Count
     cold_remaining: str = '0ms'
 
 
@@ -47,7 +60,7 @@
     address: str
     info: _Info
     status: _Status
-    born: int = 0
+    born: _Count = 0
 
 
 class _Deregistration(msgspec.Struct):
@@ -57,7 +70,11 @@
         born: Start of the incarnation, in milliseconds since the epoch.
     """
 
-    born: int = 0
+    born: _Count = 0
+
+
+_heartbeat_decoder = msgspec.json.Decoder(_Heartbeat)
+_deregistration_decoder = msgspec.json.Decoder(_Deregistration)
 
 
 class PlatformAnnouncementCodec:
@@ -66,11 +83,15 @@
     Args:
         target_address: Address of the target on this VM. Heartbeats that state
             another address are invalid.
+        now_s: Returns the time in seconds since the epoch.
     """
 
-    def __init__(self, target_address: str) -> None:
+    def __init__(
+        self, target_address: str, now_s: Callable[[], float] = time.time
+    ) -> None:
         """Initialize for the target at an address."""
         self._target_address = target_address
+        self._now_s = now_s
 
     def decode(
         self, request: HttpRequest | BadRequest
@@ -82,13 +103,12 @@
         if path_match is None or request.method != 'POST':
             return InvalidAnnouncement('unknown path', is_unknown_path=True)
         target_id = TargetId(path_match.group(1))
-        try:
-            if path_match.group(2) == 'deregister':
-                return _decode_departure(target_id, request.body)
-            heartbeat = msgspec.json.decode(request.body, type=_Heartbeat)
-        except msgspec.MsgspecError as error:
-            return InvalidAnnouncement(str(error))
-        return self._announcement(target_id, heartbeat)
+        if path_match.group(2) == 'deregister':
+            return _decode_departure(target_id, request.body)
+        heartbeat = decode_untrusted(_heartbeat_decoder.decode, request.body)
+        if isinstance(heartbeat, Err):
+            return InvalidAnnouncement(heartbeat.err_value.message)
+        return self._announcement(target_id, heartbeat.ok_value)
 
     def acknowledge(self, *, closes: bool) -> bytes:
         """Return the encoded acknowledgement."""
@@ -106,8 +126,10 @@
         cold_s = duration_s(status.cold_remaining)
         if status.state not in {state.value for state in TargetState}:
             return InvalidAnnouncement(f'unknown state {status.state}')
-        if cold_s is None or heartbeat.info.slots < 1:
-            return InvalidAnnouncement('invalid cold time or number of slots')
+        if cold_s is None:
+            return InvalidAnnouncement('invalid cold time')
+        if heartbeat.born > (self._now_s() + MAX_CLOCK_LEAD_S) * _MS_PER_S:
+            return InvalidAnnouncement('the target starts in the future')
         if heartbeat.address != self._target_address:
             return InvalidAnnouncement(
                 f'not the address of the target: {heartbeat.address}'
@@ -124,8 +146,12 @@
         )
 
 
-def _decode_departure(target_id: TargetId, body: bytes) -> TargetDeparture:
-    deregistration = _Deregistration()
-    if body:
-        deregistration = msgspec.json.decode(body, type=_Deregistration)
-    return TargetDeparture(target_id, deregistration.born)
+def _decode_departure(
+    target_id: TargetId, body: bytes
+) -> TargetDeparture | InvalidAnnouncement:
+    if not body:
+        return TargetDeparture(target_id, _Deregistration().born)
+    decoded = decode_untrusted(_deregistration_decoder.decode, body)
+    if isinstance(decoded, Err):
+        return InvalidAnnouncement(decoded.err_value.message)
+    return TargetDeparture(target_id, decoded.ok_value.born)
--- a/src/rattanstile/process/mesh/settings.py
+++ b/src/rattanstile/process/mesh/settings.py
@@ -4,10 +4,16 @@
 from pathlib import Path
 
 import msgspec
+from result import Err
 
+from rattanstile.decoding import decode_untrusted
 from rattanstile.errors import SettingsError
 from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
 
+MAX_NODE_ID_BYTES = 255
+"""The store takes no longer key for the node's member entry."""
+MAX_DURATION_S = 366 * 24 * 3600
+
 _COMMENT = re.compile(r'^\s*//.*$', re.MULTILINE)
 _DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
 
@@ -56,13 +62,18 @@
         return duration_s(self.grace) or 0
 
 
+_settings_decoder = msgspec.json.Decoder(MeshSettings)
+
+
 def duration_s(text: str) -> float | None:
     """Return the seconds of a duration such as ``250ms``; None if invalid."""
     parsed = _DURATION.fullmatch(text)
     if parsed is None:
         return None
-    amount = float(parsed.group(1))
-    return amount / 1000 if parsed.group(2) == 'ms' else amount
+    parsed_s = float(parsed.group(1))
+    if parsed.group(2) == 'ms':
+        parsed_s /= 1000
+    return parsed_s if parsed_s <= MAX_DURATION_S else None
 
 
 def read_mesh_settings(file_name: str) -> MeshSettings:
@@ -73,7 +84,7 @@
     """
     try:
         text = Path(file_name).read_text(encoding='utf-8')
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(file_name, '$', str(error)) from error
     return parse_mesh_settings(file_name, text)
 
@@ -88,12 +99,16 @@
     Raises:
         SettingsError: A field is invalid.
     """
-    try:
-        settings = msgspec.json.decode(
-            _COMMENT.sub('', text), type=MeshSettings
+    decoded = decode_untrusted(
+        _settings_decoder.decode, _COMMENT.sub('', text).encode()
+    )
+    if isinstance(decoded, Err):
+        raise SettingsError(file_name, '$', decoded.err_value.message)
+    settings = decoded.ok_value
+    if not 0 < len(settings.node_id.encode()) <= MAX_NODE_ID_BYTES:
+        raise SettingsError(
+            file_name, '$.node_id', f'must have 1 to {MAX_NODE_ID_BYTES} bytes'
         )
-    except msgspec.MsgspecError as error:
-        raise SettingsError(file_name, '$', str(error)) from error
     if duration_s(settings.grace) is None:
         raise SettingsError(
             file_name, '$.grace', 'must be a duration such as 6s or 500ms'
