--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -1,7 +1,8 @@
 """Client of the platform's store: a log of records, and the newest by key."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
+from operator import attrgetter
 from struct import Struct
 from typing import TypeVar
 from urllib.parse import quote
@@ -13,6 +14,7 @@
 from rattanstile.connection.http_exchange import HttpExchanger
 from rattanstile.connection.http_messages import HttpResponse, encode_request
 from rattanstile.connection.peer_messages import PeerMember
+from rattanstile.decoding import decode_untrusted
 from rattanstile.platform.headers import STORE_ERA
 from rattanstile.platform.operators import decode_fleet_config
 from rattanstile.process.mesh.ports import (
@@ -28,7 +30,7 @@
     StoreError,
     StoreUnavailableError,
 )
-from rattanstile.request.ids import NO_ERA, FailureDomainId, StoreEra
+from rattanstile.request.ids import NO_ERA, FailureDomainId, NodeId, StoreEra
 from rattanstile.version.fleet_config import FleetConfig
 
 CALL_TIMEOUT_S = 1.5
@@ -46,6 +48,7 @@
 _READ_HEADER = Struct('>QQ')
 _MS_PER_S = 1000
 _MAX_ERA_DIGITS = 18
+_member_decoder = msgspec.msgpack.Decoder(PeerMember)
 
 _Decoded = TypeVar('_Decoded')
 
@@ -62,14 +65,16 @@
     offset: int
 
 
-class _NewestRecords(msgspec.Struct, rename='camel'):
-    """Newest record of each key, one page or all.
+class _NewestPage(msgspec.Struct, rename='camel'):
+    """One page of the newest record of each key.
 
     Attributes:
+        items: See `_Item`; decoded one by one, as other writers may have
+            written some of them.
         end: Offset of the next record of the log.
     """
 
-    items: list[_Item]
+    items: list[msgspec.Raw]
     end: int
     has_more: bool = False
 
@@ -87,17 +92,43 @@
 
 
 @dataclass(frozen=True, slots=True)
+class _PageAnswer:
+    """A page, and the era of the store that sent it."""
+
+    page: _NewestPage
+    era: StoreEra
+
+
+@dataclass(slots=True)
 class _AllNewest:
     """Newest record of each key, of all pages.
 
     Attributes:
         end: Offset of the next record of the log, of the first page.
         era: Era of the store that sent them.
+        unreadable: Number of items that can't be decoded.
     """
 
-    items: tuple[_Item, ...]
     end: int
     era: StoreEra
+    items: list[_Item] = field(default_factory=list)
+    unreadable: int = 0
+
+    def add(self, page_items: list[msgspec.Raw]) -> str | None:
+        """Add the items of a page; return its last key, None if it has none."""
+        last_key = None
+        for raw in page_items:
+            decoded = decode_untrusted(_item_decoder.decode, raw)
+            if isinstance(decoded, Err):
+                self.unreadable += 1
+                continue
+            last_key = decoded.ok_value.key
+            self.items.append(decoded.ok_value)
+        return last_key
+
+
+_item_decoder = msgspec.json.Decoder(_Item)
+_page_decoder = msgspec.json.Decoder(_NewestPage)
 
 
 class PlatformStore:
@@ -116,6 +147,8 @@
         newest = await self._read_newest(_OPERATOR_TOPIC)
         if isinstance(newest, Err):
             return newest
+        if newest.ok_value.unreadable:
+            return Err(StoreUnavailableError('an unreadable record'))
         return Ok(
             OperatorRecords(
                 records=tuple(
@@ -149,15 +182,23 @@
     async def members(
         self,
     ) -> Result[FleetMembers, StoreError]:
-        """Return all nodes that have announced themselves."""
+        """Return all nodes that have announced themselves, oldest first.
+
+        An entry of another writer names no node: one that can't be decoded,
+        or whose key isn't the ID of the node.
+        """
         newest = await self._read_newest(_MEMBER_TOPIC)
         if isinstance(newest, Err):
             return newest
-        decoded = [_decode_member(item.value) for item in newest.ok_value.items]
-        by_id = {
-            member.node_id: member for member in decoded if member is not None
-        }
-        return Ok(FleetMembers(by_id, decoded.count(None), newest.ok_value.era))
+        by_id: dict[NodeId, PeerMember] = {}
+        unreadable = newest.ok_value.unreadable
+        for item in sorted(newest.ok_value.items, key=attrgetter('offset')):
+            member = _decode_member(item.value)
+            if member is None or member.node_id != item.key:
+                unreadable += 1
+            else:
+                by_id[member.node_id] = member
+        return Ok(FleetMembers(by_id, unreadable, newest.ok_value.era))
 
     async def announce(
         self, member: PeerMember
@@ -171,10 +212,9 @@
         self, document: bytes
     ) -> Result[FleetConfig, ConfigUnreadableError]:
         """Decode a published configuration."""
-        try:
-            return Ok(decode_fleet_config(document))
-        except (msgspec.MsgspecError, ValueError) as error:
-            return Err(ConfigUnreadableError(str(error)))
+        return decode_untrusted(decode_fleet_config, document).map_err(
+            lambda error: ConfigUnreadableError(error.message)
+        )
 
     async def _append_member(
         self, key: str, content: bytes
@@ -193,28 +233,39 @@
 
         Pages of different eras are of different logs, and an error.
         """
-        items: list[_Item] = []
-        end: int | None = None
-        era: StoreEra | None = None
-        after_query = ''
+        answer = await self._read_page(topic, '')
+        if isinstance(answer, Err):
+            return answer
+        page = answer.ok_value.page
+        newest = _AllNewest(page.end, answer.ok_value.era)
+        after_key: str | None = None
         while True:
-            answer = await self._call(
-                'GET', f'/v1/log-newest?topic={topic}&part=0{after_query}'
+            last_key = newest.add(page.items)
+            if not page.has_more or not page.items:
+                return Ok(newest)
+            if last_key is None or last_key == after_key:
+                return Err(StoreUnavailableError('a page does not lead on'))
+            after_key = last_key
+            answer = await self._read_page(
+                topic, f'&after={quote(after_key, safe="")}'
             )
             if isinstance(answer, Err):
                 return answer
-            if era not in {None, answer.ok_value.era}:
+            if answer.ok_value.era != newest.era:
                 return Err(StoreUnavailableError('restored between two pages'))
-            era = answer.ok_value.era
-            decoded = _decode_response(_decode_newest, answer.ok_value, 0)
-            if isinstance(decoded, Err):
-                return decoded
-            page = decoded.ok_value
-            items.extend(page.items)
-            end = page.end if end is None else end
-            if not page.has_more or not page.items:
-                return Ok(_AllNewest(tuple(items), end, era))
-            after_query = f'&after={quote(page.items[-1].key, safe="")}'
+            page = answer.ok_value.page
+
+    async def _read_page(
+        self, topic: str, after_query: str
+    ) -> Result[_PageAnswer, StoreError]:
+        answer = await self._call(
+            'GET', f'/v1/log-newest?topic={topic}&part=0{after_query}'
+        )
+        if isinstance(answer, Err):
+            return answer
+        era = answer.ok_value.era
+        decoded = _decode_response(_decode_newest, answer.ok_value, 0)
+        return decoded.map(lambda page: _PageAnswer(page, era))
 
     async def _call(
         self,
@@ -253,14 +304,17 @@
 def _decode_response(
     decode: Callable[[bytes, int], _Decoded], answer: _Answer, offset: int
 ) -> Result[_Decoded, StoreError]:
-    try:
-        return Ok(decode(answer.body, offset))
-    except (msgspec.MsgspecError, ValueError) as error:
-        return Err(StoreUnavailableError(f'invalid response: {error}'))
+    return decode_untrusted(
+        lambda body: decode(body, offset), answer.body
+    ).map_err(
+        lambda error: StoreUnavailableError(
+            f'invalid response: {error.message}'
+        )
+    )
 
 
-def _decode_newest(body: bytes, offset: int) -> _NewestRecords:
-    return msgspec.json.decode(body, type=_NewestRecords)
+def _decode_newest(body: bytes, offset: int) -> _NewestPage:
+    return _page_decoder.decode(body)
 
 
 def _decode_records(body: bytes, offset: int) -> OperatorRecords:
@@ -313,8 +367,8 @@
 
     Entries may come from other writers.
     """
-    try:
-        member = msgspec.msgpack.decode(content, type=PeerMember)
-    except msgspec.MsgspecError:
+    decoded = decode_untrusted(_member_decoder.decode, content)
+    if isinstance(decoded, Err):
         return None
+    member = decoded.ok_value
     return member if member.has_address else None
