Freshness: an answer with records is as old as its read may be

What callers would see: 401 or 404 for a key just added, by a node that was paused or whose link delayed the answer of a long poll: for 0.3 s, until its next read.

Cause: an answer counted as of the end of its wait, 25 s for most readers; a record ends the wait at any time before. The age of that answer isn't known.

Change: an answer with records counts as of 1.5 s after the start of its read at most, as long as a poll of the first reader, which confirms the state meanwhile.

Evidence: the new test failed with 'True is not false' (answer of a poll of 25 s taken after 20 s) and passes. Two fakes of the reader's role take the new argument; no check is changed.

--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -38,6 +38,9 @@
 """Many times a configuration of tens of thousands of routes."""
 ANSWER_TIME_S = 0.25
 """Time that an answer of the store may take after its wait."""
+MAX_ANSWER_AGE_S = 1.5
+"""Age up to which an answer with records counts as new: no shorter than a wait
+of the first reader of a domain, which confirms the state for the others."""
 COPY_TIMEOUT_S = 0.5
 """Time to wait for a requested copy before another request is sent; also after
 one that can't be unpacked."""
@@ -94,6 +97,7 @@
         self._rng = rng
         self._freshness = freshness or Freshness()
         self._can_read = True
+        self._read_began_s = 0.0
         self._answered_by_s = 0.0
         self._peers_ahead: dict[NodeId, _PeerAhead] = {}
         self._copy_deadline_s = 0.0
@@ -145,11 +149,19 @@
         Its answer may be taken late, after the process was paused. It is no
         newer than the end of the wait that the store is asked for.
         """
-        self._answered_by_s = self._timers.now_s() + wait_s + ANSWER_TIME_S
+        self._read_began_s = self._timers.now_s()
+        self._answered_by_s = self._read_began_s + wait_s + ANSWER_TIME_S
 
-    def read_applied(self) -> None:
-        """Record that the state is the newest as of the read that began."""
-        self._freshness.confirm(min(self._timers.now_s(), self._answered_by_s))
+    def read_applied(self, *, has_records: bool = False) -> None:
+        """Record that the state is the newest as of the read that began.
+
+        A record ends the wait at any time: such an answer may be almost as old
+        as the read.
+        """
+        as_of_s = self._answered_by_s
+        if has_records:
+            as_of_s = min(as_of_s, self._read_began_s + MAX_ANSWER_AGE_S)
+        self._freshness.confirm(min(self._timers.now_s(), as_of_s))
 
     def notice_received(self, link: PeerLink, notice: ConfigNotice) -> None:
         """Record what a node has and whether it reads the store."""
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -54,8 +54,12 @@
     def read_begins(self, wait_s: float) -> None:
         """Record that a read begins, which may wait that many seconds."""
 
-    def read_applied(self) -> None:
-        """Record that the state is as new as the answer to that read."""
+    def read_applied(self, *, has_records: bool = False) -> None:
+        """Record that the state is as new as the answer to that read.
+
+        Args:
+            has_records: Whether records may have ended its wait.
+        """
 
 
 class StoreFollower:
@@ -149,7 +153,7 @@
         # A peer may have told of the next log while this read waited.
         is_same_log = records.era == self._read_era
         if is_same_log and self._operator_state.apply_records(records, 'store'):
-            self._reader_role.read_applied()
+            self._reader_role.read_applied(has_records=bool(records.records))
             self._retry_delay_s = FIRST_RETRY_DELAY_S
             return BATCH_DELAY_S if records.records else 0.0
         if records.era < self._operator_state.state.era:
--- a/tests/test_freshness_of_state.py
+++ b/tests/test_freshness_of_state.py
@@ -107,6 +107,13 @@
         self.relay.read_applied()
         self.assertFalse(self.freshness.is_fresh(self.clock.seconds()))
 
+    def test_records_taken_after_a_pause_are_not_new(self):
+        """A long poll ended early, and the process was paused meanwhile."""
+        self.relay.read_begins(25.0)
+        self.clock.advance(20.0)
+        self.relay.read_applied(has_records=True)
+        self.assertFalse(self.freshness.is_fresh(self.clock.seconds()))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -425,7 +425,7 @@
             is_first_reader=lambda: False,
             set_store_readable=lambda can_read: None,
             read_begins=lambda wait_s: None,
-            read_applied=lambda: None,
+            read_applied=lambda **_: None,
         )
         follower = StoreFollower(
             self.store,
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -116,7 +116,7 @@
             is_first_reader=lambda: False,
             set_store_readable=lambda can_read: self.readable.append(can_read),
             read_begins=lambda wait_s: None,
-            read_applied=lambda: None,
+            read_applied=lambda **_: None,
         )
         retry = StoreRetry(self.clock, Random(1))
         follower = StoreFollower(store, retry, self.state, role, None, self.log)
