Freshness: a read that returned part of the records confirms nothing

What callers would see: 401 or 404 for a key of the newest version, by a reader that catches up after an outage in reads of 4 MB: for 0.3 s a read.

Cause: the end of the log in the answer was ignored; each read counted as whole.

Change: only a read up to the end of the log confirms the state.

Evidence: the new tests failed with '6 != 2' (confirmations) and 'False is not true' (has_more) and pass. A fake of the reader's role counts its calls now.

--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -288,7 +288,9 @@
             OperatorRecord(next_offset, _decode_keyed_change(record))
         )
         next_offset += 1
-    return OperatorRecords(tuple(records), next_offset)
+    return OperatorRecords(
+        tuple(records), next_offset, has_more=next_offset < end
+    )
 
 
 def _decode_keyed_change(record: bytes) -> OperatorChange:
--- a/src/rattanstile/process/mesh/ports.py
+++ b/src/rattanstile/process/mesh/ports.py
@@ -202,11 +202,13 @@
     Attributes:
         end: The offset after the last record that was read.
         era: Era of the store that the offsets belong to.
+        has_more: Whether the log had further records at the time of the read.
     """
 
     records: tuple[OperatorRecord, ...]
     end: int
     era: StoreEra = NO_ERA
+    has_more: bool = False
 
 
 class StoreUnavailableError(UnavailableError):
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store_follower.py
@@ -153,7 +153,9 @@
         # A peer may have told of the next log while this read waited.
         is_same_log = records.era == self._read_era
         if is_same_log and self._operator_state.apply_records(records, 'store'):
-            self._reader_role.read_applied(has_records=bool(records.records))
+            if not records.has_more:
+                has_records = bool(records.records)
+                self._reader_role.read_applied(has_records=has_records)
             self._retry_delay_s = FIRST_RETRY_DELAY_S
             return BATCH_DELAY_S if records.records else 0.0
         if records.era < self._operator_state.state.era:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -183,6 +183,12 @@
             with self.assertRaises(ValueError):
                 _decode_records(READS[1] + b'\x00' * size, 0)
 
+    def test_records_up_to_a_size_have_more(self):
+        """The log ends at 9; a read returns records up to a size."""
+        self.assertTrue(_decode_records(READS[1], 0).has_more)
+        self.assertFalse(_decode_records(READS[1], 7).has_more)
+        self.assertFalse(_decode_records(READS[0], 9).has_more)
+
     @thorough
     @given(st.binary(max_size=60) | changed_bytes(READS))
     def test_reads(self, body):
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -98,6 +98,8 @@
         self.clock = Clock()
         self.calls = 0
         self.readable = []
+        self.confirmed = 0
+        self.has_more = False
         self.is_reader = False
         self.is_down = False
         self.gone_in_era = None
@@ -116,7 +118,7 @@
             is_first_reader=lambda: False,
             set_store_readable=lambda can_read: self.readable.append(can_read),
             read_begins=lambda wait_s: None,
-            read_applied=lambda **_: None,
+            read_applied=self.confirm,
         )
         retry = StoreRetry(self.clock, Random(1))
         follower = StoreFollower(store, retry, self.state, role, None, self.log)
@@ -128,7 +130,10 @@
             return Err(HistoryGoneError('/v1/log-read', self.gone_in_era))
         if self.is_down:
             return Err(StoreUnavailableError('refused'))
-        return Ok(OperatorRecords((), 0, self.era))
+        return Ok(OperatorRecords((), 0, self.era, self.has_more))
+
+    def confirm(self, *, has_records=False):
+        self.confirmed += 1
 
     def lost_reasons(self):
         return [
@@ -145,6 +150,19 @@
         while self.clock.seconds() < until_s:
             self.clock.advance(0.05)
 
+    def test_part_of_the_records_confirms_nothing(self):
+        """The newest version may be among those that are left to read."""
+        self.is_reader = True
+        self.run_until(0.5)
+        self.has_more = True
+        self.run_until(2.0)
+        confirmed = self.confirmed
+        self.run_until(6.0)
+        self.assertEqual(self.confirmed, confirmed)
+        self.has_more = False
+        self.run_until(9.0)
+        self.assertGreater(self.confirmed, confirmed)
+
     def test_copy_of_another_node_saves_the_read(self):
         """195 nodes that lost power read the records 195 times."""
         self.run_until(0.4)
