Freshness: the way of a report counts as part of its age

What callers would see: 401 or 404 for new keys and routes for many seconds while the store is silent.

Cause: a report tells its age when it is sent and counts from when it arrives. Readers take it over from each other in turn, so that each passage made the state newer by its time: with several domains faster than it ages.

Change: a report adds 0.25 s to the age that it tells.

Evidence: the new test failed with '1.0 not greater than or equal to 4.999999' and passes.

--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -38,6 +38,9 @@
 """Many times a configuration of tens of thousands of routes."""
 ANSWER_TIME_S = 0.25
 """Time that an answer of the store may take after its wait."""
+MAX_TRANSIT_S = 0.25
+"""Time that a report may take to a peer, part of the age that it tells: nodes
+that report to each other would else take an old state for a newer one."""
 MAX_ANSWER_AGE_S = 1.5
 """Age up to which an answer with records counts as new: no shorter than a wait
 of the first reader of a domain, which confirms the state for the others."""
@@ -197,7 +200,9 @@
 
     def _confirmed_ms(self) -> int | None:
         age_s = self._freshness.age_s(self._timers.now_s())
-        return None if age_s is None else int(age_s * _MS_PER_S)
+        if age_s is None:
+            return None
+        return int((age_s + MAX_TRANSIT_S) * _MS_PER_S)
 
     def _reply(self, link: PeerLink) -> None:
         now_s = self._timers.now_s()
--- a/tests/test_freshness_of_state.py
+++ b/tests/test_freshness_of_state.py
@@ -94,6 +94,15 @@
         self.hear(4, 0, version=7)
         self.assertFalse(node_context.knows_newest(AT_S))
 
+    def test_report_is_no_newer_when_it_arrives_late(self):
+        """Else nodes that report to each other keep an old state fresh."""
+        self.hear(4, 1000)
+        for _ in range(20):
+            reported_ms = self.relay.notice().confirmed_ms
+            self.clock.advance(0.2)
+            self.hear(4, reported_ms)
+        self.assertGreaterEqual(self.age_s(), 5.0 - 1e-6)
+
     def test_older_confirmation_changes_nothing(self):
         """Notices of several peers arrive in any order."""
         self.hear(4, 500)
