--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -119,6 +119,8 @@
         role = SimpleNamespace(
             is_reader=lambda: True,
             is_first_reader=lambda: False,
+            read_begins=lambda wait_s: None,
+            read_applied=lambda **_: None,
             set_store_readable=lambda can_read: None,
         )
         self.follower = StoreFollower(
