Evacuations: what a restored log lacks is kept for 5 s, not longer by another restore

Cause: the withdrawal was written before the new log was read, so that the newest records only lacked the domain, as a copy from before the evacuation would. It was kept for 15 s, and for 15 s more at the second restore.

Change: kept for 5 s, the time within which an evacuation must be in force, and never longer because of a further restore.

Evidence: test_second_restore_does_not_prolong_what_the_first_kept failed before (west still evacuated) and passes; test_restored_store, test_mesh_state and test_config_spread pass (82).

--- a/src/rattanstile/process/mesh/evacuations.py
+++ b/src/rattanstile/process/mesh/evacuations.py
@@ -11,9 +11,10 @@
 
 from rattanstile.request.ids import FailureDomainId
 
-KEEP_EVACUATED_S = 15.0
-"""How long a domain stays evacuated although a restored log lacks it; work sent
-there does harm, work sent elsewhere costs little."""
+KEEP_EVACUATED_S = 5.0
+"""How long a domain stays evacuated although a restored log lacks it: as long
+as operators wait for an evacuation. It may have been withdrawn after the
+restore, and then the domain is missed."""
 KEEP_WITHDRAWN_S = 2.0
 """How long a domain stays in use although a restored log evacuates it; well
 below the time within which an evacuation must be in force, as the record may
@@ -89,6 +90,12 @@
             **dict.fromkeys(lost, now_s + KEEP_EVACUATED_S),
             **dict.fromkeys(returned, now_s + KEEP_WITHDRAWN_S),
         }
+        # Another restore says nothing new of what is kept already.
+        kept_until_s.update(
+            (domain, until_s)
+            for domain, until_s in self.kept_until_s.items()
+            if domain in kept_until_s
+        )
         return Evacuations(in_log, kept_until_s, settled)
 
     def merged(self, other: 'Evacuations') -> 'Evacuations':
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -37,6 +37,8 @@
 from rattanstile.process.mesh.store_retry import StoreRetry
 from rattanstile.version.fleet_config import LogPosition
 
+MAX_EVACUATION_S = 5.0
+"""Time within which an evacuation, or its end, is in force."""
 WEST_EVACUATED = DomainEvacuated('west', is_evacuated=True)
 WEST_WITHDRAWN = DomainEvacuated('west', is_evacuated=False)
 IN_FORCE_S = 4.0
@@ -186,6 +188,15 @@
         self.apply_snapshot(3, 2)
         self.assertEqual(self.evacuated, {'west'})
 
+    def test_second_restore_does_not_prolong_what_the_first_kept(self):
+        """A withdrawal between them was held back for 23 s: domain unused."""
+        self.apply_records(1, 7, (6, WEST_EVACUATED))
+        self.apply_snapshot(2, 3)
+        self.pass_time(MAX_EVACUATION_S - 1)
+        self.apply_snapshot(3, 2)
+        self.pass_time(1)
+        self.assertEqual(self.evacuated, frozenset())
+
     def test_peer_at_the_same_position_adds_what_it_keeps(self):
         """A node that started after the restore knows only the copy."""
         self.apply_snapshot(2, 3)
