Freshness: a confirmation is reported only by the node that read it

Cause: nodes passed on the age of a confirmation that they had heard, and heard it again from each other. Each way of more than the 0.25 s that is added made it younger; on a busy machine ways are longer.

Change: the age that a node reports is that of its own last read; what it has heard counts for itself only. A confirmation travels one way at most.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -173,8 +173,8 @@
         version: Number of the configuration in force; 0 for none. A node may
             know a newer one than the log has, after the store was restored.
         kept: See `rattanstile.version.fleet_config.FleetState`.
-        confirmed_ms: Time since this was known to be the newest; None if it
-            never was.
+        confirmed_ms: Time since a read of the sender has shown this to be the
+            newest; None if none has.
     """
 
     offset: int
--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/config_relay.py
@@ -164,7 +164,7 @@
         as_of_s = self._answered_by_s
         if has_records:
             as_of_s = min(as_of_s, self._read_began_s + MAX_ANSWER_AGE_S)
-        self._freshness.confirm(min(self._timers.now_s(), as_of_s))
+        self._freshness.confirm_by_read(min(self._timers.now_s(), as_of_s))
 
     def notice_received(self, link: PeerLink, notice: ConfigNotice) -> None:
         """Record what a node has and whether it reads the store."""
@@ -199,7 +199,7 @@
             self._freshness.confirm(self._timers.now_s() - age_s)
 
     def _confirmed_ms(self) -> int | None:
-        age_s = self._freshness.age_s(self._timers.now_s())
+        age_s = self._freshness.read_age_s(self._timers.now_s())
         if age_s is None:
             return None
         return int((age_s + MAX_TRANSIT_S) * _MS_PER_S)
--- a/src/rattanstile/process/mesh/freshness.py
+++ b/src/rattanstile/process/mesh/freshness.py
@@ -22,6 +22,12 @@
         """Start unconfirmed."""
         self.newest_version = 0
         self._confirmed_s: float | None = None
+        self._read_s: float | None = None
+
+    def confirm_by_read(self, as_of_s: float) -> None:
+        """Record that a read of this node has shown the state to be newest."""
+        self._read_s = max(as_of_s, self._read_s or as_of_s)
+        self.confirm(as_of_s)
 
     def confirm(self, as_of_s: float) -> None:
         """Record that the state was the newest at a monotonic time."""
@@ -38,6 +44,14 @@
             return None
         return max(0.0, now_s - self._confirmed_s)
 
+    def read_age_s(self, now_s: float) -> float | None:
+        """Return the seconds since a read of this node confirmed the state.
+
+        Only these are reported: nodes that passed on what they heard would make
+        a confirmation younger on each way between them.
+        """
+        return None if self._read_s is None else max(0.0, now_s - self._read_s)
+
     def is_fresh(self, now_s: float) -> bool:
         """Return whether no newer state can have been in force for long."""
         age_s = self.age_s(now_s)
--- a/tests/test_freshness_of_state.py
+++ b/tests/test_freshness_of_state.py
@@ -103,6 +103,15 @@
             self.hear(4, reported_ms)
         self.assertGreaterEqual(self.age_s(), 5.0 - 1e-6)
 
+    def test_report_on_a_slow_way_is_not_passed_on(self):
+        """Each node that did so made the same confirmation younger."""
+        self.hear(4, 1000)
+        for _ in range(20):
+            reported_ms = self.relay.notice().confirmed_ms
+            self.clock.advance(0.5)
+            self.hear(4, reported_ms)
+        self.assertGreaterEqual(self.age_s(), 11.0 - 1e-6)
+
     def test_older_confirmation_changes_nothing(self):
         """Notices of several peers arrive in any order."""
         self.hear(4, 500)
