Review case 5: a worker that left is used again after its node's restart

The stand-ins take ports below those of outgoing connections: a run of case 1 could not start its nodes, as a port was taken meanwhile.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -27,7 +27,7 @@
 ANSWER_BYTES = 9000
 """The longest answer to a charge in the site files."""
 RECEIVE_BYTES = 4096
-PAUSE_S = 3.2
+PAUSE_S = 4.0
 DEADLINE_MS = 6000
 CLIENTS = 6
 CLOSED_ALLOWED = 3
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -33,6 +34,7 @@
 }
 READY_S = 25.0
 CLOSE_S = 0.2
+PORTS = (12_000, 30_000)
 _ADDRESSES = ('inbound', 'outbound', 'ready', 'control')
 _PLACEHOLDER = re.compile(r'\{\{([\w.]+)(\|json)?\}\}')
 
@@ -391,10 +393,20 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(('127.0.0.1', 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return ports that are free, none of which is given out by itself.
+
+    They are below those that the system assigns to outgoing connections.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        if port in ports:
+            continue
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
--- a/review/lib/worker.py
+++ b/review/lib/worker.py
@@ -18,6 +18,8 @@
 HEARTBEAT_S = 1.5
 ACK_S = 1.0
 KEEP_ALIVE_S = 10
+LEAVING = 'leaving'
+"""After its deregistration, of which its heartbeats tell nothing."""
 
 
 @dataclass(frozen=True)
@@ -82,15 +84,14 @@
         while not await self._send_heartbeat():
             await asyncio.sleep(0.2)
 
-    async def deregister(self) -> None:
-        """Report that it is gone; it exits afterwards."""
-        encoded = encode_request(
-            'POST',
-            f'/v1/instances/{self.worker_id}/deregister',
-            {'Host': 'node', 'Content-Type': 'application/json'},
-            json.dumps({'born': self.born_ms}).encode(),
+    async def deregister(self) -> bool:
+        """Report that it leaves; return whether that is acknowledged."""
+        self.state = LEAVING
+        self._heartbeats.cancel()
+        path = f'/v1/instances/{self.worker_id}/deregister'
+        return await self.call_control(
+            encode_request('POST', path, {'Host': 'node'})
         )
-        await exchange(self.control, encoded, ACK_S)
 
     async def _send_heartbeats(self) -> None:
         await asyncio.sleep(self.first_heartbeat_s)
@@ -98,8 +99,12 @@
             await self._send_heartbeat()
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def _send_heartbeat(self) -> bool:
-        state = self.state
+    def pause_heartbeats(self) -> None:
+        """Send no more heartbeats by itself."""
+        self._heartbeats.cancel()
+
+    def encoded_heartbeat(self) -> bytes:
+        """Return the next heartbeat."""
         body = {
             'address': self.address,
             'born': self.born_ms,
@@ -110,22 +115,29 @@
                 'slots': self.slots,
             },
             'status': {
-                'state': state,
+                'state': self.state,
                 'sequence': next(self._sequence),
                 'coldRemaining': '0ms',
             },
         }
-        encoded = encode_request(
+        return encode_request(
             'POST',
             f'/v1/instances/{self.worker_id}/heartbeat',
             {'Host': 'node', 'Content-Type': 'application/json'},
             json.dumps(body).encode(),
         )
+
+    async def call_control(self, encoded: bytes) -> bool:
+        """Send a call about its state; return whether it is acknowledged."""
         try:
             response = await exchange(self.control, encoded, ACK_S)
         except ClosedError:
             return False
-        is_acknowledged = 200 <= response.status < 300
+        return 200 <= response.status < 300
+
+    async def _send_heartbeat(self) -> bool:
+        state = self.state
+        is_acknowledged = await self.call_control(self.encoded_heartbeat())
         if is_acknowledged:
             self.acknowledged_s.setdefault(state, time.monotonic())
         return is_acknowledged
