--- a/review/1/case.py
+++ b/review/1/case.py
@@ -66,9 +66,7 @@
     asked = deployment.answers
     open_at_timeout = [each for each in asked if each.took_s > TIMEOUT_S]
     late = [
-        each
-        for each in open_at_timeout
-        if each.took_s > TIMEOUT_S + SLACK_S
+        each for each in open_at_timeout if each.took_s > TIMEOUT_S + SLACK_S
     ]
     never = [each for each in late if each.status == 0]
     is_broken = len(late) >= MIN_LATE and 2 * len(late) > len(open_at_timeout)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -52,9 +52,7 @@
         for answer in deployment.answers
         if answer.sent_s > settled_s
     }
-    late_runs = [
-        run for run in deployment.runs if run.request_id in sent_late
-    ]
+    late_runs = [run for run in deployment.runs if run.request_id in sent_late]
     if not late_runs:
         return []
     return [
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -26,7 +26,7 @@
         encoded_key = key.encode()
         record = bytes((len(encoded_key),)) + encoded_key
         if value is not None:
-            record += json.dumps(value, separators=(",", ":")).encode()
+            record += json.dumps(value, separators=(',', ':')).encode()
         await self._append('keyed.op', [record])
 
     async def _append(self, topic: str, records: list[bytes]) -> int:
