--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -35,6 +35,7 @@
 READY_S = 25.0
 CLOSE_S = 0.2
 PORTS = (12_000, 30_000)
+NOT_RUN = 2
 _ADDRESSES = ('inbound', 'outbound', 'ready', 'control')
 _PLACEHOLDER = re.compile(r'\{\{([\w.]+)(\|json)?\}\}')
 
@@ -87,6 +88,8 @@
     lines: list[str] = field(default_factory=list)
     began_s: float = field(default_factory=time.monotonic)
     requests: int = 0
+    store: Store | None = None
+    _folder: tempfile.TemporaryDirectory | None = None
 
     # Start and end
 
@@ -187,13 +190,15 @@
         for machine in self.machines:
             if machine.worker is not None:
                 machine.worker.crash()
-        self.store.server.crash()
+        if self.store is not None:
+            self.store.server.crash()
         for machine in self.machines:
             if machine.process is not None and machine.process.poll() is None:
                 machine.process.send_signal(signal.SIGKILL)
             if machine.process is not None:
                 machine.process.wait()
-        self._folder.cleanup()
+        if self._folder is not None:
+            self._folder.cleanup()
         await asyncio.sleep(CLOSE_S)
 
     def node_log(self, machine: Machine) -> str:
@@ -356,11 +361,16 @@
     """
     is_troubled = os.environ.get('TROUBLE') != '0'
     deployment = Deployment(services, slots)
-    sys.exit(asyncio.run(_run(folder, deployment, config, play, is_troubled)))
+    try:
+        code = asyncio.run(_run(folder, deployment, config, play, is_troubled))
+    except Exception:
+        traceback.print_exc()
+        code = NOT_RUN
+    sys.exit(code)
 
 
 async def _run(folder, deployment, config, play, is_troubled) -> int:
-    code = 2
+    code = NOT_RUN
     verdict = 'not run'
     try:
         await deployment.start(config)
