--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import sys
 import time
 from pathlib import Path
@@ -157,4 +158,13 @@
         task.add_done_callback(requests.discard)
 
 
-run_case(FOLDER, SERVICES, configuration(7, _routes(0), {}), play)
+IS_TROUBLED = os.environ.get('TROUBLE') != '0'
+"""With `TROUBLE=0` the case does the same without the disruption."""
+
+run_case(
+    FOLDER,
+    SERVICES,
+    configuration(7, _routes(0), {}),
+    play,
+    is_troubled=IS_TROUBLED,
+)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """Takes the last keys away, then asks for work without a valid key."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -69,4 +70,13 @@
     )
 
 
-run_case(FOLDER, SERVICES, configuration(7, ROUTES, TENANTS), play)
+IS_TROUBLED = os.environ.get('TROUBLE') != '0'
+"""With `TROUBLE=0` the case does the same without the disruption."""
+
+run_case(
+    FOLDER,
+    SERVICES,
+    configuration(7, ROUTES, TENANTS),
+    play,
+    is_troubled=IS_TROUBLED,
+)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """Clients read their answers late; their machines stay healthy."""
 
 import asyncio
+import os
 import socket
 import sys
 import time
@@ -94,4 +95,13 @@
     return True
 
 
-run_case(FOLDER, SERVICES, configuration(7, ROUTES, {}), play)
+IS_TROUBLED = os.environ.get('TROUBLE') != '0'
+"""With `TROUBLE=0` the case does the same without the disruption."""
+
+run_case(
+    FOLDER,
+    SERVICES,
+    configuration(7, ROUTES, {}),
+    play,
+    is_troubled=IS_TROUBLED,
+)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """A worker deregisters just after its node has started again."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -108,4 +109,13 @@
     raise NotRunnableError('the worker is not used after the restart')
 
 
-run_case(FOLDER, SERVICES, configuration(7, ROUTES, {}), play)
+IS_TROUBLED = os.environ.get('TROUBLE') != '0'
+"""With `TROUBLE=0` the case does the same without the disruption."""
+
+run_case(
+    FOLDER,
+    SERVICES,
+    configuration(7, ROUTES, {}),
+    play,
+    is_troubled=IS_TROUBLED,
+)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -351,6 +351,8 @@
     config: dict,
     play: Callable[[Deployment, bool], Awaitable[list[str]]],
     slots: int = 20,
+    *,
+    is_troubled: bool,
 ) -> None:
     """Play a case and exit: 1 if the rule was broken, 0 if not, 2 if not run.
 
@@ -358,8 +360,9 @@
         folder: Receives `record.txt`.
         play: Plays the case with or without the disruption; returns what
             broke the rule.
+        slots: Requests that each worker runs at the same time.
+        is_troubled: Whether the disruption is played.
     """
-    is_troubled = os.environ.get('TROUBLE') != '0'
     deployment = Deployment(services, slots)
     try:
         code = asyncio.run(_run(folder, deployment, config, play, is_troubled))
