Target watch: incarnations that are over are kept as such, not by start alone

Cause: the start by the target's clock was the only order of incarnations. A deregistration without a body, of a target known by a probe, was recorded with born 0, so that any late heartbeat seemed to be of a later run. A run with an earlier start was ignored, its departure included, though acknowledged.

Evidence: the log has target_leaving source=deregistration, then target_new source=announcement with the same ID.

Change: past_incarnations.py remembers departed and replaced runs; a departure without a start covers all that were born until then; a run that seems older is believed if it leaves, and if it is ready once the current one may have ended. The first announcement after a start is held until the stored departure is known.

Tests whose calls changed only got the time as first argument.

--- a/src/rattanstile/platform/announcements.py
+++ b/src/rattanstile/platform/announcements.py
@@ -11,13 +11,10 @@
 from rattanstile.connection.http_messages import HttpRequest, encode_response
 from rattanstile.connection.http_server import BadRequest
 from rattanstile.decoding import decode_untrusted
+from rattanstile.process.mesh.past_incarnations import TargetDeparture
 from rattanstile.process.mesh.ports import InvalidAnnouncement
 from rattanstile.process.mesh.settings import duration_s
-from rattanstile.process.mesh.target_watch import (
-    Announcement,
-    TargetDeparture,
-    TargetState,
-)
+from rattanstile.process.mesh.target_watch import Announcement, TargetState
 from rattanstile.request.ids import ServiceName, TargetId
 
 MAX_CLOCK_LEAD_S = 86_400
@@ -104,7 +101,7 @@
             return InvalidAnnouncement('unknown path', is_unknown_path=True)
         target_id = TargetId(path_match.group(1))
         if path_match.group(2) == 'deregister':
-            return _decode_departure(target_id, request.body)
+            return self._departure(target_id, request.body)
         heartbeat = decode_untrusted(_heartbeat_decoder.decode, request.body)
         if isinstance(heartbeat, Err):
             return InvalidAnnouncement(heartbeat.err_value.message)
@@ -143,15 +140,18 @@
             sequence=status.sequence,
             cold_s=cold_s,
             born_ms=heartbeat.born,
+            is_born_ahead=heartbeat.born > self._now_s() * _MS_PER_S,
         )
 
-
-def _decode_departure(
-    target_id: TargetId, body: bytes
-) -> TargetDeparture | InvalidAnnouncement:
-    if not body:
-        return TargetDeparture(target_id, _Deregistration().born)
-    decoded = decode_untrusted(_deregistration_decoder.decode, body)
-    if isinstance(decoded, Err):
-        return InvalidAnnouncement(decoded.err_value.message)
-    return TargetDeparture(target_id, decoded.ok_value.born)
+    def _departure(
+        self, target_id: TargetId, body: bytes
+    ) -> TargetDeparture | InvalidAnnouncement:
+        decoded = decode_untrusted(
+            _deregistration_decoder.decode, body or b'{}'
+        )
+        if isinstance(decoded, Err):
+            return InvalidAnnouncement(decoded.err_value.message)
+        if decoded.ok_value.born:
+            return TargetDeparture(target_id, decoded.ok_value.born)
+        now_ms = int(self._now_s() * _MS_PER_S)
+        return TargetDeparture(target_id, now_ms, is_latest=True)
--- a/src/rattanstile/process/mesh/fleet_join.py
+++ b/src/rattanstile/process/mesh/fleet_join.py
@@ -12,6 +12,10 @@
 
 from rattanstile.connection.peer_messages import PeerMember
 from rattanstile.process.decision_log import DecisionLog, LineKind
+from rattanstile.process.mesh.past_incarnations import (
+    NO_DEPARTURE,
+    TargetDeparture,
+)
 from rattanstile.process.mesh.ports import (
     NO_MEMBERS,
     FleetMembers,
@@ -21,7 +25,6 @@
     FIRST_RETRY_DELAY_S,
     StoreRetry,
 )
-from rattanstile.process.mesh.target_watch import NO_DEPARTURE, TargetDeparture
 from rattanstile.request.ids import NO_ERA, StoreEra
 
 SIMULTANEOUS_START_S = 0.4
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -114,7 +114,9 @@
             JoinHandlers(
                 self.peer_service.member,
                 self.peer_service.members_read,
-                self.serving.watch.restore_departure,
+                lambda departure: self.serving.watch.restore_departure(
+                    self.timers.now_s(), departure
+                ),
             ),
             log,
             is_new_fleet=settings.new_fleet,
@@ -145,7 +147,7 @@
         )
         self.serving = ServingHandler(
             context,
-            TargetWatch(settings.service),
+            TargetWatch(settings.service, awaits_departure=True),
             self._target_pool,
             adapters.targets,
             self.peer_service.status_changed,
--- a/src/rattanstile/process/mesh/node_addresses.py
+++ b/src/rattanstile/process/mesh/node_addresses.py
@@ -1,6 +1,6 @@
 """HTTP endpoints for readiness, metrics and target announcements."""
 
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
@@ -12,16 +12,13 @@
 )
 from rattanstile.process.decision_log import LineKind
 from rattanstile.process.mesh.context import NodeContext
+from rattanstile.process.mesh.past_incarnations import TargetDeparture
 from rattanstile.process.mesh.ports import (
     AnnouncementCodec,
     InvalidAnnouncement,
 )
 from rattanstile.process.mesh.serving_handler import ServingHandler
-from rattanstile.process.mesh.target_watch import (
-    Announcement,
-    TargetChange,
-    TargetDeparture,
-)
+from rattanstile.process.mesh.target_watch import Announcement
 
 PERSIST_TIMEOUT_S = 0.6
 """Targets accept an acknowledgement that arrives within one second."""
@@ -131,13 +128,14 @@
                 )
                 rejection = self._codec.reject(decoded, closes=closes)
             case TargetDeparture():
-                self._acknowledge(
-                    connection, self._node.serving.deregistered(decoded)
+                self._apply(
+                    connection, lambda: self._node.serving.deregistered(decoded)
                 )
                 return
             case _:
-                effect = self._node.serving.announced(decoded)
-                self._acknowledge(connection, effect)
+                self._apply(
+                    connection, lambda: self._node.serving.announced(decoded)
+                )
                 return
         connection.respond(rejection, closes=closes)
 
@@ -151,16 +149,19 @@
             return InvalidAnnouncement(f'unknown service {decoded.service}')
         return decoded
 
-    def _acknowledge(
-        self, connection: HttpServerConnection, effect: TargetChange
+    def _apply(
+        self, connection: HttpServerConnection, apply: Callable[[], object]
     ) -> None:
-        """Acknowledge; a departure once it is stored for a later run.
+        """Apply and acknowledge; a departure once it is stored.
 
-        If storing it takes longer than `PERSIST_TIMEOUT_S`, the
-        acknowledgement is sent before.
+        If storing it for a later run of this node takes longer than
+        `PERSIST_TIMEOUT_S`, the acknowledgement is sent before.
         """
+        watch = self._node.serving.watch
+        stored_departure = watch.last_departure
+        apply()
         acknowledgement = _PendingAcknowledgement(self._codec, connection)
-        if effect is not TargetChange.LEAVING:
+        if watch.last_departure == stored_departure:
             acknowledgement.send()
             return
         connection.handler_context = acknowledgement
--- a/src/rattanstile/process/mesh/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving_handler.py
@@ -10,6 +10,7 @@
 from rattanstile.process.mesh.call_tree import CallAttribution
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.failing_share import FailingShare
+from rattanstile.process.mesh.past_incarnations import TargetDeparture
 from rattanstile.process.mesh.ports import (
     RunAnswered,
     RunFailed,
@@ -24,7 +25,6 @@
 from rattanstile.process.mesh.target_watch import (
     Announcement,
     TargetChange,
-    TargetDeparture,
     TargetWatch,
 )
 from rattanstile.request.exchange import (
@@ -272,7 +272,7 @@
 
     def deregistered(self, departure: TargetDeparture) -> TargetChange:
         """Handle a deregistration of the target."""
-        change = self.watch.deregistered(departure)
+        change = self.watch.deregistered(self._timers.now_s(), departure)
         self._target_changed(change, 'deregistration')
         return change
 
--- a/src/rattanstile/process/mesh/target_watch.py
+++ b/src/rattanstile/process/mesh/target_watch.py
@@ -5,15 +5,26 @@
 incarnation, and cold.
 """
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, replace
 from enum import Enum, unique
 
+from rattanstile.process.mesh.past_incarnations import (
+    NO_DEPARTURE,
+    NO_INCARNATION,
+    Incarnation,
+    PastIncarnations,
+    PastKind,
+    TargetDeparture,
+)
 from rattanstile.request.ids import ServiceName, TargetId
 
 INITIAL_PROBE_PERIOD_S = 0.25
 """Period of the first probes, so that a restarted target is used within a
 quarter of a second."""
 MAX_PROBE_PERIOD_S = 1.0
+MAX_SILENCE_S = 4.0
+"""A target that runs announces itself twice within this time."""
 
 
 @unique
@@ -34,6 +45,8 @@
         sequence: Increases with each announcement of an incarnation.
         cold_s: Remaining time that the target is cold.
         born_ms: Start of the incarnation by the target's clock.
+        is_born_ahead: Whether the start lies ahead of the VM's clock, which
+            has been set back since.
     """
 
     target_id: TargetId
@@ -44,25 +57,12 @@
     sequence: int
     cold_s: float
     born_ms: int
+    is_born_ahead: bool = False
 
-
-@dataclass(frozen=True, slots=True)
-class TargetDeparture:
-    """An incarnation of a target that deregistered or began to drain.
-
-    Attributes:
-        born_ms: Start of the incarnation by the target's clock.
-    """
-
-    target_id: TargetId
-    born_ms: int
-
-    def includes(self, target_id: TargetId, born_ms: int) -> bool:
-        """Return whether an incarnation is this one or an earlier one."""
-        return target_id == self.target_id and born_ms <= self.born_ms
-
-
-NO_DEPARTURE = TargetDeparture(TargetId(''), 0)
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return the incarnation that announces itself."""
+        return Incarnation(self.target_id, self.born_ms)
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,8 +92,13 @@
 class TargetWatch:
     """Tracks the incarnations of one target.
 
+    Args:
+        service: Service that the target is to serve.
+        awaits_departure: Whether an earlier process of this node may have
+            recorded a departure that is not restored yet. Until it is, a
+            single announcement may be a late one of a target that left.
+
     Attributes:
-        target_id: Current incarnation; empty for none.
         service: Service that the target serves.
         slots: Concurrent calls that it accepts.
         cold_until_s: Monotonic time until which it is cold.
@@ -103,22 +108,32 @@
         last_departure: Last incarnation that deregistered or began to drain.
     """
 
-    def __init__(self, service: ServiceName) -> None:
+    def __init__(
+        self, service: ServiceName, *, awaits_departure: bool = False
+    ) -> None:
         """Initialize without a target."""
-        self.target_id = TargetId('')
         self.service = service
         self.slots = 0
         self.cold_until_s = 0.0
         self.is_leaving = False
         self.is_verified = False
-        self._born_ms = 0
-        self._sequence = -1
         self.last_departure = NO_DEPARTURE
-        self._replaced = NO_DEPARTURE
+        self._current = NO_INCARNATION
+        self._sequence = -1
+        self._heard_s = -math.inf
+        self._may_have_restarted = False
+        self._past = PastIncarnations()
+        self._awaits_departure = awaits_departure
+        self._is_held = False
         self._may_probe = False
         self._probe_due_s = 0.0
         self._probe_period_s = INITIAL_PROBE_PERIOD_S
 
+    @property
+    def target_id(self) -> TargetId:
+        """Return the ID of the current incarnation; empty for none."""
+        return self._current.target_id
+
     @property
     def is_usable(self) -> bool:
         """Return whether calls may be sent to the target."""
@@ -135,48 +150,57 @@
 
         Outdated announcements and those of departed incarnations are ignored.
         """
-        order = (announcement.born_ms, announcement.sequence)
-        is_same = (
-            announcement.target_id == self.target_id
-            and announcement.born_ms == self._born_ms
+        past = self._past.kind_of(
+            now_s,
+            announcement.incarnation,
+            is_born_ahead=announcement.is_born_ahead,
         )
-        if order <= (self._born_ms, self._sequence):
-            return TargetChange.NOTHING
-        if self._has_gone(announcement):
+        is_same = self._continues(announcement)
+        if past in {PastKind.DEPARTED, PastKind.REPLACED} or not (
+            is_same or self._takes_over(now_s, announcement, past)
+        ):
             return TargetChange.NOTHING
-        self._born_ms = announcement.born_ms
-        self._sequence = announcement.sequence
         if not is_same:
-            self._start_incarnation(announcement.target_id)
+            self._start_announced(now_s, announcement)
+        self._sequence = announcement.sequence
+        self._heard_s = now_s
+        self._may_have_restarted = False
         self.service = announcement.service
         self.slots = announcement.slots
         self.cold_until_s = now_s + announcement.cold_s
         if announcement.state is TargetState.DRAINING:
-            self.last_departure = TargetDeparture(
-                announcement.target_id, announcement.born_ms
+            return self._depart(
+                now_s,
+                TargetDeparture(announcement.target_id, announcement.born_ms),
             )
-            return self._mark_leaving()
-        self.is_verified = True
+        self.is_leaving = False
+        self._is_held = self._awaits_departure and not is_same
+        self.is_verified = not self._is_held
         self._probe_period_s = INITIAL_PROBE_PERIOD_S
         return TargetChange.RENEWED if is_same else TargetChange.NEW
 
-    def deregistered(self, departure: TargetDeparture) -> TargetChange:
+    def deregistered(
+        self, now_s: float, departure: TargetDeparture
+    ) -> TargetChange:
         """Apply a deregistration and return what it changed."""
         is_current = departure.target_id == self.target_id
-        if self.is_leaving and not is_current:
-            # The departure of the current incarnation must not be forgotten.
-            self._replaced = departure
+        if is_current and self._is_of_replaced(now_s, departure):
             return TargetChange.NOTHING
-        born_ms = departure.born_ms
-        if is_current:
-            born_ms = max(born_ms, self._born_ms)
-        self.last_departure = TargetDeparture(departure.target_id, born_ms)
-        if self.target_id not in {departure.target_id, TargetId('')}:
+        if is_current and departure.is_latest:
+            departure = self._latest_departure(now_s, departure)
+        if self.target_id and not is_current:
+            self._past.add_departure(now_s, departure)
+            if not self.is_leaving:
+                # The departure of the current one must not be forgotten.
+                self.last_departure = departure
             return TargetChange.NOTHING
-        self.target_id = departure.target_id
-        return self._mark_leaving()
+        self._start(now_s, Incarnation(departure.target_id, departure.born_ms))
+        self._heard_s = now_s
+        return self._depart(now_s, departure)
 
-    def restore_departure(self, departure: TargetDeparture) -> None:
+    def restore_departure(
+        self, now_s: float, departure: TargetDeparture
+    ) -> None:
         """Restore the departure recorded by an earlier process of this node.
 
         The target is not probed before, as a target that has deregistered
@@ -186,21 +210,21 @@
             departure: The last departure; `NO_DEPARTURE` for none.
         """
         self._may_probe = True
-        if not departure.target_id:
-            return
-        self.last_departure = departure
-        if self.target_id in {departure.target_id, TargetId('')}:
-            self.target_id = departure.target_id
-            self.is_leaving = True
+        if departure.target_id:
+            self._apply_restored(now_s, replace(departure, is_latest=True))
+        if self._is_held:
+            self.is_verified = True
+        self._is_held = False
+        self._awaits_departure = False
 
     def probed(self, now_s: float, result: ProbeResult) -> TargetChange:
         """Apply the result of a probe and return what it changed."""
         if not result.is_healthy or not result.target_id:
             return TargetChange.NOTHING
-        if result.target_id == self.last_departure.target_id:
+        if self._past.has_left(result.target_id):
             return TargetChange.NOTHING
         if result.target_id != self.target_id:
-            self._replace_incarnation(result.target_id)
+            self._start_probed(now_s, result.target_id)
         was_verified = self.is_verified
         self.is_verified = True
         self.cold_until_s = now_s + (result.cold_s or 0)
@@ -209,6 +233,8 @@
 
     def suspect(self, now_s: float) -> None:
         """Stop using the target until its next announcement or answer."""
+        self._may_have_restarted = True
+        self._is_held = False
         if self.is_verified:
             self.is_verified = False
             self._probe_due_s = now_s
@@ -225,29 +251,97 @@
         )
         return True
 
-    def _start_incarnation(self, target_id: TargetId) -> None:
-        self.target_id = target_id
-        self.is_leaving = False
-
-    def _has_gone(self, announcement: Announcement) -> bool:
-        """Return whether an announcement is of an incarnation that has gone."""
-        return any(
-            departure.includes(announcement.target_id, announcement.born_ms)
-            for departure in (self.last_departure, self._replaced)
+    def _continues(self, announcement: Announcement) -> bool:
+        """Return whether this is the next word of the current incarnation."""
+        return (
+            announcement.incarnation == self._current
+            and announcement.sequence > self._sequence
         )
 
-    def _replace_incarnation(self, target_id: TargetId) -> None:
+    def _takes_over(
+        self, now_s: float, announcement: Announcement, past: PastKind | None
+    ) -> bool:
+        """Return whether another incarnation has taken the target's place.
+
+        One that seems to have started before the current one may be late, or
+        started after the clock of its VM was set back. If it leaves, that is
+        believed in any case; if it is ready, only once the current one may
+        have ended.
+        """
+        current = self._current
+        if announcement.incarnation == current and current.born_ms:
+            return False
+        if not current.born_ms:
+            return True
+        is_later = announcement.born_ms > current.born_ms
+        if is_later and past is None and not announcement.is_born_ahead:
+            return True
+        if announcement.state is TargetState.DRAINING:
+            return True
+        is_silent = now_s - self._heard_s > MAX_SILENCE_S
+        return self._may_have_restarted or is_silent
+
+    def _start(self, now_s: float, incarnation: Incarnation) -> None:
+        is_doubtful = incarnation.born_ms < self._current.born_ms
+        if incarnation != self._current:
+            self._past.add_replaced(
+                now_s, self._current, is_doubtful=is_doubtful
+            )
+        self._current = incarnation
+
+    def _start_announced(
+        self, now_s: float, announcement: Announcement
+    ) -> None:
+        self._start(now_s, announcement.incarnation)
+        self.is_leaving = False
+
+    def _start_probed(self, now_s: float, target_id: TargetId) -> None:
         """Start an incarnation that answers at the address of an earlier one.
 
         The clock of its VM may have been set back, so that it seems to have
         started before the earlier one; its announcements count all the same.
         """
-        self._replaced = TargetDeparture(self.target_id, self._born_ms)
-        self._born_ms = 0
+        self._past.add_replaced(now_s, self._current, is_doubtful=False)
+        self._past.forget_replaced(target_id)
+        self._current = Incarnation(target_id, 0)
         self._sequence = -1
-        self._start_incarnation(target_id)
+        self.is_leaving = False
+
+    def _latest_departure(
+        self, now_s: float, departure: TargetDeparture
+    ) -> TargetDeparture:
+        """Return a departure that includes the current incarnation.
 
-    def _mark_leaving(self) -> TargetChange:
+        The one that leaves may also be a later one, of which nothing came.
+        """
+        born_ms = self._current.born_ms
+        if born_ms:
+            known = TargetDeparture(departure.target_id, born_ms)
+            self._past.add_departure(now_s, known)
+        return replace(departure, born_ms=max(departure.born_ms, born_ms))
+
+    def _is_of_replaced(self, now_s: float, departure: TargetDeparture) -> bool:
+        """Return whether an earlier run with the same ID deregisters late."""
+        incarnation = Incarnation(departure.target_id, departure.born_ms)
+        past = self._past.kind_of(now_s, incarnation, is_born_ahead=False)
+        return past is PastKind.REPLACED and not departure.is_latest
+
+    def _apply_restored(self, now_s: float, departure: TargetDeparture) -> None:
+        self._past.add_departure(now_s, departure)
+        if not self.last_departure.target_id:
+            self.last_departure = departure
+        incarnation = Incarnation(departure.target_id, departure.born_ms)
+        is_current = (
+            departure.target_id == self.target_id
+            and self._current.born_ms <= departure.born_ms
+        )
+        if is_current or not self.target_id:
+            self._current = incarnation
+            self.is_leaving = True
+
+    def _depart(self, now_s: float, departure: TargetDeparture) -> TargetChange:
+        self._past.add_departure(now_s, departure)
+        self.last_departure = departure
         was_leaving = self.is_leaving
         self.is_leaving = True
         return TargetChange.NOTHING if was_leaving else TargetChange.LEAVING
--- a/tests/test_announcement_service.py
+++ b/tests/test_announcement_service.py
@@ -10,7 +10,7 @@
 from rattanstile.platform import PlatformAnnouncementCodec
 from rattanstile.process.mesh.node_addresses import AnnouncementService
 from rattanstile.process.mesh.serving_handler import ServingHandler
-from rattanstile.process.mesh.target_watch import TargetWatch
+from rattanstile.process.mesh.target_watch import ProbeResult, TargetWatch
 from rattanstile.version.fleet_config import FleetState
 
 ADDRESS = '10.0.0.1:2'
@@ -18,11 +18,12 @@
 DAY_S = 86_400
 
 
-class AnnouncementServiceTest(unittest.TestCase):
-    """An odd announcement names no target; the one in use stays."""
+class AnnouncementCase(unittest.TestCase):
+    """A node whose target announces itself over HTTP."""
 
     def setUp(self):
         self.statuses = []
+        self.now_s = NOW_S
         node_context, _, self.holder = context(
             FleetState(1, config(routes=(route(),)))
         )
@@ -35,7 +36,7 @@
             lambda: None,
         )
         self.service = AnnouncementService(
-            PlatformAnnouncementCodec(ADDRESS, lambda: NOW_S),
+            PlatformAnnouncementCodec(ADDRESS, lambda: self.now_s),
             SimpleNamespace(
                 serving=self.serving,
                 context=node_context,
@@ -46,6 +47,15 @@
     async def persist(self):
         """Store nothing."""
 
+    def deregister(self, target_id='i-1', body=b''):
+        path = f'/v1/instances/{target_id}/deregister'
+        connection = SimpleNamespace(
+            closes_after_response=False, respond=self.respond
+        )
+        self.service.request_received(
+            connection, HttpRequest('POST', path, (), body)
+        )
+
     def announce(self, target_id='i-1', service='registry', **changes):
         born_ms = changes.pop('born', int(NOW_S * 1000) - 5000)
         heartbeat = {
@@ -67,6 +77,10 @@
     def respond(self, encoded, closes):
         self.statuses.append(int(encoded.split()[1]))
 
+
+class AnnouncementServiceTest(AnnouncementCase):
+    """An odd announcement names no target; the one in use stays."""
+
     def test_service_that_is_not_named_here(self):
         """The target was out until its next heartbeat."""
         self.assertEqual(self.announce(), 200)
@@ -95,3 +109,69 @@
         ahead_ms = int((NOW_S + DAY_S / 24) * 1000)
         self.assertEqual(self.announce(born=ahead_ms), 200)
         self.assertTrue(self.serving.watch.is_usable)
+
+
+class LateHeartbeatTest(AnnouncementCase):
+    """DRAIN: a target that deregistered was in use again by a late heartbeat.
+
+    It left without a body, as the pages show it, soon after its node's start.
+    """
+
+    HOUR_MS = 3_600_000
+
+    def found_by_probe(self):
+        """Have a restarted node find its target."""
+        self.serving.watch.probed(0.5, ProbeResult('i-1', True, None))
+        self.assertTrue(self.serving.watch.is_usable)
+
+    def test_target_known_by_a_probe(self):
+        """Review case 5: 45 calls later than 2 s after the acknowledgement."""
+        self.found_by_probe()
+        self.deregister()
+        self.announce(sequence=7)
+        self.assertFalse(self.serving.watch.is_usable)
+
+    def test_target_not_known_yet(self):
+        """It deregisters before it is probed."""
+        self.deregister()
+        self.announce(sequence=7)
+        self.assertFalse(self.serving.watch.is_usable)
+
+    def test_target_that_seems_to_start_in_the_future(self):
+        """The clock of its VM was set back before the node started."""
+        self.found_by_probe()
+        self.deregister()
+        ahead_ms = int(NOW_S * 1000) + self.HOUR_MS
+        self.announce(sequence=7, born=ahead_ms)
+        self.assertFalse(self.serving.watch.is_usable)
+
+    def test_all_heartbeats_that_were_on_their_way(self):
+        """They arrive in any order."""
+        self.found_by_probe()
+        self.deregister()
+        for sequence in (5, 7, 6, 8):
+            self.announce(sequence=sequence)
+        self.assertFalse(self.serving.watch.is_usable)
+
+    def test_earlier_run_with_the_same_id_is_known(self):
+        """Its start is not that of the run which deregisters."""
+        self.announce(sequence=9, born=int(NOW_S * 1000) - self.HOUR_MS)
+        self.deregister()
+        self.announce(sequence=2)
+        self.assertFalse(self.serving.watch.is_usable)
+
+    def test_departures_of_others_do_not_hide_it(self):
+        """A later deregistration of another ID came before the heartbeat."""
+        self.found_by_probe()
+        self.deregister()
+        self.deregister('i-0')
+        self.deregister('odd')
+        self.announce(sequence=7)
+        self.assertFalse(self.serving.watch.is_usable)
+
+    def test_target_that_starts_again_with_its_id_is_used(self):
+        """It was born after the departure."""
+        self.deregister()
+        self.now_s += 5
+        self.announce(born=int(NOW_S * 1000) + 3000)
+        self.assertTrue(self.serving.watch.is_usable)
--- a/tests/test_serving_desk.py
+++ b/tests/test_serving_desk.py
@@ -11,14 +11,13 @@
     ResponseMatch,
 )
 from rattanstile.connection.http_messages import HttpResponse
-from rattanstile.process.mesh.ports import RunAnswered, RunRefused
-from rattanstile.process.mesh.serving_handler import ServingHandler
-from rattanstile.process.mesh.target_watch import (
+from rattanstile.process.mesh.past_incarnations import (
     NO_DEPARTURE,
     TargetDeparture,
-    TargetState,
-    TargetWatch,
 )
+from rattanstile.process.mesh.ports import RunAnswered, RunRefused
+from rattanstile.process.mesh.serving_handler import ServingHandler
+from rattanstile.process.mesh.target_watch import TargetState, TargetWatch
 from rattanstile.request.exchange import (
     Answered,
     NotRun,
@@ -90,7 +89,7 @@
             self.codec,
             lambda: self.usable_reports.append(self.desk.is_usable),
         )
-        self.desk.watch.restore_departure(NO_DEPARTURE)
+        self.desk.watch.restore_departure(0, NO_DEPARTURE)
         self.desk.announced(announcement(slots=2))
 
     def begin(self, name='a', **changes):
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -2,12 +2,17 @@
 
 import unittest
 
-from rattanstile.process.mesh.target_watch import (
+from rattanstile.process.mesh.past_incarnations import (
+    MAX_LATENESS_S,
+    MAX_PAST_INCARNATIONS,
     NO_DEPARTURE,
+    TargetDeparture,
+)
+from rattanstile.process.mesh.target_watch import (
+    MAX_SILENCE_S,
     Announcement,
     ProbeResult,
     TargetChange,
-    TargetDeparture,
     TargetState,
     TargetWatch,
 )
@@ -55,7 +60,7 @@
         The predecessor's late announcements are still ignored.
         """
         watch = TargetWatch('registry')
-        watch.restore_departure(NO_DEPARTURE)
+        watch.restore_departure(0, NO_DEPARTURE)
         watch.announced(0, announcement('i-1', sequence=9, born_ms=9000))
         watch.suspect(5)
         watch.probed(6, ProbeResult(TargetId('i-2'), True, 1.0))
@@ -89,7 +94,7 @@
         """The target may have deregistered before the node restarted."""
         watch = TargetWatch('registry')
         self.assertFalse(watch.poll_probe_due(0))
-        watch.restore_departure(NO_DEPARTURE)
+        watch.restore_departure(0, NO_DEPARTURE)
         self.assertTrue(watch.poll_probe_due(0))
 
     def test_a_target_that_left_is_not_used_again(self):
@@ -98,7 +103,7 @@
         A restarted node must not use it again.
         """
         watch = TargetWatch('registry')
-        watch.restore_departure(TargetDeparture('i-1', 10))
+        watch.restore_departure(0, TargetDeparture('i-1', 10))
         self.assertFalse(watch.poll_probe_due(0))
         change = watch.probed(
             0, ProbeResult('i-1', is_healthy=True, cold_s=None)
@@ -109,10 +114,10 @@
     def test_a_foreign_deregistration_does_not_hide_the_departure(self):
         """It was what a restarted node read, and the target was used again."""
         watch = TargetWatch('registry')
-        watch.restore_departure(NO_DEPARTURE)
+        watch.restore_departure(0, NO_DEPARTURE)
         watch.probed(0, ProbeResult('i-1', is_healthy=True, cold_s=None))
-        watch.deregistered(TargetDeparture('i-1', 0))
-        foreign = watch.deregistered(TargetDeparture('odd', 0))
+        watch.deregistered(1, TargetDeparture('i-1', 0))
+        foreign = watch.deregistered(1, TargetDeparture('odd', 0))
         self.assertEqual(foreign, TargetChange.NOTHING)
         self.assertEqual(watch.last_departure.target_id, 'i-1')
 
@@ -120,7 +125,7 @@
         """Its late heartbeat must not make it usable."""
         watch = TargetWatch('registry')
         watch.announced(0, announcement('i-1', state=TargetState.DRAINING))
-        watch.deregistered(TargetDeparture('i-2', 20))
+        watch.deregistered(1, TargetDeparture('i-2', 20))
         late = announcement('i-2', born_ms=20)
         self.assertEqual(watch.announced(1, late), TargetChange.NOTHING)
         self.assertFalse(watch.is_usable)
@@ -132,9 +137,9 @@
         and must not make the target usable.
         """
         watch = TargetWatch('registry')
-        watch.restore_departure(NO_DEPARTURE)
+        watch.restore_departure(0, NO_DEPARTURE)
         watch.probed(0, ProbeResult('i-1', is_healthy=True, cold_s=None))
-        watch.deregistered(TargetDeparture('i-1', 10))
+        watch.deregistered(1, TargetDeparture('i-1', 10))
         self.assertEqual(
             watch.announced(2.2, announcement()), TargetChange.NOTHING
         )
@@ -143,7 +148,7 @@
     def test_nor_does_one_that_arrives_after_a_restart(self):
         """The target deregistered before the node restarted."""
         watch = TargetWatch('registry')
-        watch.restore_departure(TargetDeparture('i-1', 10))
+        watch.restore_departure(0, TargetDeparture('i-1', 10))
         self.assertEqual(
             watch.announced(0.5, announcement()), TargetChange.NOTHING
         )
@@ -152,7 +157,7 @@
     def test_a_later_incarnation_of_the_same_id_is_used(self):
         """It started after the incarnation that left."""
         watch = TargetWatch('registry')
-        watch.restore_departure(TargetDeparture('i-1', 10))
+        watch.restore_departure(0, TargetDeparture('i-1', 10))
         self.assertEqual(
             watch.announced(0, announcement(born_ms=30)), TargetChange.NEW
         )
@@ -161,7 +166,7 @@
     def test_a_successor_is_used(self):
         """It has another id at the same address."""
         watch = TargetWatch('registry')
-        watch.restore_departure(TargetDeparture('i-1', 10))
+        watch.restore_departure(0, TargetDeparture('i-1', 10))
         self.assertEqual(
             watch.announced(0, announcement('i-2')), TargetChange.NEW
         )
@@ -170,7 +175,7 @@
     def test_a_suspected_target_is_probed_with_backoff(self):
         """Probes become rarer, as each of them takes a slot."""
         watch = TargetWatch('registry')
-        watch.restore_departure(NO_DEPARTURE)
+        watch.restore_departure(0, NO_DEPARTURE)
         watch.announced(0, announcement())
         watch.suspect(1.0)
         probe_steps = [
@@ -185,7 +190,145 @@
     def test_an_unhealthy_response_changes_nothing(self):
         """Neither does a response without a target id."""
         watch = TargetWatch('registry')
-        watch.restore_departure(NO_DEPARTURE)
+        watch.restore_departure(0, NO_DEPARTURE)
         watch.probed(0, ProbeResult('i-1', is_healthy=False, cold_s=None))
         watch.probed(0, ProbeResult('', is_healthy=True, cold_s=None))
         self.assertFalse(watch.is_usable)
+
+
+class OrderOfIncarnationsTest(unittest.TestCase):
+    """DRAIN: messages late, in any order, across clock steps and restarts."""
+
+    DRAINING = TargetState.DRAINING
+
+    def test_target_starts_again_after_the_clock_was_set_back(self):
+        """Its ID is the same; its drain was acknowledged and ignored."""
+        watch = TargetWatch('registry')
+        watch.announced(0, announcement(sequence=9, born_ms=9000))
+        watch.suspect(1)
+        watch.announced(2, announcement(sequence=1, born_ms=7000))
+        self.assertTrue(watch.is_usable)
+        drains = announcement(sequence=2, born_ms=7000, state=self.DRAINING)
+        self.assertEqual(watch.announced(3, drains), TargetChange.LEAVING)
+        self.assertFalse(watch.is_usable)
+
+    def test_its_drain_counts_though_nothing_else_came(self):
+        """No call had noticed that the one before had ended."""
+        for target_id in ('i-1', 'i-2'):
+            watch = TargetWatch('registry')
+            watch.announced(0, announcement(sequence=9, born_ms=9000))
+            drains = announcement(target_id, born_ms=7000, state=self.DRAINING)
+            self.assertEqual(watch.announced(1, drains), TargetChange.LEAVING)
+            self.assertFalse(watch.is_usable)
+
+    def test_nor_does_a_late_word_of_the_one_before_restore_it(self):
+        """It seems to have started later."""
+        watch = TargetWatch('registry')
+        watch.announced(0, announcement(sequence=9, born_ms=9000))
+        watch.suspect(1)
+        watch.announced(2, announcement(sequence=1, born_ms=7000))
+        drains = announcement(sequence=2, born_ms=7000, state=self.DRAINING)
+        watch.announced(3, drains)
+        watch.announced(4, announcement(sequence=10, born_ms=9000))
+        self.assertFalse(watch.is_usable)
+
+    def test_incarnation_that_seems_earlier_is_used_after_a_silence(self):
+        """Before, it can't be told from a late word of an earlier one."""
+        watch = TargetWatch('registry')
+        watch.announced(0, announcement(sequence=9, born_ms=9000))
+        for second in (1, 2, MAX_SILENCE_S):
+            early = announcement('i-2', sequence=second, born_ms=7000)
+            self.assertEqual(
+                watch.announced(second, early), TargetChange.NOTHING
+            )
+        live = announcement('i-2', sequence=5, born_ms=7000)
+        change = watch.announced(MAX_SILENCE_S + 1, live)
+        self.assertEqual(change, TargetChange.NEW)
+
+    def test_target_whose_earlier_run_seemed_to_leave_is_used_again(self):
+        """A drain of an earlier run came late; the live one goes on."""
+        watch = TargetWatch('registry')
+        watch.announced(0, announcement(sequence=9, born_ms=9000))
+        late = announcement(sequence=3, born_ms=7000, state=self.DRAINING)
+        watch.announced(1, late)
+        self.assertFalse(watch.is_usable)
+        for second in (2, 3.5, 5, 6.5):
+            live = announcement(sequence=int(second * 10), born_ms=9000)
+            watch.announced(second, live)
+        self.assertTrue(watch.is_usable)
+
+    def test_departure_without_a_start_includes_later_runs(self):
+        """The run that is known may be over, and the next one leave."""
+        watch = TargetWatch('registry')
+        watch.announced(0, announcement(sequence=9, born_ms=10))
+        watch.deregistered(1, TargetDeparture('i-1', 500, is_latest=True))
+        for born_ms in (10, 400, 500):
+            late = announcement(sequence=20, born_ms=born_ms)
+            watch.announced(2, late)
+            self.assertFalse(watch.is_usable, born_ms)
+
+    def test_target_with_the_id_of_one_that_left_long_ago_is_used(self):
+        """The clock was set back meanwhile, so that it seems to be it."""
+        watch = TargetWatch('registry')
+        watch.restore_departure(0, TargetDeparture('i-1', 9000))
+        early = announcement(born_ms=7000)
+        watch.announced(MAX_LATENESS_S, early)
+        self.assertFalse(watch.is_usable)
+        watch.announced(MAX_LATENESS_S + 1, early)
+        self.assertTrue(watch.is_usable)
+
+    def test_departure_is_known_before_the_earlier_one_is_restored(self):
+        """The store answers late; what left meanwhile was forgotten."""
+        watch = TargetWatch('registry', awaits_departure=True)
+        watch.deregistered(1, TargetDeparture('i-1', 500, is_latest=True))
+        watch.restore_departure(2, TargetDeparture('i-0', 10))
+        watch.announced(3, announcement(born_ms=400))
+        self.assertFalse(watch.is_usable)
+        self.assertEqual(watch.last_departure.target_id, 'i-1')
+        watch.announced(4, announcement('i-0', born_ms=10))
+        self.assertFalse(watch.is_usable)
+
+    def test_one_word_before_the_departure_is_restored_is_not_believed(self):
+        """It may be late; the store is away while the node starts again."""
+        watch = TargetWatch('registry', awaits_departure=True)
+        watch.announced(1, announcement(sequence=4, born_ms=10))
+        self.assertFalse(watch.is_usable)
+        watch.restore_departure(3, TargetDeparture('i-1', 10))
+        self.assertFalse(watch.is_usable)
+        watch.announced(4, announcement(sequence=5, born_ms=10))
+        self.assertFalse(watch.is_usable)
+
+    def test_target_is_used_when_no_departure_is_restored(self):
+        """Or when it has announced itself twice, while the store is away."""
+        restored = TargetWatch('registry', awaits_departure=True)
+        restored.announced(1, announcement(sequence=4))
+        restored.restore_departure(2, NO_DEPARTURE)
+        self.assertTrue(restored.is_usable)
+        waiting = TargetWatch('registry', awaits_departure=True)
+        waiting.announced(1, announcement(sequence=4))
+        waiting.announced(2.5, announcement(sequence=5))
+        self.assertTrue(waiting.is_usable)
+
+    def test_restored_departure_does_not_stop_a_later_run(self):
+        """It announced itself before the store answered."""
+        watch = TargetWatch('registry', awaits_departure=True)
+        watch.announced(1, announcement(sequence=1, born_ms=30))
+        watch.restore_departure(2, TargetDeparture('i-1', 10))
+        self.assertTrue(watch.is_usable)
+
+    def test_late_deregistration_of_an_earlier_run(self):
+        """It names its start; the run in use goes on."""
+        watch = TargetWatch('registry')
+        watch.announced(0, announcement(sequence=9, born_ms=10))
+        watch.announced(1, announcement(sequence=1, born_ms=30))
+        change = watch.deregistered(2, TargetDeparture('i-1', 10))
+        self.assertEqual(change, TargetChange.NOTHING)
+        self.assertTrue(watch.is_usable)
+
+    def test_many_targets_are_not_kept(self):
+        """Each start has an ID of its own."""
+        watch = TargetWatch('registry')
+        for number in range(1, 1000):
+            watch.announced(number, announcement(f'i-{number}', 1, number))
+            watch.deregistered(number, TargetDeparture(f'x-{number}', 1))
+        self.assertLessEqual(len(watch._past._past), MAX_PAST_INCARNATIONS)
