Call attribution: work and memory no longer grow with the square of routes

Change: call_fit.py keeps sums with a growing weight, so that a window costs what happened in it; the 24 busiest routes have a rate of their own, the others share one; the 32 most frequent kinds are fitted, a part at a time. Routes and kinds no longer used are forgotten. The same on related paths: usage estimates (also services that reports no longer name), credits of splits, repeats and admission by service, times of usage reports.

--- a/src/rattanstile/process/mesh/call_tree.py
+++ b/src/rattanstile/process/mesh/call_tree.py
@@ -2,29 +2,43 @@
 
 A target's outgoing calls don't identify the run that made them. The load
 pattern: two routes run on one target, only one of them calls an overloaded
-service, and only that one should be rejected. In each short window the
-outgoing calls are modelled as a sum over the routes that ran: the time that
-the runs of a route took in the window, times the call rate of the route. The
-rates are fitted by non-negative least squares with exponential forgetting
-(Lawson, Hanson, 1974; here by coordinate descent).
-"""
+service, and only that one should be rejected. How often each calls is fitted
+to the run times and the calls of short windows.
 
-from dataclasses import dataclass, field
+A configuration may have any number of routes, and all of them may run here or
+be called from here. The busiest routes get a rate of their own and the others
+share one; the most frequent kinds of calls are fitted, a part of them at a
+time; what is no longer used is forgotten.
+"""
 
+import heapq
+from collections import Counter, deque
+from dataclasses import dataclass
+
+from rattanstile.process.mesh.call_fit import (
+    FORGET,
+    WINDOW_S,
+    CallSums,
+    RunTimes,
+    Term,
+)
 from rattanstile.process.mesh.service_needs import RunKind
 
-WINDOW_S = 0.1
-FORGET = 0.995
-"""Factor on the weight of older windows at each new one: half after 14 s."""
-PRIOR_WINDOWS = 60
-"""Number of windows whose random variation weighs as much as the prior that
-all routes call at the same rate."""
-MIN_PRIOR_WEIGHT = 1e-6
-SWEEPS = 8
 MIN_STARTED_RUNS = 5.0
 MIN_CALLS_PER_RUN = 0.05
 """A route with fewer calls per run isn't reported as a caller."""
 SOLVE_PERIOD_S = 0.5
+MAX_FITTED_ROUTES = 24
+MAX_FITTED_KINDS = 32
+MAX_FIT_PRODUCTS = 2500
+"""Products of two terms that are summed in one period, in each sweep: about
+2 ms of processor time."""
+BUSIER_RATIO = 2.0
+"""A route must be busier than another by this much to take its rate."""
+MIN_REMEMBERED = 0.01
+"""Routes and kinds with a smaller number of weighted runs or calls are
+forgotten: two minutes after some hundreds of them."""
+MAX_WEIGHT = 1e9
 
 
 @dataclass(eq=False, slots=True)
@@ -35,8 +49,8 @@
         in_progress: Runs that have not ended.
         updated_s: Time up to which run time has been added.
         window_s: Run time in the current window, summed over all runs.
-        run_s: Total run time, with exponential forgetting of old windows.
-        started: Runs that started, with exponential forgetting.
+        run_s: Total run time, weighted.
+        started: Runs that started, weighted.
     """
 
     in_progress: int = 0
@@ -50,26 +64,18 @@
         self.window_s += self.in_progress * (now_s - self.updated_s)
         self.updated_s = now_s
 
-    def mean_run_s(self) -> float:
-        """Return the mean run time; a run in progress counts as half."""
-        return self.run_s / max(self.started - self.in_progress / 2, 1)
-
-
-@dataclass(eq=False, slots=True)
-class _OutgoingCalls:
-    """Outgoing calls of one kind.
-
-    Attributes:
-        window: Calls in the current window.
-        total: All calls, with exponential forgetting of old windows.
-        products: Sums of calls times run time, by route that ran.
-        rates_per_s: Calls per second of run time, by route that ran.
-    """
+    def end_window(self, now_s: float, weight: float) -> float:
+        """Return the run time in the window, and start the next one."""
+        self.advance(now_s)
+        window_s = self.window_s
+        self.run_s += weight * window_s
+        self.window_s = 0.0
+        return window_s
 
-    window: int = 0
-    total: float = 0.0
-    products: dict[str, float] = field(default_factory=dict)
-    rates_per_s: dict[str, float] = field(default_factory=dict)
+    def mean_run_s(self, weight: float) -> float:
+        """Return the mean run time; a run in progress counts as half."""
+        started = self.started / weight - self.in_progress / 2
+        return self.run_s / weight / max(started, 1)
 
 
 class CallAttribution:
@@ -78,23 +84,38 @@
     def __init__(self) -> None:
         """Start without data."""
         self._routes: dict[str, _RouteRuns] = {}
-        self._outgoing: dict[RunKind, _OutgoingCalls] = {}
-        self._squares: dict[tuple[str, str], float] = {}
+        self._active: set[str] = set()
+        self._in_progress = 0
+        self._fitted: set[str] = set()
+        self._run_times = RunTimes()
+        self._outgoing: dict[RunKind, CallSums] = {}
+        self._window_calls: Counter[RunKind] = Counter()
+        self._reported: tuple[RunKind, ...] = ()
+        self._due: deque[RunKind] = deque()
+        self._weight = 1.0
         self._window_at_s = 0.0
         self._solved_at_s = 0.0
 
     def began(self, now_s: float, route: str) -> None:
         """Record the start of a run."""
-        runs = self._routes.setdefault(route, _RouteRuns(updated_s=now_s))
+        runs = self._routes.get(route)
+        if runs is None:
+            runs = _RouteRuns(updated_s=now_s)
+            self._routes[route] = runs
+            if len(self._fitted) < MAX_FITTED_ROUTES:
+                self._fitted.add(route)
         runs.advance(now_s)
         runs.in_progress += 1
-        runs.started += 1
+        runs.started += self._weight
+        self._in_progress += 1
+        self._active.add(route)
 
     def ended(self, now_s: float, route: str) -> None:
         """Record the end of a run."""
         runs = self._routes[route]
         runs.advance(now_s)
         runs.in_progress -= 1
+        self._in_progress -= 1
 
     def called(self, now_s: float, called: RunKind) -> None:
         """Record an outgoing call of the target.
@@ -102,9 +123,8 @@
         A target that runs nothing makes no calls: another process on the VM
         has sent such a request.
         """
-        if not any(runs.in_progress for runs in self._routes.values()):
-            return
-        self._outgoing.setdefault(called, _OutgoingCalls()).window += 1
+        if self._in_progress:
+            self._window_calls[called] += 1
 
     def step(self, now_s: float) -> None:
         """End the window when it is over, and refit the rates when due."""
@@ -114,18 +134,20 @@
         self._end_window(now_s)
         if now_s - self._solved_at_s >= SOLVE_PERIOD_S:
             self._solved_at_s = now_s
-            for outgoing in self._outgoing.values():
-                self._solve(outgoing)
+            self._forget()
+            self._choose_fitted()
+            self._fit()
 
     def calls_of(self, route: str) -> dict[RunKind, float]:
         """Return the mean calls of one run of a route, by kind called."""
         runs = self._routes.get(route)
-        if runs is None or runs.started < MIN_STARTED_RUNS:
+        if runs is None or runs.started / self._weight < MIN_STARTED_RUNS:
             return {}
-        mean_s = runs.mean_run_s()
+        mean_s = runs.mean_run_s(self._weight)
+        term = self._term(route)
         calls_by_kind = {
-            kind: outgoing.rates_per_s.get(route, 0.0) * mean_s
-            for kind, outgoing in self._outgoing.items()
+            kind: self._outgoing[kind].rates_per_s.get(term, 0.0) * mean_s
+            for kind in self._reported
         }
         return {
             kind: calls
@@ -133,70 +155,90 @@
             if calls >= MIN_CALLS_PER_RUN
         }
 
+    def _term(self, route: str) -> Term:
+        return route if route in self._fitted else None
+
     def _end_window(self, now_s: float) -> None:
-        run_s_by_route: dict[str, float] = {}
-        for route, runs in self._routes.items():
-            runs.advance(now_s)
-            runs.run_s = runs.run_s * FORGET + runs.window_s
-            runs.started *= FORGET
-            if runs.window_s:
-                run_s_by_route[route] = runs.window_s
-            runs.window_s = 0.0
-        for pair in self._squares:
-            self._squares[pair] *= FORGET
-        for one, one_s in run_s_by_route.items():
-            for other, other_s in run_s_by_route.items():
-                previous = self._squares.get((one, other), 0.0)
-                self._squares[one, other] = previous + one_s * other_s
-        for outgoing in self._outgoing.values():
-            _add_window(outgoing, run_s_by_route)
-
-    def _solve(self, outgoing: _OutgoingCalls) -> None:
-        total_s = sum(runs.run_s for runs in self._routes.values())
-        if total_s <= 0:
+        run_s: dict[Term, float] = {}
+        for route in tuple(self._active):
+            runs = self._routes[route]
+            window_s = runs.end_window(now_s, self._weight)
+            term = self._term(route)
+            run_s[term] = run_s.get(term, 0.0) + window_s
+            if not runs.in_progress:
+                self._active.discard(route)
+        self._run_times.add(self._weight, run_s)
+        for kind, calls in self._window_calls.items():
+            sums = self._outgoing.setdefault(kind, CallSums())
+            sums.add(self._weight, calls, run_s)
+        self._window_calls.clear()
+        self._weight /= FORGET
+        if self._weight > MAX_WEIGHT:
+            self._normalize()
+
+    def _normalize(self) -> None:
+        """Divide all sums by the weight, before it grows out of range."""
+        factor = 1 / self._weight
+        self._weight = 1.0
+        for runs in self._routes.values():
+            runs.run_s *= factor
+            runs.started *= factor
+        for sums in self._outgoing.values():
+            sums.scale(factor)
+        self._run_times.scale(factor)
+
+    def _forget(self) -> None:
+        """Forget the routes and the kinds of calls that are no longer used."""
+        least = MIN_REMEMBERED * self._weight
+        for route, runs in tuple(self._routes.items()):
+            if route not in self._active and runs.started < least:
+                self._routes.pop(route)
+                self._merge(route)
+        for kind, sums in tuple(self._outgoing.items()):
+            if sums.total < least:
+                self._outgoing.pop(kind)
+
+    def _choose_fitted(self) -> None:
+        """Give the busiest routes rates of their own."""
+        others = self._routes.keys() - self._fitted
+        free = MAX_FITTED_ROUTES - len(self._fitted)
+        for route in heapq.nlargest(free, others, key=self._run_s):
+            self._fitted.add(route)
+            others.discard(route)
+        if not others:
             return
-        prior_per_s = outgoing.total / total_s
-        rates_per_s = {
-            route: outgoing.rates_per_s.get(route, prior_per_s)
-            for route in self._routes
-        }
-        for _ in range(SWEEPS):
-            for route in rates_per_s:
-                rates_per_s[route] = self._best_fit_per_s(
-                    outgoing, rates_per_s, route, prior_per_s
-                )
-        outgoing.rates_per_s = rates_per_s
-
-    def _best_fit_per_s(
-        self,
-        outgoing: _OutgoingCalls,
-        rates_per_s: dict[str, float],
-        route: str,
-        prior_per_s: float,
-    ) -> float:
-        """Return the best-fitting rate of one route, given the other rates."""
-        explained = sum(
-            rate_per_s * self._squares.get((route, other), 0.0)
-            for other, rate_per_s in rates_per_s.items()
-            if other != route
-        )
-        windows = 1 / (1 - FORGET)
-        mean_s = self._routes[route].run_s / windows
-        weight = PRIOR_WINDOWS * WINDOW_S * mean_s + MIN_PRIOR_WEIGHT
-        residual = (
-            outgoing.products.get(route, 0.0) - explained + weight * prior_per_s
+        busiest = max(others, key=self._run_s)
+        idlest = min(self._fitted, key=self._run_s)
+        if self._run_s(busiest) > BUSIER_RATIO * self._run_s(idlest):
+            self._merge(idlest)
+            self._fitted.add(busiest)
+
+    def _run_s(self, route: str) -> float:
+        return self._routes[route].run_s
+
+    def _merge(self, route: str) -> None:
+        """Let a route share the rate of the other ones."""
+        if route not in self._fitted:
+            return
+        self._fitted.discard(route)
+        self._run_times.merge(route)
+        for sums in self._outgoing.values():
+            sums.merge(route)
+
+    def _fit(self) -> None:
+        """Fit a part of the kinds of calls, in turn."""
+        kinds = heapq.nlargest(
+            MAX_FITTED_KINDS,
+            self._outgoing,
+            key=lambda kind: self._outgoing[kind].total,
         )
-        square = self._squares.get((route, route), 0.0) + weight
-        return max(0.0, residual / square)
-
-
-def _add_window(
-    outgoing: _OutgoingCalls, run_s_by_route: dict[str, float]
-) -> None:
-    outgoing.total = outgoing.total * FORGET + outgoing.window
-    for route in outgoing.products:
-        outgoing.products[route] *= FORGET
-    for route, run_s in run_s_by_route.items():
-        previous = outgoing.products.get(route, 0.0)
-        outgoing.products[route] = previous + outgoing.window * run_s
-    outgoing.window = 0
+        self._reported = tuple(kinds)
+        if not self._due:
+            self._due.extend(kinds)
+        products = self._run_times.size**2
+        for _ in range(max(1, MAX_FIT_PRODUCTS // max(1, products))):
+            if not self._due:
+                return
+            sums = self._outgoing.get(self._due.popleft())
+            if sums is not None:
+                self._run_times.fit(sums, self._weight)
--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry_handler.py
@@ -145,6 +145,12 @@
             self._check_rate(now_s, call)
         return call
 
+    def config_changed(self) -> None:
+        """Forget what is kept of routes that were removed."""
+        config = self._context.state().config
+        if config is not None:
+            self._splitter.keep(config.route_names)
+
     def abandon(self, call: EntryCall) -> None:
         """Drop a request whose caller has disconnected."""
         if call.phase is Phase.ENDED:
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -351,6 +351,7 @@
     def _config_changed(self, previous: FleetState) -> None:
         self.serving.config_changed()
         self.rates.config_changed()
+        self.entry.config_changed()
         self._relay.broadcast_notice()
         self.entry.peers_changed()
         self._joining.era_seen(self._state().era)
--- a/src/rattanstile/process/mesh/peer_handler.py
+++ b/src/rattanstile/process/mesh/peer_handler.py
@@ -44,6 +44,9 @@
 
 USAGE_REPORT_PERIOD_S = 0.2
 """Minimum time between reports of the usage of a route to a peer."""
+MAX_USAGE_ROUTES = 1000
+"""Routes of which it is known when their usage was reported to a peer; beyond
+it, some are reported once more than needed."""
 INCARNATION_BITS = 48
 MEMBERS_WAIT_S = 0.5
 """Time for which a node that starts waits for the member list of the store
@@ -307,5 +310,7 @@
         sent_s = self._usage_sent_s.setdefault(node_id, {})
         if now_s - sent_s.get(route, float('-inf')) < USAGE_REPORT_PERIOD_S:
             return ()
+        if len(sent_s) > MAX_USAGE_ROUTES:
+            sent_s.clear()
         sent_s[route] = now_s
         return self._serving.usage(route, self._entry.attempts.usage)
--- a/src/rattanstile/process/mesh/rerun_budget.py
+++ b/src/rattanstile/process/mesh/rerun_budget.py
@@ -53,6 +53,11 @@
         self.first += first
         self.repeats += repeats
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether there were no attempts within the window."""
+        return not self._buckets
+
     def expire(self, now_s: float) -> None:
         """Drop the attempts that are older than the window."""
         while self._buckets and now_s - self._buckets[0].began_s > WINDOW_S:
@@ -95,12 +100,12 @@
             service: Where it is sent.
             is_repeat: Whether a repeated run makes the request.
         """
-        attempts = self._attempts(service)
+        attempts = self._attempts(now_s, service)
         attempts.add(now_s, first=1, repeats=int(is_repeat))
 
     def spend(self, now_s: float, service: ServiceName) -> bool:
         """Count one repeat if the budget allows it; return whether it does."""
-        attempts = self._attempts(service)
+        attempts = self._attempts(now_s, service)
         attempts.expire(now_s)
         slack = self._slack / self._nodes + attempts.rounding
         if attempts.repeats + 1 > self._earned * attempts.first + slack:
@@ -108,9 +113,17 @@
         attempts.add(now_s, repeats=1)
         return True
 
-    def _attempts(self, service: ServiceName) -> _ServiceAttempts:
+    def _attempts(self, now_s: float, service: ServiceName) -> _ServiceAttempts:
         attempts = self._services.get(service)
         if attempts is None:
+            self._forget_idle(now_s)
             attempts = _ServiceAttempts(self._draw())
             self._services[service] = attempts
         return attempts
+
+    def _forget_idle(self, now_s: float) -> None:
+        """Forget the services that had no attempts within the window."""
+        for service, attempts in tuple(self._services.items()):
+            attempts.expire(now_s)
+            if attempts.is_idle:
+                self._services.pop(service)
--- a/src/rattanstile/process/mesh/root_admission.py
+++ b/src/rattanstile/process/mesh/root_admission.py
@@ -50,6 +50,8 @@
 NEAR_CAPACITY_SHARE = 0.7
 """Share of its capacity from which on a service is near capacity: its demand
 is reported more often, and logged."""
+KEPT_IDLE_S = 60.0
+"""A service that no request has used for longer may have been removed."""
 DISCOVERY_S = 1.0
 """A node that starts connects to the others within this time; a service of
 which it has found no node by then is unavailable."""
@@ -124,6 +126,7 @@
     Attributes:
         admitted_share: Share of all work for the service that is admitted.
         unseen_s: Time without a report from any of its nodes.
+        idle_s: Time without requests that use it.
         trim: Correction factor of the demand.
         expected_per_s: Smoothed calls that admitted requests should make.
         class_shares: Admitted share of each request class; empty while
@@ -134,6 +137,7 @@
     admitted_share: float = 1.0
     is_near_capacity: bool = False
     unseen_s: float = 0.0
+    idle_s: float = 0.0
     view: ServiceView | None = None
     demand_per_s: float = 0.0
     trim: float = 1.0
@@ -338,6 +342,14 @@
             if view is not None:
                 _update_admitted_share(service, view, fleet_per_s)
             service.class_shares = _class_shares(service)
+        self._forget_idle()
+
+    def _forget_idle(self) -> None:
+        """Forget the services that no request has used for some time."""
+        for name, service in tuple(self._services.items()):
+            service.idle_s = 0 if service.classes else service.idle_s + STEP_S
+            if service.idle_s > KEPT_IDLE_S:
+                self._services.pop(name)
 
     def services_near_capacity(self) -> list[ServiceStatus]:
         """Return the services whose demand is near their capacity."""
--- a/src/rattanstile/process/mesh/service_needs.py
+++ b/src/rattanstile/process/mesh/service_needs.py
@@ -11,7 +11,8 @@
 apparent one, whose usage would grow with each report.
 """
 
-from dataclasses import dataclass
+from collections import OrderedDict
+from dataclasses import dataclass, field
 
 from rattanstile.request.exchange import ServiceUsage
 from rattanstile.request.ids import ServiceName
@@ -20,6 +21,9 @@
 FRESH_S = 30.0
 """An estimate that is older than this is replaced, not averaged with."""
 MAX_SERVICES = 12
+KEPT_S = 600.0
+"""Kinds of which nothing was reported for longer may have been removed."""
+MAX_KINDS = 2000
 
 
 @dataclass(frozen=True, order=True, slots=True)
@@ -36,34 +40,56 @@
     updated_s: float
 
 
+@dataclass(slots=True)
+class _KindUsage:
+    """Estimates for one kind of run, by service used."""
+
+    updated_s: float
+    services: dict[ServiceName, _Estimate] = field(default_factory=dict)
+
+    def record(self, now_s: float, usages: tuple[ServiceUsage, ...]) -> None:
+        """Record a report; services it has long not named are dropped."""
+        self.updated_s = now_s
+        for usage in usages:
+            estimate = self.services.get(usage.service)
+            if estimate is None or now_s - estimate.updated_s > FRESH_S:
+                self.services[usage.service] = _Estimate(usage.runs, now_s)
+                continue
+            estimate.runs += USAGE_GAIN * (usage.runs - estimate.runs)
+            estimate.updated_s = now_s
+        for service, estimate in tuple(self.services.items()):
+            if now_s - estimate.updated_s > FRESH_S:
+                self.services.pop(service)
+
+
 class UsageEstimates:
     """Estimated usage by each kind of run, as reported by serving nodes."""
 
     def __init__(self) -> None:
         """Start without estimates."""
-        self._kinds: dict[RunKind, dict[ServiceName, _Estimate]] = {}
+        self._kinds: OrderedDict[RunKind, _KindUsage] = OrderedDict()
 
     def record(
         self, now_s: float, kind: RunKind, usages: tuple[ServiceUsage, ...]
     ) -> None:
         """Record the usage that an answer reports for its kind of run."""
-        estimates = self._kinds.setdefault(kind, {})
-        for usage in usages:
-            estimate = estimates.get(usage.service)
-            if estimate is None or now_s - estimate.updated_s > FRESH_S:
-                estimates[usage.service] = _Estimate(usage.runs, now_s)
-                continue
-            estimate.runs += USAGE_GAIN * (usage.runs - estimate.runs)
-            estimate.updated_s = now_s
+        if not usages:
+            return
+        usage = self._kinds.setdefault(kind, _KindUsage(now_s))
+        usage.record(now_s, usages)
+        self._kinds.move_to_end(kind)
+        oldest = next(iter(self._kinds.values()))
+        if now_s - oldest.updated_s > KEPT_S or len(self._kinds) > MAX_KINDS:
+            self._kinds.popitem(last=False)
 
     def usage_of(self, kind: RunKind) -> tuple[ServiceUsage, ...]:
         """Return the usage of each service by one run."""
-        estimates = self._kinds.get(kind)
-        if estimates is None:
+        usage = self._kinds.get(kind)
+        if usage is None:
             return (ServiceUsage(kind.service, 1.0),)
         return tuple(
             ServiceUsage(service, round(estimate.runs, 2))
-            for service, estimate in estimates.items()
+            for service, estimate in usage.services.items()
         )
 
     def total_usage(
--- a/src/rattanstile/process/mesh/splitter.py
+++ b/src/rattanstile/process/mesh/splitter.py
@@ -5,6 +5,8 @@
 weight is deducted from its credit. So the shares hold over short spans too.
 """
 
+from collections.abc import Container
+
 from rattanstile.request.ids import ServiceName
 from rattanstile.version.fleet_config import FleetRoute
 
@@ -35,3 +37,9 @@
             if all(share.service != service for share in route.shares):
                 route_credits.pop(service)
         return best
+
+    def keep(self, route_names: Container[str]) -> None:
+        """Forget the routes that are not among those that are kept."""
+        for route in tuple(self._credits):
+            if route not in route_names:
+                self._credits.pop(route)
--- a/src/rattanstile/version/fleet_config.py
+++ b/src/rattanstile/version/fleet_config.py
@@ -109,6 +109,15 @@
         """Return the number of routes of all hosts."""
         return sum(len(host_routes) for host_routes in self.routes.values())
 
+    @property
+    def route_names(self) -> frozenset[str]:
+        """Return the names of the routes of all hosts."""
+        return frozenset(
+            route.name
+            for host_routes in self.routes.values()
+            for route in host_routes.values()
+        )
+
     def route(self, host: str, path: str) -> FleetRoute | None:
         """Return the route with the longest prefix of the path, if any."""
         host_routes = self.routes.get(host, {})
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -351,10 +351,26 @@
         counts = Counter(splitter.choose(after) for _ in range(40))
         self.assertAlmostEqual(counts['c'], 30, delta=1)
 
+    def test_removed_routes_are_forgotten(self):
+        """Each version of the configuration may have other routes."""
+        splitter = Splitter()
+        shares = (Share('a', 1), Share('b', 1))
+        for name in ('kept', 'removed'):
+            splitter.choose(route(name=name, shares=shares))
+        splitter.keep({'kept'})
+        self.assertEqual(tuple(splitter._credits), ('kept',))
+
 
 class RerunBudgetTest(unittest.TestCase):
     """Repeated attempts of the whole fleet, within ten seconds."""
 
+    def test_services_that_were_removed_are_forgotten(self):
+        """Each version of the configuration may have other services."""
+        budget = RerunBudget(0.2, 10, Random(1).random)
+        for second in range(1000):
+            budget.record_first_attempt(second, f's-{second}', is_repeat=False)
+        self.assertLess(len(budget._services), 50)
+
     def fleet(self, nodes, slack):
         rng = Random(1)
         budgets = [RerunBudget(0.2, slack, rng.random) for _ in range(nodes)]
--- a/tests/test_root_admission.py
+++ b/tests/test_root_admission.py
@@ -255,3 +255,20 @@
         self.assertLess(min(returns_s), 20.4)
         self.assertGreater(max(returns_s), 20.9)
         self.assertLessEqual(max(returns_s), 21.0)
+
+
+class RemovedServicesTest(unittest.TestCase):
+    """Each version of the configuration may have other services."""
+
+    def test_services_that_no_request_uses_are_forgotten(self):
+        """The one that is used stays."""
+        admission = RootAdmission(Random(3))
+        for number in range(1000):
+            name = f's-{number // 10}'
+            usages = (ServiceUsage(name, 1.0), ServiceUsage(DEEP, 1.0))
+            admission.decide(RunKind(name, name), 1, usages, 0.0, 1.0)
+            admission.step({})
+        for _ in range(1000):
+            admission.decide(run_of('a'), 1, usage(1.0), 0.0, 1.0)
+            admission.step({})
+        self.assertEqual(set(admission.own_demand()), {DEEP})
--- a/tests/test_service_needs.py
+++ b/tests/test_service_needs.py
@@ -4,6 +4,7 @@
 
 from rattanstile.process.mesh.call_tree import CallAttribution
 from rattanstile.process.mesh.service_needs import (
+    MAX_KINDS,
     RunKind,
     UsageEstimates,
     add_own_usage,
@@ -55,3 +56,26 @@
             attribution.ended(4.5 + run, 'check')
         attribution.step(13.0)
         self.assertEqual(attribution.calls_of('check'), {})
+
+    def test_service_that_is_no_longer_used_is_forgotten(self):
+        """Requests were shed for a service that they had once called."""
+        estimates = UsageEstimates()
+        both = (ServiceUsage('front', 1.0), ServiceUsage('back', 2.0))
+        estimates.record(0.0, LOOKUP, both)
+        for second in range(60):
+            estimates.record(float(second), LOOKUP, both[:1])
+        self.assertEqual(
+            estimates.usage_of(LOOKUP), (ServiceUsage('front', 1.0),)
+        )
+
+    def test_routes_that_were_removed_are_forgotten(self):
+        """Each version of the configuration has other routes."""
+        estimates = UsageEstimates()
+        used = (ServiceUsage('front', 1.0),)
+        for number in range(20_000):
+            kind = RunKind(f'r-{number}', 'front')
+            estimates.record(number / 10, kind, used)
+        self.assertLessEqual(len(estimates._kinds), MAX_KINDS)
+        for second in range(MAX_KINDS):
+            estimates.record(3000.0 + second, LOOKUP, used)
+        self.assertEqual(len(estimates._kinds), 1)
