Keys: a deployment with organisations requires them though none is left

Cause: whether keys are required was derived from the mapping of keys to organisations, which is empty also when organisations have no key.

Evidence: config_in_force names the version, with keys=0; it now also has requires_keys=, which tells the two cases apart.

Change: FleetConfig.requires_keys is a field, set from the organisations of the document. Without organisations no keys are needed, as before.

--- a/src/rattanstile/platform/operators.py
+++ b/src/rattanstile/platform/operators.py
@@ -120,6 +120,7 @@
         },
         organisations=organisations,
         limits=_limits(config.limits),
+        requires_keys=bool(config.tenants),
     )
 
 
--- a/src/rattanstile/process/mesh/operator_state.py
+++ b/src/rattanstile/process/mesh/operator_state.py
@@ -278,6 +278,7 @@
             source=source,
             routes=config.route_count if config else 0,
             keys=len(config.organisations) if config else 0,
+            requires_keys=config is not None and config.requires_keys,
             size_bytes=len(state.document),
         )
 
--- a/src/rattanstile/version/fleet_config.py
+++ b/src/rattanstile/version/fleet_config.py
@@ -90,7 +90,9 @@
     Attributes:
         number: Increases with each version.
         routes: By host and path prefix; each prefix ends with a slash.
-        organisations: By key.
+        organisations: By key; empty if all keys were withdrawn.
+        requires_keys: Whether routes that aren't open to all require a key:
+            there are organisations, though none may have a key.
     """
 
     number: int
@@ -98,11 +100,7 @@
     services: Mapping[ServiceName, FleetService]
     organisations: Mapping[str, Organisation]
     limits: CallerLimits
-
-    @property
-    def requires_keys(self) -> bool:
-        """Return whether routes that aren't open to all require a key."""
-        return bool(self.organisations)
+    requires_keys: bool
 
     @property
     def route_count(self) -> int:
--- a/tests/mesh_samples.py
+++ b/tests/mesh_samples.py
@@ -90,6 +90,7 @@
             key: each for each in organisations for key in each.keys
         },
         limits=CallerLimits(),
+        requires_keys=bool(organisations),
     )
 
 
--- a/tests/test_invalid_requests.py
+++ b/tests/test_invalid_requests.py
@@ -1,10 +1,12 @@
 """Refusals that no retry can change: what the log and counters say of them."""
 
+import json
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
 
 from mesh_samples import caller_request, config, context, organisation, route
+from platform_fleet import HOST, config_document
 from transports import FakeTcpTransport
 
 from rattanstile.connection.http_server import (
@@ -12,9 +14,11 @@
     ServerState,
 )
 from rattanstile.platform.callers import PlatformCallerCodec
+from rattanstile.platform.operators import decode_fleet_config
 from rattanstile.process.mesh.caller_service import CallerService
 from rattanstile.process.mesh.entry_handler import EntryHandler
 from rattanstile.process.mesh.freshness import Freshness
+from rattanstile.process.mesh.request_checks import RequestChecks
 from rattanstile.version.fleet_config import (
     CallerLimits,
     ConfigOrigin,
@@ -140,3 +144,69 @@
         """A retry can't change this one."""
         self.refused_fields(HEAD, b'content-length: 11\r\n\r\n')
         self.assertIn(b'HTTP/1.1 413 ', self.connection.transport.take())
+
+
+class WithdrawnKeysTest(unittest.TestCase):
+    """CONFIG, ROUTE: with the last key withdrawn every request ran.
+
+    120 of 120 requests with a withdrawn key, with one that was never held or
+    without a key (review case 2).
+    """
+
+    KEYS = ('k-north', 'k-south', 'never-held', '', None)
+
+    def accepted(self, tenants, public=False):
+        """Return the keys with which a request is accepted."""
+        document = config_document()
+        document['routes'][0]['public'] = public
+        document['tenants'] = tenants
+        if tenants is None:
+            del document['tenants']
+        decoded = decode_fleet_config(json.dumps(document).encode())
+        node_context, _, _ = context(FleetState(1, decoded))
+        checks = RequestChecks(node_context)
+        requests = [
+            caller_request(host=HOST, path='/claims/1', key=key)
+            for key in self.KEYS
+        ]
+        return [
+            request.key
+            for request in requests
+            if checks.route_of(request).is_ok()
+        ]
+
+    def tenant(self, name, *keys, **others):
+        return {'name': name, 'apiKeys': list(keys), **others}
+
+    def test_each_key_that_is_left_and_no_other(self):
+        """Keys are withdrawn one after the other, then given again."""
+        south = self.tenant('south')
+        both = [
+            self.tenant('north', 'k-north'),
+            self.tenant('south', 'k-south'),
+        ]
+        self.assertEqual(self.accepted(both), ['k-north', 'k-south'])
+        one_left = [self.tenant('north', 'k-north'), south]
+        self.assertEqual(self.accepted(one_left), ['k-north'])
+        self.assertEqual(self.accepted([self.tenant('north'), south]), [])
+        self.assertEqual(self.accepted([south]), [])
+        again = [self.tenant('south', 'k-south')]
+        self.assertEqual(self.accepted(again), ['k-south'])
+
+    def test_no_organisation_has_had_a_key(self):
+        """The field may be missing too; a rate or priority changes nothing."""
+        self.assertEqual(self.accepted([{'name': 'north'}]), [])
+        limited = self.tenant('north', ratePerS=5, burst=5, priority=0)
+        self.assertEqual(self.accepted([limited]), [])
+
+    def test_routes_that_are_open_to_all_need_none(self):
+        """Neither before nor after the last key was withdrawn."""
+        for tenants in ([self.tenant('north', 'k-north')], [{'name': 'north'}]):
+            self.assertEqual(
+                self.accepted(tenants, public=True), list(self.KEYS)
+            )
+
+    def test_deployment_without_organisations_needs_no_keys(self):
+        """The list is empty, or isn't there."""
+        self.assertEqual(self.accepted([]), list(self.KEYS))
+        self.assertEqual(self.accepted(None), list(self.KEYS))
