Callers and targets: a late reader is not taken for a lost VM

Cause: TCP_USER_TIMEOUT of 2.5 s on all connections. It also bounds for how long a receive window may stay closed; callers and targets are on the node's own VM, where silence only means slow reading.

Evidence: the reset comes from the kernel, 3 s after the answer, with no line in the log; without the option alone all answers are whole.

Change: watch_local_end for callers and targets, watch_remote_end for other nodes and the store. A reader that takes any part of its answer within 30 s is not dropped; before, only an emptied buffer counted.

--- a/src/rattanstile/connection/direct_write.py
+++ b/src/rattanstile/connection/direct_write.py
@@ -28,15 +28,16 @@
     transport.write(encoded)
 
 
-def has_unsent_bytes(transport: Any) -> bool:
-    """Return whether bytes wait for the socket; only TCP transports have any.
+def unsent_bytes(transport: Any) -> int:
+    """Return how many bytes wait for the socket; 0 if it isn't a TCP transport.
 
     Args:
         transport: Any transport.
     """
-    return isinstance(transport, Connection) and bool(
-        transport.dataBuffer or transport._tempDataBuffer
-    )
+    if not isinstance(transport, Connection):
+        return 0
+    buffered = len(transport.dataBuffer) - transport.offset
+    return buffered + int(transport._tempDataLen)
 
 
 def _is_drained(transport: FileDescriptor) -> bool:
@@ -44,5 +45,5 @@
         bool(transport.connected)
         and not transport.disconnecting
         and not transport._writeDisconnecting
-        and not has_unsent_bytes(transport)
+        and not unsent_bytes(transport)
     )
--- a/src/rattanstile/connection/http_client.py
+++ b/src/rattanstile/connection/http_client.py
@@ -13,7 +13,7 @@
 
 from rattanstile.connection.direct_write import write_now
 from rattanstile.connection.http_messages import HttpResponse
-from rattanstile.connection.liveness import set_liveness_options
+from rattanstile.connection.liveness import watch_local_end, watch_remote_end
 from rattanstile.connection.overhead import OverheadMeter
 from rattanstile.request.exchange import RawHeader
 
@@ -110,8 +110,19 @@
             when unknown.
     """
 
-    def __init__(self, on_lost: Callable[['HttpClientConnection'], None]):
-        """Start without a request in flight."""
+    def __init__(
+        self,
+        on_lost: Callable[['HttpClientConnection'], None],
+        *,
+        is_remote: bool = False,
+    ) -> None:
+        """Start without a request in flight.
+
+        Args:
+            on_lost: Called when the connection has closed.
+            is_remote: Whether the server is on another VM.
+        """
+        self._is_remote = is_remote
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
         self._on_lost = on_lost
@@ -191,7 +202,10 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Let the kernel detect a server that goes silent."""
-        set_liveness_options(self.transport)
+        if self._is_remote:
+            watch_remote_end(self.transport)
+        else:
+            watch_local_end(self.transport)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse bytes; abort the connection if no request is in flight."""
@@ -384,14 +398,19 @@
         self,
         on_open: Callable[[HttpClientConnection | None], None],
         on_lost: Callable[[HttpClientConnection], None],
+        *,
+        is_remote: bool,
     ) -> None:
         self._on_open = on_open
         self._on_lost = on_lost
+        self._is_remote = is_remote
 
     def buildProtocol(  # noqa: N802
         self, addr: Any
     ) -> HttpClientConnection:
-        return _NotifyingConnection(self._on_open, self._on_lost)
+        return _NotifyingConnection(
+            self._on_open, self._on_lost, is_remote=self._is_remote
+        )
 
     def clientConnectionFailed(  # noqa: N802
         self, connector: Any, reason: Any
@@ -406,8 +425,10 @@
         self,
         on_open: Callable[[HttpClientConnection | None], None],
         on_lost: Callable[[HttpClientConnection], None],
+        *,
+        is_remote: bool,
     ) -> None:
-        super().__init__(on_lost)
+        super().__init__(on_lost, is_remote=is_remote)
         self._on_open = on_open
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -421,6 +442,8 @@
     timeout_s: float,
     on_open: Callable[[HttpClientConnection | None], None],
     on_lost: Callable[[HttpClientConnection], None],
+    *,
+    is_remote: bool = False,
 ) -> None:
     """Open a connection.
 
@@ -430,8 +453,12 @@
         on_open: Called with the connection, or with None when connecting
             failed.
         on_lost: Called when an open connection has closed.
+        is_remote: Whether the server is on another VM.
     """
     host, _, port = address.rpartition(':')
     reactor.connectTCP(
-        host, int(port), _ClientFactory(on_open, on_lost), timeout_s
+        host,
+        int(port),
+        _ClientFactory(on_open, on_lost, is_remote=is_remote),
+        timeout_s,
     )
--- a/src/rattanstile/connection/http_exchange.py
+++ b/src/rattanstile/connection/http_exchange.py
@@ -53,6 +53,7 @@
                 CONNECT_TIMEOUT_S,
                 call.connected,
                 self._connection_lost,
+                is_remote=True,
             )
         else:
             call.connected(connection)
--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -17,9 +17,9 @@
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import Protocol, ServerFactory
 
-from rattanstile.connection.direct_write import has_unsent_bytes, write_now
+from rattanstile.connection.direct_write import unsent_bytes, write_now
 from rattanstile.connection.http_messages import HttpRequest
-from rattanstile.connection.liveness import set_liveness_options
+from rattanstile.connection.liveness import watch_local_end
 from rattanstile.connection.overhead import OverheadMeter
 from rattanstile.request.exchange import RawHeader
 from rattanstile.version.fleet_config import CallerLimits
@@ -28,6 +28,7 @@
 """About a sixth of the memory of the smallest VM."""
 MAX_PIPELINED = 8
 WRITE_TIMEOUT_S = 30.0
+"""Time without progress after which a caller that doesn't read is dropped."""
 BACKLOG = 512
 """Holds the burst after a restart: most clients reconnect within a second."""
 
@@ -116,7 +117,7 @@
     def unsent_responses(self) -> int:
         """Return on how many connections a response is not sent yet."""
         return sum(
-            has_unsent_bytes(connection.transport)
+            unsent_bytes(connection.transport) > 0
             for connection in self.connections
         )
 
@@ -152,6 +153,7 @@
         self._is_busy = False
         self._is_closing = False
         self._is_writing_paused = False
+        self._unsent_bytes = 0
         self._parse_error: BadRequest | None = None
         self._parse_error_detail = ''
         self._requests_received = 0
@@ -165,7 +167,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Configure the transport and register the connection."""
         transport: Any = self.transport
-        set_liveness_options(transport)
+        watch_local_end(transport)
         transport.registerProducer(self, True)
         self._state.connections.add(self)
 
@@ -265,6 +267,7 @@
 
     def check(self, now_s: float) -> None:
         """Apply the timeouts."""
+        self._record_progress(now_s)
         waited_s = now_s - self._waiting_since_s
         if self._is_writing_paused or (self._is_closing and not self._is_busy):
             if waited_s > WRITE_TIMEOUT_S:
@@ -272,6 +275,13 @@
         elif not self._is_busy:
             self._check_receiving(now_s, waited_s)
 
+    def _record_progress(self, now_s: float) -> None:
+        """Record that the caller takes the response, however slowly."""
+        unsent = unsent_bytes(self.transport)
+        if unsent < self._unsent_bytes:
+            self._waiting_since_s = now_s
+        self._unsent_bytes = unsent
+
     def _check_receiving(self, now_s: float, waited_s: float) -> None:
         """Apply the timeouts of a connection that awaits a request."""
         limits = self._state.limits()
--- a/src/rattanstile/connection/peer_link.py
+++ b/src/rattanstile/connection/peer_link.py
@@ -7,7 +7,7 @@
 from twisted.internet.protocol import Protocol
 
 from rattanstile.connection.direct_write import write_now
-from rattanstile.connection.liveness import set_liveness_options
+from rattanstile.connection.liveness import watch_remote_end
 from rattanstile.connection.peer_messages import (
     PeerFrameError,
     PeerFrameReader,
@@ -162,7 +162,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Identify this node to the other end."""
         self._is_open = True
-        set_liveness_options(self.transport)
+        watch_remote_end(self.transport)
         self._owner.links.add(self)
         self.send(self._owner.hello())
 
--- a/src/rattanstile/connection/target_http.py
+++ b/src/rattanstile/connection/target_http.py
@@ -1,17 +1,17 @@
 """Persistent HTTP/1.1 connections to the target beside the node."""
 
-import socket
 from collections import deque
 from dataclasses import dataclass
-from typing import Any, cast
+from typing import Any
 
 import logbook
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTCP, ITCPTransport
+from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from rattanstile.connection.direct_write import write_now
 from rattanstile.connection.http_rules import headers_for_target
+from rattanstile.connection.liveness import watch_local_end
 from rattanstile.connection.target_answer import (
     AnswerCutError,
     AnswerReader,
@@ -24,9 +24,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_S = 20.0
-UNACKNOWLEDGED_TIMEOUT_MS = 1500
-KEEPALIVE_PERIOD_S = 1
-KEEPALIVE_PROBES = 2
 
 _MS_PER_S = 1000
 _log = logbook.Logger('target_http')
@@ -237,9 +234,7 @@
         self._is_aborted = False
 
     def connectionMade(self) -> None:  # noqa: N802
-        transport = cast(ITCPTransport, self.transport)
-        transport.setTcpNoDelay(True)
-        _watch_liveness(transport)
+        watch_local_end(self.transport)
         self._sessions.connection_opened(self)
 
     def begin(self, run: _Run) -> None:
@@ -335,21 +330,3 @@
         lines.append(f'{name}: {content}')
     lines.append('\r\n')
     return '\r\n'.join(lines).encode('latin-1') + request.body
-
-
-def _watch_liveness(transport: ITCPTransport) -> None:
-    """Let the kernel detect a connection that the peer has lost."""
-    get_handle = getattr(transport, 'getHandle', None)
-    if get_handle is None:
-        return
-    handle = get_handle()
-    if not isinstance(handle, socket.socket):
-        return
-    for option, amount in (
-        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
-        (socket.TCP_KEEPIDLE, KEEPALIVE_PERIOD_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_PERIOD_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    ):
-        handle.setsockopt(socket.IPPROTO_TCP, option, amount)
-    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
