Endless bytes: what is no answer is dropped, bounded by objects, and freed

The report: bytes that are no answer and never end, in a head or a body. Thirteen shapes before, in and after an answer, 60 calls at once over two nodes, took a node to 143 MB where 128 are allowed (trial, with limits on bytes alone); a late answer to an earlier request was held up to 64 MB on each connection.

Cause: an answer was kept whole before it was looked at whose it is; overhead was allowed in proportion to the body; limits counted bytes, while short headers take forty times theirs; parser and connection kept each other alive.

--- a/src/rattanstile/connection/http_client.py
+++ b/src/rattanstile/connection/http_client.py
@@ -20,6 +20,11 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_WHOLE_BODY_BYTES = 128 * 1024
 """A longer body is passed on in parts, if somebody takes them."""
+MAX_HEADERS = 500
+"""Short ones take many times their size in memory."""
+MAX_STRAY_BYTES = 512 * 1024
+"""Bytes of bodies that arrive for earlier requests while one waits: some whole
+answers. A target that sends more doesn't answer."""
 
 _FIRST_FINAL_STATUS = 200
 _NO_BODY = frozenset((204, 304))
@@ -129,6 +134,8 @@
         self._on_end: ExchangeCallback | None = None
         self._check_response: ResponseCheck | None = None
         self._body_sink: BodySink | None = None
+        self._max_body_bytes = MAX_BODY_BYTES
+        self._stray_bytes = 0
         self._is_streaming = False
         self._is_paused = False
         self._sent_requests = 0
@@ -138,7 +145,7 @@
         self._is_lost = False
         self._is_unusable = False
         self._completed: HttpResponse | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: Any = httptools.HttpResponseParser(self)
         self._reset_response()
 
     @property
@@ -154,6 +161,7 @@
         is_head: bool = False,
         check_response: ResponseCheck | None = None,
         body_sink: BodySink | None = None,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Send a request.
 
@@ -165,8 +173,11 @@
                 None accepts any response.
             body_sink: Receives a large body in parts; None keeps any body
                 until it is complete.
+            max_body_bytes: Limit of a body that is kept.
         """
         self._on_end = on_end
+        self._max_body_bytes = max_body_bytes
+        self._stray_bytes = 0
         self._check_response = check_response
         self._body_sink = body_sink
         self._is_streaming = False
@@ -219,7 +230,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._is_unusable = True
-        if self._overhead.is_exceeded:
+        if self._overhead.is_exceeded():
             self._is_unusable = True
         self._deliver_response()
 
@@ -237,6 +248,7 @@
             ExchangeFailure.CUT if has_response_begun else ExchangeFailure.RESET
         )
         self._finish(failure)
+        self._release()
         self._on_lost(self)
 
     # Callbacks of httptools
@@ -246,7 +258,9 @@
         self._has_begun = True
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Store a header."""
+        """Store a header, within the limit."""
+        if len(self._headers) >= MAX_HEADERS:
+            raise _StopParsing
         self._headers.append((name.lower(), content))
 
     def on_status(self, phrase: bytes) -> None:
@@ -263,31 +277,42 @@
             and b'content-length' not in names
             and b'transfer-encoding' not in names
         )
-        if self._is_head and self._status >= _FIRST_FINAL_STATUS:
+        if self._status < _FIRST_FINAL_STATUS:
+            return
+        response = self._response(keeps_alive=True, body=b'')
+        self._is_stray = self._match(response) not in _OWN_RESPONSES
+        if self._is_head:
             self._complete(keeps_alive=False)
 
     def on_body(self, body: bytes) -> None:
-        """Store a part of the body."""
+        """Store a part of the body, unless it answers another request."""
+        if self._is_stray:
+            self._drop_stray(body)
+            return
         self._body_bytes += len(body)
         self._overhead.add_body(len(body))
         if self._is_streaming and self._body_sink is not None:
             if self._on_end is not None:
                 self._body_sink.add_body_part(body)
             return
-        if self._body_bytes > MAX_BODY_BYTES:
+        if self._body_bytes > self._max_body_bytes:
             raise _StopParsing
         self._body.append(body)
         if self._body_bytes > MAX_WHOLE_BODY_BYTES:
             self._begin_streaming()
 
+    def _drop_stray(self, body: bytes) -> None:
+        self._stray_bytes += len(body)
+        if self._stray_bytes > MAX_STRAY_BYTES:
+            raise _StopParsing
+        self._overhead.add_body(len(body))
+
     def _begin_streaming(self) -> None:
         """Pass on what has arrived of a body, and what follows, in parts."""
         sink = self._body_sink
         if sink is None or self._on_end is None or self._completed is not None:
             return
         response = self._response(keeps_alive=True, body=b'')
-        if self._match(response) not in _OWN_RESPONSES:
-            return
         length = response.header(b'content-length')
         length_bytes = None
         if length is not None and length.isdigit():
@@ -379,6 +404,12 @@
         if on_end is not None:
             on_end(result)
 
+    def _release(self) -> None:
+        """Free what was received; the parser and this refer to each other."""
+        self._reset_response()
+        self._parser = None
+        self._body_sink = None
+
     def _reset_response(self) -> None:
         self._has_begun = False
         self._status = 0
@@ -386,6 +417,7 @@
         self._headers: list[RawHeader] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._is_stray = False
         self._body_ends_at_close = False
 
 
--- a/src/rattanstile/connection/http_exchange.py
+++ b/src/rattanstile/connection/http_exchange.py
@@ -14,6 +14,8 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 2
 MAX_IDLE_S = 8.0
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+"""Twice as much as is read from a log at once."""
 
 ExchangeResult = HttpResponse | ExchangeFailure
 
@@ -102,7 +104,11 @@
             connection.abort()
         else:
             self._connection = connection
-            connection.send(self._encoded_request, self._exchange_ended)
+            connection.send(
+                self._encoded_request,
+                self._exchange_ended,
+                max_body_bytes=MAX_RESPONSE_BYTES,
+            )
 
     def time_out(self) -> None:
         if self._is_over:
--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -20,13 +20,17 @@
 from rattanstile.connection.direct_write import unsent_bytes, write_now
 from rattanstile.connection.http_messages import HttpRequest
 from rattanstile.connection.liveness import watch_local_end
-from rattanstile.connection.overhead import OverheadMeter
+from rattanstile.connection.overhead import MAX_OVERHEAD_BYTES, OverheadMeter
 from rattanstile.request.exchange import RawHeader
 from rattanstile.version.fleet_config import CallerLimits
 
 MAX_ALL_BODIES_BYTES = 48 * 1024 * 1024
 """About a sixth of the memory of the smallest VM."""
 MAX_PIPELINED = 8
+FRAMING_BYTES = 8 * 1024
+"""Of a request line, separators and chunk sizes, beside the headers."""
+HEADER_OBJECT_BYTES = 200
+"""Memory of a header beside its characters."""
 WRITE_TIMEOUT_S = 30.0
 """Time without progress after which a caller that doesn't read is dropped."""
 BACKLOG = 512
@@ -84,7 +88,7 @@
 
 @dataclass(eq=False, slots=True)
 class BodyBudget:
-    """Counts the buffered body bytes of all connections."""
+    """Counts what all connections hold of requests, until they are answered."""
 
     held_bytes: int = 0
 
@@ -147,9 +151,10 @@
         self.on_writable: Callable[[], None] | None = None
         self.fault: RequestFault | None = None
         self._state = state
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._overhead = OverheadMeter()
         self._pending_requests: deque[ReceivedRequest] = deque()
+        self._in_hand: ReceivedRequest | None = None
         self._is_busy = False
         self._is_closing = False
         self._is_writing_paused = False
@@ -187,7 +192,7 @@
                 self._parse_error or BadRequest.MALFORMED,
                 self._parse_error_detail or str(error),
             )
-        if self._overhead.is_exceeded:
+        if self._overhead.is_exceeded(self._max_overhead_bytes()):
             self._refuse(BadRequest.HEAD_TOO_LARGE, 'overhead')
         self._start_next()
 
@@ -195,12 +200,16 @@
         """Release all bodies; notify the handler if a request is open."""
         self._state.connections.discard(self)
         self._is_closing = True
-        self._release_partial_body()
+        self._release_partial_request()
+        self._release_in_hand()
         for pending in self._pending_requests:
             self._release_body(pending)
         self._pending_requests.clear()
         if self._is_busy:
             self._state.handler.connection_lost(self)
+        self._reset_request()
+        # The parser and this object refer to each other.
+        self._parser = None
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Pause responses: the caller reads too slowly."""
@@ -223,6 +232,7 @@
     def respond(self, encoded: bytes, *, closes: bool = False) -> None:
         """Write the response of the request being answered."""
         self._is_busy = False
+        self._release_in_hand()
         self.handler_context = None
         self.on_writable = None
         self._waiting_since_s = self._state.now_s()
@@ -295,6 +305,10 @@
             )
             self._start_next()
 
+    def _max_overhead_bytes(self) -> int:
+        head_bytes = self._state.limits().head_bytes
+        return min(MAX_OVERHEAD_BYTES, head_bytes + FRAMING_BYTES)
+
     def _request_timeout_s(self, limits: CallerLimits) -> float:
         if self._is_in_head:
             return limits.head_timeout_s
@@ -315,6 +329,9 @@
     def on_header(self, name: bytes, content: bytes) -> None:
         """Append a header."""
         self._count_head(len(name) + len(content) + 4)
+        if not self._state.body_budget.has_room(HEADER_OBJECT_BYTES):
+            self._stop_parsing(BadRequest.NO_MEMORY, 'heads of all callers')
+        self._state.body_budget.held_bytes += HEADER_OBJECT_BYTES
         self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
@@ -390,7 +407,7 @@
             return
         self._is_closing = True
         self.fault = self._describe(detail)
-        self._release_partial_body()
+        self._release_partial_request()
         self._pending_requests.append(error)
 
     def _describe(self, detail: str) -> RequestFault:
@@ -406,13 +423,24 @@
             requests_before=self._requests_received,
         )
 
-    def _release_partial_body(self) -> None:
-        self._state.body_budget.held_bytes -= self._body_bytes
+    def _release_partial_request(self) -> None:
+        self._state.body_budget.held_bytes -= (
+            self._body_bytes + HEADER_OBJECT_BYTES * len(self._headers)
+        )
         self._body_bytes = 0
+        self._headers = []
+
+    def _release_in_hand(self) -> None:
+        """Release the body of the request being answered; it is held until."""
+        if self._in_hand is not None:
+            self._release_body(self._in_hand)
+            self._in_hand = None
 
     def _release_body(self, received: ReceivedRequest) -> None:
         if isinstance(received, HttpRequest):
-            self._state.body_budget.held_bytes -= len(received.body)
+            self._state.body_budget.held_bytes -= len(
+                received.body
+            ) + HEADER_OBJECT_BYTES * len(received.headers)
 
     def _start_next(self) -> None:
         while (
@@ -421,7 +449,7 @@
             and not self._is_writing_paused
         ):
             received = self._pending_requests.popleft()
-            self._release_body(received)
+            self._in_hand = received
             self._is_busy = True
             self._keeps_alive = (
                 isinstance(received, HttpRequest) and received.keeps_alive
--- a/src/rattanstile/connection/overhead.py
+++ b/src/rattanstile/connection/overhead.py
@@ -1,7 +1,8 @@
 """Bounds what arrives of an HTTP message beside its body.
 
 A parser holds an unfinished header, chunk extension or trailer itself, so that
-a limit on finished ones doesn't bound a header that never ends.
+a limit on finished ones doesn't bound a header that never ends. Such a one is
+bounded by itself too: a long body must not pay for an endless trailer.
 """
 
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -16,23 +17,32 @@
         """Start with a new message."""
         self._received_bytes = 0
         self._body_bytes = 0
+        self._since_body_bytes = 0
 
     def reset(self) -> None:
         """Start with a new message."""
         self._received_bytes = 0
         self._body_bytes = 0
+        self._since_body_bytes = 0
 
     def add_received(self, size_bytes: int) -> None:
         """Count bytes as they arrive, body bytes included."""
         self._received_bytes += size_bytes
+        self._since_body_bytes += size_bytes
 
     def add_body(self, size_bytes: int) -> None:
         """Count bytes that turned out to be body bytes."""
         self._body_bytes += size_bytes
+        self._since_body_bytes = 0
 
-    @property
-    def is_exceeded(self) -> bool:
-        """Return whether the message has more overhead than any valid one."""
+    def is_exceeded(self, max_bytes: int = MAX_OVERHEAD_BYTES) -> bool:
+        """Return whether the message has more overhead than any valid one.
+
+        Args:
+            max_bytes: Limit beside what the chunks of a body need.
+        """
+        if self._since_body_bytes > max_bytes:
+            return True
         overhead_bytes = self._received_bytes - self._body_bytes
         allowed_bytes = MAX_OVERHEAD_PER_BODY_BYTE * self._body_bytes
-        return overhead_bytes > MAX_OVERHEAD_BYTES + allowed_bytes
+        return overhead_bytes > max_bytes + allowed_bytes
--- a/src/rattanstile/connection/peer_link.py
+++ b/src/rattanstile/connection/peer_link.py
@@ -9,6 +9,8 @@
 from rattanstile.connection.direct_write import write_now
 from rattanstile.connection.liveness import watch_remote_end
 from rattanstile.connection.peer_messages import (
+    MAX_FRAME_BYTES,
+    MAX_HELLO_BYTES,
     PeerFrameError,
     PeerFrameReader,
     PeerHello,
@@ -92,6 +94,7 @@
         self._owner = owner
         self._domain = None if member is None else member.domain
         self._reader = PeerFrameReader()
+        self._reader.max_frame_bytes = MAX_HELLO_BYTES
         self._is_open = False
         self._is_ping_sent = False
 
@@ -196,6 +199,7 @@
                 return
             case PeerHello():
                 self.hello = message
+                self._reader.max_frame_bytes = MAX_FRAME_BYTES
                 self._owner.link_opened(self)
             case _:
                 if self.hello is not None:
--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -31,6 +31,8 @@
 )
 
 MAX_FRAME_BYTES = 72 * 1024 * 1024
+MAX_HELLO_BYTES = 16 * 1024
+"""Whoever connects is unknown until its first message has been read."""
 """Room for the largest body that operators can allow, and its headers."""
 
 MAX_PORT = 65535
@@ -466,10 +468,15 @@
 
 
 class PeerFrameReader:
-    """Decodes the byte stream of one connection into messages."""
+    """Decodes the byte stream of one connection into messages.
+
+    Attributes:
+        max_frame_bytes: Limit of the next message.
+    """
 
     def __init__(self) -> None:
         """Initialize with an empty buffer."""
+        self.max_frame_bytes = MAX_FRAME_BYTES
         self._buffer = bytearray()
 
     def feed(self, received: bytes) -> Iterator[PeerMessage]:
@@ -485,7 +492,7 @@
         start = 0
         while len(pending) - start >= _LENGTH.size:
             size_bytes = _LENGTH.unpack_from(pending, start)[0]
-            if size_bytes > MAX_FRAME_BYTES:
+            if size_bytes > self.max_frame_bytes:
                 raise PeerFrameError(
                     f'invalid frame length of {size_bytes} bytes'
                 )
--- a/src/rattanstile/connection/target_pool.py
+++ b/src/rattanstile/connection/target_pool.py
@@ -6,6 +6,7 @@
 from twisted.internet.interfaces import IReactorTCP
 
 from rattanstile.connection.http_client import (
+    MAX_BODY_BYTES,
     BodySink,
     ExchangeCallback,
     ExchangeFailure,
@@ -33,6 +34,7 @@
         is_head: Whether the response has no body.
         check_response: See `HttpClientConnection.send`.
         body_sink: See `HttpClientConnection.send`.
+        max_body_bytes: See `HttpClientConnection.send`.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         is_head: bool,
         check_response: ResponseCheck | None,
         body_sink: BodySink | None,
+        max_body_bytes: int,
     ) -> None:
         """Start without a connection."""
         self.encoded_request = encoded_request
@@ -50,6 +53,7 @@
         self.is_head = is_head
         self.check_response = check_response
         self.body_sink = body_sink
+        self.max_body_bytes = max_body_bytes
         self.connection: HttpClientConnection | None = None
         self.is_over = False
 
@@ -99,6 +103,7 @@
         is_head: bool = False,
         check_response: ResponseCheck | None = None,
         body_sink: BodySink | None = None,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> TargetExchange:
         """Send a request on an idle connection, or on a new one."""
         exchange = TargetExchange(
@@ -107,6 +112,7 @@
             is_head=is_head,
             check_response=check_response,
             body_sink=body_sink,
+            max_body_bytes=max_body_bytes,
         )
         connection = self._take_idle()
         if connection is None:
@@ -205,6 +211,7 @@
             is_head=exchange.is_head,
             check_response=exchange.check_response,
             body_sink=exchange.body_sink,
+            max_body_bytes=exchange.max_body_bytes,
         )
 
     def _end_handler(
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -59,6 +59,8 @@
 FAST_RATES_PERIOD_S = 0.25
 """Used while the demand for a service is close to its capacity."""
 DEFAULT_LIMITS = CallerLimits()
+SMALL_LIMITS = CallerLimits(body_bytes=64 * 1024)
+"""A target announces itself in under a kilobyte."""
 
 
 class MeshNode:
@@ -199,9 +201,15 @@
         announcements = AnnouncementService(adapters.announcements, self)
         self._caller_state = self._server_state(callers)
         self._servers = {
-            settings.announcement_address: self._server_state(announcements),
-            settings.ready_address: self._server_state(ReadyService(self)),
-            settings.metrics_address: self._server_state(MetricsService(self)),
+            settings.announcement_address: self._small_server_state(
+                announcements
+            ),
+            settings.ready_address: self._small_server_state(
+                ReadyService(self)
+            ),
+            settings.metrics_address: self._small_server_state(
+                MetricsService(self)
+            ),
             settings.caller_address: self._caller_state,
         }
 
@@ -363,6 +371,14 @@
             now_s=self.timers.now_s,
         )
 
+    def _small_server_state(self, handler: RequestHandler) -> ServerState:
+        """Return the state of an address that takes no callers' requests."""
+        return ServerState(
+            handler=handler,
+            limits=lambda: SMALL_LIMITS,
+            now_s=self.timers.now_s,
+        )
+
     def _limits(self) -> CallerLimits:
         config = self._state().config
         return DEFAULT_LIMITS if config is None else config.limits
--- a/src/rattanstile/process/mesh/target_prober.py
+++ b/src/rattanstile/process/mesh/target_prober.py
@@ -11,6 +11,8 @@
 
 PROBE_TIMEOUT_S = 1.0
 """A probe waits for a slot of the target, as any call does."""
+MAX_PROBE_BYTES = 64 * 1024
+"""Nothing is read of the body of a response to a probe."""
 
 
 class TargetProber:
@@ -54,6 +56,7 @@
             self._codec.encode_probe(service.health_path),
             self._probed,
             check_response=self._codec.match_probe,
+            max_body_bytes=MAX_PROBE_BYTES,
         )
         self._context.timers.after(
             PROBE_TIMEOUT_S, lambda _: self._pool.abandon(exchange)
--- a/src/rattanstile/standin/platform_target.py
+++ b/src/rattanstile/standin/platform_target.py
@@ -26,12 +26,12 @@
 )
 from rattanstile.process.timers import TimerService
 from rattanstile.request.exchange import RawHeader
+from rattanstile.standin.endless_answers import EndlessAnswer, endless_answer
 
 INCARNATION_START_MS = 1_700_000_000_000
 """Start that every stand-in announces, in milliseconds since the epoch."""
 ANNOUNCE_TIMEOUT_S = 1.0
 CHILD_TIMEOUT_S = 2.0
-ENDLESS_PART_BYTES = 16 * 1024
 _MS_PER_S = 1000
 
 
@@ -62,7 +62,7 @@
     Attributes:
         runs: Number of runs, by request ID.
         received_headers: Headers of each call that was run.
-        endless_bytes: Bytes written of bodies without end.
+        endless_bytes: Bytes written of answers without end.
         is_draining: Whether it announces that it drains.
         is_acknowledged: Whether its node acknowledged its deregistration.
     """
@@ -74,7 +74,7 @@
         self.runs: Counter[str] = Counter()
         self.received_headers: list[dict[str, str]] = []
         self.endless_bytes = 0
-        self._endless: HttpRequest | None = None
+        self._endless: dict[HttpServerConnection, HttpRequest] = {}
         self.is_draining = False
         self.is_acknowledged = False
         self._is_deregistered = False
@@ -143,6 +143,7 @@
     def connection_lost(self, connection: HttpServerConnection) -> None:
         """Cancel the run; the caller has disconnected."""
         connection.handler_context = None
+        self._endless.pop(connection, None)
 
     def _run(
         self, connection: HttpServerConnection, request: HttpRequest
@@ -172,7 +173,9 @@
             case 'reset':
                 connection.abort()
             case 'endless':
-                self._write_without_end(connection, request)
+                shape = query.get('shape', 'body')
+                endless = endless_answer(shape, _signed_headers(request))
+                self._write_without_end(connection, request, endless)
             case 'unsigned':
                 self._respond(
                     connection, 200, _request_id_header(request), b'spoiled'
@@ -254,28 +257,26 @@
         connection.respond(written, closes=True)
 
     def _write_without_end(
-        self, connection: HttpServerConnection, request: HttpRequest
+        self,
+        connection: HttpServerConnection,
+        request: HttpRequest,
+        endless: EndlessAnswer,
     ) -> None:
-        """Write a body until the connection closes."""
+        """Write until the connection closes."""
         if connection.handler_context is not request:
             return
         connection.on_writable = lambda: self._write_without_end(
-            connection, request
+            connection, request, endless
         )
-        if not self._has_begun_endless(request):
-            headers = _signed_headers(request)
-            connection.write_part(encode_response_head(200, headers, None))
+        if self._endless.get(connection) is not request:
+            self._endless[connection] = request
+            connection.write_part(endless.head)
         while (
             connection.handler_context is request
             and not connection.is_writing_paused
         ):
-            self.endless_bytes += ENDLESS_PART_BYTES
-            connection.write_part(encode_chunk(b'x' * ENDLESS_PART_BYTES))
-
-    def _has_begun_endless(self, request: HttpRequest) -> bool:
-        has_begun = self._endless is request
-        self._endless = request
-        return has_begun
+            self.endless_bytes += len(endless.part)
+            connection.write_part(endless.part)
 
     def _respond(
         self,
