Connections: opening clients and the memory of requests in modules of their own

Change: http_connect.py opens client connections, request_memory.py counts what callers' requests hold; nothing else is different.

--- a/src/rattanstile/connection/http_exchange.py
+++ b/src/rattanstile/connection/http_exchange.py
@@ -6,8 +6,8 @@
 from rattanstile.connection.http_client import (
     ExchangeFailure,
     HttpClientConnection,
-    connect_http,
 )
+from rattanstile.connection.http_connect import connect_http
 from rattanstile.connection.http_messages import HttpResponse
 from rattanstile.process.timers import TimerService
 
--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -21,16 +21,16 @@
 from rattanstile.connection.http_messages import HttpRequest
 from rattanstile.connection.liveness import watch_local_end
 from rattanstile.connection.overhead import MAX_OVERHEAD_BYTES, OverheadMeter
+from rattanstile.connection.request_memory import (
+    HEADER_OBJECT_BYTES,
+    RequestMemory,
+)
 from rattanstile.request.exchange import RawHeader
 from rattanstile.version.fleet_config import CallerLimits
 
-MAX_ALL_BODIES_BYTES = 48 * 1024 * 1024
-"""About a sixth of the memory of the smallest VM."""
 MAX_PIPELINED = 8
 FRAMING_BYTES = 8 * 1024
 """Of a request line, separators and chunk sizes, beside the headers."""
-HEADER_OBJECT_BYTES = 200
-"""Memory of a header beside its characters."""
 WRITE_TIMEOUT_S = 30.0
 """Time without progress after which a caller that doesn't read is dropped."""
 BACKLOG = 512
@@ -86,17 +86,6 @@
         """Handle a disconnect: nobody awaits the open response."""
 
 
-@dataclass(eq=False, slots=True)
-class BodyBudget:
-    """Counts what all connections hold of requests, until they are answered."""
-
-    held_bytes: int = 0
-
-    def has_room(self, size_bytes: int) -> bool:
-        """Return whether that many more bytes may be buffered."""
-        return self.held_bytes + size_bytes <= MAX_ALL_BODIES_BYTES
-
-
 @dataclass(eq=False, slots=True)
 class ServerState:
     """State shared by the connections of one address.
@@ -105,7 +94,7 @@
         handler: Handles the requests.
         limits: Returns the limits in force.
         now_s: Returns monotonic seconds.
-        body_budget: Budget for the buffered bodies of all connections.
+        memory: What all connections hold of requests.
         connections: Open connections.
         is_closing: Whether responses announce that the connection closes.
     """
@@ -113,7 +102,7 @@
     handler: RequestHandler
     limits: Callable[[], CallerLimits]
     now_s: Callable[[], float]
-    body_budget: BodyBudget = field(default_factory=BodyBudget)
+    memory: RequestMemory = field(default_factory=RequestMemory)
     connections: set['HttpServerConnection'] = field(default_factory=set)
     is_closing: bool = False
 
@@ -329,9 +318,8 @@
     def on_header(self, name: bytes, content: bytes) -> None:
         """Append a header."""
         self._count_head(len(name) + len(content) + 4)
-        if not self._state.body_budget.has_room(HEADER_OBJECT_BYTES):
+        if not self._state.memory.hold(HEADER_OBJECT_BYTES):
             self._stop_parsing(BadRequest.NO_MEMORY, 'heads of all callers')
-        self._state.body_budget.held_bytes += HEADER_OBJECT_BYTES
         self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
@@ -350,11 +338,10 @@
             self._stop_parsing(
                 BadRequest.BODY_TOO_LARGE, f'received over {limits.body_bytes}'
             )
-        if not self._state.body_budget.has_room(len(body)):
+        if not self._state.memory.hold(len(body)):
             self._stop_parsing(BadRequest.NO_MEMORY, 'bodies of all callers')
         self._body_bytes += len(body)
         self._overhead.add_body(len(body))
-        self._state.body_budget.held_bytes += len(body)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -424,9 +411,7 @@
         )
 
     def _release_partial_request(self) -> None:
-        self._state.body_budget.held_bytes -= (
-            self._body_bytes + HEADER_OBJECT_BYTES * len(self._headers)
-        )
+        self._state.memory.release(self._body_bytes, len(self._headers))
         self._body_bytes = 0
         self._headers = []
 
@@ -438,9 +423,9 @@
 
     def _release_body(self, received: ReceivedRequest) -> None:
         if isinstance(received, HttpRequest):
-            self._state.body_budget.held_bytes -= len(
-                received.body
-            ) + HEADER_OBJECT_BYTES * len(received.headers)
+            self._state.memory.release(
+                len(received.body), len(received.headers)
+            )
 
     def _start_next(self) -> None:
         while (
--- a/src/rattanstile/connection/target_pool.py
+++ b/src/rattanstile/connection/target_pool.py
@@ -12,8 +12,8 @@
     ExchangeFailure,
     HttpClientConnection,
     ResponseCheck,
-    connect_http,
 )
+from rattanstile.connection.http_connect import connect_http
 from rattanstile.connection.http_messages import HttpResponse
 from rattanstile.process.timers import TimerService
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -19,8 +19,6 @@
     ResponseMatch,
 )
 from rattanstile.connection.http_server import (
-    HEADER_OBJECT_BYTES,
-    MAX_ALL_BODIES_BYTES,
     BadRequest,
     HttpServerConnection,
     ServerState,
@@ -30,6 +28,10 @@
     PeerFrameError,
     PeerFrameReader,
 )
+from rattanstile.connection.request_memory import (
+    HEADER_OBJECT_BYTES,
+    MAX_HELD_BYTES,
+)
 from rattanstile.standin.endless_answers import endless_answer
 from rattanstile.version.fleet_config import CallerLimits
 
@@ -277,12 +279,12 @@
         state, connections = self.connect(200)
         for connection in connections:
             connection.dataReceived(b'GET /a HTTP/1.1\r\n' + b'a:\r\n' * 3000)
-        self.assertLessEqual(state.body_budget.held_bytes, MAX_ALL_BODIES_BYTES)
+        self.assertLessEqual(state.memory.held_bytes, MAX_HELD_BYTES)
         refused = state.handler.received.count(BadRequest.NO_MEMORY)
         self.assertGreater(refused, 0)
         for connection in connections:
             connection.connectionLost()
-        self.assertEqual(state.body_budget.held_bytes, 0)
+        self.assertEqual(state.memory.held_bytes, 0)
 
     def test_bodies_count_until_they_are_answered(self):
         """They were no longer counted once a call had begun with them."""
@@ -290,11 +292,9 @@
         connection.dataReceived(
             b'POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\n123456789'
         )
-        self.assertEqual(
-            state.body_budget.held_bytes, 9 + 2 * HEADER_OBJECT_BYTES
-        )
+        self.assertEqual(state.memory.held_bytes, 9 + 2 * HEADER_OBJECT_BYTES)
         connection.respond(b'HTTP/1.1 204 No Content\r\n\r\n')
-        self.assertEqual(state.body_budget.held_bytes, 0)
+        self.assertEqual(state.memory.held_bytes, 0)
 
     def test_header_without_end_is_held_up_to_the_limit_of_heads(self):
         """The parser held 64 kB of it on each connection."""
