Target watch: a departure is stored once, and known settings change nothing

Cause: read in the diff: the deregistration after a drain named another departure, so that each leaving target cost a second call to the store; settings that name the service a target already serves made it suspected.

Change: neither does so any longer.

Measured: 59 tests of the watch, its service and serving passed, two of them new checks that failed before by reading of the code only; no run of the store's calls.

--- a/src/rattanstile/process/mesh/target_watch.py
+++ b/src/rattanstile/process/mesh/target_watch.py
@@ -190,6 +190,10 @@
             return TargetChange.NOTHING
         if is_current and departure.is_latest:
             departure = self._latest_departure(now_s, departure)
+        if is_current and self.is_leaving:
+            # Its departure is stored already.
+            self._past.add_departure(now_s, departure)
+            return TargetChange.NOTHING
         if self.target_id and not is_current:
             self._past.add_departure(now_s, departure)
             if not self.is_leaving:
@@ -249,11 +253,11 @@
         The address of a target that has ended may be assigned to one of
         another service, whose response to a probe doesn't say so.
         """
-        if self.target_id:
+        if not self.target_id:
+            self.service = service
+        elif service != self.service:
             self._is_service_known = False
             self.suspect(now_s)
-        else:
-            self.service = service
 
     def poll_probe_due(self, now_s: float) -> bool:
         """Return whether a probe is due, and schedule the next one if so."""
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -325,6 +325,17 @@
         self.assertEqual(change, TargetChange.NOTHING)
         self.assertTrue(watch.is_usable)
 
+    def test_departure_is_stored_once(self):
+        """A target drains and then deregisters: one call to the store."""
+        watch = TargetWatch('registry')
+        watch.announced(0, announcement(sequence=9, born_ms=10))
+        watch.announced(1, announcement(sequence=10, state=self.DRAINING))
+        stored = watch.last_departure
+        watch.deregistered(2, TargetDeparture('i-1', 500, is_latest=True))
+        self.assertEqual(watch.last_departure, stored)
+        watch.announced(3, announcement(sequence=11, born_ms=10))
+        self.assertFalse(watch.is_usable)
+
     def test_many_targets_are_not_kept(self):
         """Each start has an ID of its own."""
         watch = TargetWatch('registry')
@@ -388,6 +399,10 @@
         self.assertFalse(watch.is_usable)
         self.probe(watch, 2.2, 'i-1')
         self.assertFalse(watch.is_usable)
+        known = TargetWatch('till')
+        known.announced(0, announcement('i-1', service='repair-desk'))
+        known.settings_named(1, 'repair-desk')
+        self.assertTrue(known.is_usable)
         unknown = TargetWatch('till')
         unknown.restore_departure(0, NO_DEPARTURE)
         unknown.settings_named(1, 'repair-desk')
