Node of the platform: folders by what they decide

Cause: process/mesh/ was one folder of 52 modules, in which new parts have no place of their own.

Change: modules moved into placement, admission, rates, fleet, store, serving and entry; what joins them stays. Only imports and paths change.

--- a/bench/fleet_links.py
+++ b/bench/fleet_links.py
@@ -15,7 +15,7 @@
     TargetLoad,
     encode_peer_frame,
 )
-from rattanstile.process.mesh.link_plan import LinkFacts, LinkPlan
+from rattanstile.process.mesh.fleet.link_plan import LinkFacts, LinkPlan
 from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
 
 FLEETS = ((14, 3), (82, 3), (195, 5))
--- a/src/rattanstile/connection/peer_pool.py
+++ b/src/rattanstile/connection/peer_pool.py
@@ -3,8 +3,8 @@
 The nodes of one failure domain share one connection for each pair, on which
 both send calls. A connection to another domain carries the calls of the node
 that opened it; it exists while that node keeps it (see
-`rattanstile.process.mesh.link_plan`) and is closed once it is idle. A lost
-connection that is kept is reopened with exponential backoff.
+`rattanstile.process.mesh.fleet.link_plan`) and is closed once it is idle. A
+lost connection that is kept is reopened with exponential backoff.
 """
 
 from collections.abc import Iterable, Iterator
--- a/src/rattanstile/platform/announcements.py
+++ b/src/rattanstile/platform/announcements.py
@@ -11,10 +11,13 @@
 from rattanstile.connection.http_messages import HttpRequest, encode_response
 from rattanstile.connection.http_server import BadRequest
 from rattanstile.decoding import decode_untrusted
-from rattanstile.process.mesh.past_incarnations import TargetDeparture
 from rattanstile.process.mesh.ports import InvalidAnnouncement
+from rattanstile.process.mesh.serving.past_incarnations import TargetDeparture
+from rattanstile.process.mesh.serving.target_watch import (
+    Announcement,
+    TargetState,
+)
 from rattanstile.process.mesh.settings import duration_s
-from rattanstile.process.mesh.target_watch import Announcement, TargetState
 from rattanstile.request.ids import ServiceName, TargetId
 
 MAX_CLOCK_LEAD_S = 86_400
--- a/src/rattanstile/platform/targets.py
+++ b/src/rattanstile/platform/targets.py
@@ -16,7 +16,7 @@
     RunOutcome,
     RunRefused,
 )
-from rattanstile.process.mesh.target_watch import ProbeResult
+from rattanstile.process.mesh.serving.target_watch import ProbeResult
 from rattanstile.request.exchange import (
     RawHeader,
     ServedCall,
--- /dev/null
+++ b/src/rattanstile/process/mesh/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Early rejection of requests that an overloaded service cannot finish."""
--- a/src/rattanstile/process/mesh/call_tree.py
+++ b/src/rattanstile/process/mesh/admission/call_tree.py
@@ -15,14 +15,14 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 
-from rattanstile.process.mesh.call_fit import (
+from rattanstile.process.mesh.admission.call_fit import (
     FORGET,
     WINDOW_S,
     CallSums,
     RunTimes,
     Term,
 )
-from rattanstile.process.mesh.service_needs import RunKind
+from rattanstile.process.mesh.admission.service_needs import RunKind
 
 MIN_STARTED_RUNS = 5.0
 MIN_CALLS_PER_RUN = 0.05
--- a/src/rattanstile/process/mesh/root_admission.py
+++ b/src/rattanstile/process/mesh/admission/root_admission.py
@@ -18,8 +18,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from rattanstile.process.mesh.retry_after import return_when_warm_s
-from rattanstile.process.mesh.service_needs import RunKind
+from rattanstile.process.mesh.admission.retry_after import return_when_warm_s
+from rattanstile.process.mesh.admission.service_needs import RunKind
 from rattanstile.request.exchange import ServiceUsage
 from rattanstile.request.ids import ServiceName
 
--- a/src/rattanstile/process/mesh/context.py
+++ b/src/rattanstile/process/mesh/context.py
@@ -6,7 +6,7 @@
 
 from rattanstile.process.decision_log import DecisionLog
 from rattanstile.process.mesh.counters import Counters
-from rattanstile.process.mesh.freshness import Freshness
+from rattanstile.process.mesh.store.freshness import Freshness
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import FailureDomainId, NodeId
 from rattanstile.version.fleet_config import FleetState
--- /dev/null
+++ b/src/rattanstile/process/mesh/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests from arrival to response."""
--- a/src/rattanstile/process/mesh/caller_answer.py
+++ b/src/rattanstile/process/mesh/entry/caller_answer.py
@@ -4,7 +4,7 @@
 
 from rattanstile.connection.http_server import HttpServerConnection
 from rattanstile.process.mesh.ports import CallerCodec
-from rattanstile.process.mesh.served_stream import CREDIT_BYTES
+from rattanstile.process.mesh.serving.served_stream import CREDIT_BYTES
 from rattanstile.request.exchange import AnswerHead, Ending, Streamed
 
 
--- a/src/rattanstile/process/mesh/caller_service.py
+++ b/src/rattanstile/process/mesh/entry/caller_service.py
@@ -11,13 +11,13 @@
     RequestFault,
 )
 from rattanstile.process.decision_log import LineKind
-from rattanstile.process.mesh.attempts import MS_PER_S
-from rattanstile.process.mesh.caller_answer import CallerAnswer
 from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.entry_call import EntryCall, Phase
-from rattanstile.process.mesh.entry_handler import EntryHandler
+from rattanstile.process.mesh.entry.caller_answer import CallerAnswer
+from rattanstile.process.mesh.entry.entry_call import EntryCall, Phase
+from rattanstile.process.mesh.entry.entry_handler import EntryHandler
+from rattanstile.process.mesh.entry.request_checks import NOT_READY_RETRY_S
+from rattanstile.process.mesh.placement.attempts import MS_PER_S
 from rattanstile.process.mesh.ports import CallerCodec, InvalidRequest
-from rattanstile.process.mesh.request_checks import NOT_READY_RETRY_S
 from rattanstile.request.exchange import NotRun, NotRunReason, RawHeader
 
 MAX_ID_CHARACTERS = 64
--- a/src/rattanstile/process/mesh/entry_call.py
+++ b/src/rattanstile/process/mesh/entry/entry_call.py
@@ -4,7 +4,7 @@
 from enum import Enum, unique
 
 from rattanstile.connection.peer_link import PeerLink
-from rattanstile.process.mesh.service_needs import RunKind
+from rattanstile.process.mesh.admission.service_needs import RunKind
 from rattanstile.request.exchange import (
     AnswerSink,
     EndingHandler,
--- a/src/rattanstile/process/mesh/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry/entry_handler.py
@@ -6,31 +6,31 @@
 
 from rattanstile.connection.peer_pool import PeerPool
 from rattanstile.process.decision_log import LineKind
-from rattanstile.process.mesh.attempts import MS_PER_S, Attempts
-from rattanstile.process.mesh.call_endings import ending_label
-from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.entry_call import EntryCall, Phase
-from rattanstile.process.mesh.fleet_links import FleetLinks
-from rattanstile.process.mesh.rate_limiter import (
-    PoolDecision,
-    RateDecision,
-)
-from rattanstile.process.mesh.rate_service import RateService
-from rattanstile.process.mesh.request_checks import (
-    NOT_READY_RETRY_S,
-    RequestChecks,
-)
-from rattanstile.process.mesh.rerun_budget import RerunBudget
-from rattanstile.process.mesh.retry_after import (
+from rattanstile.process.mesh.admission.retry_after import (
     return_at_token_s,
     spread_return_s,
 )
-from rattanstile.process.mesh.root_admission import (
+from rattanstile.process.mesh.admission.root_admission import (
     AdmissionDecision,
     RootAdmission,
 )
-from rattanstile.process.mesh.serving_handler import ServingHandler
-from rattanstile.process.mesh.splitter import Splitter
+from rattanstile.process.mesh.context import NodeContext
+from rattanstile.process.mesh.entry.entry_call import EntryCall, Phase
+from rattanstile.process.mesh.entry.request_checks import (
+    NOT_READY_RETRY_S,
+    RequestChecks,
+)
+from rattanstile.process.mesh.fleet.fleet_links import FleetLinks
+from rattanstile.process.mesh.placement.attempts import MS_PER_S, Attempts
+from rattanstile.process.mesh.placement.call_endings import ending_label
+from rattanstile.process.mesh.placement.rerun_budget import RerunBudget
+from rattanstile.process.mesh.placement.splitter import Splitter
+from rattanstile.process.mesh.rates.rate_limiter import (
+    PoolDecision,
+    RateDecision,
+)
+from rattanstile.process.mesh.rates.rate_service import RateService
+from rattanstile.process.mesh.serving.serving_handler import ServingHandler
 from rattanstile.request.exchange import (
     Answered,
     AnswerSink,
--- a/src/rattanstile/process/mesh/request_checks.py
+++ b/src/rattanstile/process/mesh/entry/request_checks.py
@@ -3,9 +3,11 @@
 from result import Err, Ok, Result
 
 from rattanstile.process.decision_log import LineKind
-from rattanstile.process.mesh.call_endings import ending_label
 from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.invalid_request import invalid_request_fields
+from rattanstile.process.mesh.entry.invalid_request import (
+    invalid_request_fields,
+)
+from rattanstile.process.mesh.placement.call_endings import ending_label
 from rattanstile.request.exchange import IncomingRequest, NotRun, NotRunReason
 from rattanstile.version.fleet_config import FleetConfig, FleetRoute
 
--- /dev/null
+++ b/src/rattanstile/process/mesh/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the nodes and what they tell each other."""
--- a/src/rattanstile/process/mesh/domain_ledger.py
+++ b/src/rattanstile/process/mesh/fleet/domain_ledger.py
@@ -9,8 +9,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from rattanstile.process.mesh.rate_allocator import FRESH_S, Demand
-from rattanstile.process.mesh.rate_limiter import SHARE_LEASE_S
+from rattanstile.process.mesh.rates.rate_allocator import FRESH_S, Demand
+from rattanstile.process.mesh.rates.rate_limiter import SHARE_LEASE_S
 from rattanstile.request.ids import NodeId, OrganisationId, ServiceName
 
 Amounts = Mapping[OrganisationId, float]
--- a/src/rattanstile/process/mesh/fleet_digests.py
+++ b/src/rattanstile/process/mesh/fleet/fleet_digests.py
@@ -12,7 +12,7 @@
 from statistics import fmean
 
 from rattanstile.connection.peer_messages import DomainDigest, ServiceDigest
-from rattanstile.process.mesh.placement import Candidate
+from rattanstile.process.mesh.placement.placement import Candidate
 from rattanstile.request.ids import FailureDomainId, ServiceName
 
 MAX_DIGEST_AGE_S = 3.0
--- a/src/rattanstile/process/mesh/fleet_join.py
+++ b/src/rattanstile/process/mesh/fleet/fleet_join.py
@@ -12,16 +12,16 @@
 
 from rattanstile.connection.peer_messages import PeerMember
 from rattanstile.process.decision_log import DecisionLog, LineKind
-from rattanstile.process.mesh.past_incarnations import (
-    NO_DEPARTURE,
-    TargetDeparture,
-)
 from rattanstile.process.mesh.ports import (
     NO_MEMBERS,
     FleetMembers,
     FleetStore,
 )
-from rattanstile.process.mesh.store_retry import (
+from rattanstile.process.mesh.serving.past_incarnations import (
+    NO_DEPARTURE,
+    TargetDeparture,
+)
+from rattanstile.process.mesh.store.store_retry import (
     FIRST_RETRY_DELAY_S,
     StoreRetry,
 )
--- a/src/rattanstile/process/mesh/fleet_links.py
+++ b/src/rattanstile/process/mesh/fleet/fleet_links.py
@@ -8,16 +8,16 @@
     TargetLoad,
 )
 from rattanstile.connection.peer_pool import PeerPool
-from rattanstile.process.mesh.candidates import CandidateTable
+from rattanstile.process.mesh.admission.root_admission import ServiceView
 from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.fleet_digests import (
+from rattanstile.process.mesh.fleet.fleet_digests import (
     FleetDigests,
     service_digest,
 )
-from rattanstile.process.mesh.fleet_view import FleetKnowledge, NodeCounts
-from rattanstile.process.mesh.link_plan import LinkFacts, LinkPlan
-from rattanstile.process.mesh.placement import Candidate
-from rattanstile.process.mesh.root_admission import ServiceView
+from rattanstile.process.mesh.fleet.fleet_view import FleetKnowledge, NodeCounts
+from rattanstile.process.mesh.fleet.link_plan import LinkFacts, LinkPlan
+from rattanstile.process.mesh.placement.candidates import CandidateTable
+from rattanstile.process.mesh.placement.placement import Candidate
 from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
 
 PLAN_PERIOD_S = 1.0
--- a/src/rattanstile/process/mesh/fleet_view.py
+++ b/src/rattanstile/process/mesh/fleet/fleet_view.py
@@ -11,13 +11,13 @@
 from dataclasses import dataclass
 
 from rattanstile.connection.peer_messages import ServiceDigest
-from rattanstile.process.mesh.fleet_digests import (
+from rattanstile.process.mesh.admission.root_admission import ServiceView
+from rattanstile.process.mesh.fleet.fleet_digests import (
     MS_PER_S,
     FleetDigests,
     service_digest,
 )
-from rattanstile.process.mesh.placement import Candidate
-from rattanstile.process.mesh.root_admission import ServiceView
+from rattanstile.process.mesh.placement.placement import Candidate
 from rattanstile.request.ids import FailureDomainId, ServiceName
 
 NodeCounts = Mapping[ServiceName, Mapping[FailureDomainId, int]]
--- a/src/rattanstile/process/mesh/peer_handler.py
+++ b/src/rattanstile/process/mesh/fleet/peer_handler.py
@@ -30,15 +30,15 @@
 )
 from rattanstile.connection.peer_pool import PeerPool
 from rattanstile.process.decision_log import LineKind
-from rattanstile.process.mesh.call_endings import encode_ending
-from rattanstile.process.mesh.config_relay import ConfigRelay
 from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.entry_handler import EntryHandler
-from rattanstile.process.mesh.fleet_links import FleetLinks
-from rattanstile.process.mesh.load_reports import LoadReports
-from rattanstile.process.mesh.placement import Candidate
-from rattanstile.process.mesh.rate_service import RateService
-from rattanstile.process.mesh.serving_handler import ServingHandler
+from rattanstile.process.mesh.entry.entry_handler import EntryHandler
+from rattanstile.process.mesh.fleet.fleet_links import FleetLinks
+from rattanstile.process.mesh.fleet.load_reports import LoadReports
+from rattanstile.process.mesh.placement.call_endings import encode_ending
+from rattanstile.process.mesh.placement.placement import Candidate
+from rattanstile.process.mesh.rates.rate_service import RateService
+from rattanstile.process.mesh.serving.serving_handler import ServingHandler
+from rattanstile.process.mesh.store.config_relay import ConfigRelay
 from rattanstile.request.exchange import AnswerHead, Ending, ServiceUsage
 from rattanstile.request.ids import NodeId
 
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -15,36 +15,36 @@
 from rattanstile.connection.peer_pool import PeerPool, serving_peers
 from rattanstile.connection.target_pool import TargetPool
 from rattanstile.process.decision_log import DecisionLog, LineKind
-from rattanstile.process.mesh.caller_service import CallerService
-from rattanstile.process.mesh.config_relay import ConfigRelay
+from rattanstile.process.mesh.admission.root_admission import (
+    STEP_S,
+    RootAdmission,
+    ServiceView,
+)
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.counters import Counters
 from rattanstile.process.mesh.drain import Drain, DrainStep
-from rattanstile.process.mesh.entry_handler import EntryHandler
-from rattanstile.process.mesh.fleet_join import FleetJoin, JoinHandlers
-from rattanstile.process.mesh.fleet_links import FleetLinks
+from rattanstile.process.mesh.entry.caller_service import CallerService
+from rattanstile.process.mesh.entry.entry_handler import EntryHandler
+from rattanstile.process.mesh.fleet.fleet_join import FleetJoin, JoinHandlers
+from rattanstile.process.mesh.fleet.fleet_links import FleetLinks
+from rattanstile.process.mesh.fleet.peer_handler import PeerMessageHandler
 from rattanstile.process.mesh.metrics import metrics_text
 from rattanstile.process.mesh.node_addresses import (
     AnnouncementService,
     MetricsService,
     ReadyService,
 )
-from rattanstile.process.mesh.operator_state import OperatorState
-from rattanstile.process.mesh.peer_handler import PeerMessageHandler
+from rattanstile.process.mesh.placement.rerun_budget import RerunBudget
 from rattanstile.process.mesh.ports import NodeAdapters
-from rattanstile.process.mesh.rate_service import RateService
-from rattanstile.process.mesh.rerun_budget import RerunBudget
-from rattanstile.process.mesh.root_admission import (
-    STEP_S,
-    RootAdmission,
-    ServiceView,
-)
-from rattanstile.process.mesh.serving_handler import ServingHandler
+from rattanstile.process.mesh.rates.rate_service import RateService
+from rattanstile.process.mesh.serving.serving_handler import ServingHandler
+from rattanstile.process.mesh.serving.target_watch import TargetWatch
 from rattanstile.process.mesh.settings import MeshSettings
-from rattanstile.process.mesh.store_follower import StoreFollower
-from rattanstile.process.mesh.store_readers import StoreReaders
-from rattanstile.process.mesh.store_retry import StoreRetry
-from rattanstile.process.mesh.target_watch import TargetWatch
+from rattanstile.process.mesh.store.config_relay import ConfigRelay
+from rattanstile.process.mesh.store.operator_state import OperatorState
+from rattanstile.process.mesh.store.store_follower import StoreFollower
+from rattanstile.process.mesh.store.store_readers import StoreReaders
+from rattanstile.process.mesh.store.store_retry import StoreRetry
 from rattanstile.process.reactor import Reactor
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import ServiceName
--- a/src/rattanstile/process/mesh/node_addresses.py
+++ b/src/rattanstile/process/mesh/node_addresses.py
@@ -12,13 +12,13 @@
 )
 from rattanstile.process.decision_log import LineKind
 from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.past_incarnations import TargetDeparture
 from rattanstile.process.mesh.ports import (
     AnnouncementCodec,
     InvalidAnnouncement,
 )
-from rattanstile.process.mesh.serving_handler import ServingHandler
-from rattanstile.process.mesh.target_watch import Announcement
+from rattanstile.process.mesh.serving.past_incarnations import TargetDeparture
+from rattanstile.process.mesh.serving.serving_handler import ServingHandler
+from rattanstile.process.mesh.serving.target_watch import Announcement
 
 PERSIST_TIMEOUT_S = 0.6
 """Targets accept an acknowledgement that arrives within one second."""
--- /dev/null
+++ b/src/rattanstile/process/mesh/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the node that serves an attempt, and retries."""
--- a/src/rattanstile/process/mesh/attempts.py
+++ b/src/rattanstile/process/mesh/placement/attempts.py
@@ -12,18 +12,18 @@
 )
 from rattanstile.connection.peer_pool import PeerPool
 from rattanstile.process.decision_log import LineKind
-from rattanstile.process.mesh.call_endings import decode_ending
+from rattanstile.process.mesh.admission.service_needs import UsageEstimates
 from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.entry_call import EntryCall, Phase
-from rattanstile.process.mesh.fleet_links import FleetLinks
-from rattanstile.process.mesh.placement import (
+from rattanstile.process.mesh.entry.entry_call import EntryCall, Phase
+from rattanstile.process.mesh.fleet.fleet_links import FleetLinks
+from rattanstile.process.mesh.placement.call_endings import decode_ending
+from rattanstile.process.mesh.placement.placement import (
     MAX_INNER_LOCAL_WAIT_SHARE,
     MAX_ROOT_LOCAL_WAIT_SHARE,
     Candidate,
     choose,
 )
-from rattanstile.process.mesh.service_needs import UsageEstimates
-from rattanstile.process.mesh.serving_handler import ServingHandler
+from rattanstile.process.mesh.serving.serving_handler import ServingHandler
 from rattanstile.request.exchange import (
     AnswerHead,
     Ending,
--- a/src/rattanstile/process/mesh/candidates.py
+++ b/src/rattanstile/process/mesh/placement/candidates.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from rattanstile.process.mesh.placement import Candidate
+from rattanstile.process.mesh.placement.placement import Candidate
 from rattanstile.request.ids import NodeId, ServiceName
 
 
--- a/src/rattanstile/process/mesh/ports.py
+++ b/src/rattanstile/process/mesh/ports.py
@@ -14,8 +14,11 @@
 from rattanstile.connection.http_server import BadRequest
 from rattanstile.connection.peer_messages import PeerMember
 from rattanstile.errors import RattanstileError, UnavailableError
-from rattanstile.process.mesh.past_incarnations import TargetDeparture
-from rattanstile.process.mesh.target_watch import Announcement, ProbeResult
+from rattanstile.process.mesh.serving.past_incarnations import TargetDeparture
+from rattanstile.process.mesh.serving.target_watch import (
+    Announcement,
+    ProbeResult,
+)
 from rattanstile.request.exchange import (
     AnswerHead,
     Ending,
--- /dev/null
+++ b/src/rattanstile/process/mesh/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations' rates over the whole fleet."""
--- a/src/rattanstile/process/mesh/rate_allocator.py
+++ b/src/rattanstile/process/mesh/rates/rate_allocator.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from rattanstile.process.mesh.rate_limiter import (
+from rattanstile.process.mesh.rates.rate_limiter import (
     MAX_LOCAL_SHARE,
     MIN_LOCAL_RATE_PER_S,
     SHARE_LEASE_S,
--- a/src/rattanstile/process/mesh/rate_service.py
+++ b/src/rattanstile/process/mesh/rates/rate_service.py
@@ -19,20 +19,20 @@
     TokenResponse,
 )
 from rattanstile.connection.peer_pool import PeerPool
+from rattanstile.process.mesh.admission.root_admission import RootAdmission
 from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.delegates import MIN_CONNECTED_S, Delegates
-from rattanstile.process.mesh.domain_ledger import DomainLedger
-from rattanstile.process.mesh.fleet_digests import MS_PER_S
-from rattanstile.process.mesh.fleet_links import FleetLinks
-from rattanstile.process.mesh.rate_allocator import Demand, RateAllocator
-from rattanstile.process.mesh.rate_limiter import (
+from rattanstile.process.mesh.fleet.delegates import MIN_CONNECTED_S, Delegates
+from rattanstile.process.mesh.fleet.domain_ledger import DomainLedger
+from rattanstile.process.mesh.fleet.fleet_digests import MS_PER_S
+from rattanstile.process.mesh.fleet.fleet_links import FleetLinks
+from rattanstile.process.mesh.rates.rate_allocator import Demand, RateAllocator
+from rattanstile.process.mesh.rates.rate_limiter import (
     SHARE_LEASE_S,
     LocalRateLimiter,
     PoolDecision,
     RatePool,
 )
-from rattanstile.process.mesh.root_admission import RootAdmission
-from rattanstile.process.mesh.token_requests import TokenRequests
+from rattanstile.process.mesh.rates.token_requests import TokenRequests
 from rattanstile.request.ids import (
     FailureDomainId,
     NodeId,
--- a/src/rattanstile/process/mesh/token_requests.py
+++ b/src/rattanstile/process/mesh/rates/token_requests.py
@@ -15,8 +15,8 @@
 from rattanstile.connection.peer_pool import PeerPool
 from rattanstile.process.decision_log import LineKind
 from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.delegates import Delegates
-from rattanstile.process.mesh.rate_limiter import (
+from rattanstile.process.mesh.fleet.delegates import Delegates
+from rattanstile.process.mesh.rates.rate_limiter import (
     LocalRateLimiter,
     PoolDecision,
 )
--- a/src/rattanstile/process/mesh/served_calls.py
+++ b/src/rattanstile/process/mesh/serving/served_calls.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 
 from rattanstile.connection.target_pool import TargetExchange
-from rattanstile.process.mesh.served_stream import ServedStream
-from rattanstile.process.mesh.target_gate import WaitingCall
+from rattanstile.process.mesh.serving.served_stream import ServedStream
+from rattanstile.process.mesh.serving.target_gate import WaitingCall
 from rattanstile.request.exchange import EndingHandler
 
 OVERDUE_MARGIN_S = 0.3
--- a/src/rattanstile/process/mesh/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving/serving_handler.py
@@ -7,22 +7,31 @@
 from rattanstile.connection.peer_messages import TargetLoad
 from rattanstile.connection.target_pool import TargetPool
 from rattanstile.process.decision_log import LineKind
-from rattanstile.process.mesh.call_tree import CallAttribution
+from rattanstile.process.mesh.admission.call_tree import CallAttribution
+from rattanstile.process.mesh.admission.service_needs import (
+    UsageEstimates,
+    add_own_usage,
+)
 from rattanstile.process.mesh.context import NodeContext
-from rattanstile.process.mesh.failing_share import FailingShare
-from rattanstile.process.mesh.past_incarnations import TargetDeparture
 from rattanstile.process.mesh.ports import (
     RunAnswered,
     RunFailed,
     RunRefused,
     TargetCodec,
 )
-from rattanstile.process.mesh.served_calls import PendingCall, PendingCalls
-from rattanstile.process.mesh.served_stream import ServedStream
-from rattanstile.process.mesh.service_needs import UsageEstimates, add_own_usage
-from rattanstile.process.mesh.target_gate import TargetQueue, WaitingCall
-from rattanstile.process.mesh.target_prober import TargetProber
-from rattanstile.process.mesh.target_watch import (
+from rattanstile.process.mesh.serving.failing_share import FailingShare
+from rattanstile.process.mesh.serving.past_incarnations import TargetDeparture
+from rattanstile.process.mesh.serving.served_calls import (
+    PendingCall,
+    PendingCalls,
+)
+from rattanstile.process.mesh.serving.served_stream import ServedStream
+from rattanstile.process.mesh.serving.target_gate import (
+    TargetQueue,
+    WaitingCall,
+)
+from rattanstile.process.mesh.serving.target_prober import TargetProber
+from rattanstile.process.mesh.serving.target_watch import (
     Announcement,
     TargetChange,
     TargetWatch,
--- a/src/rattanstile/process/mesh/target_prober.py
+++ b/src/rattanstile/process/mesh/serving/target_prober.py
@@ -7,7 +7,10 @@
 from rattanstile.connection.target_pool import TargetPool
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.ports import TargetCodec
-from rattanstile.process.mesh.target_watch import TargetChange, TargetWatch
+from rattanstile.process.mesh.serving.target_watch import (
+    TargetChange,
+    TargetWatch,
+)
 
 PROBE_TIMEOUT_S = 1.0
 """A probe waits for a slot of the target, as any call does."""
--- a/src/rattanstile/process/mesh/target_watch.py
+++ b/src/rattanstile/process/mesh/serving/target_watch.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 from enum import Enum, unique
 
-from rattanstile.process.mesh.past_incarnations import (
+from rattanstile.process.mesh.serving.past_incarnations import (
     NO_DEPARTURE,
     NO_INCARNATION,
     Incarnation,
--- /dev/null
+++ b/src/rattanstile/process/mesh/store/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' state from the platform's store, and its relay."""
--- a/src/rattanstile/process/mesh/config_relay.py
+++ b/src/rattanstile/process/mesh/store/config_relay.py
@@ -22,10 +22,13 @@
     KeptEvacuation,
 )
 from rattanstile.connection.peer_pool import PeerPool
-from rattanstile.process.mesh.evacuations import Evacuations
-from rattanstile.process.mesh.freshness import Freshness
-from rattanstile.process.mesh.operator_state import OperatorState, StateCopy
-from rattanstile.process.mesh.store_readers import StoreReaders
+from rattanstile.process.mesh.placement.evacuations import Evacuations
+from rattanstile.process.mesh.store.freshness import Freshness
+from rattanstile.process.mesh.store.operator_state import (
+    OperatorState,
+    StateCopy,
+)
+from rattanstile.process.mesh.store.store_readers import StoreReaders
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import NodeId
 from rattanstile.version.fleet_config import FleetState, LogPosition
--- a/src/rattanstile/process/mesh/operator_state.py
+++ b/src/rattanstile/process/mesh/store/operator_state.py
@@ -11,7 +11,7 @@
 from result import Err, Result
 
 from rattanstile.process.decision_log import DecisionLog, LineKind
-from rattanstile.process.mesh.evacuations import Evacuations
+from rattanstile.process.mesh.placement.evacuations import Evacuations
 from rattanstile.process.mesh.ports import (
     ConfigPublished,
     ConfigUnreadableError,
--- a/src/rattanstile/process/mesh/store_follower.py
+++ b/src/rattanstile/process/mesh/store/store_follower.py
@@ -7,21 +7,21 @@
 from twisted.internet.defer import Deferred
 
 from rattanstile.process.decision_log import DecisionLog, LineKind
-from rattanstile.process.mesh.fleet_join import FleetJoin
-from rattanstile.process.mesh.operator_state import OperatorState
+from rattanstile.process.mesh.fleet.fleet_join import FleetJoin
 from rattanstile.process.mesh.ports import (
     FleetStore,
     HistoryGoneError,
     OperatorRecords,
     StoreError,
 )
-from rattanstile.process.mesh.store_poll import (
+from rattanstile.process.mesh.store.operator_state import OperatorState
+from rattanstile.process.mesh.store.store_poll import (
     FIRST_READER_POLL_S,
     LONG_POLL_S,
     PollResult,
     StorePoll,
 )
-from rattanstile.process.mesh.store_retry import (
+from rattanstile.process.mesh.store.store_retry import (
     FIRST_RETRY_DELAY_S,
     MAX_RETRY_DELAY_S,
     StoreRetry,
--- a/tests/test_announcement_service.py
+++ b/tests/test_announcement_service.py
@@ -9,8 +9,11 @@
 from rattanstile.connection.http_messages import HttpRequest
 from rattanstile.platform import PlatformAnnouncementCodec
 from rattanstile.process.mesh.node_addresses import AnnouncementService
-from rattanstile.process.mesh.serving_handler import ServingHandler
-from rattanstile.process.mesh.target_watch import ProbeResult, TargetWatch
+from rattanstile.process.mesh.serving.serving_handler import ServingHandler
+from rattanstile.process.mesh.serving.target_watch import (
+    ProbeResult,
+    TargetWatch,
+)
 from rattanstile.version.fleet_config import FleetState
 
 ADDRESS = '10.0.0.1:2'
--- a/tests/test_call_tree.py
+++ b/tests/test_call_tree.py
@@ -5,8 +5,8 @@
 import unittest
 from random import Random
 
-from rattanstile.process.mesh.call_tree import CallAttribution
-from rattanstile.process.mesh.service_needs import RunKind
+from rattanstile.process.mesh.admission.call_tree import CallAttribution
+from rattanstile.process.mesh.admission.service_needs import RunKind
 
 
 def learn(kinds, seconds, seed):
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -12,15 +12,15 @@
 from twisted.internet.task import Clock
 
 from rattanstile.connection.peer_messages import PeerMember
-from rattanstile.process.mesh.config_relay import ConfigRelay
-from rattanstile.process.mesh.link_plan import LinkFacts, LinkPlan
-from rattanstile.process.mesh.operator_state import OperatorState
+from rattanstile.process.mesh.fleet.link_plan import LinkFacts, LinkPlan
 from rattanstile.process.mesh.ports import (
     ConfigPublished,
     OperatorRecord,
     OperatorRecords,
 )
-from rattanstile.process.mesh.store_readers import StoreReaders
+from rattanstile.process.mesh.store.config_relay import ConfigRelay
+from rattanstile.process.mesh.store.operator_state import OperatorState
+from rattanstile.process.mesh.store.store_readers import StoreReaders
 from rattanstile.process.timers import TimerService
 
 DOMAINS = ('east', 'south', 'west')
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -50,10 +50,13 @@
     _decode_records,
     _decode_response,
 )
-from rattanstile.process.mesh.past_incarnations import TargetDeparture
+from rattanstile.process.mesh.serving.past_incarnations import TargetDeparture
+from rattanstile.process.mesh.serving.target_gate import TargetQueue
+from rattanstile.process.mesh.serving.target_watch import (
+    Announcement,
+    TargetWatch,
+)
 from rattanstile.process.mesh.settings import parse_mesh_settings
-from rattanstile.process.mesh.target_gate import TargetQueue
-from rattanstile.process.mesh.target_watch import Announcement, TargetWatch
 
 thorough = settings(
     max_examples=int(os.environ.get('DECODER_EXAMPLES', '150')),
--- a/tests/test_delegates.py
+++ b/tests/test_delegates.py
@@ -6,10 +6,13 @@
 from mesh_samples import organisation
 
 from rattanstile.connection.peer_messages import PeerMember
-from rattanstile.process.mesh.delegates import SUSPECT_S, Delegates
-from rattanstile.process.mesh.domain_ledger import DomainLedger
-from rattanstile.process.mesh.rate_allocator import Demand, RateAllocator
-from rattanstile.process.mesh.rate_limiter import LocalRateLimiter, RatePool
+from rattanstile.process.mesh.fleet.delegates import SUSPECT_S, Delegates
+from rattanstile.process.mesh.fleet.domain_ledger import DomainLedger
+from rattanstile.process.mesh.rates.rate_allocator import Demand, RateAllocator
+from rattanstile.process.mesh.rates.rate_limiter import (
+    LocalRateLimiter,
+    RatePool,
+)
 
 DOMAINS = ('d1', 'd2', 'd3', 'd4', 'd5')
 WINDOW_S = 5.0
--- a/tests/test_entry_desk.py
+++ b/tests/test_entry_desk.py
@@ -14,12 +14,12 @@
 )
 
 from rattanstile.connection.peer_messages import CallRequest, CallResponse
-from rattanstile.process.mesh.candidates import CandidateTable
-from rattanstile.process.mesh.entry_handler import EntryHandler
-from rattanstile.process.mesh.placement import Candidate
-from rattanstile.process.mesh.rate_limiter import RateDecision
-from rattanstile.process.mesh.rerun_budget import RerunBudget
-from rattanstile.process.mesh.root_admission import RootAdmission
+from rattanstile.process.mesh.admission.root_admission import RootAdmission
+from rattanstile.process.mesh.entry.entry_handler import EntryHandler
+from rattanstile.process.mesh.placement.candidates import CandidateTable
+from rattanstile.process.mesh.placement.placement import Candidate
+from rattanstile.process.mesh.placement.rerun_budget import RerunBudget
+from rattanstile.process.mesh.rates.rate_limiter import RateDecision
 from rattanstile.request.exchange import (
     NotRun,
     NotRunReason,
--- a/tests/test_fleet_load.py
+++ b/tests/test_fleet_load.py
@@ -6,14 +6,14 @@
 from mesh_samples import USABLE
 
 from rattanstile.connection.peer_messages import DomainDigest, ServiceDigest
-from rattanstile.process.mesh.fleet_digests import (
+from rattanstile.process.mesh.fleet.fleet_digests import (
     MAX_DIGEST_AGE_S,
     FleetDigests,
     service_digest,
 )
-from rattanstile.process.mesh.fleet_view import FleetKnowledge
-from rattanstile.process.mesh.load_reports import LoadReports
-from rattanstile.process.mesh.placement import Candidate
+from rattanstile.process.mesh.fleet.fleet_view import FleetKnowledge
+from rattanstile.process.mesh.fleet.load_reports import LoadReports
+from rattanstile.process.mesh.placement.placement import Candidate
 
 
 def node(name, domain='east', received_s=0.0, **changes):
--- a/tests/test_freshness_of_state.py
+++ b/tests/test_freshness_of_state.py
@@ -9,13 +9,13 @@
 from twisted.internet.task import Clock
 
 from rattanstile.connection.peer_messages import ConfigNotice
-from rattanstile.process.mesh.config_relay import ConfigRelay
-from rattanstile.process.mesh.freshness import (
+from rattanstile.process.mesh.ports import OperatorRecords
+from rattanstile.process.mesh.store.config_relay import ConfigRelay
+from rattanstile.process.mesh.store.freshness import (
     MAX_CONFIRMED_AGE_S,
     Freshness,
 )
-from rattanstile.process.mesh.operator_state import OperatorState
-from rattanstile.process.mesh.ports import OperatorRecords
+from rattanstile.process.mesh.store.operator_state import OperatorState
 from rattanstile.process.timers import TimerService
 
 AT_S = 100.0
--- a/tests/test_hung_reads.py
+++ b/tests/test_hung_reads.py
@@ -13,11 +13,11 @@
 from rattanstile.connection.http_client import ExchangeFailure
 from rattanstile.connection.http_messages import HttpResponse
 from rattanstile.platform.store import PlatformStore
-from rattanstile.process.mesh.config_relay import ConfigRelay
-from rattanstile.process.mesh.operator_state import OperatorState
-from rattanstile.process.mesh.store_follower import StoreFollower
-from rattanstile.process.mesh.store_readers import StoreReaders
-from rattanstile.process.mesh.store_retry import StoreRetry
+from rattanstile.process.mesh.store.config_relay import ConfigRelay
+from rattanstile.process.mesh.store.operator_state import OperatorState
+from rattanstile.process.mesh.store.store_follower import StoreFollower
+from rattanstile.process.mesh.store.store_readers import StoreReaders
+from rattanstile.process.mesh.store.store_retry import StoreRetry
 from rattanstile.process.timers import TimerService
 
 STEP_S = 0.05
--- a/tests/test_invalid_requests.py
+++ b/tests/test_invalid_requests.py
@@ -15,10 +15,10 @@
 )
 from rattanstile.platform.callers import PlatformCallerCodec
 from rattanstile.platform.operators import decode_fleet_config
-from rattanstile.process.mesh.caller_service import CallerService
-from rattanstile.process.mesh.entry_handler import EntryHandler
-from rattanstile.process.mesh.freshness import Freshness
-from rattanstile.process.mesh.request_checks import RequestChecks
+from rattanstile.process.mesh.entry.caller_service import CallerService
+from rattanstile.process.mesh.entry.entry_handler import EntryHandler
+from rattanstile.process.mesh.entry.request_checks import RequestChecks
+from rattanstile.process.mesh.store.freshness import Freshness
 from rattanstile.version.fleet_config import (
     CallerLimits,
     ConfigOrigin,
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -25,9 +25,12 @@
     encode_peer_frame,
 )
 from rattanstile.platform.callers import PlatformCallerCodec
-from rattanstile.process.mesh.caller_answer import CallerAnswer
+from rattanstile.process.mesh.entry.caller_answer import CallerAnswer
 from rattanstile.process.mesh.ports import RunAnswered, RunRefused
-from rattanstile.process.mesh.served_stream import WINDOW_BYTES, ServedStream
+from rattanstile.process.mesh.serving.served_stream import (
+    WINDOW_BYTES,
+    ServedStream,
+)
 from rattanstile.request.exchange import (
     AnswerHead,
     Streamed,
--- a/tests/test_link_plan.py
+++ b/tests/test_link_plan.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from rattanstile.connection.peer_messages import PeerMember
-from rattanstile.process.mesh.link_plan import (
+from rattanstile.process.mesh.fleet.link_plan import (
     GATEWAYS_PER_DOMAIN,
     MAX_NEAR_PER_SERVICE,
     MIN_CANDIDATES,
--- a/tests/test_mesh_placement.py
+++ b/tests/test_mesh_placement.py
@@ -8,7 +8,7 @@
 from mesh_samples import USABLE
 
 from rattanstile.connection.peer_messages import TargetLoad
-from rattanstile.process.mesh.placement import Candidate, choose
+from rattanstile.process.mesh.placement.placement import Candidate, choose
 
 
 def candidate(name, domain='east', **changes):
--- a/tests/test_mesh_rates.py
+++ b/tests/test_mesh_rates.py
@@ -5,9 +5,12 @@
 
 from mesh_samples import organisation
 
-from rattanstile.process.mesh.domain_ledger import DomainLedger
-from rattanstile.process.mesh.rate_allocator import Demand, RateAllocator
-from rattanstile.process.mesh.rate_limiter import LocalRateLimiter, RatePool
+from rattanstile.process.mesh.fleet.domain_ledger import DomainLedger
+from rattanstile.process.mesh.rates.rate_allocator import Demand, RateAllocator
+from rattanstile.process.mesh.rates.rate_limiter import (
+    LocalRateLimiter,
+    RatePool,
+)
 
 NODES = 14
 WINDOW_S = 5.0
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -22,10 +22,10 @@
     DecisionLog,
     LineKind,
 )
-from rattanstile.process.mesh.config_relay import ConfigRelay
 from rattanstile.process.mesh.drain import Drain, DrainStep
-from rattanstile.process.mesh.evacuations import Evacuations
-from rattanstile.process.mesh.operator_state import OperatorState, StateCopy
+from rattanstile.process.mesh.placement.evacuations import Evacuations
+from rattanstile.process.mesh.placement.rerun_budget import RerunBudget
+from rattanstile.process.mesh.placement.splitter import Splitter
 from rattanstile.process.mesh.ports import (
     ConfigPublished,
     ConfigUnreadableError,
@@ -33,9 +33,12 @@
     OperatorRecord,
     OperatorRecords,
 )
-from rattanstile.process.mesh.rerun_budget import RerunBudget
-from rattanstile.process.mesh.splitter import Splitter
-from rattanstile.process.mesh.store_readers import StoreReaders
+from rattanstile.process.mesh.store.config_relay import ConfigRelay
+from rattanstile.process.mesh.store.operator_state import (
+    OperatorState,
+    StateCopy,
+)
+from rattanstile.process.mesh.store.store_readers import StoreReaders
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import NO_ERA
 from rattanstile.version.fleet_config import FleetState, LogPosition, Share
--- a/tests/test_rate_asks.py
+++ b/tests/test_rate_asks.py
@@ -15,9 +15,9 @@
     TokenRequest,
     TokenResponse,
 )
-from rattanstile.process.mesh.fleet_digests import FleetDigests
-from rattanstile.process.mesh.rate_service import RateService
-from rattanstile.process.mesh.token_requests import (
+from rattanstile.process.mesh.fleet.fleet_digests import FleetDigests
+from rattanstile.process.mesh.rates.rate_service import RateService
+from rattanstile.process.mesh.rates.token_requests import (
     RELAYED_TOKEN_TIMEOUT_S,
     TOKEN_TIMEOUT_S,
 )
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -16,13 +16,12 @@
 from rattanstile.connection.http_messages import HttpResponse
 from rattanstile.connection.peer_messages import ConfigNotice, PeerMember
 from rattanstile.platform.store import PlatformStore
-from rattanstile.process.mesh.evacuations import (
+from rattanstile.process.mesh.fleet.fleet_join import FleetJoin, JoinHandlers
+from rattanstile.process.mesh.placement.evacuations import (
     KEEP_EVACUATED_S,
     KEEP_WITHDRAWN_S,
     Evacuations,
 )
-from rattanstile.process.mesh.fleet_join import FleetJoin, JoinHandlers
-from rattanstile.process.mesh.operator_state import OperatorState, StateCopy
 from rattanstile.process.mesh.ports import (
     ConfigPublished,
     ConfigUnreadableError,
@@ -33,8 +32,12 @@
     OperatorRecords,
     StoreUnavailableError,
 )
-from rattanstile.process.mesh.store_follower import StoreFollower
-from rattanstile.process.mesh.store_retry import StoreRetry
+from rattanstile.process.mesh.store.operator_state import (
+    OperatorState,
+    StateCopy,
+)
+from rattanstile.process.mesh.store.store_follower import StoreFollower
+from rattanstile.process.mesh.store.store_retry import StoreRetry
 from rattanstile.version.fleet_config import LogPosition
 
 MAX_EVACUATION_S = 5.0
--- a/tests/test_restored_store_nodes.py
+++ b/tests/test_restored_store_nodes.py
@@ -6,7 +6,7 @@
 
 from platform_fleet import PlatformFleet, config_document
 
-from rattanstile.process.mesh.store_poll import FIRST_READER_POLL_S
+from rattanstile.process.mesh.store.store_poll import FIRST_READER_POLL_S
 
 IN_FORCE_POLLS = 80
 """Four seconds, within which a change must be in force."""
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -6,13 +6,13 @@
 
 from mesh_samples import organisation
 
-from rattanstile.process.mesh.rate_limiter import MAX_RETURN_S, RatePool
-from rattanstile.process.mesh.retry_after import (
+from rattanstile.process.mesh.admission.retry_after import (
     MIN_RETRY_S,
     latest_return_s,
     return_at_token_s,
     spread_return_s,
 )
+from rattanstile.process.mesh.rates.rate_limiter import MAX_RETURN_S, RatePool
 
 SMALL = organisation('small', rate_per_s=10.0)
 REMAINING_S = 5.0
--- a/tests/test_root_admission.py
+++ b/tests/test_root_admission.py
@@ -4,12 +4,15 @@
 from collections import Counter
 from random import Random
 
-from rattanstile.process.mesh.root_admission import (
+from rattanstile.process.mesh.admission.root_admission import (
     STEP_S,
     RootAdmission,
     ServiceView,
 )
-from rattanstile.process.mesh.service_needs import RunKind, UsageEstimates
+from rattanstile.process.mesh.admission.service_needs import (
+    RunKind,
+    UsageEstimates,
+)
 from rattanstile.request.exchange import ServiceUsage
 
 DEEP = 'fees'
--- a/tests/test_service_needs.py
+++ b/tests/test_service_needs.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from rattanstile.process.mesh.call_tree import CallAttribution
-from rattanstile.process.mesh.service_needs import (
+from rattanstile.process.mesh.admission.call_tree import CallAttribution
+from rattanstile.process.mesh.admission.service_needs import (
     MAX_KINDS,
     RunKind,
     UsageEstimates,
--- a/tests/test_serving_desk.py
+++ b/tests/test_serving_desk.py
@@ -11,13 +11,16 @@
     ResponseMatch,
 )
 from rattanstile.connection.http_messages import HttpResponse
-from rattanstile.process.mesh.past_incarnations import (
+from rattanstile.process.mesh.ports import RunAnswered, RunRefused
+from rattanstile.process.mesh.serving.past_incarnations import (
     NO_DEPARTURE,
     TargetDeparture,
 )
-from rattanstile.process.mesh.ports import RunAnswered, RunRefused
-from rattanstile.process.mesh.serving_handler import ServingHandler
-from rattanstile.process.mesh.target_watch import TargetState, TargetWatch
+from rattanstile.process.mesh.serving.serving_handler import ServingHandler
+from rattanstile.process.mesh.serving.target_watch import (
+    TargetState,
+    TargetWatch,
+)
 from rattanstile.request.exchange import (
     Answered,
     NotRun,
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -10,16 +10,16 @@
 from twisted.internet.task import Clock, deferLater
 
 from rattanstile.connection.peer_messages import PeerMember
-from rattanstile.process.mesh.fleet_join import FleetJoin, JoinHandlers
-from rattanstile.process.mesh.past_incarnations import TargetDeparture
+from rattanstile.process.mesh.fleet.fleet_join import FleetJoin, JoinHandlers
 from rattanstile.process.mesh.ports import (
     FleetMembers,
     HistoryGoneError,
     OperatorRecords,
     StoreUnavailableError,
 )
-from rattanstile.process.mesh.store_follower import StoreFollower
-from rattanstile.process.mesh.store_retry import StoreRetry
+from rattanstile.process.mesh.serving.past_incarnations import TargetDeparture
+from rattanstile.process.mesh.store.store_follower import StoreFollower
+from rattanstile.process.mesh.store.store_retry import StoreRetry
 
 OWN = PeerMember('n1', '10.0.0.1:1', 'registry', 'east')
 OTHER = PeerMember('n2', '10.0.0.2:1', 'registry', 'east')
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rattanstile.process.mesh.store_readers import (
+from rattanstile.process.mesh.store.store_readers import (
     HEARTBEAT_TIMEOUT_S,
     READERS_PER_DOMAIN,
     StoreReaders,
--- a/tests/test_target_gate.py
+++ b/tests/test_target_gate.py
@@ -4,7 +4,10 @@
 
 from mesh_samples import served_call
 
-from rattanstile.process.mesh.target_gate import TargetQueue, WaitingCall
+from rattanstile.process.mesh.serving.target_gate import (
+    TargetQueue,
+    WaitingCall,
+)
 from rattanstile.request.exchange import NotRunReason
 
 
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from rattanstile.process.mesh.past_incarnations import (
+from rattanstile.process.mesh.serving.past_incarnations import (
     MAX_LATENESS_S,
     MAX_PAST_INCARNATIONS,
     NO_DEPARTURE,
     TargetDeparture,
 )
-from rattanstile.process.mesh.target_watch import (
+from rattanstile.process.mesh.serving.target_watch import (
     MAX_SILENCE_S,
     Announcement,
     ProbeResult,
