Cold targets: a service without a declared cold rate is not limited

What callers saw: after a target's start, and after a loss of power, its service refused nearly all calls for three seconds, though it could run them.

Cause: operators may leave the cold rate out, which means no limit; it is read as 0. A target that reports its cold time was then held to one call a second, with a capacity of 0, so that admission took the service for unavailable.

The new test failed before (1 of 15 calls sent).

Change: the cold rate limits calls only where the service declares one.

--- a/src/rattanstile/process/mesh/serving/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving/serving_handler.py
@@ -117,12 +117,13 @@
     def load(self) -> TargetLoad:
         """Return the load of the target and its queue."""
         now_s = self._timers.now_s()
-        is_cold = self.watch.is_cold(now_s)
+        is_cold = self._is_cold(now_s)
         queue = self.queue
         limit = queue.limit
         if is_cold:
             limit = max(1, int(queue.cold_calls_per_s * queue.service_s))
         wait_s = max(0.0, queue.expected_wait_s(is_cold=is_cold))
+        cold_s = self.watch.cold_until_s - now_s if is_cold else 0
         return TargetLoad(
             is_usable=self.is_usable,
             pending_calls=queue.in_flight + queue.waiting,
@@ -132,7 +133,7 @@
             offered_deci_per_s=int(queue.offered_per_s(now_s) * 10),
             capacity_deci_per_s=int(queue.capacity_per_s(is_cold=is_cold) * 10),
             failing_percent=int(self._failing.share(now_s) * PERCENT),
-            cold_ms=int(max(0, self.watch.cold_until_s - now_s) * MS_PER_S),
+            cold_ms=int(cold_s * MS_PER_S),
         )
 
     def usage(
@@ -163,6 +164,10 @@
         """Return the share of the target's runs that are repeats."""
         return self._repeated_runs / max(1, self.queue.in_flight)
 
+    def _is_cold(self, now_s: float) -> bool:
+        """Return whether the cold rate of the service limits the calls."""
+        return self.queue.limits_cold_calls and self.watch.is_cold(now_s)
+
     # Calls
 
     def begin(
@@ -188,7 +193,7 @@
         reason = self._refusal_reason(waiting)
         if reason is None:
             reason = self.queue.offer(
-                now_s, waiting, is_cold=self.watch.is_cold(now_s)
+                now_s, waiting, is_cold=self._is_cold(now_s)
             )
         if reason is not None:
             self._log_refused(call, reason)
@@ -228,7 +233,7 @@
         now_s = self._timers.now_s()
         if not self.watch.is_usable:
             return
-        is_cold = self.watch.is_cold(now_s)
+        is_cold = self._is_cold(now_s)
         while True:
             waiting = self.queue.take(now_s, is_cold=is_cold)
             if waiting is None:
--- a/src/rattanstile/process/mesh/serving/target_gate.py
+++ b/src/rattanstile/process/mesh/serving/target_gate.py
@@ -71,7 +71,8 @@
 
     Attributes:
         slots: Concurrent calls that the target accepts.
-        cold_calls_per_s: Calls a second that it can run while cold.
+        cold_calls_per_s: Calls a second that it can run while cold; 0 if its
+            service declares no limit for that time.
         in_flight: Number of calls on the target.
         waiting: Number of calls in the queue.
         service_s: Smoothed service time of a call on the target.
@@ -97,6 +98,11 @@
         """Return the limit of concurrent calls on the target."""
         return max(1, math.floor(self.slots * USABLE_SLOT_SHARE))
 
+    @property
+    def limits_cold_calls(self) -> bool:
+        """Return whether the target takes fewer calls while it is cold."""
+        return self.cold_calls_per_s > 0
+
     def offer(
         self, now_s: float, waiting: WaitingCall, *, is_cold: bool
     ) -> NotRunReason | None:
--- a/tests/test_serving_desk.py
+++ b/tests/test_serving_desk.py
@@ -1,6 +1,7 @@
 """Tests of running calls from all nodes on the local target."""
 
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 from mesh_samples import ANSWER, config, context, served_call
@@ -233,6 +234,21 @@
         self.assertFalse(self.desk.is_usable)
         self.assertEqual(self.pool.sent[-1].written, 'probe')
 
+    def test_a_cold_target_without_a_declared_cold_rate_is_not_limited(self):
+        """It got one call a second, and its service seemed unavailable."""
+        fleet = config()
+        registry = replace(fleet.services['registry'], cold_calls_per_s=0)
+        fleet = replace(fleet, number=2, services={'registry': registry})
+        self.kept.state = FleetState(2, fleet, b'', frozenset())
+        self.desk.announced(announcement(sequence=2, slots=20, cold_s=3.0))
+        for number in range(15):
+            self.begin(f'call-{number}')
+        self.assertEqual(len(self.pool.sent), 15)
+        load = self.desk.load()
+        self.assertEqual(load.cold_ms, 0)
+        self.assertGreater(load.capacity_deci_per_s, 0)
+        self.assertEqual(load.limit, self.desk.queue.limit)
+
     def test_a_call_for_another_service_is_refused(self):
         """Another node had the address before."""
         self.begin(service='other')
