rattanstile check: reviews a configuration before it is published

Cause: a fleet is broken more easily by a configuration than by load, and nothing said before its publication what a node would refuse, what can never match, or what it changes.

Change: the decoder of the nodes yields the entries of a document before it indexes them (ConfigEntries); four modules without I/O review them: errors, entries that never match, contradictions, differences by meaning. The command prints them as text or JSON and never a key.

Result: 12 tests, with a document for each check and one close to it; any bytes end with an exit code, and what passes is taken by the nodes' decoder. Not included: lines in the file, the version in force read from the store, rates held against capacity.

--- a/src/rattanstile/cli.py
+++ b/src/rattanstile/cli.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from rattanstile import __version__
+from rattanstile.check_cli import add_check_command
 from rattanstile.errors import ExitCode, RattanstileError
 from rattanstile.explain_cli import add_explain_command
 from rattanstile.node_cli import add_node_command
@@ -21,6 +22,7 @@
   rattanstile key new                          create an organisation's key
   rattanstile plan fleet.json --log ADDRESS    show what would change
   rattanstile confirm PLAN_ID --log ADDRESS    apply the plan
+  rattanstile check config.json                review a configuration
   rattanstile explain ID LOG...                explain a request's outcome
 
 Exit codes: 0 success, 1 failure, 2 usage or settings error, 3 conflict,
@@ -42,6 +44,7 @@
     subparsers = parser.add_subparsers(dest='command', required=True)
     add_node_command(subparsers)
     add_operator_commands(subparsers)
+    add_check_command(subparsers)
     add_explain_command(subparsers)
     add_standin_commands(subparsers)
     add_demo_command(subparsers)
--- a/src/rattanstile/platform/operators.py
+++ b/src/rattanstile/platform/operators.py
@@ -6,6 +6,7 @@
 from rattanstile.request.ids import OrganisationId, ServiceName
 from rattanstile.version.fleet_config import (
     CallerLimits,
+    ConfigEntries,
     FleetConfig,
     FleetRoute,
     FleetService,
@@ -88,6 +89,28 @@
     tenants: list[_Tenant] = []
 
 
+FIELD_NAMES = {
+    'organisations': 'tenants',
+    'number': 'version',
+    'path_prefix': 'pathPrefix',
+    'shares': 'trafficSplit',
+    'timeout_s': 'timeout',
+    'latency_objective_s': 'targetLatency',
+    'most_attempts': 'maxAttempts',
+    'health_path': 'healthPath',
+    'max_connections': 'maxConnections',
+    'cold_start_s': 'coldStart',
+    'cold_calls_per_s': 'coldPerS',
+    'keys': 'apiKeys',
+    'rate_per_s': 'ratePerS',
+    'burst_calls': 'burst',
+    'head_bytes': 'maxHeaderBytes',
+    'body_bytes': 'maxBodyBytes',
+    'head_timeout_s': 'headerTimeout',
+    'idle_timeout_s': 'idleTimeout',
+}
+"""Names in the document of the fields that have another name here."""
+
 _IDEMPOTENT_ROUTE_TYPES = frozenset(('safe', 'download'))
 """Downloads differ from safe requests only in the size of their answers."""
 _decoder = msgspec.json.Decoder(_Config)
@@ -101,26 +124,18 @@
         ValueError: A duration is invalid, or a route matches no request or
             leads to no service.
     """
+    return decode_entries(document).config()
+
+
+def decode_entries(document: bytes) -> ConfigEntries:
+    """Decode the entries of a configuration; raises as the function above."""
     config = _decoder.decode(document)
-    routes: dict[str, dict[str, FleetRoute]] = {}
-    for route in config.routes:
-        routes_by_prefix = routes.setdefault(route.host.lower(), {})
-        routes_by_prefix[route.path_prefix] = _route(route)
-    organisations: dict[str, Organisation] = {}
-    for tenant in config.tenants:
-        organisation = _organisation(tenant)
-        for key in tenant.api_keys:
-            organisations[key] = organisation
-    return FleetConfig(
+    return ConfigEntries(
         number=config.version,
-        routes=routes,
-        services={
-            ServiceName(service.name): _service(service)
-            for service in config.services
-        },
-        organisations=organisations,
+        routes=tuple(map(_route, config.routes)),
+        services=tuple(map(_service, config.services)),
+        organisations=tuple(map(_organisation, config.tenants)),
         limits=_limits(config.limits),
-        requires_keys=bool(config.tenants),
     )
 
 
--- a/src/rattanstile/version/fleet_config.py
+++ b/src/rattanstile/version/fleet_config.py
@@ -128,6 +128,41 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigEntries:
+    """A configuration as operators list it, before it is indexed.
+
+    Attributes:
+        routes: In the order of the document; of two with the same host and
+            prefix, the later one counts.
+        organisations: Of two with the same key, the later one counts.
+    """
+
+    number: int
+    routes: tuple[FleetRoute, ...]
+    services: tuple[FleetService, ...]
+    organisations: tuple[Organisation, ...]
+    limits: CallerLimits
+
+    def config(self) -> FleetConfig:
+        """Return the configuration with its entries indexed."""
+        routes: dict[str, dict[str, FleetRoute]] = {}
+        for route in self.routes:
+            routes.setdefault(route.host, {})[route.path_prefix] = route
+        return FleetConfig(
+            number=self.number,
+            routes=routes,
+            services={service.name: service for service in self.services},
+            organisations={
+                key: organisation
+                for organisation in self.organisations
+                for key in organisation.keys
+            },
+            limits=self.limits,
+            requires_keys=bool(self.organisations),
+        )
+
+
 @dataclass(frozen=True, order=True, slots=True)
 class LogPosition:
     """Position in the operators' log.
--- /dev/null
+++ b/src/rattanstile/version/review/__init__.py
@@ -0,0 +1,1 @@
+"""Review of a configuration before it is published."""
