Target queue: order, truncation and refusal by the service time of the route

Cause: the queue knew one service time for all routes (15 ms inner calls and 400 ms roots), let a root wait 0.6 of its objective whatever its own run takes, and ordered by arrival plus objective alone. Once demand exceeded a target, it ran one call after the other that ended late.

Change: RouteTimes keeps mean and deviation of each route. A root may wait its objective less its own run, at most 0.6 of it as before. The expected wait is the summed work of the calls ahead. While all waiting calls can start in time, the order is by time as before, less the run; when some can't, WaitOrder goes by urgency, then by what still ends in time, then inner calls before roots, with 0.15 of the target's time for the others. A waiting root that is foreseen to end late is refused at once, so that its entry node can send it elsewhere.

--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from rattanstile.process.mesh.counters import LATENCY_BOUNDS_S, LatencyHistogram
+from rattanstile.process.mesh.serving.target_gate import TargetQueue
 
 if TYPE_CHECKING:
     from rattanstile.process.mesh.node import MeshNode
@@ -29,6 +30,7 @@
     yield _line('reruns_total', counters.reruns)
     yield _line('moves_total', counters.moves)
     yield _line('probes_total', counters.probes)
+    yield _line('calls_given_way_total', node.serving.queue.late_count)
     for kind, sent in sorted(node.peers.traffic.counts.items()):
         labels = {
             'message': kind.message,
@@ -43,9 +45,7 @@
     serving = node.serving
     yield from _operator_gauges(node, now_s)
     yield _line('requests_in_hand', node.entry.in_hand)
-    yield _line('calls_waiting', serving.queue.waiting)
-    yield _line('calls_in_flight', serving.queue.in_flight)
-    yield _line('target_limit', serving.queue.limit)
+    yield from _queue_gauges(serving.queue)
     yield _line('target_usable', int(serving.is_usable))
     yield _line('target_cold', int(serving.watch.is_cold(now_s)))
     yield _line('members_known', len(node.peers.known_members()))
@@ -62,6 +62,15 @@
         )
 
 
+def _queue_gauges(queue: TargetQueue) -> Iterator[str]:
+    yield _line('calls_waiting', queue.waiting)
+    yield _line('calls_in_flight', queue.in_flight)
+    yield _line('target_limit', queue.limit)
+    yield _line('queue_scarce', int(queue.is_scarce))
+    for route, route_time in queue.route_times.known():
+        yield _line('route_service_seconds', route_time.mean_s, route=route)
+
+
 def _operator_gauges(node: 'MeshNode', now_s: float) -> Iterator[str]:
     state = node.context.state()
     yield _line('version_in_force', node.context.version)
--- a/src/rattanstile/process/mesh/serving/served_calls.py
+++ b/src/rattanstile/process/mesh/serving/served_calls.py
@@ -6,7 +6,7 @@
 
 from rattanstile.connection.target_pool import TargetExchange
 from rattanstile.process.mesh.serving.served_stream import ServedStream
-from rattanstile.process.mesh.serving.target_gate import WaitingCall
+from rattanstile.process.mesh.serving.waiting_call import WaitingCall
 from rattanstile.request.exchange import EndingHandler
 
 OVERDUE_MARGIN_S = 0.3
--- a/src/rattanstile/process/mesh/serving/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving/serving_handler.py
@@ -26,16 +26,14 @@
     PendingCalls,
 )
 from rattanstile.process.mesh.serving.served_stream import ServedStream
-from rattanstile.process.mesh.serving.target_gate import (
-    TargetQueue,
-    WaitingCall,
-)
+from rattanstile.process.mesh.serving.target_gate import TargetQueue
 from rattanstile.process.mesh.serving.target_prober import TargetProber
 from rattanstile.process.mesh.serving.target_watch import (
     Announcement,
     TargetChange,
     TargetWatch,
 )
+from rattanstile.process.mesh.serving.waiting_call import WaitingCall
 from rattanstile.request.exchange import (
     Answered,
     AnswerSink,
@@ -240,6 +238,9 @@
         self.attribution.step(now_s)
         for waiting in self.queue.pop_expired(now_s):
             self._refuse(waiting, NotRunReason.DEADLINE)
+        is_cold = self.watch.is_cold(now_s)
+        for late in self.queue.pop_late(now_s, is_cold=is_cold):
+            self._refuse(late, NotRunReason.QUEUE_FULL)
         self._end_overdue(now_s)
         self._check_evacuation(now_s)
         if not self.watch.is_usable and self.queue.waiting:
@@ -485,6 +486,13 @@
         self._log_refused(waiting.call, reason)
         pending.on_end(NotRun(reason))
 
+    def _route_ms(self, route: str) -> float:
+        """Return the mean service time of a route; 0 while it isn't known."""
+        route_time = self.queue.route_times.of_route(route)
+        if route_time is None:
+            return 0
+        return round(route_time.mean_s * MS_PER_S, 1)
+
     def _log_refused(self, call: ServedCall, reason: NotRunReason) -> None:
         self._context.counters.not_taken[reason.name.lower()] += 1
         if not self._log.reserve_line(LineKind.REFUSED):
@@ -498,6 +506,8 @@
             in_flight=self.queue.in_flight,
             limit=self.queue.limit,
             service_ms=round(self.queue.service_s * MS_PER_S, 1),
+            route_ms=self._route_ms(call.route),
+            scarce=self.queue.is_scarce,
             left_ms=call.remaining_ms,
         )
 
--- a/src/rattanstile/process/mesh/serving/target_gate.py
+++ b/src/rattanstile/process/mesh/serving/target_gate.py
@@ -4,15 +4,22 @@
 cold. Calls wait here, where they can still go to another node, rather than
 on the target, which never answers some of the calls that it can't queue. The
 queue is ordered by soft deadline: arrival time plus the latency objective,
-lengthened for less urgent priorities.
+lengthened for less urgent priorities, less the service time of the route. A
+root call that can't end within its latency objective is refused on arrival,
+or as soon as that is foreseen, while another node can still serve it in time.
 """
 
-import heapq
 import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
+from rattanstile.process.mesh.serving.route_times import RouteTimes
+from rattanstile.process.mesh.serving.wait_order import (
+    OTHERS_SHARE,
+    QueuedWork,
+    WaitOrder,
+)
+from rattanstile.process.mesh.serving.waiting_call import Rank, WaitingCall
 from rattanstile.request.exchange import NotRunReason, ServedCall
 
 USABLE_SLOT_SHARE = 0.95
@@ -26,8 +33,12 @@
 PRIORITY_STEP_SHARE = 0.25
 """Share of its latency objective by which each priority level delays a call."""
 MAX_ROOT_WAIT_SHARE = 0.6
-"""Share of its latency objective that a root call may wait; beyond it the
-call is refused."""
+"""Share of its latency objective that a root call may wait at most; beyond it
+the call is refused."""
+MIN_ROOT_WAIT_S = 0.02
+TRUNCATION_MARGIN_SHARE = 0.05
+"""Share of its latency objective by which the expected start of a waiting call
+must exceed the latest one, as service times vary."""
 COLD_WINDOW_S = 1.0
 COLD_RATE_SHARE = 0.9
 """Share of the cold rate that is used, as calls bunch up on the way to the
@@ -39,33 +50,6 @@
 tick, so that its entry node learns in time that it has not run."""
 
 
-@dataclass(eq=False, slots=True)
-class WaitingCall:
-    """A call that waits for the target or runs on it.
-
-    Attributes:
-        key: Identifies the call at this node.
-        arrived_s: Monotonic time of arrival.
-        deadline_s: Monotonic time until which the result is awaited.
-        started_s: Monotonic time at which it was sent; None while it waits.
-        is_removed: Whether it was cancelled or expired while waiting.
-    """
-
-    key: object
-    call: ServedCall
-    arrived_s: float
-    deadline_s: float
-    started_s: float | None = None
-    is_removed: bool = False
-
-
-@dataclass(order=True, slots=True)
-class _QueueEntry:
-    soft_deadline_s: float
-    sequence: int
-    waiting: WaitingCall = field(compare=False)
-
-
 class TargetQueue:
     """Decides which call is sent to the target next, and when.
 
@@ -74,8 +58,12 @@
         cold_calls_per_s: Calls a second that it can run while cold.
         in_flight: Number of calls on the target.
         waiting: Number of calls in the queue.
-        service_s: Smoothed service time of a call on the target.
+        service_s: Smoothed service time of a call on the target, over all
+            routes.
         run_count: Number of calls that the target has run.
+        route_times: Service times by route.
+        late_count: Number of waiting calls that were removed because they
+            would have started late.
     """
 
     def __init__(self) -> None:
@@ -86,8 +74,9 @@
         self.waiting = 0
         self.service_s = INITIAL_SERVICE_S
         self.run_count = 0
-        self._heap: list[_QueueEntry] = []
-        self._sequence = 0
+        self.route_times = RouteTimes()
+        self.late_count = 0
+        self._order = WaitOrder()
         self._recent_starts_s: deque[float] = deque()
         self._offered_per_s = 0.0
         self._offered_at_s = 0.0
@@ -108,22 +97,17 @@
             self._offered_per_s = (
                 self.offered_per_s(now_s) + 1 / OFFERED_WINDOW_S
             )
-        left_s = waiting.deadline_s - now_s
-        expected_s = self.expected_wait_s(is_cold=is_cold)
-        allowed_s = left_s - min(self.service_s, left_s / 2)
-        if not waiting.call.inner:
-            latency_objective_s = waiting.call.latency_objective_ms / 1000
-            allowed_s = min(
-                allowed_s, max(latency_objective_s * MAX_ROOT_WAIT_SHARE, 0.02)
-            )
-        if expected_s > allowed_s or self.waiting >= MAX_WAITING_CALLS:
+        self._set_times(now_s, waiting)
+        if self.waiting >= MAX_WAITING_CALLS:
             return NotRunReason.QUEUE_FULL
-        self._sequence += 1
+        allowed_s = waiting.latest_start_s - now_s
+        if self.expected_wait_s(is_cold=is_cold) > allowed_s:
+            if self._rank_wait_s(waiting.rank, is_cold=is_cold) > allowed_s:
+                return NotRunReason.QUEUE_FULL
+            self._order.is_scarce = True
         self.waiting += 1
-        soft_deadline_s = now_s + _soft_timeout_s(waiting.call)
-        heapq.heappush(
-            self._heap, _QueueEntry(soft_deadline_s, self._sequence, waiting)
-        )
+        order_s = now_s + _soft_timeout_s(waiting.call) - waiting.run_s
+        self._order.add(waiting, order_s)
         return None
 
     def take(self, now_s: float, *, is_cold: bool) -> WaitingCall | None:
@@ -132,14 +116,11 @@
             return None
         if is_cold and not self._has_cold_capacity(now_s):
             return None
-        while self._heap:
-            waiting = heapq.heappop(self._heap).waiting
-            if waiting.is_removed:
-                continue
+        waiting = self._order.take()
+        if waiting is not None:
             self.waiting -= 1
             self._record_start(now_s, waiting)
-            return waiting
-        return None
+        return waiting
 
     def pop_expired(self, now_s: float) -> list[WaitingCall]:
         """Remove and return the waiting calls with too little time left."""
@@ -147,6 +128,25 @@
             lambda waiting: now_s + EXPIRY_MARGIN_S >= waiting.deadline_s
         )
 
+    def pop_late(self, now_s: float, *, is_cold: bool) -> list[WaitingCall]:
+        """Remove and return the waiting calls that would start late.
+
+        Only root calls are removed: nothing of them has run, so another node
+        can still serve them in time.
+        """
+        if not self.waiting:
+            self._order.is_scarce = False
+            return []
+        self._order.is_scarce = self._has_late(now_s, is_cold=is_cold)
+        if not self._order.is_scarce:
+            return []
+        self._order.lower_late(now_s)
+        late = self._late_roots(now_s, is_cold=is_cold)
+        for waiting in late:
+            self.cancel(waiting)
+        self.late_count += len(late)
+        return late
+
     def pop_later(self, end_s: float) -> list[WaitingCall]:
         """Remove and return the waiting calls that may end after a time."""
         return self._pop(lambda waiting: waiting.deadline_s > end_s)
@@ -155,9 +155,7 @@
         self, is_chosen: Callable[[WaitingCall], bool]
     ) -> list[WaitingCall]:
         removed = [
-            entry.waiting
-            for entry in self._heap
-            if not entry.waiting.is_removed and is_chosen(entry.waiting)
+            waiting for waiting in self._order.by_time() if is_chosen(waiting)
         ]
         for waiting in removed:
             self.cancel(waiting)
@@ -165,19 +163,12 @@
 
     def pop_all(self) -> list[WaitingCall]:
         """Remove and return all waiting calls."""
-        removed = [
-            entry.waiting
-            for entry in self._heap
-            if not entry.waiting.is_removed
-        ]
-        self._heap.clear()
-        self.waiting = 0
-        return removed
+        return self._pop(lambda waiting: True)
 
     def cancel(self, waiting: WaitingCall) -> None:
         """Remove a call from the queue, unless it was sent."""
         if not waiting.is_removed and waiting.started_s is None:
-            waiting.is_removed = True
+            self._order.remove(waiting)
             self.waiting -= 1
 
     def release(
@@ -197,15 +188,16 @@
             self.run_count += 1
             gain = max(SERVICE_GAIN, 1 / self.run_count)
             self.service_s += gain * (took_s - self.service_s)
+            self.route_times.record(waiting.call.route, took_s)
 
     def expected_wait_s(self, *, is_cold: bool) -> float:
-        """Return how long a call that arrives now would wait."""
-        if is_cold:
-            rate_per_s = max(self.cold_calls_per_s * COLD_RATE_SHARE, 1)
-            return (len(self._recent_starts_s) + self.waiting) / rate_per_s - 1
-        if self.in_flight + self.waiting < self.limit:
-            return 0
-        return (self.waiting + 1) * self.service_s / self.limit
+        """Return how long a call would wait behind all that wait now."""
+        return self._wait_s(self._order.total(), is_cold=is_cold)
+
+    @property
+    def is_scarce(self) -> bool:
+        """Return whether some waiting call can't start in time."""
+        return self._order.is_scarce
 
     def offered_per_s(self, now_s: float) -> float:
         """Return the smoothed arrival rate, including refused calls."""
@@ -221,6 +213,72 @@
             return min(warm_per_s, self.cold_calls_per_s * COLD_RATE_SHARE)
         return warm_per_s
 
+    def _wait_s(self, ahead: QueuedWork, *, is_cold: bool) -> float:
+        """Return how long a call waits that has this work before it."""
+        if is_cold:
+            rate_per_s = max(self.cold_calls_per_s * COLD_RATE_SHARE, 1)
+            return (len(self._recent_starts_s) + ahead.calls) / rate_per_s - 1
+        if self.in_flight + ahead.calls < self.limit:
+            return 0
+        return (ahead.work_s + self.service_s) / self.limit
+
+    def _rank_wait_s(self, rank: Rank, *, is_cold: bool) -> float:
+        """Return how long a call would wait under scarcity."""
+        return self._wait_s(self._order.ahead_of(rank), is_cold=is_cold)
+
+    def _set_times(self, now_s: float, waiting: WaitingCall) -> None:
+        """Set the expected service time and the latest start of a call."""
+        left_s = waiting.deadline_s - now_s
+        route = self.route_times.of_route(waiting.call.route)
+        waiting.run_s = self.service_s if route is None else route.mean_s
+        waiting.latest_start_s = waiting.deadline_s - min(
+            waiting.run_s, left_s / 2
+        )
+        objective_s = waiting.call.latency_objective_ms / 1000
+        allowed_s = max(objective_s * MAX_ROOT_WAIT_SHARE, MIN_ROOT_WAIT_S)
+        if route is not None:
+            slack_s = objective_s - route.usual_max_s
+            waiting.is_late = slack_s < MIN_ROOT_WAIT_S
+            if not waiting.is_late:
+                allowed_s = min(allowed_s, slack_s)
+        waiting.start_by_s = min(waiting.latest_start_s, now_s + allowed_s)
+        if not waiting.call.inner:
+            waiting.latest_start_s = waiting.start_by_s
+
+    def _has_late(self, now_s: float, *, is_cold: bool) -> bool:
+        """Return whether a call starts late in the order by time."""
+        ahead = QueuedWork()
+        for waiting in self._order.by_time():
+            start_s = now_s + self._wait_s(ahead, is_cold=is_cold)
+            if start_s > waiting.start_by_s + _margin_s(waiting):
+                return True
+            ahead = ahead.plus(waiting)
+        return False
+
+    def _late_roots(self, now_s: float, *, is_cold: bool) -> list[WaitingCall]:
+        """Return the root calls that start late in the order by rank.
+
+        All ranks but the first one have a share of the target at least.
+        """
+        late: list[WaitingCall] = []
+        ahead = QueuedWork()
+        others_ahead = QueuedWork()
+        in_order = self._order.by_rank()
+        for waiting in in_order:
+            is_other = waiting.rank != in_order[0].rank
+            wait_s = self._wait_s(ahead, is_cold=is_cold)
+            if is_other:
+                others_wait_s = self._wait_s(others_ahead, is_cold=is_cold)
+                wait_s = min(wait_s, others_wait_s / OTHERS_SHARE)
+            by_s = waiting.latest_start_s + _margin_s(waiting)
+            if not waiting.call.inner and now_s + wait_s > by_s:
+                late.append(waiting)
+                continue
+            ahead = ahead.plus(waiting)
+            if is_other:
+                others_ahead = others_ahead.plus(waiting)
+        return late
+
     def _has_cold_capacity(self, now_s: float) -> bool:
         sent = self._recent_starts_s
         while sent and sent[0] <= now_s - COLD_WINDOW_S:
@@ -238,3 +296,7 @@
 def _soft_timeout_s(call: ServedCall) -> float:
     latency_objective_s = call.latency_objective_ms / 1000
     return latency_objective_s * (1 + PRIORITY_STEP_SHARE * call.priority)
+
+
+def _margin_s(waiting: WaitingCall) -> float:
+    return waiting.call.latency_objective_ms / 1000 * TRUNCATION_MARGIN_SHARE
