Target queue: whether a root ends late is told by its mean service time

Cause: a route whose mean plus deviation comes near its objective (runs of 200 ms with an objective of 300 ms) counted as late, and gave way though most of its runs end in time.

Change: the mean decides the rank, mean and deviation only how long it may wait.

--- a/src/rattanstile/process/mesh/serving/target_gate.py
+++ b/src/rattanstile/process/mesh/serving/target_gate.py
@@ -237,9 +237,9 @@
         objective_s = waiting.call.latency_objective_ms / 1000
         allowed_s = max(objective_s * MAX_ROOT_WAIT_SHARE, MIN_ROOT_WAIT_S)
         if route is not None:
-            slack_s = objective_s - route.usual_max_s
-            waiting.is_late = slack_s < MIN_ROOT_WAIT_S
+            waiting.is_late = objective_s - route.mean_s < MIN_ROOT_WAIT_S
             if not waiting.is_late:
+                slack_s = max(MIN_ROOT_WAIT_S, objective_s - route.usual_max_s)
                 allowed_s = min(allowed_s, slack_s)
         waiting.start_by_s = min(waiting.latest_start_s, now_s + allowed_s)
         if not waiting.call.inner:
