Admission: times set aside for returning callers, and capacity by rate first

Cause: refused callers returned within a fifth of their time, in the same shortage, and were drawn again with the odds of new ones. A request that admission refused gave its token back, so that an organisation that repeats was drawn until it was admitted, and its repeats counted as demand and lowered the share of all others. Of two routes of equal priority the one with the lower name was served first.

Change: ReturnSlots sets times aside for refused callers, out of half of what their class is admitted, divided by organisation; a claim is recognised by organisation, route and time, and admitted before new requests. Nothing is held back for claims that are not made. Callers without a time return in the last quarter of the time in which they can. Tokens that were given back are told from new ones; requests that only those cover are not counted as demand and get what is left. Classes of equal priority and nearly equal runs share alike.

--- a/src/rattanstile/process/mesh/admission/root_admission.py
+++ b/src/rattanstile/process/mesh/admission/root_admission.py
@@ -12,16 +12,25 @@
 of observed to expected calls slowly corrects the demand. The capacity goes to
 the most urgent requests first, and at equal priority to those that use the
 service least; each request class keeps a small share, so that none starves.
+
+Requests beyond the rate of their organisation get what the others leave, and
+don't count as demand: those that were refused here can be repeated without
+using up the rate. Callers that return at a time set aside are admitted first.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
 from rattanstile.process.mesh.admission.retry_after import return_when_warm_s
+from rattanstile.process.mesh.admission.return_slots import ReturnKey
+from rattanstile.process.mesh.admission.return_times import (
+    ReturnTimes,
+    Shortage,
+)
 from rattanstile.process.mesh.admission.service_needs import RunKind
 from rattanstile.request.exchange import ServiceUsage
-from rattanstile.request.ids import ServiceName
+from rattanstile.request.ids import OrganisationId, ServiceName
 
 STEP_S = 0.1
 """Period at which the admitted shares are recomputed."""
@@ -45,6 +54,12 @@
 RESERVED_SHARE = 0.15
 """Share of each request class that is admitted before the rest is divided by
 priority."""
+SIMILAR_RUNS_RATIO = 1.2
+"""Classes of equal priority whose runs differ by less are served alike; the
+runs are learned, and differ a little between any two routes."""
+SPARE_SHARE = 0.9
+"""Share of the usable capacity that requests beyond their rate may fill up
+to, as their demand at other nodes is only estimated."""
 MIN_CLASS_RATE_PER_S = 0.05
 """Request classes with a lower rate are dropped."""
 NEAR_CAPACITY_SHARE = 0.7
@@ -63,10 +78,30 @@
 
     Attributes:
         priority: 0 is the most urgent.
+        is_beyond_rate: Whether they exceed the rate of their organisation.
     """
 
     priority: int
     run_kind: RunKind
+    is_beyond_rate: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RequestOrigin:
+    """Who sends a root request.
+
+    Attributes:
+        organisation: Empty for none.
+        is_beyond_rate: Whether only tokens of refused requests cover it.
+        latency_objective_s: Latency objective; 0 if it isn't known.
+    """
+
+    organisation: OrganisationId
+    is_beyond_rate: bool = False
+    latency_objective_s: float = 0.0
+
+
+UNNAMED = RequestOrigin(OrganisationId(''))
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,13 +132,17 @@
     Attributes:
         runs: Runs of the service for each request.
         arrivals: Requests since the last step.
+        claims: Those of them that returned at a time set aside.
         smoothed_per_s: Moving average of the request rate, starting at 0.
+        claimed_per_s: Moving average of the rate of claims.
         weight: Total weight of the steps in the moving average.
     """
 
     runs: float
     arrivals: int = 0
+    claims: int = 0
     smoothed_per_s: float = 0.0
+    claimed_per_s: float = 0.0
     weight: float = 0.0
 
     def step(self) -> None:
@@ -112,12 +151,28 @@
         arrived_per_s = self.arrivals / STEP_S
         self.arrivals = 0
         self.smoothed_per_s += RATE_GAIN * (arrived_per_s - self.smoothed_per_s)
+        claimed_per_s = self.claims / STEP_S
+        self.claims = 0
+        self.claimed_per_s += RATE_GAIN * (claimed_per_s - self.claimed_per_s)
 
     @property
     def rate_per_s(self) -> float:
         """Return the request rate, without bias from the first step on."""
         return self.smoothed_per_s / self.weight if self.weight else 0.0
 
+    def share_of_new(self, share: float) -> float:
+        """Return the admitted share of the requests that are not claims.
+
+        Args:
+            share: Admitted share of all requests of the class.
+        """
+        rate_per_s = self.rate_per_s
+        new_per_s = rate_per_s - self.claimed_per_s
+        if self.claimed_per_s < MIN_CLASS_RATE_PER_S or new_per_s <= 0:
+            return share
+        admitted_per_s = share * rate_per_s - self.claimed_per_s
+        return min(1.0, max(0.0, admitted_per_s / new_per_s))
+
 
 @dataclass(slots=True)
 class _Service:
@@ -128,9 +183,11 @@
         unseen_s: Time without a report from any of its nodes.
         idle_s: Time without requests that use it.
         trim: Correction factor of the demand.
+        usable_per_s: Capacity, without what drains its queue.
         expected_per_s: Smoothed calls that admitted requests should make.
         class_shares: Admitted share of each request class; empty while
             everything is admitted.
+        new_shares: The same of the requests that are not claims.
     """
 
     classes: dict[RequestClass, _ClassDemand] = field(default_factory=dict)
@@ -141,18 +198,49 @@
     view: ServiceView | None = None
     demand_per_s: float = 0.0
     trim: float = 1.0
+    usable_per_s: float = 0.0
     expected_per_s: float | None = None
     class_shares: dict[RequestClass, float] = field(default_factory=dict)
+    new_shares: dict[RequestClass, float] = field(default_factory=dict)
 
     @property
     def is_unavailable(self) -> bool:
         """Return whether the service has no usable target."""
         return self.view is not None and self.view.capacity_per_s == 0
 
+    def shortage(
+        self, request_class: RequestClass, now_s: float
+    ) -> Shortage | None:
+        """Return the shortage for a class; None if it can't be told.
+
+        Requests beyond their rate have no claim to the capacity.
+        """
+        demand = self.classes.get(request_class)
+        share = self.class_shares.get(request_class)
+        view = self.view
+        if view is None or demand is None or share is None:
+            return None
+        if request_class.is_beyond_rate:
+            return None
+        return Shortage(
+            share,
+            max(0.0, view.warm_at_s - now_s),
+            demand.rate_per_s,
+        )
+
     def own_per_s(self) -> float:
         """Return the calls per second that this node's requests would make."""
+        return self._calls_per_s(is_beyond_rate=False)
+
+    def beyond_rate_per_s(self) -> float:
+        """Return the same for requests beyond their organisation's rate."""
+        return self._calls_per_s(is_beyond_rate=True)
+
+    def _calls_per_s(self, *, is_beyond_rate: bool) -> float:
         return sum(
-            demand.rate_per_s * demand.runs for demand in self.classes.values()
+            demand.rate_per_s * demand.runs
+            for request_class, demand in self.classes.items()
+            if request_class.is_beyond_rate is is_beyond_rate
         )
 
 
@@ -218,6 +306,9 @@
 class RootAdmission:
     """Admission of root requests at one node, by service.
 
+    Attributes:
+        returns: When refused callers are to return.
+
     Args:
         rng: Random source that selects the rejected requests.
     """
@@ -228,6 +319,7 @@
         self._fleet_per_s: Mapping[ServiceName, float] = {}
         self._nodes = 1
         self._rng = rng
+        self.returns = ReturnTimes(rng)
 
     @property
     def is_near_capacity(self) -> bool:
@@ -243,6 +335,7 @@
         usages: tuple[ServiceUsage, ...],
         now_s: float,
         deadline_s: float,
+        origin: RequestOrigin = UNNAMED,
     ) -> AdmissionDecision:
         """Admit or reject one root request.
 
@@ -252,8 +345,9 @@
             usages: Runs of each service that its call graph makes.
             now_s: Monotonic seconds.
             deadline_s: Monotonic time of its deadline.
+            origin: Who sends it.
         """
-        request_class = RequestClass(priority, run_kind)
+        request_class = RequestClass(priority, run_kind, origin.is_beyond_rate)
         lowest_share = 1.0
         bottleneck: ServiceName | None = None
         for usage in usages:
@@ -266,22 +360,65 @@
             if usage.service == run_kind.service and service.is_unavailable:
                 # The request itself is queued until a target is usable.
                 continue
-            share = service.class_shares.get(
+            share = service.new_shares.get(
                 request_class, service.admitted_share
             )
             if share < lowest_share:
                 lowest_share = share
                 bottleneck = usage.service
-        if bottleneck is None or self._rng.random() < lowest_share:
+        if bottleneck is None:
+            return ADMITTED
+        return_key = ReturnKey(origin.organisation, run_kind)
+        if self.returns.slots.claim(now_s, return_key):
+            self._count_claim(request_class, usages)
+            return ADMITTED
+        if self._rng.random() < lowest_share:
             return ADMITTED
         return AdmissionDecision(
             is_admitted=False,
             service=bottleneck,
             part=round(lowest_share, 3),
             let_in=round(self._services[bottleneck].admitted_share, 3),
-            retry_after_s=self.retry_after_s(bottleneck, now_s, deadline_s),
+            retry_after_s=self.return_s(
+                bottleneck, request_class, origin, now_s, deadline_s
+            ),
+        )
+
+    def return_s(
+        self,
+        service: ServiceName,
+        request_class: RequestClass,
+        origin: RequestOrigin,
+        now_s: float,
+        deadline_s: float,
+    ) -> float:
+        """Return when a refused caller is to return, and set the time aside.
+
+        Args:
+            service: The service that has no room for its request.
+            request_class: Class of its request.
+            origin: Who sends it.
+            now_s: Monotonic seconds.
+            deadline_s: Monotonic time of its deadline.
+        """
+        found = self._services.get(service)
+        shortage = found.shortage(request_class, now_s) if found else None
+        if shortage is None:
+            return self.retry_after_s(service, now_s, deadline_s)
+        return self.returns.return_s(
+            now_s,
+            ReturnKey(origin.organisation, request_class.run_kind),
+            deadline_s - now_s,
+            origin.latency_objective_s,
+            shortage,
         )
 
+    def _count_claim(
+        self, request_class: RequestClass, usages: tuple[ServiceUsage, ...]
+    ) -> None:
+        for usage in usages:
+            self._services[usage.service].classes[request_class].claims += 1
+
     def retry_after_s(
         self, service: ServiceName, now_s: float, deadline_s: float
     ) -> float:
@@ -341,7 +478,13 @@
                 view = UNAVAILABLE
             if view is not None:
                 _update_admitted_share(service, view, fleet_per_s)
-            service.class_shares = _class_shares(service)
+            service.class_shares = _class_shares(service, self._nodes)
+            service.new_shares = {
+                request_class: service.classes[request_class].share_of_new(
+                    share
+                )
+                for request_class, share in service.class_shares.items()
+            }
         self._forget_idle()
 
     def _forget_idle(self) -> None:
@@ -384,6 +527,7 @@
         demand_per_s > NEAR_CAPACITY_SHARE * view.capacity_per_s
     )
     usable_per_s = usable_share * view.capacity_per_s
+    service.usable_per_s = usable_per_s
     service.admitted_share = 1.0
     if demand_per_s > usable_per_s:
         service.admitted_share = max(
@@ -412,33 +556,78 @@
     return float(min(MAX_TRIM, max(1 / MAX_TRIM, trim)))
 
 
-def _class_shares(service: _Service) -> dict[RequestClass, float]:
+def _class_shares(service: _Service, nodes: int) -> dict[RequestClass, float]:
     """Return the admitted share of each request class."""
+    shares = _shares_within_rate(service)
+    share = _share_beyond_rate(service, nodes)
+    for request_class in service.classes:
+        if request_class.is_beyond_rate:
+            shares[request_class] = share
+    return shares
+
+
+def _share_beyond_rate(service: _Service, nodes: int) -> float:
+    """Return the admitted share of requests beyond their rate.
+
+    Other nodes are taken to have as many of them for each other request.
+    """
+    beyond_per_s = service.beyond_rate_per_s()
+    if not beyond_per_s or service.view is None:
+        return 1.0
+    if service.admitted_share < 1:
+        # A floor would admit all of them: each is repeated until it is drawn.
+        return 0.0
+    spare_per_s = SPARE_SHARE * service.usable_per_s - service.demand_per_s
+    own_per_s = max(service.own_per_s(), 1 / STEP_S / nodes)
+    scale = min(float(nodes), max(1.0, service.demand_per_s / own_per_s))
+    share = spare_per_s / (beyond_per_s * scale)
+    return min(1.0, max(0.0, share))
+
+
+def _shares_within_rate(service: _Service) -> dict[RequestClass, float]:
+    """Return the admitted share of each class of requests within the rate."""
     admitted_share = service.admitted_share
     if admitted_share >= 1:
         return {}
     calls_per_s = {
         request_class: demand.rate_per_s * demand.runs
         for request_class, demand in service.classes.items()
+        if not request_class.is_beyond_rate
     }
     reserved = min(RESERVED_SHARE, admitted_share)
     remaining_per_s = (admitted_share - reserved) * sum(calls_per_s.values())
     shares: dict[RequestClass, float] = {}
+    for group in _groups_in_order(service, calls_per_s):
+        group_per_s = sum(calls_per_s[each] for each in group)
+        granted_per_s = min(remaining_per_s, (1 - reserved) * group_per_s)
+        remaining_per_s -= granted_per_s
+        share = 1.0
+        if group_per_s:
+            share = reserved + granted_per_s / group_per_s
+        for request_class in group:
+            shares[request_class] = share
+    return shares
+
+
+def _groups_in_order(
+    service: _Service, request_classes: Iterable[RequestClass]
+) -> list[list[RequestClass]]:
+    """Return the classes that are served alike, the first ones first."""
     order = sorted(
-        calls_per_s,
+        request_classes,
         key=lambda request_class: (
             request_class.priority,
             service.classes[request_class].runs,
             request_class.run_kind,
         ),
     )
+    groups: list[list[RequestClass]] = []
     for request_class in order:
-        requested_per_s = (1 - reserved) * calls_per_s[request_class]
-        granted_per_s = min(remaining_per_s, requested_per_s)
-        remaining_per_s -= granted_per_s
-        shares[request_class] = 1.0
-        if calls_per_s[request_class]:
-            shares[request_class] = (
-                reserved + granted_per_s / calls_per_s[request_class]
-            )
-    return shares
+        first = groups[-1][0] if groups else None
+        if first is not None and first.priority == request_class.priority:
+            most_runs = service.classes[first].runs * SIMILAR_RUNS_RATIO
+            if service.classes[request_class].runs < most_runs:
+                groups[-1].append(request_class)
+                continue
+        groups.append([request_class])
+    return groups
--- a/src/rattanstile/process/mesh/entry/entry_call.py
+++ b/src/rattanstile/process/mesh/entry/entry_call.py
@@ -4,6 +4,10 @@
 from enum import Enum, unique
 
 from rattanstile.connection.peer_link import PeerLink
+from rattanstile.process.mesh.admission.root_admission import (
+    RequestClass,
+    RequestOrigin,
+)
 from rattanstile.process.mesh.admission.service_needs import RunKind
 from rattanstile.request.exchange import (
     AnswerSink,
@@ -69,6 +73,8 @@
             has reached a target, or a repeated run has made it.
         sink: Receives a large answer in parts; None keeps any answer until it
             is complete.
+        is_beyond_rate: Whether only tokens that refused requests gave back
+            cover it.
     """
 
     caller_request: IncomingRequest
@@ -92,6 +98,7 @@
     held_until_s: float = 0.0
     is_repeat: bool = False
     sink: AnswerSink | None = None
+    is_beyond_rate: bool = False
 
     @property
     def priority(self) -> int:
@@ -114,6 +121,22 @@
         stated_s = self.caller_request.deadline_ms / MS_PER_S
         return max(self.deadline_s, self.arrived_s + stated_s)
 
+    @property
+    def origin(self) -> RequestOrigin:
+        """Return who sends the request, for admission."""
+        organisation = self.organisation
+        name = organisation.name if organisation else NO_ORGANISATION
+        return RequestOrigin(
+            name, self.is_beyond_rate, self.route.latency_objective_s
+        )
+
+    @property
+    def request_class(self) -> RequestClass:
+        """Return the class that it is admitted with."""
+        return RequestClass(
+            self.route.priority, self.run_kind, self.is_beyond_rate
+        )
+
     @property
     def run_kind(self) -> RunKind:
         """Return the route and service that its runs are accounted to."""
--- a/src/rattanstile/process/mesh/entry/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry/entry_handler.py
@@ -208,6 +208,7 @@
             return
         rate = self._rates.limiter.take(now_s, organisation)
         if rate.is_admitted:
+            call.is_beyond_rate = rate.is_given_back
             self._check_load(now_s, call)
         elif rate.may_use_pool:
             call.phase = Phase.AWAITING_TOKEN
@@ -261,6 +262,7 @@
             self.attempts.usage.usage_of(call.run_kind),
             now_s,
             call.caller_deadline_s,
+            call.origin,
         )
         if verdict.is_admitted:
             self._place(now_s, call)
@@ -277,6 +279,7 @@
                 service=verdict.service,
                 part=verdict.part,
                 let_in=verdict.let_in,
+                beyond_rate=call.is_beyond_rate,
                 retry_after_s=round(verdict.retry_after_s, 2),
             )
 
@@ -311,9 +314,20 @@
         self._held[call] = None
 
     def _end_unplaced(self, call: EntryCall) -> None:
-        retry_after_s = self._admission.retry_after_s(
-            call.service, self._context.timers.now_s(), call.caller_deadline_s
-        )
+        now_s = self._context.timers.now_s()
+        deadline_s = call.caller_deadline_s
+        if call.is_inner:
+            retry_after_s = self._admission.retry_after_s(
+                call.service, now_s, deadline_s
+            )
+        else:
+            retry_after_s = self._admission.return_s(
+                call.service,
+                call.request_class,
+                call.origin,
+                now_s,
+                deadline_s,
+            )
         self._end(call, call.refusal(call.last_refusal, retry_after_s))
 
     # End of an attempt
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -30,6 +30,10 @@
     yield _line('reruns_total', counters.reruns)
     yield _line('moves_total', counters.moves)
     yield _line('probes_total', counters.probes)
+    slots = node.admission.returns.slots
+    yield _line('returns_reserved_total', slots.reserved)
+    yield _line('returns_claimed_total', slots.claimed)
+    yield _line('returns_unclaimed_total', slots.unclaimed)
     yield _line('calls_given_way_total', node.serving.queue.late_count)
     for kind, sent in sorted(node.peers.traffic.counts.items()):
         labels = {
--- a/src/rattanstile/process/mesh/rates/rate_limiter.py
+++ b/src/rattanstile/process/mesh/rates/rate_limiter.py
@@ -23,6 +23,7 @@
 MAX_LOCAL_SHARE = 0.6
 """Upper bound of the share of each rate that nodes hold; the rest is in the
 pool."""
+POOL_SHARE = 1 - MAX_LOCAL_SHARE
 RATE_SHARE = 1.03
 BURST_SHARE = 1.08
 SPARE_CALLS = 10.0
@@ -57,6 +58,7 @@
             have had a token for one more caller.
         returning: Rejected callers that were told to return and for which no
             token has come in yet.
+        given_back: Those of the tokens that requests which have not run left.
     """
 
     filled_s: float
@@ -68,6 +70,7 @@
     pool_retry_at_s: float = 0.0
     pool_token_at_s: float = 0.0
     returning: float = 0.0
+    given_back: float = 0.0
 
     def fill(
         self, now_s: float, organisation: Organisation, spare_calls: float
@@ -82,6 +85,14 @@
         )
         self.returning = max(0.0, self.returning - passed_s * rate_per_s)
 
+    def take(self) -> bool:
+        """Take a token; return whether only those given back are left."""
+        is_given_back = self.tokens - self.given_back < 1
+        self.tokens -= 1
+        if is_given_back:
+            self.given_back = max(0.0, self.given_back - 1)
+        return is_given_back
+
     def wait_s(self, organisation: Organisation) -> float:
         """Return the time until the next token."""
         rate_per_s = organisation.rate_per_s * RATE_SHARE * self.share
@@ -110,6 +121,8 @@
         tokens: Tokens left in the node's bucket.
         part: The node's share of the rate.
         token_wait_s: Time until a token, as far as this node knows.
+        is_given_back: Whether its token was given back by a request that has
+            not run, and no other was left.
     """
 
     is_admitted: bool
@@ -117,6 +130,7 @@
     tokens: float
     part: float
     token_wait_s: float = 0
+    is_given_back: bool = False
 
 
 class LocalRateLimiter:
@@ -148,12 +162,13 @@
         bucket = self._filled(now_s, organisation)
         bucket.requests += 1
         if bucket.tokens >= 1:
-            bucket.tokens -= 1
+            is_given_back = bucket.take()
             return RateDecision(
                 is_admitted=True,
                 may_use_pool=False,
                 tokens=bucket.tokens,
                 part=bucket.share,
+                is_given_back=is_given_back,
             )
         return RateDecision(
             is_admitted=False,
@@ -179,6 +194,7 @@
         bucket = self._buckets.get(organisation.name)
         if bucket is not None:
             bucket.tokens += 1
+            bucket.given_back += 1
 
     def demand(self, now_s: float) -> dict[OrganisationId, float]:
         """Return the smoothed requests per second of each organisation."""
@@ -226,7 +242,16 @@
         bucket = self._bucket(now_s, organisation)
         if now_s > bucket.share_expires_s:
             bucket.share = MAX_LOCAL_SHARE / self._nodes
+        # While tokens that were given back are here, the pool isn't asked.
+        # They count as new at the rate at which it would have granted tokens.
+        pool_share = bucket.share * POOL_SHARE / MAX_LOCAL_SHARE
+        pool_share = pool_share or 1 / self._nodes
+        passed_s = now_s - bucket.filled_s
+        renewed = passed_s * organisation.rate_per_s * pool_share
         bucket.fill(now_s, organisation, SPARE_CALLS / self._nodes)
+        bucket.given_back = min(
+            bucket.tokens, max(0.0, bucket.given_back - renewed)
+        )
         return bucket
 
 
