Repeats by progress and urgency; inner calls carry the urgency of their root

Cause: repeats were granted first come, first served. Where every target of the deepest service rejects 0.55 of its calls and a tree needs four of them, most repeats went to trees that failed at a later call. The urgency of a root request was not known for inner calls, so the ranking could not use it.

Change: run_positions infers which run of the local target makes an inner call (idle chains, time since the last answer, calls that finished runs make, and the deadline where targets pass it on). repeat_ranking grants a repeat if the budget left exceeds what cheaper calls will need; the cost is the number of calls that the tree still needs, more for less urgent roots. Whether a repeated run makes a call is inferred with the same positions, in place of a draw by share. ServedCall.urgency carries the priority of the root request.

--- a/src/rattanstile/process/mesh/admission/service_needs.py
+++ b/src/rattanstile/process/mesh/admission/service_needs.py
@@ -92,6 +92,13 @@
             for service, estimate in usage.services.items()
         )
 
+    def calls_of_tree(self, calls: dict[RunKind, float]) -> float:
+        """Return the number of calls that these need, down to the deepest."""
+        return sum(
+            count * sum(usage.runs for usage in self.usage_of(kind))
+            for kind, count in calls.items()
+        )
+
     def total_usage(
         self, calls: dict[RunKind, float]
     ) -> dict[ServiceName, ServiceUsage]:
--- a/src/rattanstile/process/mesh/counters.py
+++ b/src/rattanstile/process/mesh/counters.py
@@ -57,6 +57,8 @@
         reruns: Repeated sends of requests that may have run.
         moves: Attempts that did not run, so that the request could go to
             another node.
+        repeats: Calls that reached a target and may be sent again, by the
+            decision of the retry budget.
         probes: Probes of this node's target.
     """
 
@@ -67,6 +69,7 @@
     not_taken: Counter[str] = field(default_factory=Counter)
     reruns: int = 0
     moves: int = 0
+    repeats: Counter[str] = field(default_factory=Counter)
     probes: int = 0
 
     def record_latency(self, route: str, took_s: float) -> None:
--- a/src/rattanstile/process/mesh/entry/entry_call.py
+++ b/src/rattanstile/process/mesh/entry/entry_call.py
@@ -5,6 +5,7 @@
 
 from rattanstile.connection.peer_link import PeerLink
 from rattanstile.process.mesh.admission.service_needs import RunKind
+from rattanstile.process.mesh.placement.run_positions import CallChain
 from rattanstile.request.exchange import (
     AnswerSink,
     EndingHandler,
@@ -70,6 +71,8 @@
         is_counted: Whether its first attempt is recorded in the retry budget.
         has_unused_repeat: Whether it has taken a repeat from the retry budget
             and no attempt has reached a target since.
+        origin: Calls of the run that has made an inner request, as inferred;
+            None for root requests.
         sink: Receives a large answer in parts; None keeps any answer until it
             is complete.
     """
@@ -96,8 +99,14 @@
     is_repeat: bool = False
     is_counted: bool = False
     has_unused_repeat: bool = False
+    origin: CallChain | None = None
     sink: AnswerSink | None = None
 
+    @property
+    def urgency(self) -> int:
+        """Return the priority of the root request, as far as it is known."""
+        return self.priority if self.origin is None else self.origin.run.urgency
+
     @property
     def priority(self) -> int:
         """Return the priority; 0 is the most urgent.
@@ -161,6 +170,7 @@
             headers=caller_request.headers,
             body=caller_request.body,
             is_repeat=self.is_repeat,
+            urgency=self.urgency,
         )
 
     def refusal(
--- a/src/rattanstile/process/mesh/entry/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry/entry_handler.py
@@ -22,7 +22,15 @@
 )
 from rattanstile.process.mesh.fleet.fleet_links import FleetLinks
 from rattanstile.process.mesh.placement.attempts import MS_PER_S, Attempts
-from rattanstile.process.mesh.placement.call_endings import ending_label
+from rattanstile.process.mesh.placement.call_endings import (
+    ending_label,
+    is_success,
+)
+from rattanstile.process.mesh.placement.repeat_ranking import (
+    RepeatDecision,
+    RepeatRanking,
+    repeat_cost,
+)
 from rattanstile.process.mesh.placement.rerun_budget import RerunBudget
 from rattanstile.process.mesh.placement.splitter import Splitter
 from rattanstile.process.mesh.rates.rate_limiter import (
@@ -88,6 +96,7 @@
         self._rates = rates
         self._admission = admission
         self._reruns = reruns
+        self._ranking = RepeatRanking(reruns)
         self._splitter = Splitter()
         self._checks = RequestChecks(context)
         self.roots = 0
@@ -139,6 +148,7 @@
         self._add_deadline(call, call.deadline_s)
         if call.is_inner:
             self._serving.attribution.called(now_s, call.run_kind)
+            self._infer_origin(now_s, call)
             self._place(now_s, call)
         else:
             self.roots += 1
@@ -156,7 +166,7 @@
         if call.phase is Phase.ENDED:
             return
         self.attempts.withdraw(call)
-        self._mark_ended(call)
+        self._mark_ended(call, is_success=False)
         self._context.counters.outcomes['abandoned'] += 1
 
     def _entry_call(
@@ -179,17 +189,15 @@
             is_inner=is_inner,
             arrived_s=now_s,
             deadline_s=now_s + allowed_s,
-            is_repeat=is_inner and self._is_made_by_repeat(),
         )
 
-    def _is_made_by_repeat(self) -> bool:
-        """Return whether a repeated run makes a call of the local target.
-
-        The call doesn't say which run makes it: drawn by the share of the
-        target's runs that are repeats.
-        """
-        share = self._serving.repeated_share
-        return share > 0 and self._context.rng.random() < share
+    def _infer_origin(self, now_s: float, call: EntryCall) -> None:
+        """Infer which run of the local target makes a call."""
+        call.origin = self._serving.positions.called(
+            now_s, call.run_kind, call.caller_deadline_s
+        )
+        if call.origin is not None:
+            call.is_repeat = call.origin.run.is_repeat
 
     def _organisation(
         self, caller_request: IncomingRequest
@@ -374,9 +382,33 @@
             return True
         # The attempt has reached a target, so sending it again is a repeat.
         call.is_repeat = True
-        call.has_unused_repeat = self._reruns.spend(now_s, call.service)
+        call.has_unused_repeat = self._may_repeat(now_s, call)
         return call.has_unused_repeat
 
+    def _may_repeat(self, now_s: float, call: EntryCall) -> bool:
+        """Count a repeat; return whether budget and ranking allow it."""
+        calls_left = self.attempts.usage.calls_of_tree({call.run_kind: 1.0})
+        if call.origin is not None:
+            calls_left += self.attempts.usage.calls_of_tree(
+                self._serving.positions.calls_left(now_s, call.origin)
+            )
+        cost = repeat_cost(calls_left, call.urgency)
+        decision = self._ranking.decide(now_s, call.service, cost)
+        self._context.counters.repeats[decision.value] += 1
+        if decision is RepeatDecision.GRANTED:
+            return True
+        self._context.log.write(
+            LineKind.PLACED_AGAIN,
+            'repeat_refused',
+            request=call.caller_request.request_id,
+            service=call.service,
+            why=decision.value,
+            calls_left=round(calls_left, 1),
+            urgency=call.urgency,
+            budget_left=round(self._reruns.left(now_s, call.service), 1),
+        )
+        return False
+
     def _rerun_or_end(self, call: EntryCall, ending: Unknown) -> None:
         now_s = self._context.timers.now_s()
         if not self._may_rerun(now_s, call):
@@ -396,7 +428,7 @@
             and call.attempts < call.route.most_attempts
             and now_s + MIN_RERUN_TIME_S < call.deadline_s
             and not self._may_outlast_process(call)
-            and self._reruns.spend(now_s, call.service)
+            and self._may_repeat(now_s, call)
         )
 
     # Periodic work
@@ -453,7 +485,7 @@
     def _end(self, call: EntryCall, ending: Ending) -> None:
         if call.phase is Phase.ENDED:
             return
-        self._mark_ended(call)
+        self._mark_ended(call, is_success=is_success(ending))
         if isinstance(ending, NotRun):
             if call.organisation is not None and (
                 ending.reason is not NotRunReason.OVER_RATE
@@ -462,7 +494,13 @@
         self._log_end(call, ending)
         call.on_end(ending)
 
-    def _mark_ended(self, call: EntryCall) -> None:
+    def _mark_ended(self, call: EntryCall, *, is_success: bool) -> None:
+        if call.origin is not None:
+            self._serving.positions.answered(
+                self._context.timers.now_s(),
+                call.origin,
+                has_failed=not is_success,
+            )
         call.phase = Phase.ENDED
         self._held.pop(call, None)
         self.roots -= not call.is_inner
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -28,6 +28,8 @@
     yield _line('runs_total', counters.runs)
     yield _line('reruns_total', counters.reruns)
     yield _line('moves_total', counters.moves)
+    for name, count in sorted(counters.repeats.items()):
+        yield _line('repeats_total', count, decision=name)
     yield _line('probes_total', counters.probes)
     for kind, sent in sorted(node.peers.traffic.counts.items()):
         labels = {
@@ -56,6 +58,8 @@
     yield _line('allocator', int(node.rates.delegates.is_allocator))
     for domain, age_s in sorted(node.links.digests.ages_s(now_s).items()):
         yield _line('domain_digest_age_seconds', age_s, domain=domain)
+    for service, left in sorted(node.reruns.left_by_service(now_s).items()):
+        yield _line('retry_budget_left', left, service=service)
     for tight_service in node.admission.services_near_capacity():
         yield _line(
             'let_in', tight_service.let_in, service=tight_service.service
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -147,7 +147,7 @@
         self._target_pool = TargetPool(
             self._reactor, self.timers, settings.target_address
         )
-        self._reruns = RerunBudget(
+        self.reruns = RerunBudget(
             settings.rerun_ratio, settings.rerun_slack, context.rng.random
         )
         self.serving = ServingHandler(
@@ -156,7 +156,7 @@
             self._target_pool,
             adapters.targets,
             self.peer_service.status_changed,
-            self._reruns,
+            self.reruns,
         )
         self.admission = RootAdmission(context.rng)
         self.links = FleetLinks(
@@ -174,7 +174,7 @@
             self.peers,
             self.rates,
             self.admission,
-            self._reruns,
+            self.reruns,
             self.links,
         )
         readers = StoreReaders(context.node_id, self.links.near_ids)
@@ -322,7 +322,7 @@
             )
             self._rates_due_s = now_s + period_s - TICK_S / 2
             self.rates.report(now_s)
-            self._reruns.set_node_count(self.rates.fleet_size)
+            self.reruns.set_node_count(self.rates.fleet_size)
             self._log_tight_services()
         self.rates.report_domain(now_s)
 
--- a/src/rattanstile/process/mesh/placement/attempt_window.py
+++ b/src/rattanstile/process/mesh/placement/attempt_window.py
@@ -64,17 +64,21 @@
             self._buckets.popleft()
 
     def recent_per_s(self, now_s: float) -> float:
+        """Return the rate of first attempts in the last second."""
+        recent = 0
+        for bucket in reversed(self._buckets):
+            if now_s - bucket.began_s > RECENT_S:
+                break
+            recent += bucket.first
+        return recent / RECENT_S
+
+    def lasting_per_s(self, now_s: float) -> float:
         """Return the rate of first attempts: the lower of a short and a long.
 
         A short rise is not expected to last, and a fall is.
         """
-        recent = 0
-        total = 0
-        for bucket in self._buckets:
-            total += bucket.first
-            if now_s - bucket.began_s <= RECENT_S:
-                recent += bucket.first
-        return min(recent / RECENT_S, total / WINDOW_S)
+        total = sum(bucket.first for bucket in self._buckets)
+        return min(self.recent_per_s(now_s), total / WINDOW_S)
 
     def unused(self, now_s: float, ratio: float) -> float:
         """Return the repeats that fit all windows which include this moment.
@@ -88,7 +92,7 @@
             ratio: Allowed repeats for each first attempt.
         """
         self.expire(now_s)
-        expected_per_s = EXPECTED_SHARE * self.recent_per_s(now_s)
+        expected_per_s = EXPECTED_SHARE * self.lasting_per_s(now_s)
         first = 0
         repeats = 0
         least = max(1.0, ratio * expected_per_s * WINDOW_S)
--- a/src/rattanstile/process/mesh/placement/call_endings.py
+++ b/src/rattanstile/process/mesh/placement/call_endings.py
@@ -43,6 +43,17 @@
             )
 
 
+def is_success(ending: Ending) -> bool:
+    """Return whether the target answered with a status of 2xx."""
+    match ending:
+        case Answered(answer):
+            return answer.is_success
+        case Streamed(status):
+            return 200 <= status < 300  # noqa: PLR2004
+        case _:
+            return False
+
+
 def decode_ending(message: CallResponse) -> Ending:
     """Return the ending that a peer reported."""
     if message.answer is not None:
--- a/src/rattanstile/process/mesh/placement/rerun_budget.py
+++ b/src/rattanstile/process/mesh/placement/rerun_budget.py
@@ -87,6 +87,9 @@
 class RerunBudget:
     """Repeated attempts that this node may send.
 
+    Attributes:
+        ratio: Allowed repeats for each first attempt.
+
     Args:
         ratio: Allowed repeats for each first attempt.
         slack: Repeats that the fleet may send in addition, in a window.
@@ -98,7 +101,7 @@
         self, ratio: float, slack: float, draw: Callable[[], float]
     ) -> None:
         """Start without attempts."""
-        self._ratio = ratio
+        self.ratio = ratio
         self._slack = slack * SLACK_SHARE
         self._draw = draw
         self._nodes = 1
@@ -143,13 +146,18 @@
         """Return the repeats that are neither used nor reserved."""
         budget = self._budget(now_s, service)
         slack = self._slack / self._nodes + budget.rounding
-        unused = budget.window.unused(now_s, self._ratio)
+        unused = budget.window.unused(now_s, self.ratio)
         return unused + slack - budget.reserved.left
 
-    def earned_per_s(self, now_s: float, service: ServiceName) -> float:
-        """Return the repeats that recent first attempts earn in a second."""
-        window = self._budget(now_s, service).window
-        return self._ratio * window.recent_per_s(now_s)
+    def left_by_service(self, now_s: float) -> dict[ServiceName, float]:
+        """Return the repeats that are left of each service."""
+        return {
+            service: self.left(now_s, service) for service in self._services
+        }
+
+    def first_per_s(self, now_s: float, service: ServiceName) -> float:
+        """Return the rate of recent first attempts."""
+        return self._budget(now_s, service).window.recent_per_s(now_s)
 
     def reserve(
         self, now_s: float, calls: Iterable[ServiceUsage]
--- a/src/rattanstile/process/mesh/serving/served_calls.py
+++ b/src/rattanstile/process/mesh/serving/served_calls.py
@@ -6,6 +6,7 @@
 
 from rattanstile.connection.target_pool import TargetExchange
 from rattanstile.process.mesh.placement.rerun_budget import Reservation
+from rattanstile.process.mesh.placement.run_positions import Run
 from rattanstile.process.mesh.serving.served_stream import ServedStream
 from rattanstile.process.mesh.serving.target_gate import WaitingCall
 from rattanstile.request.exchange import EndingHandler
@@ -29,6 +30,7 @@
         stream: The answer as it arrives, if its parts are passed on.
         reservation: Retry budget reserved for the calls of a repeated run;
             None for other runs.
+        run: The run, from when it is sent to the target.
     """
 
     waiting: WaitingCall
@@ -36,6 +38,7 @@
     exchange: TargetExchange | None = None
     stream: ServedStream | None = None
     reservation: Reservation | None = None
+    run: Run | None = None
 
     @property
     def is_streaming(self) -> bool:
--- a/src/rattanstile/process/mesh/serving/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving/serving_handler.py
@@ -15,6 +15,10 @@
 )
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.placement.rerun_budget import RerunBudget
+from rattanstile.process.mesh.placement.run_positions import (
+    Run,
+    RunPositions,
+)
 from rattanstile.process.mesh.ports import (
     RunAnswered,
     RunFailed,
@@ -69,6 +73,7 @@
         watch: State of the target.
         queue: Queue and limits in front of the target.
         attribution: Calls that a run of each route makes.
+        positions: Runs in progress, and the calls that each has made.
 
     Args:
         context: State shared by the components of the node.
@@ -95,6 +100,7 @@
         self.watch = watch
         self.queue = TargetQueue()
         self.attribution = CallAttribution()
+        self.positions = RunPositions(self.attribution.calls_of)
         self._failing = FailingShare()
         self._is_stopping = False
         self._end_s = float('inf')
@@ -107,7 +113,6 @@
         self._status_changed = status_changed
         self._settings_service = watch.service
         self._pending = PendingCalls()
-        self._repeated_runs = 0
         self._was_usable = False
         self._prober = TargetProber(
             context,
@@ -164,11 +169,6 @@
         """Return how many calls wait or run."""
         return len(self._pending)
 
-    @property
-    def repeated_share(self) -> float:
-        """Return the share of the target's runs that are repeats."""
-        return self._repeated_runs / max(1, self.queue.in_flight)
-
     # Calls
 
     def begin(
@@ -374,7 +374,13 @@
         call = waiting.call
         remaining_ms = max(1, int((waiting.deadline_s - now_s) * MS_PER_S))
         self.attribution.began(now_s, call.route)
-        self._repeated_runs += call.is_repeat
+        pending.run = Run(
+            call.route,
+            call.is_repeat,
+            call.root_priority,
+            waiting.deadline_s,
+        )
+        self.positions.began(now_s, pending.run)
         self._pending.start_timeout(pending)
         pending.exchange = self._pool.send(
             self._codec.encode_call(call, self.watch.target_id, remaining_ms),
@@ -407,7 +413,10 @@
             now_s, waiting, has_run=isinstance(run_end, RunAnswered)
         )
         self.attribution.ended(now_s, waiting.call.route)
-        self._repeated_runs -= waiting.call.is_repeat
+        if pending.run is not None:
+            self.positions.ended(
+                now_s, pending.run, has_finished=_is_success(run_end)
+            )
         self._release(now_s, pending)
         if end is not ExchangeFailure.ABANDONED:
             self._failing.add(now_s, is_failed=_is_failed(run_end))
@@ -530,6 +539,10 @@
         )
 
 
+def _is_success(run_end: RunAnswered | RunRefused | RunFailed) -> bool:
+    return isinstance(run_end, RunAnswered) and run_end.answer.is_success
+
+
 def _is_failed(run_end: RunAnswered | RunRefused | RunFailed) -> bool:
     """Return whether the target failed a call that reached it."""
     match run_end:
--- a/src/rattanstile/request/exchange.py
+++ b/src/rattanstile/request/exchange.py
@@ -173,6 +173,9 @@
 EndingHandler = Callable[[Ending], None]
 
 
+UNKNOWN_URGENCY = -1
+
+
 class ServedCall(msgspec.Struct, frozen=True, array_like=True):
     """One attempt of a request, as the serving node receives it.
 
@@ -189,6 +192,9 @@
         caller_service: Service of the VM where the request came in.
         organisation: Owner of the key presented; empty for none.
         is_repeat: Whether calls that its run makes are repeated calls.
+        urgency: Priority of the root request that causes it; 0 is the most
+            urgent. Inferred for inner calls; `UNKNOWN_URGENCY` from nodes that
+            don't state it.
     """
 
     request_id: str
@@ -208,6 +214,12 @@
     headers: tuple[RawHeader, ...]
     body: bytes
     is_repeat: bool = False
+    urgency: int = UNKNOWN_URGENCY
+
+    @property
+    def root_priority(self) -> int:
+        """Return the priority of the root request; its own if unknown."""
+        return self.priority if self.urgency < 0 else self.urgency
 
 
 class ServiceUsage(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/retry_fleet.py
+++ b/tests/retry_fleet.py
@@ -15,6 +15,7 @@
 RATIO = 0.2
 HOP_S = 0.001
 MAX_MOVES = 8
+ROOT_DEADLINE_S = 2.0
 WINDOW_S = 10.0
 STEP_S = 0.1
 
@@ -68,6 +69,7 @@
     node: 'Node'
     urgency: int
     on_end: object
+    deadline_s: float = 0.0
     is_repeat: bool = False
     is_true_repeat: bool = False
     has_arrived: bool = False
@@ -171,6 +173,7 @@
                 node,
                 urgency,
                 lambda ok: self.roots.append((began_s, urgency, ok)),
+                deadline_s=self.now_s + ROOT_DEADLINE_S,
             )
         )
 
--- a/tests/test_entry_desk.py
+++ b/tests/test_entry_desk.py
@@ -19,6 +19,10 @@
 from rattanstile.process.mesh.placement.candidates import CandidateTable
 from rattanstile.process.mesh.placement.placement import Candidate
 from rattanstile.process.mesh.placement.rerun_budget import RerunBudget
+from rattanstile.process.mesh.placement.run_positions import (
+    Run,
+    RunPositions,
+)
 from rattanstile.process.mesh.rates.rate_limiter import RateDecision
 from rattanstile.request.exchange import (
     NotRun,
@@ -55,7 +59,10 @@
 
     def setUp(self):
         state = FleetState(
-            config=config(routes=(route(),), organisations=(organisation(),))
+            config=config(
+                routes=(route(), route('tax', open_to_all=True)),
+                organisations=(organisation(),),
+            )
         )
         made, self.clock, _ = context(state)
         self.sent = []
@@ -78,10 +85,12 @@
                 request=lambda one, answer: self.token_requests.append(answer)
             ),
         )
+        self.positions = RunPositions(lambda route: {})
         serving = SimpleNamespace(
             watch=SimpleNamespace(service='other'),
             is_usable=False,
-            repeated_share=0.0,
+            attribution=SimpleNamespace(called=lambda now_s, kind: None),
+            positions=self.positions,
         )
         reruns = RerunBudget(0.2, 8, made.rng.random)
         reruns.set_node_count(4)
@@ -134,6 +143,35 @@
         total = self.sends(NotRunReason.QUEUE_FULL, 20)
         self.assertEqual(total, 20 * (NODES - 2))
 
+    def begin_inner(self, *, is_repeat):
+        """Begin a call of a run of urgency 0, and return its message."""
+        run = Run('claims', is_repeat, 0, 2.0)
+        self.positions.began(0.0, run)
+        self.desk.begin(
+            caller_request('inner', path='/tax/1', key=None), self.ends.append
+        )
+        return self.sent[-1].call if self.sent else None
+
+    def test_inner_call_carries_the_urgency_of_its_root(self):
+        """Its own route is less urgent, and it was served accordingly."""
+        call = self.begin_inner(is_repeat=False)
+        self.assertTrue(call.inner)
+        self.assertEqual((call.priority, call.urgency), (1, 0))
+        self.assertFalse(call.is_repeat)
+
+    def test_call_of_a_repeated_run_needs_budget(self):
+        """It was sent in any case, beyond the budget."""
+        self.desk._reruns.set_node_count(1000)
+        self.assertIsNone(self.begin_inner(is_repeat=True))
+        self.assertEqual(
+            [end.reason for end in self.ends], [NotRunReason.RETRY_BUDGET]
+        )
+
+    def test_root_call_carries_its_own_priority(self):
+        """Nodes that read the urgency don't fall back on a default."""
+        self.desk.begin(caller_request('root'), self.ends.append)
+        self.assertEqual(self.sent[0].call.urgency, 1)
+
     def test_refusals_for_the_retry_budget_are_moved(self):
         """Another node may have room for the calls of the repeated run."""
         total = self.sends(NotRunReason.RETRY_BUDGET, 20)
--- a/tests/test_repeated_calls.py
+++ b/tests/test_repeated_calls.py
@@ -96,6 +96,20 @@
                 exchange.ended(RESPONSE)
         self.assertAlmostEqual(self.left(), left)
 
+    def test_call_without_urgency_has_its_own_priority(self):
+        """Older nodes don't state the urgency of the root request."""
+        self.assertEqual(served_call(priority=2).root_priority, 2)
+        self.assertEqual(served_call(priority=2, urgency=0).root_priority, 0)
+
+    def test_runs_are_known_while_they_are_on_the_target(self):
+        """A run that is never removed would be taken for the caller later."""
+        self.begin('a', is_repeat=False)
+        self.assertEqual(len(self.desk.positions), 1)
+        self.pool.sent[0].ended(RESPONSE)
+        self.begin('b', is_repeat=False)
+        self.desk.cancel('b')
+        self.assertEqual(len(self.desk.positions), 0)
+
     def test_older_nodes_understand_the_refusal(self):
         """They raise an error on a reason that they don't know."""
         message = encode_ending(
