--- a/src/rattanstile/process/mesh/entry/entry_call.py
+++ b/src/rattanstile/process/mesh/entry/entry_call.py
@@ -9,6 +9,7 @@
     RequestOrigin,
 )
 from rattanstile.process.mesh.admission.service_needs import RunKind
+from rattanstile.process.mesh.placement.run_positions import CallChain
 from rattanstile.request.exchange import (
     AnswerSink,
     EndingHandler,
@@ -74,6 +75,8 @@
         is_counted: Whether its first attempt is recorded in the retry budget.
         has_unused_repeat: Whether it has taken a repeat from the retry budget
             and no attempt has reached a target since.
+        origin: Calls of the run that has made an inner request, as inferred;
+            None for root requests.
         sink: Receives a large answer in parts; None keeps any answer until it
             is complete.
         is_beyond_rate: Whether only tokens that refused requests gave back
@@ -102,9 +105,15 @@
     is_repeat: bool = False
     is_counted: bool = False
     has_unused_repeat: bool = False
+    origin: CallChain | None = None
     sink: AnswerSink | None = None
     is_beyond_rate: bool = False
 
+    @property
+    def urgency(self) -> int:
+        """Return the priority of the root request, as far as it is known."""
+        return self.priority if self.origin is None else self.origin.run.urgency
+
     @property
     def priority(self) -> int:
         """Return the priority; 0 is the most urgent.
@@ -184,6 +193,7 @@
             headers=caller_request.headers,
             body=caller_request.body,
             is_repeat=self.is_repeat,
+            urgency=self.urgency,
         )
 
     def refusal(
