--- a/src/rattanstile/process/mesh/entry/entry_call.py
+++ b/src/rattanstile/process/mesh/entry/entry_call.py
@@ -136,7 +136,7 @@
         return max(self.deadline_s, self.arrived_s + stated_s)
 
     @property
-    def origin(self) -> RequestOrigin:
+    def sender(self) -> RequestOrigin:
         """Return who sends the request, for admission."""
         organisation = self.organisation
         name = organisation.name if organisation else NO_ORGANISATION
--- a/src/rattanstile/process/mesh/entry/entry_handler.py
+++ b/src/rattanstile/process/mesh/entry/entry_handler.py
@@ -270,7 +270,7 @@
             self.attempts.usage.usage_of(call.run_kind),
             now_s,
             call.caller_deadline_s,
-            call.origin,
+            call.sender,
         )
         if verdict.is_admitted:
             self._place(now_s, call)
@@ -344,7 +344,7 @@
             retry_after_s = self._admission.return_s(
                 call.service,
                 call.request_class,
-                call.origin,
+                call.sender,
                 now_s,
                 deadline_s,
             )
