--- a/tests/retry_fleet.py
+++ b/tests/retry_fleet.py
@@ -73,6 +73,7 @@
     is_repeat: bool = False
     is_true_repeat: bool = False
     has_arrived: bool = False
+    origin: object = None
     moves: int = 0
     tried: set = field(default_factory=set)
 
--- a/tests/test_retry_progress.py
+++ b/tests/test_retry_progress.py
@@ -2,15 +2,8 @@
 
 import unittest
 
-from retry_fleet import Fault, Level, Node, RetryFleet
-
-from rattanstile.process.mesh.admission.service_needs import RunKind
-from rattanstile.process.mesh.placement.repeat_ranking import (
-    RepeatDecision,
-    RepeatRanking,
-    repeat_cost,
-)
-from rattanstile.process.mesh.placement.run_positions import Run, RunPositions
+from retry_fleet import Fault, Level, RetryFleet
+from retry_ranking_fleet import RankingFleet
 
 LEVELS = (Level('orders', 4, 4, 0.003), Level('taxes', 5, 0, 0.05))
 """About 35 runs are in progress on each node while no call is rejected."""
@@ -18,65 +11,6 @@
 ROOTS_PER_S = 640
 SLACK = 50
 SEEDS = range(1, 5)
-OWN_DEADLINE_S = 1.5
-TAXES = RunKind('taxes', 'taxes')
-
-
-class RankingNode(Node):
-    """A node that infers positions and ranks repeats, as the product does."""
-
-    def __init__(self, fleet, level, index):
-        super().__init__(fleet, level, index)
-        needs = {TAXES: 4.0} if level == 0 else {}
-        self.positions = RunPositions(lambda route: needs)
-        self.ranking = RepeatRanking(self.budget)
-
-
-class RankingFleet(RetryFleet):
-    """Repeats calls by progress and urgency."""
-
-    def new_node(self, level, index):
-        return RankingNode(self, level, index)
-
-    passes_deadline = True
-
-    def run_began(self, call, node):
-        call.run = Run(
-            self.levels[call.level].name,
-            is_repeat=call.is_repeat,
-            urgency=call.urgency,
-            deadline_s=call.deadline_s,
-        )
-        node.positions.began(self.now_s, call.run)
-
-    def infer(self, inner, call, node):
-        inner.deadline_s = self.now_s + OWN_DEADLINE_S
-        if self.passes_deadline:
-            # Whole milliseconds of the time left, as a message carries them.
-            left_ms = int((call.deadline_s - self.now_s) * 1000)
-            inner.deadline_s = self.now_s + left_ms / 1000
-        inner.origin = node.positions.called(
-            self.now_s, TAXES, inner.deadline_s
-        )
-        inner.is_repeat = inner.origin.run.is_repeat
-
-    def may_repeat(self, call):
-        origin = call.origin
-        left = call.node.positions.calls_left(self.now_s, origin).values()
-        cost = repeat_cost(1 + sum(left), origin.run.urgency)
-        decision = call.node.ranking.decide(
-            self.now_s, self.levels[call.level].name, cost
-        )
-        return decision is RepeatDecision.GRANTED
-
-    def inner_ended(self, inner, is_ok):
-        inner.node.positions.answered(
-            self.now_s, inner.origin, has_failed=not is_ok
-        )
-
-    def end_run(self, call, node, reservation, is_ok):
-        node.positions.ended(self.now_s, call.run, has_finished=is_ok)
-        super().end_run(call, node, reservation, is_ok)
 
 
 class OwnDeadlineFleet(RankingFleet):
