Target queue: a target that rejects more under load is given fewer calls

Cause: a target that rejects what exceeds a limit that it doesn't announce was sent as many calls as it has slots. Its capacity was reported as if it ran them, so that roots were admitted whose inner calls were then rejected. A target that rejects all calls alike must not be treated so: fewer calls gain nothing there.

The limit is what capacity and load reports follow from, so that admission at the roots follows without a new message. Calls of a cold target don't count.

--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -70,6 +70,7 @@
     yield _line('calls_waiting', queue.waiting)
     yield _line('calls_in_flight', queue.in_flight)
     yield _line('target_limit', queue.limit)
+    yield _line('target_limit_share', queue.rejections.limit_share)
     yield _line('queue_scarce', int(queue.is_scarce))
     for route, route_time in queue.route_times.known():
         yield _line('route_service_seconds', route_time.mean_s, route=route)
--- a/src/rattanstile/process/mesh/serving/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving/serving_handler.py
@@ -308,11 +308,13 @@
         self.queue.cold_calls_per_s = service.cold_calls_per_s
         self._pool.connection_limit = min(
             max(8, int(service.max_connections * MAX_CONNECTION_SHARE)),
-            max(8, self.queue.limit + SPARE_CONNECTIONS),
+            max(8, self.queue.highest_limit + SPARE_CONNECTIONS),
         )
 
     def _target_changed(self, change: TargetChange, source: str) -> None:
         now_s = self._timers.now_s()
+        if change is TargetChange.NEW:
+            self.queue.rejections.reset()
         if change in {TargetChange.NEW, TargetChange.LEAVING}:
             self._log.write(
                 LineKind.TARGET,
@@ -398,6 +400,9 @@
         self.queue.release(
             now_s, waiting, has_run=isinstance(run_end, RunAnswered)
         )
+        if not isinstance(run_end, RunFailed) and not self.watch.is_cold(now_s):
+            is_rejected = isinstance(run_end, RunRefused)
+            self.queue.record_answer(now_s, waiting, is_rejected=is_rejected)
         self.attribution.ended(now_s, waiting.call.route)
         self._repeated_runs -= waiting.call.is_repeat
         if end is not ExchangeFailure.ABANDONED:
--- a/src/rattanstile/process/mesh/serving/target_gate.py
+++ b/src/rattanstile/process/mesh/serving/target_gate.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from rattanstile.process.mesh.serving.rejection_load import RejectionLoad
 from rattanstile.process.mesh.serving.route_times import RouteTimes
 from rattanstile.process.mesh.serving.wait_order import (
     OTHERS_SHARE,
@@ -62,6 +63,7 @@
             routes.
         run_count: Number of calls that the target has run.
         route_times: Service times by route.
+        rejections: Whether the target rejects more calls under load.
         late_count: Number of waiting calls that were removed because they
             would have started late.
     """
@@ -75,6 +77,7 @@
         self.service_s = INITIAL_SERVICE_S
         self.run_count = 0
         self.route_times = RouteTimes()
+        self.rejections = RejectionLoad()
         self.late_count = 0
         self._order = WaitOrder()
         self._recent_starts_s: deque[float] = deque()
@@ -84,7 +87,17 @@
     @property
     def limit(self) -> int:
         """Return the limit of concurrent calls on the target."""
-        return max(1, math.floor(self.slots * USABLE_SLOT_SHARE))
+        limit_share = self.rejections.limit_share
+        return max(1, math.floor(self._usable_slots * limit_share))
+
+    @property
+    def highest_limit(self) -> int:
+        """Return the limit while rejections don't grow with the load."""
+        return max(1, math.floor(self._usable_slots))
+
+    @property
+    def _usable_slots(self) -> float:
+        return self.slots * USABLE_SLOT_SHARE
 
     def offer(
         self, now_s: float, waiting: WaitingCall, *, is_cold: bool
@@ -190,6 +203,18 @@
             self.service_s += gain * (took_s - self.service_s)
             self.route_times.record(waiting.call.route, took_s)
 
+    def record_answer(
+        self, now_s: float, waiting: WaitingCall, *, is_rejected: bool
+    ) -> None:
+        """Record whether the target ran or rejected a call."""
+        slots = max(1.0, self._usable_slots)
+        busy_share = waiting.in_flight_before / slots
+        if is_rejected:
+            self.rejections.record_rejected(now_s, busy_share, slots)
+        elif waiting.started_s is not None:
+            took_s = now_s - waiting.started_s
+            self.rejections.record_run(now_s, busy_share, took_s, slots)
+
     def expected_wait_s(self, *, is_cold: bool) -> float:
         """Return how long a call would wait behind all that wait now."""
         return self._wait_s(self._order.total(), is_cold=is_cold)
@@ -287,6 +312,7 @@
 
     def _record_start(self, now_s: float, waiting: WaitingCall) -> None:
         waiting.started_s = now_s
+        waiting.in_flight_before = self.in_flight
         self.in_flight += 1
         self._recent_starts_s.append(now_s)
         while self._recent_starts_s[0] <= now_s - COLD_WINDOW_S:
--- a/src/rattanstile/process/mesh/serving/waiting_call.py
+++ b/src/rattanstile/process/mesh/serving/waiting_call.py
@@ -21,6 +21,7 @@
         run_s: Expected service time.
         start_by_s: Monotonic time; started later, it ends late.
         latest_start_s: Monotonic time after which it is not started.
+        in_flight_before: Calls on the target when it was sent.
         is_late: Whether it ends late even if it starts at once.
     """
 
@@ -33,6 +34,7 @@
     run_s: float = 0.0
     start_by_s: float = float('inf')
     latest_start_s: float = float('inf')
+    in_flight_before: int = 0
     is_late: bool = False
 
     @property
