Admission: requests beyond their rate may use all of the capacity that is left

Cause: they were refused from 0.9 of the capacity on, also where all demand fits.

Change: what the requests within their rates leave is given to them.

--- a/src/rattanstile/process/mesh/admission/root_admission.py
+++ b/src/rattanstile/process/mesh/admission/root_admission.py
@@ -57,9 +57,6 @@
 SIMILAR_RUNS_RATIO = 1.2
 """Classes of equal priority whose runs differ by less are served alike; the
 runs are learned, and differ a little between any two routes."""
-SPARE_SHARE = 0.9
-"""Share of the usable capacity that requests beyond their rate may fill up
-to, as their demand at other nodes is only estimated."""
 MIN_CLASS_RATE_PER_S = 0.05
 """Request classes with a lower rate are dropped."""
 NEAR_CAPACITY_SHARE = 0.7
@@ -577,7 +574,7 @@
     if service.admitted_share < 1:
         # A floor would admit all of them: each is repeated until it is drawn.
         return 0.0
-    spare_per_s = SPARE_SHARE * service.usable_per_s - service.demand_per_s
+    spare_per_s = service.usable_per_s - service.demand_per_s
     own_per_s = max(service.own_per_s(), 1 / STEP_S / nodes)
     scale = min(float(nodes), max(1.0, service.demand_per_s / own_per_s))
     share = spare_per_s / (beyond_per_s * scale)
