--- a/src/rattanstile/process/mesh/admission/return_times.py
+++ b/src/rattanstile/process/mesh/admission/return_times.py
@@ -26,8 +26,8 @@
 
 RETURN_SHARE = 0.5
 """Share of what is admitted of a request class that is set aside for callers
-that return. The rest is for new ones: 0.7 answered fewer in time after a loss
-of power, 0.3 left more without a time."""
+that return. The rest is for new ones: with 0.7, fewer were answered in time
+after a loss of power."""
 OBJECTIVE_SHARE = 0.85
 """Share of its latency objective after which a caller would return too late
 to be answered within it."""
--- a/tests/test_returning_callers.py
+++ b/tests/test_returning_callers.py
@@ -252,7 +252,7 @@
 
 
 class BurstTest(unittest.TestCase):
-    """Demand rises to 1.6 times the capacity, and falls."""
+    """Demand rises to 1.44 times the capacity, and falls."""
 
     @classmethod
     def setUpClass(cls):
