Moved requests: the next target is told what is left of the objective

Cause: a root that was refused while it waited counted its objective anew at the next target, could wait there as long again, and ended late.

Change: a moved request is sent with its objective less the time since it arrived, a quarter of it at least.

--- a/src/rattanstile/process/mesh/entry/entry_call.py
+++ b/src/rattanstile/process/mesh/entry/entry_call.py
@@ -27,6 +27,9 @@
 MAX_ROOT_HOLD_SHARE = 0.125
 """Share of its latency objective that a root request may wait for a usable
 target."""
+MIN_OBJECTIVE_SHARE = 0.25
+"""Share of its latency objective that a moved request is sent with at least, as
+a late answer is still of use."""
 MAX_INNER_HOLD_SHARE = 0.5
 """Share of its time limit that an inner request may wait for a usable target;
 part of its call tree has already run."""
@@ -169,7 +172,7 @@
             inner=self.is_inner,
             idempotent=self.route.idempotent,
             priority=self.priority,
-            latency_objective_ms=int(self.route.latency_objective_s * MS_PER_S),
+            latency_objective_ms=int(self._objective_left_s(now_s) * MS_PER_S),
             remaining_ms=max(1, int((self.deadline_s - now_s) * MS_PER_S)),
             caller_service=caller_service,
             organisation=organisation.name if organisation else NO_ORGANISATION,
@@ -181,6 +184,14 @@
             is_repeat=self.is_repeat,
         )
 
+    def _objective_left_s(self, now_s: float) -> float:
+        """Return what is left of the latency objective of a moved request."""
+        objective_s = self.route.latency_objective_s
+        if not self.moves:
+            return objective_s
+        left_s = objective_s - (now_s - self.arrived_s)
+        return max(left_s, objective_s * MIN_OBJECTIVE_SHARE)
+
     def refusal(
         self, reason: NotRunReason, retry_after_s: float = 0
     ) -> NotRun | Unknown:
