--- a/src/rattanstile/process/mesh/serving/target_gate.py
+++ b/src/rattanstile/process/mesh/serving/target_gate.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from rattanstile.process.mesh.serving.rejection_load import RejectionLoad
 from rattanstile.process.mesh.serving.route_times import RouteTimes
 from rattanstile.process.mesh.serving.wait_order import (
     OTHERS_SHARE,
@@ -36,6 +37,10 @@
 """Share of its latency objective that a root call may wait at most; beyond it
 the call is refused."""
 MIN_ROOT_WAIT_S = 0.02
+LATE_CHECK_CALLS = 1000
+LATE_CHECK_S = 0.1
+"""Time between two checks for late calls, for each of so many that wait; there
+is one at each tick while fewer do. A check of 3,000 takes 9 ms."""
 TRUNCATION_MARGIN_SHARE = 0.05
 """Share of its latency objective by which the expected start of a waiting call
 must exceed the latest one, as service times vary."""
@@ -63,6 +68,7 @@
             routes.
         run_count: Number of calls that the target has run.
         route_times: Service times by route.
+        rejections: Whether the target rejects more calls under load.
         late_count: Number of waiting calls that were removed because they
             would have started late.
     """
@@ -76,8 +82,10 @@
         self.service_s = INITIAL_SERVICE_S
         self.run_count = 0
         self.route_times = RouteTimes()
+        self.rejections = RejectionLoad()
         self.late_count = 0
         self._order = WaitOrder()
+        self._late_due_s = 0.0
         self._recent_starts_s: deque[float] = deque()
         self._offered_per_s = 0.0
         self._offered_at_s = 0.0
@@ -85,7 +93,17 @@
     @property
     def limit(self) -> int:
         """Return the limit of concurrent calls on the target."""
-        return max(1, math.floor(self.slots * USABLE_SLOT_SHARE))
+        limit_share = self.rejections.limit_share
+        return max(1, math.floor(self._usable_slots * limit_share))
+
+    @property
+    def highest_limit(self) -> int:
+        """Return the limit while rejections don't grow with the load."""
+        return max(1, math.floor(self._usable_slots))
+
+    @property
+    def _usable_slots(self) -> float:
+        return self.slots * USABLE_SLOT_SHARE
 
     @property
     def limits_cold_calls(self) -> bool:
@@ -143,6 +161,10 @@
         if not self.waiting:
             self._order.is_scarce = False
             return []
+        if now_s < self._late_due_s:
+            return []
+        checks = self.waiting // LATE_CHECK_CALLS
+        self._late_due_s = now_s + checks * LATE_CHECK_S
         self._order.is_scarce = self._has_late(now_s, is_cold=is_cold)
         if not self._order.is_scarce:
             return []
@@ -161,7 +183,9 @@
         self, is_chosen: Callable[[WaitingCall], bool]
     ) -> list[WaitingCall]:
         removed = [
-            waiting for waiting in self._order.by_time() if is_chosen(waiting)
+            waiting
+            for waiting in self._order.in_any_order()
+            if is_chosen(waiting)
         ]
         for waiting in removed:
             self.cancel(waiting)
@@ -196,6 +220,18 @@
             self.service_s += gain * (took_s - self.service_s)
             self.route_times.record(waiting.call.route, took_s)
 
+    def record_answer(
+        self, now_s: float, waiting: WaitingCall, *, is_rejected: bool
+    ) -> None:
+        """Record whether the target ran or rejected a call."""
+        slots = max(1.0, self._usable_slots)
+        busy_share = waiting.in_flight_before / slots
+        if is_rejected:
+            self.rejections.record_rejected(now_s, busy_share, slots)
+        elif waiting.started_s is not None:
+            took_s = now_s - waiting.started_s
+            self.rejections.record_run(now_s, busy_share, took_s, slots)
+
     def expected_wait_s(self, *, is_cold: bool) -> float:
         """Return how long a call would wait behind all that wait now."""
         return self._wait_s(self._order.total(), is_cold=is_cold)
@@ -293,6 +329,7 @@
 
     def _record_start(self, now_s: float, waiting: WaitingCall) -> None:
         waiting.started_s = now_s
+        waiting.in_flight_before = self.in_flight
         self.in_flight += 1
         self._recent_starts_s.append(now_s)
         while self._recent_starts_s[0] <= now_s - COLD_WINDOW_S:
