--- a/src/rattanstile/process/mesh/placement/run_positions.py
+++ b/src/rattanstile/process/mesh/placement/run_positions.py
@@ -24,7 +24,11 @@
 MAX_WORK_RATIO = 8.0
 """A chain that has been idle for more times the mean work is unlikely to
 continue: its run does other work, or was mistaken for another one."""
-UNLIKELY = 0.01
+UNFIT = 0.05
+"""Factor on the likelihood of a chain with another number of calls than fits:
+the number may be wrong. With 0.01, mistakes last for longer."""
+OTHER_DEADLINE = 0.01
+"""Factor on the likelihood of a chain with another deadline."""
 SAME_DEADLINE_S = 0.004
 """Difference of two deadlines that were the same before they were rounded to
 milliseconds at each step and sent."""
@@ -226,9 +230,9 @@
             ratio = (now_s - chain.idle_since_s) / self._work_s
             likelihood = min(ratio, LIKELIER_UP_TO) ** 2
             if ratio > MAX_WORK_RATIO or not is_fit(chain):
-                likelihood *= UNLIKELY
+                likelihood *= UNFIT
             if chain.has_failed:
-                likelihood *= UNLIKELY
+                likelihood *= UNFIT
             candidates.append(_Candidate(chain, likelihood + 1e-9))
             if len(candidates) >= MAX_COMPARED:
                 break
@@ -321,7 +325,7 @@
         if is_other or (
             deadline_s > each.chain.run.deadline_s + SAME_DEADLINE_S
         ):
-            each.likelihood *= UNLIKELY
+            each.likelihood *= OTHER_DEADLINE
 
 
 def _has_deadline(candidate: _Candidate, deadline_s: float) -> bool:
