Placement: even load over own speed on old reports

Cause: all nodes with the same reports sent their calls to the target that looked fastest, until the next report 0.25 to 0.6 s later. In a model without a network (tests/balance_fleet.py; 14, 88 and 1,000 nodes, load 0.7 of the capacity) more than 0.2 of the targets had free slots while another had a queue, and the busiest had over 1.5 times the mean by calls over own speed.

Change: targets report their usual time for one route and their present pace; callers derive each target's speed over its service's mean by route. While a service is busy, targets are drawn by capacity, corrected by a reported difference that counts less with the age of the report. Below that, the choice is the one of before. A full target passes a call on once if another of its domain reports room. Calls leave their domain from 0.85 of its limits on. TargetLoad gets route_code, route_deci_ms and pace_percent, at most 9 bytes.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -60,6 +60,11 @@
             call per second.
         failing_percent: Percentage of recent calls that failed at the target.
         cold_ms: Time until the target is warm; 0 if it is.
+        route_code: Number of the route of the latest call that ended, see
+            `route_code` in `serving.route_times`; 0 for none.
+        route_deci_ms: Usual time of the target for that route, in tenths of
+            a millisecond.
+        pace_percent: Present time of a call in percent of its usual time.
     """
 
     is_usable: bool = False
@@ -71,6 +76,9 @@
     capacity_deci_per_s: int = 0
     failing_percent: int = 0
     cold_ms: int = 0
+    route_code: int = 0
+    route_deci_ms: int = 0
+    pace_percent: int = 100
 
 
 class PeerHello(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/src/rattanstile/process/mesh/entry/entry_call.py
+++ b/src/rattanstile/process/mesh/entry/entry_call.py
@@ -114,6 +114,15 @@
         stated_s = self.caller_request.deadline_ms / MS_PER_S
         return max(self.deadline_s, self.arrived_s + stated_s)
 
+    @property
+    def is_passed_on(self) -> bool:
+        """Return whether only a full target has refused it, and once."""
+        return (
+            self.moves == 1
+            and not self.attempts
+            and self.last_refusal is NotRunReason.QUEUE_FULL
+        )
+
     @property
     def run_kind(self) -> RunKind:
         """Return the route and service that its runs are accounted to."""
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -4,6 +4,11 @@
 from typing import TYPE_CHECKING
 
 from rattanstile.process.mesh.counters import LATENCY_BOUNDS_S, LatencyHistogram
+from rattanstile.process.mesh.placement.even_load import (
+    BUSY_SHARE,
+    busiest_to_mean,
+    mean_share,
+)
 
 if TYPE_CHECKING:
     from rattanstile.process.mesh.node import MeshNode
@@ -56,6 +61,13 @@
     yield _line('allocator', int(node.rates.delegates.is_allocator))
     for domain, age_s in sorted(node.links.digests.ages_s(now_s).items()):
         yield _line('domain_digest_age_seconds', age_s, domain=domain)
+    candidates = node.links.candidates
+    for service in sorted(candidates.services()):
+        pool = candidates.of_service(service)
+        if mean_share(pool) >= BUSY_SHARE:
+            yield _line(
+                'busiest_to_mean', busiest_to_mean(pool), service=service
+            )
     for tight_service in node.admission.services_near_capacity():
         yield _line(
             'let_in', tight_service.let_in, service=tight_service.service
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -161,6 +161,9 @@
             self.serving.load,
             lambda: self.serving.watch.service,
         )
+        self.serving.siblings = lambda: self.links.candidates.of_service(
+            self.serving.watch.service
+        )
         self.rates = RateService(
             context, self.peers, self.links, self.admission
         )
--- a/src/rattanstile/process/mesh/placement/attempts.py
+++ b/src/rattanstile/process/mesh/placement/attempts.py
@@ -17,6 +17,7 @@
 from rattanstile.process.mesh.entry.entry_call import EntryCall, Phase
 from rattanstile.process.mesh.fleet.fleet_links import FleetLinks
 from rattanstile.process.mesh.placement.call_endings import decode_ending
+from rattanstile.process.mesh.placement.even_load import busiest_to_mean
 from rattanstile.process.mesh.placement.placement import (
     MAX_INNER_LOCAL_WAIT_SHARE,
     MAX_ROOT_LOCAL_WAIT_SHARE,
@@ -74,6 +75,7 @@
             serving.watch.service,
             context.domain,
             TargetLoad(),
+            service_speed=self._candidates.speed_of(serving.watch.service),
         )
 
     def __len__(self) -> int:
@@ -83,6 +85,10 @@
     def send(self, now_s: float, call: EntryCall) -> bool:
         """Send an attempt and return whether a node could take it."""
         chosen = self._choose(call)
+        if chosen is None and call.is_passed_on:
+            # No other target can take it, so that it waits at the full one.
+            call.tried.clear()
+            chosen = self._choose(call)
         while chosen is not None and not self._is_connected(chosen):
             call.tried.add(chosen.node_id)
             chosen = self._choose(call)
@@ -179,6 +185,7 @@
             self._context.domain,
             _max_local_wait_s(call),
             self._context.rng,
+            self._context.timers.now_s(),
         )
 
     def _usable_candidates(self, call: EntryCall) -> list[Candidate]:
@@ -191,7 +198,7 @@
             and each.node_id not in call.tried
         ]
         local = self._local
-        local.service = self._serving.watch.service
+        self._update_local_service()
         if local.service == call.service and local.node_id not in call.tried:
             if self._serving.is_usable:
                 local.update_load(
@@ -200,6 +207,14 @@
                 found.append(local)
         return found
 
+    def _update_local_service(self) -> None:
+        local = self._local
+        service = self._serving.watch.service
+        if local.service != service:
+            self._candidates.speed_of(local.service).forget(local.slowness)
+            local.service = service
+            local.service_speed = self._candidates.speed_of(service)
+
     def _is_connected(self, chosen: Candidate) -> bool:
         if chosen is self._local:
             return True
@@ -252,6 +267,11 @@
             limit=chosen.load.limit,
             wait_ms=round(chosen.load.wait_us / MS_PER_S, 1),
             load_age_ms=int((call.sent_s - chosen.load_received_s) * MS_PER_S),
+            slowness=round(chosen.slowness.ratio, 2),
+            pace=chosen.load.pace_percent,
+            busiest_to_mean=round(
+                busiest_to_mean(self._candidates.of_service(call.service)), 2
+            ),
             left_ms=int((call.deadline_s - call.sent_s) * MS_PER_S),
         )
 
--- a/src/rattanstile/process/mesh/placement/placement.py
+++ b/src/rattanstile/process/mesh/placement/placement.py
@@ -5,16 +5,29 @@
 is short, as traffic between failure domains costs most. Otherwise the target
 with the shortest expected latency among a few random candidates is chosen
 (power of choices, Mitzenmacher, 2001), so that nodes with the same load
-reports don't all choose the same target. A target that fails more of its
-calls than the others of its service gets only a few calls, which show when
-it has recovered.
+reports don't all choose the same target. While the targets are busy, calls
+are spread over them by free capacity instead, see `even_load`. A target that
+fails more of its calls than the others of its service gets only a few calls,
+which show when it has recovered.
 """
 
+import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from rattanstile.connection.peer_messages import TargetLoad
+from rattanstile.process.mesh.placement.even_load import (
+    BUSY_SHARE,
+    CROWDED_SHARE,
+    draw,
+    mean_share,
+    spill_share,
+)
+from rattanstile.process.mesh.placement.target_speed import (
+    ServiceSpeed,
+    Slowness,
+)
 from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
 
 MAX_INNER_LOCAL_WAIT_SHARE = 0.1
@@ -24,6 +37,9 @@
 inner call adds to those of the calls above it."""
 MAX_COMPARED = 6
 PERCENT = 100
+MIN_PACE_PERCENT = 50
+SLOW_MOMENT_S = 0.3
+"""Time constant with which a reported moment of slowness ends."""
 MS_PER_S = 1000
 CROSS_DOMAIN_RTT_S = 0.004
 """Round-trip time between failure domains."""
@@ -47,6 +63,8 @@
         load_received_s: Monotonic time at which the load was received.
         sent_since_update: Attempts sent to it since then and not ended.
         is_unresponsive: Whether it has not answered for too long.
+        slowness: Usual time of its target over the mean of the service.
+        service_speed: Mean of the service; None if it isn't known.
     """
 
     node_id: NodeId
@@ -56,12 +74,16 @@
     load_received_s: float = 0.0
     sent_since_update: int = 0
     is_unresponsive: bool = False
+    slowness: Slowness = field(default_factory=Slowness)
+    service_speed: ServiceSpeed | None = None
 
     def update_load(self, load: TargetLoad, now_s: float) -> None:
         """Record a load report of the node's target."""
         self.load = load
         self.load_received_s = now_s
         self.sent_since_update = 0
+        if self.service_speed is not None:
+            self.service_speed.record(load, self.slowness)
 
     @property
     def warm_at_s(self) -> float:
@@ -82,6 +104,27 @@
         service_s = load.service_us / 1e6 or DEFAULT_SERVICE_S
         return wait_s + self.sent_since_update * service_s / max(load.limit, 1)
 
+    def used_share(self) -> float:
+        """Return the share of the limit in use, with the calls sent since."""
+        load = self.load
+        return (load.pending_calls + self.sent_since_update) / (load.limit or 1)
+
+    def report_age_s(self, now_s: float) -> float:
+        """Return the age of the last load report."""
+        return now_s - self.load_received_s
+
+    def capacity(self, now_s: float) -> float:
+        """Return the capacity relative to other targets of the service.
+
+        A moment of slowness counts less the longer ago it was reported.
+        """
+        load = self.load
+        pace = max(load.pace_percent, MIN_PACE_PERCENT) / PERCENT
+        if load.pace_percent != PERCENT:
+            age_s = max(self.report_age_s(now_s), 0.0)
+            pace = 1 + (pace - 1) * math.exp(-age_s / SLOW_MOMENT_S)
+        return max(load.limit, 1) / (self.slowness.ratio * pace)
+
     def expected_s(self, local_domain: FailureDomainId) -> float:
         """Return the expected latency of a call sent now.
 
@@ -106,6 +149,7 @@
     local_domain: FailureDomainId,
     max_local_wait_s: float,
     rng: Random,
+    now_s: float = 0.0,
 ) -> Candidate | None:
     """Return the candidate to send to, or None when there is none.
 
@@ -117,6 +161,7 @@
         max_local_wait_s: How long a call may wait to stay in the local
             failure domain.
         rng: Source of the random choices.
+        now_s: Monotonic seconds.
     """
     usable = list(candidates)
     responsive = [each for each in usable if not each.is_unresponsive] or usable
@@ -125,19 +170,82 @@
     local = [each for each in responsive if each.domain == local_domain]
     if local and rng.random() < EXPLORATION_SHARE:
         return rng.choice(local)
-    responsive = _without_failing(responsive)
-    local = [each for each in responsive if each.domain == local_domain]
+    sound = _without_failing(responsive)
+    if len(sound) < len(responsive):
+        local = [each for each in sound if each.domain == local_domain]
+    if _is_busy(local or sound):
+        return _choose_even(sound, local, max_local_wait_s, rng, now_s)
+    return choose_fastest(sound, local, local_domain, max_local_wait_s, rng)
+
+
+def choose_fastest(
+    sound: list[Candidate],
+    local: list[Candidate],
+    local_domain: FailureDomainId,
+    max_local_wait_s: float,
+    rng: Random,
+) -> Candidate:
+    """Return the target with the shortest expected latency of a few.
+
+    Args:
+        sound: At least one candidate.
+        local: Those of them in the local failure domain.
+        local_domain: See `choose`.
+        max_local_wait_s: See `choose`.
+        rng: Source of the random choices.
+    """
     if local:
         best = _fastest(local, local_domain, rng)
         if best.expected_wait_s() <= max_local_wait_s:
             return best
-    return _fastest(responsive, local_domain, rng)
+    return _fastest(sound, local_domain, rng)
+
+
+def _choose_even(
+    sound: list[Candidate],
+    local: list[Candidate],
+    max_local_wait_s: float,
+    rng: Random,
+    now_s: float,
+) -> Candidate:
+    if not local:
+        return draw(sound, now_s, rng)
+    if len(local) == len(sound):
+        return draw(local, now_s, rng)
+    local_ids = {each.node_id for each in local}
+    remote = [each for each in sound if each.node_id not in local_ids]
+    spill = spill_share(mean_share(local), mean_share(remote))
+    if spill and rng.random() < spill:
+        return draw(remote, now_s, rng)
+    best = draw(local, now_s, rng)
+    if best.expected_wait_s() <= max_local_wait_s:
+        return best
+    return draw(sound, now_s, rng)
+
+
+def _is_busy(pool: list[Candidate]) -> bool:
+    """Return whether calls are spread evenly.
+
+    Each choice calls it, so that it makes no calls itself.
+    """
+    total_used = 0
+    total_limit = 0
+    for each in pool:
+        load = each.load
+        used = load.pending_calls + each.sent_since_update
+        if used > CROWDED_SHARE * load.limit:
+            return True
+        total_used += used
+        total_limit += load.limit
+    return total_used > BUSY_SHARE * total_limit
 
 
 def _without_failing(responsive: list[Candidate]) -> list[Candidate]:
     """Return the candidates without those that fail more than the others."""
-    least = min(each.load.failing_percent for each in responsive)
-    allowed = least + MAX_EXCESS_FAILING_SHARE * PERCENT
+    shares = [each.load.failing_percent for each in responsive]
+    allowed = min(shares) + MAX_EXCESS_FAILING_SHARE * PERCENT
+    if max(shares) <= allowed:
+        return responsive
     return [each for each in responsive if each.load.failing_percent <= allowed]
 
 
--- a/src/rattanstile/process/mesh/serving/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving/serving_handler.py
@@ -1,6 +1,6 @@
 """Runs calls from all nodes on the local target."""
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Sequence
 
 from rattanstile.connection.http_client import ExchangeFailure
 from rattanstile.connection.http_messages import HttpResponse
@@ -13,6 +13,7 @@
     add_own_usage,
 )
 from rattanstile.process.mesh.context import NodeContext
+from rattanstile.process.mesh.placement.placement import Candidate
 from rattanstile.process.mesh.ports import (
     RunAnswered,
     RunFailed,
@@ -20,7 +21,9 @@
     TargetCodec,
 )
 from rattanstile.process.mesh.serving.failing_share import FailingShare
+from rattanstile.process.mesh.serving.pass_on import passes_on
 from rattanstile.process.mesh.serving.past_incarnations import TargetDeparture
+from rattanstile.process.mesh.serving.route_times import RouteTimes
 from rattanstile.process.mesh.serving.served_calls import (
     PendingCall,
     PendingCalls,
@@ -67,6 +70,7 @@
         watch: State of the target.
         queue: Queue and limits in front of the target.
         attribution: Calls that a run of each route makes.
+        siblings: Returns the other nodes whose targets serve the service.
 
     Args:
         context: State shared by the components of the node.
@@ -89,7 +93,9 @@
         self.watch = watch
         self.queue = TargetQueue()
         self.attribution = CallAttribution()
+        self.siblings: Callable[[], Sequence[Candidate]] = tuple
         self._failing = FailingShare()
+        self._times = RouteTimes()
         self._is_stopping = False
         self._end_s = float('inf')
         self._context = context
@@ -133,6 +139,9 @@
             capacity_deci_per_s=int(queue.capacity_per_s(is_cold=is_cold) * 10),
             failing_percent=int(self._failing.share(now_s) * PERCENT),
             cold_ms=int(max(0, self.watch.cold_until_s - now_s) * MS_PER_S),
+            route_code=self._times.last_code,
+            route_deci_ms=self._times.last_deci_ms,
+            pace_percent=self._times.pace_percent(now_s),
         )
 
     def usage(
@@ -186,6 +195,9 @@
             key, call, now_s, now_s + call.remaining_ms / MS_PER_S
         )
         reason = self._refusal_reason(waiting)
+        if reason is None and self._passes_on(now_s, call):
+            on_end(NotRun(NotRunReason.QUEUE_FULL))
+            return
         if reason is None:
             reason = self.queue.offer(
                 now_s, waiting, is_cold=self.watch.is_cold(now_s)
@@ -312,6 +324,8 @@
 
     def _target_changed(self, change: TargetChange, source: str) -> None:
         now_s = self._timers.now_s()
+        if change is TargetChange.NEW:
+            self._times = RouteTimes()
         if change in {TargetChange.NEW, TargetChange.LEAVING}:
             self._log.write(
                 LineKind.TARGET,
@@ -401,6 +415,9 @@
         self._repeated_runs -= waiting.call.is_repeat
         if end is not ExchangeFailure.ABANDONED:
             self._failing.add(now_s, is_failed=_is_failed(run_end))
+        if isinstance(run_end, RunAnswered) and not _is_failed(run_end):
+            took_s = now_s - (waiting.started_s or now_s)
+            self._times.record(now_s, waiting.call.route, took_s)
         is_awaited = self._pending.pop(waiting.key) is not None
         if is_awaited:
             ending = self._ending(now_s, waiting, run_end)
@@ -478,6 +495,26 @@
             return NotRunReason.NO_TARGET
         return None
 
+    def _passes_on(self, now_s: float, call: ServedCall) -> bool:
+        """Return whether another target should take a call, and count it."""
+        queue = self.queue
+        if self.watch.is_cold(now_s) or not passes_on(
+            call, queue, self.siblings(), self._context.domain
+        ):
+            return False
+        queue.count_offered(now_s)
+        self._context.counters.not_taken['passed_on'] += 1
+        if self._log.reserve_line(LineKind.REFUSED):
+            self._log.append(
+                'call_passed_on',
+                request=call.request_id,
+                route=call.route,
+                waiting=queue.waiting,
+                in_flight=queue.in_flight,
+                limit=queue.limit,
+            )
+        return True
+
     def _refuse(self, waiting: WaitingCall, reason: NotRunReason) -> None:
         pending = self._pending.pop(waiting.key)
         if pending is None:
--- a/src/rattanstile/process/mesh/serving/target_gate.py
+++ b/src/rattanstile/process/mesh/serving/target_gate.py
@@ -105,9 +105,7 @@
         A call that was moved here is not counted in the arrival rate again.
         """
         if not waiting.call.moves:
-            self._offered_per_s = (
-                self.offered_per_s(now_s) + 1 / OFFERED_WINDOW_S
-            )
+            self.count_offered(now_s)
         left_s = waiting.deadline_s - now_s
         expected_s = self.expected_wait_s(is_cold=is_cold)
         allowed_s = left_s - min(self.service_s, left_s / 2)
@@ -207,6 +205,10 @@
             return 0
         return (self.waiting + 1) * self.service_s / self.limit
 
+    def count_offered(self, now_s: float) -> None:
+        """Count a call in the arrival rate."""
+        self._offered_per_s = self.offered_per_s(now_s) + 1 / OFFERED_WINDOW_S
+
     def offered_per_s(self, now_s: float) -> float:
         """Return the smoothed arrival rate, including refused calls."""
         passed_s = now_s - self._offered_at_s
