--- a/src/rattanstile/process/mesh/entry/entry_call.py
+++ b/src/rattanstile/process/mesh/entry/entry_call.py
@@ -154,6 +154,15 @@
             self.route.priority, self.run_kind, self.is_beyond_rate
         )
 
+    @property
+    def is_passed_on(self) -> bool:
+        """Return whether only a full target has refused it, and once."""
+        return (
+            self.moves == 1
+            and not self.attempts
+            and self.last_refusal is NotRunReason.QUEUE_FULL
+        )
+
     @property
     def run_kind(self) -> RunKind:
         """Return the route and service that its runs are accounted to."""
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -4,6 +4,11 @@
 from typing import TYPE_CHECKING
 
 from rattanstile.process.mesh.counters import LATENCY_BOUNDS_S, LatencyHistogram
+from rattanstile.process.mesh.placement.even_load import (
+    BUSY_SHARE,
+    busiest_to_mean,
+    mean_share,
+)
 from rattanstile.process.mesh.serving.target_gate import TargetQueue
 
 if TYPE_CHECKING:
@@ -64,6 +69,13 @@
         yield _line('domain_digest_age_seconds', age_s, domain=domain)
     for service, left in sorted(node.reruns.left_by_service(now_s).items()):
         yield _line('retry_budget_left', left, service=service)
+    candidates = node.links.candidates
+    for service in sorted(candidates.services()):
+        pool = candidates.of_service(service)
+        if mean_share(pool) >= BUSY_SHARE:
+            yield _line(
+                'busiest_to_mean', busiest_to_mean(pool), service=service
+            )
     for tight_service in node.admission.services_near_capacity():
         yield _line(
             'let_in', tight_service.let_in, service=tight_service.service
--- a/src/rattanstile/process/mesh/serving/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving/serving_handler.py
@@ -1,6 +1,6 @@
 """Runs calls from all nodes on the local target."""
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Sequence
 
 from rattanstile.connection.http_client import ExchangeFailure
 from rattanstile.connection.http_messages import HttpResponse
@@ -14,6 +14,7 @@
     calls_by_service,
 )
 from rattanstile.process.mesh.context import NodeContext
+from rattanstile.process.mesh.placement.placement import Candidate
 from rattanstile.process.mesh.placement.rerun_budget import RerunBudget
 from rattanstile.process.mesh.placement.run_positions import (
     Run,
@@ -26,7 +27,9 @@
     TargetCodec,
 )
 from rattanstile.process.mesh.serving.failing_share import FailingShare
+from rattanstile.process.mesh.serving.pass_on import passes_on
 from rattanstile.process.mesh.serving.past_incarnations import TargetDeparture
+from rattanstile.process.mesh.serving.reported_times import ReportedTimes
 from rattanstile.process.mesh.serving.served_calls import (
     PendingCall,
     PendingCalls,
@@ -72,6 +75,7 @@
         queue: Queue and limits in front of the target.
         attribution: Calls that a run of each route makes.
         positions: Runs in progress, and the calls that each has made.
+        siblings: Returns the other nodes whose targets serve the service.
 
     Args:
         context: State shared by the components of the node.
@@ -99,7 +103,9 @@
         self.queue = TargetQueue()
         self.attribution = CallAttribution()
         self.positions = RunPositions(self.attribution.calls_of)
+        self.siblings: Callable[[], Sequence[Candidate]] = tuple
         self._failing = FailingShare()
+        self._times = ReportedTimes()
         self._is_stopping = False
         self._end_s = float('inf')
         self._context = context
@@ -143,6 +149,9 @@
             capacity_deci_per_s=int(queue.capacity_per_s(is_cold=is_cold) * 10),
             failing_percent=int(self._failing.share(now_s) * PERCENT),
             cold_ms=int(cold_s * MS_PER_S),
+            route_code=self._times.last_code,
+            route_deci_ms=self._times.last_deci_ms,
+            pace_percent=self._times.pace_percent(now_s),
         )
 
     def usage(
@@ -196,6 +205,9 @@
         )
         pending = PendingCall(waiting, on_end, stream=self._stream(sink))
         reason = self._refusal_reason(waiting)
+        if reason is None and self._passes_on(now_s, call):
+            on_end(NotRun(NotRunReason.QUEUE_FULL))
+            return
         if reason is None and not self._reserve(now_s, pending):
             reason = NotRunReason.RETRY_BUDGET
         if reason is None:
@@ -329,6 +341,7 @@
         now_s = self._timers.now_s()
         if change is TargetChange.NEW:
             self.queue.rejections.reset()
+            self._times = ReportedTimes()
         if change in {TargetChange.NEW, TargetChange.LEAVING}:
             self._log.write(
                 LineKind.TARGET,
@@ -431,6 +444,9 @@
         self._release(now_s, pending)
         if end is not ExchangeFailure.ABANDONED:
             self._failing.add(now_s, is_failed=_is_failed(run_end))
+        if isinstance(run_end, RunAnswered) and not _is_failed(run_end):
+            took_s = now_s - (waiting.started_s or now_s)
+            self._times.record(now_s, waiting.call.route, took_s)
         is_awaited = self._pending.pop(waiting.key) is not None
         if is_awaited:
             ending = self._ending(now_s, waiting, run_end)
@@ -525,6 +541,26 @@
             return NotRunReason.NO_TARGET
         return None
 
+    def _passes_on(self, now_s: float, call: ServedCall) -> bool:
+        """Return whether another target should take a call, and count it."""
+        queue = self.queue
+        if self._is_cold(now_s) or not passes_on(
+            call, queue, self.siblings(), self._context.domain
+        ):
+            return False
+        queue.count_offered(now_s)
+        self._context.counters.not_taken['passed_on'] += 1
+        if self._log.reserve_line(LineKind.REFUSED):
+            self._log.append(
+                'call_passed_on',
+                request=call.request_id,
+                route=call.route,
+                waiting=queue.waiting,
+                in_flight=queue.in_flight,
+                limit=queue.limit,
+            )
+        return True
+
     def _refuse(self, waiting: WaitingCall, reason: NotRunReason) -> None:
         pending = self._pending.pop(waiting.key)
         if pending is None:
--- a/src/rattanstile/process/mesh/serving/target_gate.py
+++ b/src/rattanstile/process/mesh/serving/target_gate.py
@@ -118,9 +118,7 @@
         A call that was moved here is not counted in the arrival rate again.
         """
         if not waiting.call.moves:
-            self._offered_per_s = (
-                self.offered_per_s(now_s) + 1 / OFFERED_WINDOW_S
-            )
+            self.count_offered(now_s)
         self._set_times(now_s, waiting)
         if self.waiting >= MAX_WAITING_CALLS:
             return NotRunReason.QUEUE_FULL
@@ -241,6 +239,10 @@
         """Return whether some waiting call can't start in time."""
         return self._order.is_scarce
 
+    def count_offered(self, now_s: float) -> None:
+        """Count a call in the arrival rate."""
+        self._offered_per_s = self.offered_per_s(now_s) + 1 / OFFERED_WINDOW_S
+
     def offered_per_s(self, now_s: float) -> float:
         """Return the smoothed arrival rate, including refused calls."""
         passed_s = now_s - self._offered_at_s
