Retry budget on seeds with nodes that restart

Cause: a node that restarts forgets what it sent; the seeds had none.

Change: up to three nodes of each seed lose their budget and ranking while their target goes on, in test_retry_budget.

--- a/tests/retry_fleet.py
+++ b/tests/retry_fleet.py
@@ -84,10 +84,14 @@
     def __init__(self, fleet, level, index):
         self.level = level
         self.index = index
-        self.budget = RerunBudget(RATIO, fleet.slack, fleet.rng.random)
-        self.budget.set_node_count(fleet.node_count)
         self.running = 0
         self.repeated = 0
+        self.restart(fleet)
+
+    def restart(self, fleet):
+        """Forget what was sent; the target goes on."""
+        self.budget = RerunBudget(RATIO, fleet.slack, fleet.rng.random)
+        self.budget.set_node_count(fleet.node_count)
 
 
 class Counts:
@@ -221,6 +225,7 @@
 
     def serve(self, call, node):
         reservation = None
+        call.serving_budget = node.budget
         if call.is_repeat and self.reserves:
             reservation = node.budget.reserve(self.now_s, self.needs(node))
             if reservation is None:
@@ -237,7 +242,7 @@
         call.has_arrived = True
         if self.rng.random() < self.rejected_share(node):
             if reservation is not None:
-                node.budget.release(self.now_s, reservation)
+                call.serving_budget.release(self.now_s, reservation)
             self.at(HOP_S, self.rejected, call, node)
             return
         node.running += 1
@@ -311,7 +316,7 @@
         node.running -= 1
         node.repeated -= call.is_repeat
         if reservation is not None:
-            node.budget.release(self.now_s, reservation)
+            call.serving_budget.release(self.now_s, reservation)
         self.at(HOP_S, call.on_end, is_ok)
 
     # Measures
--- a/tests/retry_ranking_fleet.py
+++ b/tests/retry_ranking_fleet.py
@@ -22,6 +22,9 @@
         if fleet.levels[level].calls:
             needs[fleet.kind(level + 1)] = float(fleet.levels[level].calls)
         self.positions = RunPositions(lambda route: needs)
+
+    def restart(self, fleet):
+        super().restart(fleet)
         self.ranking = RepeatRanking(self.budget)
 
 
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -88,11 +88,17 @@
         surges=(surge,),
     )
     fleet.passes_deadline = rng.random() < 0.5
+    for _ in range(rng.randrange(4)):
+        node = rng.choice(rng.choice(fleet.nodes))
+        fleet.at(rng.uniform(0, 18), node.restart, fleet)
     return fleet
 
 
 class RetryBudgetSeedsTest(unittest.TestCase):
-    """Rejections of any kind, at any services, also from the first second."""
+    """Rejections of any kind, at any services, also from the first second.
+
+    Up to three nodes restart and forget what they have sent.
+    """
 
     def test_budget_is_never_exceeded(self):
         """Guards against patterns that the one above doesn't have."""
