--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -43,6 +44,8 @@
     timeout='2000ms',
     max_connections=50,
     idle_timeout='5000ms',
+    header_timeout='1000ms',
+    max_body_bytes=100000,
 ):
     """Return a configuration document in the form operators publish."""
     routes = [
@@ -66,8 +69,8 @@
         ],
         'limits': {
             'maxHeaderBytes': 16384,
-            'maxBodyBytes': 100000,
-            'headerTimeout': '1000ms',
+            'maxBodyBytes': max_body_bytes,
+            'headerTimeout': header_timeout,
             'idleTimeout': idle_timeout,
         },
         'tenants': [
@@ -115,7 +118,14 @@
 class PlatformFleet:
     """The stand-ins and `node_count` nodes, each as a process."""
 
-    def __init__(self, node_count=2, proxies=None, domains=('east',), slots=10):
+    def __init__(
+        self,
+        node_count=2,
+        proxies=None,
+        domains=('east',),
+        slots=10,
+        max_descriptors=None,
+    ):
         """Set up a fleet; `start` assigns addresses and starts processes.
 
         Args:
@@ -125,8 +135,11 @@
                 `peer-N`.
             domains: Failure domains that the nodes are spread over.
             slots: Calls that each target runs at the same time.
+            max_descriptors: Limit of open descriptors of each node; None for
+                that of this process.
         """
         self.slots = slots
+        self.max_descriptors = max_descriptors
         self.proxies = proxies
         self.domains = domains
         self.temp_directory = tempfile.TemporaryDirectory()
@@ -234,9 +247,15 @@
             [sys.executable, '-m', 'rattanstile.platform'],
             env={**os.environ, 'RATTANSTILE_BOOT': str(file_name)},
             stdout=log_file,
+            preexec_fn=self._limit_descriptors,
         )
         log_file.close()
 
+    def _limit_descriptors(self):
+        if self.max_descriptors is not None:
+            limits = (self.max_descriptors, self.max_descriptors)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
     def stop(self):
         """Kill the started processes and delete the temporary directory."""
         self._kill_processes()
