Callers' listener: real cost of requests, descriptor budget, who gives way

Cause: payload bytes were counted, whereas one-byte chunks cost nine bytes each in a list, chunks of two an object of 35, and connections, parsers, copies in transit and unread answers nothing; an unfinished request held its descriptor up to its timeout, and no descriptors were reserved. Calls, answers and connections referred to each other, so that buffers waited for the collector.

Change: bodies are collected in one bytearray. `request_memory` has an account (64 MB) with shares of callers, nodes and targets; a connection counts itself, its parser, headers, buffer, complete requests with two copies in transit, and what is unsent. `descriptor_budget` reserves half of the descriptors, at most 768; `client_eviction` chooses who gives way: idle connections, then stalled unfinished requests, then other unfinished ones of the address or key with the most, then answers unread for 1 s. A request that was read completely stays until it is answered. At most 16 connections are accepted in one step. Bytes behind an unanswered request stay in the system. Connections of nodes have 4 s to name theirs, and the oldest unnamed ones give way. The heap is trimmed when 4 MB were freed. Readiness, announcements and metrics have limits of their own. Metrics client_*, clients_closed_total; log event clients_closed.

test_endless_bytes: what is held includes the connection and copies in transit now; the sum is still checked exactly, and to be 0 in the end.

--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -5,7 +5,7 @@
 of the bodies of all connections, pipelined requests.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -16,14 +16,27 @@
 import httptools
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import Protocol, ServerFactory
-
+from twisted.internet.tcp import Server
+
+from rattanstile.connection.accepting import listen
+from rattanstile.connection.client_eviction import (
+    MIN_BYTES_PER_S,
+    ClientState,
+    ClientView,
+    EvictionRules,
+    evict_for_descriptor,
+    evict_for_memory,
+)
 from rattanstile.connection.direct_write import unsent_bytes, write_now
 from rattanstile.connection.http_messages import HttpRequest
 from rattanstile.connection.liveness import watch_local_end
 from rattanstile.connection.overhead import MAX_OVERHEAD_BYTES, OverheadMeter
 from rattanstile.connection.request_memory import (
+    CONNECTION_BYTES,
     HEADER_OBJECT_BYTES,
-    RequestMemory,
+    TRANSIT_COPIES,
+    MemoryShare,
+    buffer_bytes,
 )
 from rattanstile.request.exchange import RawHeader
 from rattanstile.version.fleet_config import CallerLimits
@@ -35,6 +48,13 @@
 """Time without progress after which a caller that doesn't read is dropped."""
 BACKLOG = 512
 """Holds the burst after a restart: most clients reconnect within a second."""
+READ_BYTES = 16 * 1024
+"""Read at once; what follows an unanswered request stays in the system."""
+UNLIMITED_CONNECTIONS = 1 << 20
+EVICTION_BATCH = 64
+"""A search through all connections makes room for this part of them."""
+FRUITLESS_SEARCH_S = 0.05
+"""Time until the next search for memory after one that found nothing."""
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -48,6 +68,7 @@
     BODY_TOO_LARGE = 'body-too-large'
     NO_MEMORY = 'no-memory'
     TOO_SLOW = 'too-slow'
+    EVICTED = 'evicted'
 
 
 ReceivedRequest = HttpRequest | BadRequest
@@ -94,17 +115,26 @@
         handler: Handles the requests.
         limits: Returns the limits in force.
         now_s: Returns monotonic seconds.
-        memory: What all connections hold of requests.
+        memory: What all connections hold.
+        max_connections: Open connections allowed.
+        min_bytes_per_s: Progress of a request near the limits.
         connections: Open connections.
+        leaving: Those that are being closed to make room.
+        evictions: Connections closed to make room, by their state.
         is_closing: Whether responses announce that the connection closes.
     """
 
     handler: RequestHandler
     limits: Callable[[], CallerLimits]
     now_s: Callable[[], float]
-    memory: RequestMemory = field(default_factory=RequestMemory)
+    memory: MemoryShare = field(default_factory=MemoryShare)
+    max_connections: int = UNLIMITED_CONNECTIONS
+    min_bytes_per_s: float = MIN_BYTES_PER_S
     connections: set['HttpServerConnection'] = field(default_factory=set)
+    leaving: set['HttpServerConnection'] = field(default_factory=set)
+    evictions: Counter[ClientState] = field(default_factory=Counter)
     is_closing: bool = False
+    _memory_search_due_s: float = 0.0
 
     @property
     def unsent_responses(self) -> int:
@@ -118,6 +148,56 @@
         """Apply the timeouts of all connections; called periodically."""
         for connection in tuple(self.connections):
             connection.check(now_s)
+        if self.memory.is_exceeded:
+            self.free_memory()
+
+    def admit(self, connection: 'HttpServerConnection') -> bool:
+        """Add a connection; return False if there is no room for it."""
+        if len(self.connections) - len(self.leaving) >= self.max_connections:
+            self._free_descriptors()
+            if (
+                len(self.connections) - len(self.leaving)
+                >= self.max_connections
+            ):
+                self.evictions[ClientState.REFUSED] += 1
+                return False
+        self.connections.add(connection)
+        return True
+
+    def free_memory(self) -> None:
+        """Close connections without progress until the memory suffices."""
+        now_s = self.now_s()
+        if now_s < self._memory_search_due_s:
+            return
+        found = evict_for_memory(self._views(), now_s, self._rules())
+        freed_bytes = self.memory.limit_bytes // EVICTION_BATCH
+        wanted_bytes = self.memory.limit_bytes - freed_bytes
+        for view in found:
+            if self.memory.held_bytes <= wanted_bytes:
+                return
+            self._evict(view)
+        self._memory_search_due_s = now_s + FRUITLESS_SEARCH_S
+
+    def _free_descriptors(self) -> None:
+        found = evict_for_descriptor(self._views(), self.now_s(), self._rules())
+        batch = max(1, self.max_connections // EVICTION_BATCH)
+        for view in found[:batch]:
+            self._evict(view)
+
+    def _evict(self, view: ClientView) -> None:
+        self.evictions[view.state] += 1
+        self.leaving.add(view.connection)
+        view.connection.evict()
+
+    def _views(self) -> list[ClientView]:
+        return [
+            connection.view()
+            for connection in self.connections
+            if connection not in self.leaving
+        ]
+
+    def _rules(self) -> EvictionRules:
+        return EvictionRules(self.limits().head_timeout_s, self.min_bytes_per_s)
 
 
 class _StopParsing(Exception):  # noqa: N818
@@ -148,6 +228,10 @@
         self._is_closing = False
         self._is_writing_paused = False
         self._unsent_bytes = 0
+        self._held_bytes = 0
+        self._is_reading_paused = False
+        self._address = ''
+        self._last_received_s = state.now_s()
         self._parse_error: BadRequest | None = None
         self._parse_error_detail = ''
         self._requests_received = 0
@@ -163,14 +247,21 @@
         transport: Any = self.transport
         watch_local_end(transport)
         transport.registerProducer(self, True)
-        self._state.connections.add(self)
+        transport.bufferSize = READ_BYTES
+        self._address = _client_address(transport)
+        if self._state.admit(self):
+            self._count_memory()
+        else:
+            self._is_closing = True
+            self.abort()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse bytes; those after a refused request are discarded."""
         if self._is_closing:
             return
+        self._last_received_s = self._state.now_s()
         if self._request_start_s is None:
-            self._request_start_s = self._state.now_s()
+            self._request_start_s = self._last_received_s
         self._overhead.add_received(len(data))
         try:
             self._parser.feed_data(data)
@@ -183,22 +274,29 @@
             )
         if self._overhead.is_exceeded(self._max_overhead_bytes()):
             self._refuse(BadRequest.HEAD_TOO_LARGE, 'overhead')
+        self._count_memory()
+        if self._state.memory.is_exceeded:
+            self._give_way()
         self._start_next()
+        if self._is_busy and self._has_further_bytes:
+            self._pause_reading()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Release all bodies; notify the handler if a request is open."""
         self._state.connections.discard(self)
+        self._state.leaving.discard(self)
         self._is_closing = True
-        self._release_partial_request()
-        self._release_in_hand()
-        for pending in self._pending_requests:
-            self._release_body(pending)
         self._pending_requests.clear()
         if self._is_busy:
             self._state.handler.connection_lost(self)
         self._reset_request()
-        # The parser and this object refer to each other.
+        self._state.memory.change(-self._held_bytes)
+        self._held_bytes = 0
+        # The parser, the answer and this object refer to each other.
         self._parser = None
+        self._in_hand = None
+        self.handler_context = None
+        self.on_writable = None
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Pause responses: the caller reads too slowly."""
@@ -212,6 +310,7 @@
         if self.on_writable is not None:
             self.on_writable()
         self._start_next()
+        self._resume_reading()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Ignore that the connection closes; `connectionLost` follows."""
@@ -221,16 +320,19 @@
     def respond(self, encoded: bytes, *, closes: bool = False) -> None:
         """Write the response of the request being answered."""
         self._is_busy = False
-        self._release_in_hand()
+        self._in_hand = None
         self.handler_context = None
         self.on_writable = None
         self._waiting_since_s = self._state.now_s()
         write_now(self.transport, encoded)
+        self._count_memory()
         if closes or not self._keeps_alive:
             self._is_closing = True
             self._close_when_sent()
         else:
+            self._restart_clock()
             self._start_next()
+            self._resume_reading()
 
     def write_part(self, encoded: bytes) -> None:
         """Write a part of the response; `respond` writes the last one."""
@@ -264,9 +366,108 @@
         """Close the connection at once, without sending buffered data."""
         self.transport.abortConnection()  # type: ignore[union-attr]
 
+    def evict(self) -> None:
+        """Close the connection to make room for others.
+
+        An unfinished request is refused, if its caller can be told.
+        """
+        if self._is_writing_paused or self._is_closing:
+            self._is_closing = True
+            self.abort()
+            return
+        if self._request_start_s is None:
+            # An answer that was sent stays readable.
+            self._is_closing = True
+            self._close_when_sent()
+            return
+        self._refuse(BadRequest.EVICTED, 'no room')
+        self._start_next()
+
+    def view(self) -> ClientView:
+        """Return what the choice of connections to close depends on."""
+        state = ClientState.IDLE
+        since_s = self._waiting_since_s
+        if self._is_writing_paused:
+            state = ClientState.UNREAD
+        elif self.is_busy or self._is_closing:
+            state = ClientState.BUSY
+        elif self._request_start_s is not None:
+            state = ClientState.UNFINISHED
+            since_s = self._request_start_s
+        return ClientView(
+            connection=self,
+            state=state,
+            since_s=since_s,
+            last_received_s=self._last_received_s,
+            received_bytes=self._overhead.received_bytes,
+            is_in_head=self._is_in_head,
+            address=self._address,
+            key=self._key(),
+        )
+
+    @property
+    def _has_further_bytes(self) -> bool:
+        """Return whether more than the request being answered was read."""
+        return bool(self._pending_requests) or (
+            self._request_start_s is not None
+        )
+
+    def _restart_clock(self) -> None:
+        """Let the timeouts of a request begin when it is read on."""
+        if self._is_reading_paused and self._request_start_s is not None:
+            self._request_start_s = self._state.now_s()
+
+    def _pause_reading(self) -> None:
+        """Leave further requests in the system until this one is answered."""
+        if not self._is_reading_paused:
+            self._is_reading_paused = True
+            transport: Any = self.transport
+            transport.pauseProducing()
+
+    def _resume_reading(self) -> None:
+        if self._is_reading_paused and not self._is_busy:
+            self._is_reading_paused = False
+            transport: Any = self.transport
+            transport.resumeProducing()
+
+    def _key(self) -> bytes:
+        for name, content in self._headers:
+            if name == b'authorization':
+                return content
+        return b''
+
+    def _give_way(self) -> None:
+        """Make room in the memory, or refuse what is not being answered."""
+        self._state.free_memory()
+        if not self._state.memory.is_exceeded or self._is_closing:
+            return
+        has_queued = bool(self._pending_requests)
+        if not has_queued and self._request_start_s is None:
+            return
+        self._pending_requests.clear()
+        self._refuse(BadRequest.NO_MEMORY, 'requests of all callers')
+        self._count_memory()
+
+    def _count_memory(self) -> None:
+        """Count what the connection holds now."""
+        if self._parser is None:
+            return
+        held_bytes = (
+            CONNECTION_BYTES
+            + self._overhead.since_body_bytes
+            + HEADER_OBJECT_BYTES * len(self._headers)
+            + buffer_bytes(len(self._body))
+            + sum(map(_request_bytes, self._pending_requests))
+            + _request_bytes(self._in_hand)
+            + unsent_bytes(self.transport)
+        )
+        self._state.memory.change(held_bytes - self._held_bytes)
+        self._held_bytes = held_bytes
+
     def check(self, now_s: float) -> None:
         """Apply the timeouts."""
         self._record_progress(now_s)
+        self._count_memory()
         waited_s = now_s - self._waiting_since_s
         if self._is_writing_paused or (self._is_closing and not self._is_busy):
             if waited_s > WRITE_TIMEOUT_S:
@@ -318,8 +519,6 @@
     def on_header(self, name: bytes, content: bytes) -> None:
         """Append a header."""
         self._count_head(len(name) + len(content) + 4)
-        if not self._state.memory.hold(HEADER_OBJECT_BYTES):
-            self._stop_parsing(BadRequest.NO_MEMORY, 'heads of all callers')
         self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
@@ -338,11 +537,9 @@
             self._stop_parsing(
                 BadRequest.BODY_TOO_LARGE, f'received over {limits.body_bytes}'
             )
-        if not self._state.memory.hold(len(body)):
-            self._stop_parsing(BadRequest.NO_MEMORY, 'bodies of all callers')
         self._body_bytes += len(body)
         self._overhead.add_body(len(body))
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
@@ -350,7 +547,7 @@
             method=self._parser.get_method().decode('latin-1'),
             path=self._url.decode('latin-1'),
             headers=tuple(self._headers),
-            body=b''.join(self._body),
+            body=bytes(self._body),
             keeps_alive=self._parser.should_keep_alive(),
         )
         self._body_bytes = 0
@@ -366,7 +563,7 @@
         self._url = b''
         self._headers: list[RawHeader] = []
         self._head_bytes = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._is_in_head = True
 
@@ -411,21 +608,12 @@
         )
 
     def _release_partial_request(self) -> None:
-        self._state.memory.release(self._body_bytes, len(self._headers))
+        """Free an unfinished request."""
         self._body_bytes = 0
         self._headers = []
-
-    def _release_in_hand(self) -> None:
-        """Release the body of the request being answered; it is held until."""
-        if self._in_hand is not None:
-            self._release_body(self._in_hand)
-            self._in_hand = None
-
-    def _release_body(self, received: ReceivedRequest) -> None:
-        if isinstance(received, HttpRequest):
-            self._state.memory.release(
-                len(received.body), len(received.headers)
-            )
+        self._body = bytearray()
+        self._overhead.reset()
+        self._count_memory()
 
     def _start_next(self) -> None:
         while (
@@ -442,6 +630,21 @@
             self._state.handler.request_received(self, received)
 
 
+def _request_bytes(received: ReceivedRequest | None) -> int:
+    """Return the memory of a complete request and of its copies in transit."""
+    if not isinstance(received, HttpRequest):
+        return 0
+    return HEADER_OBJECT_BYTES * len(received.headers) + (
+        (1 + TRANSIT_COPIES) * len(received.body)
+    )
+
+
+def _client_address(transport: Any) -> str:
+    if not isinstance(transport, Server):
+        return ''
+    return str(transport.getPeer().host)
+
+
 class _HttpServerFactory(ServerFactory):
     """Creates the connections of one address."""
 
@@ -469,11 +672,11 @@
         The port listened on.
     """
     host, _, port = address.rpartition(':')
-    listener = reactor.listenTCP(
-        int(port), _HttpServerFactory(state), BACKLOG, host
+    listener = listen(
+        reactor, host, int(port), _HttpServerFactory(state), BACKLOG
     )
     try:
-        yield listener.getHost().port  # type: ignore[attr-defined]
+        yield listener.getHost().port
     finally:
         listener.stopListening()
         for connection in tuple(state.connections):
--- a/src/rattanstile/connection/peer_link.py
+++ b/src/rattanstile/connection/peer_link.py
@@ -74,6 +74,7 @@
             other end opened the connection.
         awaited_responses: Number of awaited responses.
         last_received_s: Monotonic time of the last bytes received.
+        opened_s: Monotonic time at which it was opened.
         unneeded_since_s: Monotonic time since when nothing is sent on it; None
             while it is in use.
 
@@ -90,6 +91,7 @@
         self.awaited_responses = 0
         self.last_received_s = owner.timers.now_s()
         self.unneeded_since_s: float | None = None
+        self.opened_s = self.last_received_s
         self._awaiting_since_s = self.last_received_s
         self._owner = owner
         self._domain = None if member is None else member.domain
@@ -145,8 +147,9 @@
         """Ping a silent peer, and close the connection to a dead one."""
         quiet_s = self.quiet_s(now_s)
         if self.hello is None:
-            # The other end may be paused, while its kernel accepts.
-            quiet_s = now_s - self.last_received_s
+            # The other end may be paused, while its kernel accepts, or no
+            # node at all that sends a byte from time to time.
+            quiet_s = now_s - self.opened_s
         if quiet_s > DROP_AFTER_S:
             self._owner.log.write(
                 LineKind.PEER,
--- a/src/rattanstile/connection/peer_pool.py
+++ b/src/rattanstile/connection/peer_pool.py
@@ -16,6 +16,7 @@
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory, ServerFactory
 
+from rattanstile.connection.accepting import listen
 from rattanstile.connection.peer_link import LinkOwner, NodePlace, PeerLink
 from rattanstile.connection.peer_messages import (
     PeerHello,
@@ -24,7 +25,7 @@
     encode_peer_frame,
 )
 from rattanstile.connection.peer_traffic import PeerTraffic
-from rattanstile.process.decision_log import DecisionLog
+from rattanstile.process.decision_log import DecisionLog, LineKind
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import NodeId
 
@@ -43,6 +44,8 @@
 UNREACHABLE_MEMBER_TIMEOUT_S = 90.0
 """A node that can't be connected to for this long is removed."""
 BACKLOG = 512
+MAX_UNNAMED_LINKS = 96
+"""Nodes name themselves at once; whoever doesn't keeps others out."""
 
 
 class PeerHandler(Interface):
@@ -191,6 +194,8 @@
         self.log = log
         self.rng = rng
         self.links: set[PeerLink] = set()
+        self.max_unnamed_links = MAX_UNNAMED_LINKS
+        self.unnamed_dropped = 0
         self.traffic = PeerTraffic()
         self.members_version = 0
         self._peers: dict[NodeId, _Peer] = {}
@@ -325,6 +330,35 @@
             if link.is_outbound and link.hello is not None:
                 self._close_if_unneeded(now_s, link)
 
+    def accept(self) -> PeerLink:
+        """Return a connection that another node opens.
+
+        The oldest ones that haven't named their node give way to it.
+        """
+        unnamed = [
+            link
+            for link in self.links
+            if link.hello is None and not link.is_outbound
+        ]
+        excess = len(unnamed) + 1 - self.max_unnamed_links
+        if excess > 0:
+            unnamed.sort(key=lambda link: link.opened_s)
+            for link in unnamed[:excess]:
+                self._drop_unnamed(link)
+        return PeerLink(self, None)
+
+    def _drop_unnamed(self, link: PeerLink) -> None:
+        self.unnamed_dropped += 1
+        self.links.discard(link)
+        self.log.write(
+            LineKind.CLIENT,
+            'clients_closed',
+            listener='nodes',
+            count=1,
+            max_open=self.max_unnamed_links,
+        )
+        link.abort()
+
     # Events of connections
 
     def link_opened(self, link: PeerLink) -> None:
@@ -416,7 +450,7 @@
         self._pool = pool
 
     def buildProtocol(self, addr: Any) -> PeerLink:  # noqa: N802
-        return PeerLink(self._pool, None)
+        return self._pool.accept()
 
 
 @contextmanager
@@ -429,11 +463,9 @@
         The listening port.
     """
     host, _, port = address.rpartition(':')
-    listener = reactor.listenTCP(
-        int(port), _InboundFactory(pool), BACKLOG, host
-    )
+    listener = listen(reactor, host, int(port), _InboundFactory(pool), BACKLOG)
     try:
-        yield listener.getHost().port  # type: ignore[attr-defined]
+        yield listener.getHost().port
     finally:
         listener.stopListening()
         for link in tuple(pool.links):
--- a/src/rattanstile/connection/target_pool.py
+++ b/src/rattanstile/connection/target_pool.py
@@ -213,6 +213,8 @@
             body_sink=exchange.body_sink,
             max_body_bytes=exchange.max_body_bytes,
         )
+        # The socket has it, or the transport's buffer.
+        exchange.encoded_request = b''
 
     def _end_handler(
         self, connection: HttpClientConnection, exchange: TargetExchange
@@ -225,5 +227,12 @@
                 else:
                     connection.abort()
             exchange.on_end(result)
+            # What waits for the answer refers to the exchange.
+            exchange.on_end = _ignore_end
+            exchange.body_sink = None
 
         return handle_end
+
+
+def _ignore_end(result: HttpResponse | ExchangeFailure) -> None:
+    """Do nothing: the exchange is over."""
--- a/src/rattanstile/platform/callers.py
+++ b/src/rattanstile/platform/callers.py
@@ -36,6 +36,9 @@
     BadRequest.NO_MEMORY: NotRun(
         NotRunReason.OVERLOADED, NO_MEMORY_RETRY_AFTER_S
     ),
+    BadRequest.EVICTED: NotRun(
+        NotRunReason.OVERLOADED, NO_MEMORY_RETRY_AFTER_S
+    ),
     BadRequest.TOO_SLOW: NotRun(NotRunReason.TOO_SLOW),
 }
 
--- a/src/rattanstile/process/decision_log.py
+++ b/src/rattanstile/process/decision_log.py
@@ -23,6 +23,7 @@
     """Kinds of lines, each with its own limit of lines per second.
 
     Attributes:
+        CLIENT: Connections and requests that gave way to others.
         INVALID: Refusals that no retry can change, which must not be left
             out because of many others.
     """
@@ -40,6 +41,7 @@
     PLACED_AGAIN = 11
     ADMISSION = 12
     INVALID = 13
+    CLIENT = 14
 
 
 MAX_LINES_PER_S = {
@@ -56,6 +58,7 @@
     LineKind.PLACED_AGAIN: 20,
     LineKind.ADMISSION: 8,
     LineKind.INVALID: 20,
+    LineKind.CLIENT: 5,
 }
 """Failures and refusals have higher limits than successes."""
 
--- a/src/rattanstile/process/mesh/entry/caller_answer.py
+++ b/src/rattanstile/process/mesh/entry/caller_answer.py
@@ -66,6 +66,8 @@
 
     def end(self, ending: Ending) -> None:
         """Write what is left of the answer, or a response without one."""
+        # The call that this refers to refers to this.
+        self.on_taken = None
         if self._head is None:
             closes = self._connection.closes_after_response
             encoded = self._codec.encode(
--- a/src/rattanstile/process/mesh/entry/caller_service.py
+++ b/src/rattanstile/process/mesh/entry/caller_service.py
@@ -77,6 +77,9 @@
         call = connection.handler_context
         if isinstance(call, EntryCall):
             self._entry.abandon(call)
+            if isinstance(call.sink, CallerAnswer):
+                # The call, its answer and the connection refer to each other.
+                call.sink.on_taken = None
 
     def _refusal(self, invalid: InvalidRequest) -> NotRun:
         """Return what the caller is told.
@@ -104,8 +107,10 @@
         fields: dict[str, object] = {'detail': invalid.detail}
         if not invalid.detail and connection.fault is not None:
             fields = _fault_fields(connection.fault)
+        # A crowd must not displace the lines of callers to be helped.
+        gave_way = invalid.ending.reason is NotRunReason.OVERLOADED
         self._context.log.write(
-            LineKind.INVALID,
+            LineKind.CLIENT if gave_way else LineKind.INVALID,
             'request_malformed',
             request=request_id[:MAX_ID_CHARACTERS],
             reason=reason,
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -42,6 +42,7 @@
     now_s = node.timers.now_s()
     serving = node.serving
     yield from _operator_gauges(node, now_s)
+    yield from _client_gauges(node)
     yield _line('requests_in_hand', node.entry.in_hand)
     yield _line('calls_waiting', serving.queue.waiting)
     yield _line('calls_in_flight', serving.queue.in_flight)
@@ -74,6 +75,38 @@
     yield _line('kept_evacuations', len(state.kept))
 
 
+def _client_gauges(node: 'MeshNode') -> Iterator[str]:
+    """Return what clients hold, and what gave way to others."""
+    memory = node.memory
+    shares = (
+        ('callers', memory.callers),
+        ('nodes', memory.nodes),
+        ('targets', memory.targets),
+    )
+    for name, share in shares:
+        yield _line('client_memory_bytes', share.held_bytes, share=name)
+        yield _line('client_memory_limit_bytes', share.limit_bytes, share=name)
+    for listener, state in node.listeners.items():
+        yield _line(
+            'client_connections', len(state.connections), listener=listener
+        )
+        for client_state, count in sorted(
+            state.evictions.items(), key=lambda item: item[0].value
+        ):
+            yield _line(
+                'clients_closed_total',
+                count,
+                listener=listener,
+                state=client_state.value,
+            )
+    yield _line(
+        'clients_closed_total',
+        node.peers.unnamed_dropped,
+        listener='nodes',
+        state='unnamed',
+    )
+
+
 def _histograms(node: 'MeshNode') -> Iterator[str]:
     for route, latencies in sorted(node.context.counters.latencies.items()):
         yield from _histogram(route, latencies)
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -1,10 +1,15 @@
 """The node: connects entry, serving, peers and the store."""
 
+from collections import Counter
 from collections.abc import Coroutine, Iterator
 from contextlib import ExitStack, contextmanager
 from random import Random
 from typing import Any
 
+from rattanstile.connection.descriptor_budget import (
+    descriptor_budget,
+    descriptor_limit,
+)
 from rattanstile.connection.http_server import (
     RequestHandler,
     ServerState,
@@ -13,8 +18,10 @@
 from rattanstile.connection.peer_link import UNRESPONSIVE_AFTER_S, NodePlace
 from rattanstile.connection.peer_messages import ShutdownNotice
 from rattanstile.connection.peer_pool import PeerPool, serving_peers
+from rattanstile.connection.request_memory import MemoryAccount
 from rattanstile.connection.target_pool import TargetPool
 from rattanstile.process.decision_log import DecisionLog, LineKind
+from rattanstile.process.heap import HeapTrimmer
 from rattanstile.process.mesh.admission.root_admission import (
     STEP_S,
     RootAdmission,
@@ -58,6 +65,7 @@
 RATES_PERIOD_S = 0.5
 FAST_RATES_PERIOD_S = 0.25
 """Used while the demand for a service is close to its capacity."""
+BYTES_PER_MB = 1024 * 1024
 DEFAULT_LIMITS = CallerLimits()
 SMALL_LIMITS = CallerLimits(body_bytes=64 * 1024)
 """A target announces itself in under a kilobyte."""
@@ -95,6 +103,7 @@
             rng=rng,
         )
         self._reactor = reactor
+        self._heap = HeapTrimmer()
         self._drain: Drain | None = None
         self._admission_due_s = 0.0
         self._views_due_s = 0.0
@@ -197,21 +206,27 @@
 
     def _build_servers(self, adapters: NodeAdapters) -> None:
         settings = self.settings
+        self.memory = MemoryAccount(settings.request_memory_mb * BYTES_PER_MB)
+        self._descriptors = descriptor_budget(
+            descriptor_limit(), settings.reserved_descriptors
+        )
+        self.peers.max_unnamed_links = self._descriptors.unknown_nodes
         callers = CallerService(adapters.callers, self.entry, self.context)
         announcements = AnnouncementService(adapters.announcements, self)
         self._caller_state = self._server_state(callers)
+        self.listeners = {
+            'announcements': self._small_server_state(announcements),
+            'ready': self._small_server_state(ReadyService(self)),
+            'metrics': self._small_server_state(MetricsService(self)),
+            'callers': self._caller_state,
+        }
         self._servers = {
-            settings.announcement_address: self._small_server_state(
-                announcements
-            ),
-            settings.ready_address: self._small_server_state(
-                ReadyService(self)
-            ),
-            settings.metrics_address: self._small_server_state(
-                MetricsService(self)
-            ),
+            settings.announcement_address: self.listeners['announcements'],
+            settings.ready_address: self.listeners['ready'],
+            settings.metrics_address: self.listeners['metrics'],
             settings.caller_address: self._caller_state,
         }
+        self._clients_closed: Counter[str] = Counter()
 
     @property
     def is_ready(self) -> bool:
@@ -307,6 +322,8 @@
         self.entry.attempts.update_unresponsive(now_s, UNRESPONSIVE_AFTER_S)
         for state in self._servers.values():
             state.check(now_s)
+        self._log_closed_clients()
+        self._heap.check(self.memory.held_bytes)
         self._target_pool.check(now_s)
         self.context.log.flush()
         self._operator_state.check(now_s)
@@ -325,6 +342,22 @@
             self._log_tight_services()
         self.rates.report_domain(now_s)
 
+    def _log_closed_clients(self) -> None:
+        for listener, state in self.listeners.items():
+            closed = state.evictions.total()
+            if closed > self._clients_closed[listener]:
+                self.context.log.write(
+                    LineKind.CLIENT,
+                    'clients_closed',
+                    listener=listener,
+                    count=closed - self._clients_closed[listener],
+                    open=len(state.connections),
+                    max_open=state.max_connections,
+                    held_bytes=state.memory.held_bytes,
+                    max_held_bytes=state.memory.limit_bytes,
+                )
+                self._clients_closed[listener] = closed
+
     def _advance_drain(self, now_s: float, drain: Drain) -> None:
         self.entry.end_s = drain.end_s(now_s)
         if self.entry.end_s is not None:
@@ -369,6 +402,9 @@
             handler=handler,
             limits=self._limits,
             now_s=self.timers.now_s,
+            memory=self.memory.callers,
+            max_connections=self._descriptors.callers,
+            min_bytes_per_s=self.settings.min_progress_bytes_per_s,
         )
 
     def _small_server_state(self, handler: RequestHandler) -> ServerState:
@@ -377,6 +413,9 @@
             handler=handler,
             limits=lambda: SMALL_LIMITS,
             now_s=self.timers.now_s,
+            memory=self.memory.targets,
+            max_connections=self._descriptors.small_listener,
+            min_bytes_per_s=self.settings.min_progress_bytes_per_s,
         )
 
     def _limits(self) -> CallerLimits:
--- a/src/rattanstile/process/mesh/settings.py
+++ b/src/rattanstile/process/mesh/settings.py
@@ -12,6 +12,9 @@
 
 MAX_NODE_ID_BYTES = 255
 """The store takes no longer key for the node's member entry."""
+MIN_REQUEST_MEMORY_MB = 56
+"""Callers' half holds one body of 8 MB with its copies in transit (24 MB) and
+1,000 connections."""
 MAX_DURATION_S = 366 * 24 * 3600
 
 _COMMENT = re.compile(r'^\s*//.*$', re.MULTILINE)
@@ -38,6 +41,12 @@
         peer_listen_address: Listen address for other nodes, if it differs
             from the address that they connect to; empty for `peer_address`.
         new_fleet: Whether the whole fleet starts for the first time.
+        request_memory_mb: Memory for requests of callers, other nodes and the
+            target, in megabytes.
+        reserved_descriptors: Descriptors that callers don't get; 0 for a part
+            of the limit of the process.
+        min_progress_bytes_per_s: Progress below which an unfinished request
+            gives way to others near a limit.
     """
 
     node_id: NodeId
@@ -55,6 +64,9 @@
     rerun_slack: float
     peer_listen_address: str = ''
     new_fleet: bool = False
+    request_memory_mb: int = 64
+    reserved_descriptors: int = 0
+    min_progress_bytes_per_s: int = 1024
 
     @property
     def grace_s(self) -> float:
@@ -113,4 +125,22 @@
         raise SettingsError(
             file_name, '$.grace', 'must be a duration such as 6s or 500ms'
         )
+    _check_client_limits(file_name, settings)
     return settings
+
+
+def _check_client_limits(file_name: str, settings: MeshSettings) -> None:
+    if settings.request_memory_mb < MIN_REQUEST_MEMORY_MB:
+        raise SettingsError(
+            file_name,
+            '$.request_memory_mb',
+            f'must be at least {MIN_REQUEST_MEMORY_MB}',
+        )
+    if settings.reserved_descriptors < 0:
+        raise SettingsError(
+            file_name, '$.reserved_descriptors', 'must be 0 or above'
+        )
+    if settings.min_progress_bytes_per_s <= 0:
+        raise SettingsError(
+            file_name, '$.min_progress_bytes_per_s', 'must be above 0'
+        )
--- a/src/rattanstile/standin/platform_fleet.py
+++ b/src/rattanstile/standin/platform_fleet.py
@@ -21,6 +21,7 @@
     ServerState,
     serving_http,
 )
+from rattanstile.connection.request_memory import MemoryShare
 from rattanstile.process.reactor import installed_reactor
 from rattanstile.process.timers import TimerService
 from rattanstile.standin.platform_store import StoreFault, StoreStandIn
@@ -30,6 +31,8 @@
 HEARTBEAT_PERIOD_S = 0.3
 """Shorter than the platform's, to keep tests short."""
 CHECK_PERIOD_S = 0.5
+MAX_STANDIN_BYTES = 1 << 32
+"""Targets of the tests hold answers of any size."""
 
 
 class FleetPlan(msgspec.Struct, frozen=True):
@@ -136,6 +139,7 @@
         handler=handler,  # type: ignore[arg-type]
         limits=CallerLimits,
         now_s=timers.now_s,
+        memory=MemoryShare(MAX_STANDIN_BYTES),
     )
 
 
