Placement: light load keeps the fastest target until it is crowded

Times of calls were not recorded if the call began at clock 0.

Change: below 0.33 of the limits in use the choice is the one of before; only targets above 0.8 of their limit are left out. Shares between domains are compared only near the limit, and the expected latency makes fewer calls. Node-level tests of passing on, of a call that comes back to its only target, and of the reported times.

--- a/src/rattanstile/process/mesh/placement/even_load.py
+++ b/src/rattanstile/process/mesh/placement/even_load.py
@@ -13,10 +13,10 @@
 from random import Random
 from typing import Protocol, TypeVar
 
-BUSY_SHARE = 0.4
+BUSY_SHARE = 0.33
 """Mean share of the limits in use from which on calls are spread evenly. Below
 it, the fastest target has room for most calls."""
-CROWDED_SHARE = 0.7
+CROWDED_SHARE = 0.8
 """Share of its limit in use from which on a single target has too little room
 for the calls that other nodes send to it at the same time."""
 MAX_DRAWN = 12
--- a/src/rattanstile/process/mesh/placement/placement.py
+++ b/src/rattanstile/process/mesh/placement/placement.py
@@ -14,12 +14,14 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import Enum, unique
 from random import Random
 
 from rattanstile.connection.peer_messages import TargetLoad
 from rattanstile.process.mesh.placement.even_load import (
     BUSY_SHARE,
     CROWDED_SHARE,
+    FULL_DOMAIN_SHARE,
     draw,
     mean_share,
     spill_share,
@@ -54,6 +56,19 @@
 that a target that was slow is detected as fast again."""
 
 
+@unique
+class Use(Enum):
+    """How much of the limits of a service's targets is in use.
+
+    With light use, or while a single target is crowded, the fastest target is
+    chosen, in the latter case among those that aren't.
+    """
+
+    LIGHT = 'light'
+    CROWDED = 'crowded'
+    BUSY = 'busy'
+
+
 @dataclass(eq=False, slots=True)
 class Candidate:
     """A node that can serve attempts, with its last reported load.
@@ -130,20 +145,16 @@
 
         The service time grows with the share of the limit that is in use.
         """
-        service_s = load_service_s(self.load)
-        used = (self.load.pending_calls + self.sent_since_update) / max(
-            self.load.limit, 1
-        )
+        load = self.load
+        # Written out, as each choice compares several candidates.
+        service_s = load.service_us / 1e6 or DEFAULT_SERVICE_S
+        if service_s < MIN_SERVICE_S:
+            service_s = MIN_SERVICE_S
+        used = (load.pending_calls + self.sent_since_update) / (load.limit or 1)
         rtt_s = 0 if self.domain == local_domain else CROSS_DOMAIN_RTT_S
         return self.expected_wait_s() + service_s * (1 + used) + rtt_s
 
 
-def load_service_s(load: TargetLoad) -> float:
-    """Return the mean service time of the target; assumed if unknown."""
-    service_s = load.service_us / 1e6 or DEFAULT_SERVICE_S
-    return max(service_s, MIN_SERVICE_S)
-
-
 def choose(
     candidates: Iterable[Candidate],
     local_domain: FailureDomainId,
@@ -173,8 +184,12 @@
     sound = _without_failing(responsive)
     if len(sound) < len(responsive):
         local = [each for each in sound if each.domain == local_domain]
-    if _is_busy(local or sound):
+    use = _use(local or sound)
+    if use is Use.BUSY:
         return _choose_even(sound, local, max_local_wait_s, rng, now_s)
+    if use is Use.CROWDED:
+        local = _uncrowded(local)
+        sound = _uncrowded(sound)
     return choose_fastest(sound, local, local_domain, max_local_wait_s, rng)
 
 
@@ -212,32 +227,39 @@
         return draw(sound, now_s, rng)
     if len(local) == len(sound):
         return draw(local, now_s, rng)
-    local_ids = {each.node_id for each in local}
-    remote = [each for each in sound if each.node_id not in local_ids]
-    spill = spill_share(mean_share(local), mean_share(remote))
-    if spill and rng.random() < spill:
-        return draw(remote, now_s, rng)
+    local_share = mean_share(local)
+    if local_share > FULL_DOMAIN_SHARE:
+        domain = local[0].domain
+        remote = [each for each in sound if each.domain != domain]
+        if rng.random() < spill_share(local_share, mean_share(remote)):
+            return draw(remote, now_s, rng)
     best = draw(local, now_s, rng)
     if best.expected_wait_s() <= max_local_wait_s:
         return best
     return draw(sound, now_s, rng)
 
 
-def _is_busy(pool: list[Candidate]) -> bool:
-    """Return whether calls are spread evenly.
+def _use(pool: list[Candidate]) -> Use:
+    """Return how much of the limits is in use.
 
     Each choice calls it, so that it makes no calls itself.
     """
     total_used = 0
     total_limit = 0
+    use = Use.LIGHT
     for each in pool:
         load = each.load
         used = load.pending_calls + each.sent_since_update
         if used > CROWDED_SHARE * load.limit:
-            return True
+            use = Use.CROWDED
         total_used += used
         total_limit += load.limit
-    return total_used > BUSY_SHARE * total_limit
+    return Use.BUSY if total_used > BUSY_SHARE * total_limit else use
+
+
+def _uncrowded(pool: list[Candidate]) -> list[Candidate]:
+    """Return the targets with room for calls of other nodes, if any has."""
+    return [each for each in pool if each.used_share() <= CROWDED_SHARE] or pool
 
 
 def _without_failing(responsive: list[Candidate]) -> list[Candidate]:
--- a/src/rattanstile/process/mesh/serving/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving/serving_handler.py
@@ -415,9 +415,7 @@
         self._repeated_runs -= waiting.call.is_repeat
         if end is not ExchangeFailure.ABANDONED:
             self._failing.add(now_s, is_failed=_is_failed(run_end))
-        if isinstance(run_end, RunAnswered) and not _is_failed(run_end):
-            took_s = now_s - (waiting.started_s or now_s)
-            self._times.record(now_s, waiting.call.route, took_s)
+        self._record_time(now_s, waiting, run_end)
         is_awaited = self._pending.pop(waiting.key) is not None
         if is_awaited:
             ending = self._ending(now_s, waiting, run_end)
@@ -426,6 +424,19 @@
             pending.on_end(ending)
         self.send_waiting()
 
+    def _record_time(
+        self,
+        now_s: float,
+        waiting: WaitingCall,
+        run_end: RunAnswered | RunRefused | RunFailed,
+    ) -> None:
+        """Record how long the target took, unless it failed the call."""
+        if waiting.started_s is None or not isinstance(run_end, RunAnswered):
+            return
+        if not _is_failed(run_end):
+            took_s = now_s - waiting.started_s
+            self._times.record(now_s, waiting.call.route, took_s)
+
     def _ending(
         self,
         now_s: float,
--- a/tests/test_entry_desk.py
+++ b/tests/test_entry_desk.py
@@ -221,3 +221,16 @@
             candidate.update_load(full, 0.0)
         self.desk.begin(caller_request('b'), self.ends.append)
         self.assertEqual(self.short_calls, 1)
+
+    def test_a_call_passed_on_waits_at_the_only_target(self):
+        """It was refused for other targets that this node doesn't know."""
+        for name in tuple(self.candidates.by_id)[1:]:
+            self.candidates.remove(name)
+        self.desk.begin(caller_request(), self.ends.append)
+        first = self.desk.attempts._sent[self.sent[0].sequence].receiver
+        self.refuse(NotRunReason.QUEUE_FULL)
+        again = self.desk.attempts._sent[self.sent[0].sequence]
+        self.assertEqual((again.receiver, again.moves), (first, 1))
+        self.refuse(NotRunReason.QUEUE_FULL)
+        self.assertEqual((self.sent, self.ends), ([], []))
+        self.assertEqual(self.desk.in_hand, 1)
--- a/tests/test_serving_desk.py
+++ b/tests/test_serving_desk.py
@@ -3,7 +3,7 @@
 import unittest
 from types import SimpleNamespace
 
-from mesh_samples import ANSWER, config, context, served_call
+from mesh_samples import ANSWER, USABLE, config, context, served_call
 from test_target_watch import announcement
 
 from rattanstile.connection.http_client import (
@@ -11,6 +11,7 @@
     ResponseMatch,
 )
 from rattanstile.connection.http_messages import HttpResponse
+from rattanstile.process.mesh.placement.placement import Candidate
 from rattanstile.process.mesh.ports import RunAnswered, RunRefused
 from rattanstile.process.mesh.serving.past_incarnations import (
     NO_DEPARTURE,
@@ -237,3 +238,50 @@
         """Another node had the address before."""
         self.begin(service='other')
         self.assertEqual(self.ends, [NotRun(NotRunReason.NO_TARGET)])
+
+    def test_a_full_target_passes_a_call_on_once(self):
+        """It would wait here while another target is idle."""
+        idle = Candidate('n2', 'registry', 'east', USABLE)
+        self.desk.siblings = lambda: (idle,)
+        self.begin('a')
+        self.begin('b')
+        self.assertEqual(self.ends, [NotRun(NotRunReason.QUEUE_FULL)])
+        self.assertEqual(self.desk.in_hand, 1)
+        self.assertEqual(self.context.counters.not_taken['passed_on'], 1)
+        self.assertIn('call_passed_on', self.context.log.events())
+        self.begin('b', moves=1)
+        self.assertEqual((len(self.ends), self.desk.queue.waiting), (1, 1))
+
+    def test_a_call_passed_on_counts_as_offered(self):
+        """Admission would take the service for less busy than it is."""
+        self.desk.siblings = lambda: (
+            Candidate('n2', 'registry', 'east', USABLE),
+        )
+        self.begin('a')
+        before = self.desk.load().offered_deci_per_s
+        self.begin('b')
+        self.assertGreater(self.desk.load().offered_deci_per_s, before)
+
+    def test_the_time_of_a_route_is_reported(self):
+        """Callers compare it with that of the service's other targets."""
+        self.begin()
+        self.clock.advance(0.02)
+        self.pool.sent[0].ended(RESPONSE)
+        load = self.desk.load()
+        self.assertEqual((load.route_deci_ms, load.pace_percent), (200, 100))
+        self.assertGreater(load.route_code, 0)
+
+    def test_failures_do_not_count_as_fast(self):
+        """A target that refuses its calls would get more of them."""
+        self.codec.meaning = RunRefused(is_other_target=False)
+        self.begin()
+        self.pool.sent[0].ended(RESPONSE)
+        self.assertEqual(self.desk.load().route_code, 0)
+
+    def test_another_target_starts_without_times(self):
+        """It may be faster or slower than the one before."""
+        self.begin()
+        self.clock.advance(0.02)
+        self.pool.sent[0].ended(RESPONSE)
+        self.desk.announced(announcement('i-2', born_ms=2000))
+        self.assertEqual(self.desk.load().route_code, 0)
