Retry budget: every window that includes a moment counts, its first part too

Cause: windows were only looked at from the first repeat on, and the one that begins ten seconds ago was left out; 14 nodes sent 2,854 repeats where 2,849 fit. Change: all windows that include the moment are looked at.

--- a/src/rattanstile/process/mesh/placement/attempt_window.py
+++ b/src/rattanstile/process/mesh/placement/attempt_window.py
@@ -11,7 +11,7 @@
 
 from collections import deque
 from dataclasses import dataclass
-from itertools import accumulate
+from itertools import accumulate, repeat
 from math import sqrt
 
 WINDOW_S = 10.0
@@ -19,7 +19,7 @@
 BUCKET_S = 0.1
 WINDOW_BUCKETS = round(WINDOW_S / BUCKET_S)
 HALF_WINDOW_BUCKETS = WINDOW_BUCKETS // 2
-KEPT_BUCKETS = 2 * WINDOW_BUCKETS
+KEPT_BUCKETS = 2 * WINDOW_BUCKETS + 1
 """A window that begins ten seconds ago is earned by the one before it."""
 RECENT_BUCKETS = round(1.0 / BUCKET_S)
 EXPECTED_SHARE = 0.25
@@ -120,13 +120,12 @@
             for bucket in self._buckets
             if bucket.repeats
         }
-        least = ratio * earned.by_window_from(current)
+        least = float('inf')
         repeats = 0
-        for number in range(current, current - WINDOW_BUCKETS, -1):
+        for number in range(current, current - WINDOW_BUCKETS - 1, -1):
             repeats += repeats_in.get(number, 0)
-            if repeats:
-                requests = earned.by_window_from(number)
-                least = min(least, ratio * requests - repeats)
+            requests = earned.by_window_from(number)
+            least = min(least, ratio * requests - repeats)
         return least
 
     def _bucket(self, now_s: float) -> _Bucket:
@@ -151,10 +150,10 @@
         self, buckets: deque[_Bucket], current: int, expected: float
     ) -> None:
         self._oldest = current - KEPT_BUCKETS
-        first = [0.0] * (KEPT_BUCKETS + 1)
+        first = list(repeat(0.0, KEPT_BUCKETS + 1))
         for bucket in buckets:
             first[bucket.number - self._oldest] = bucket.first
-        first.extend([expected] * WINDOW_BUCKETS)
+        first.extend(repeat(expected, WINDOW_BUCKETS))
         self._sums = [0.0, *accumulate(first)]
 
     def by_window_from(self, number: int) -> float:
