--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -28,6 +28,7 @@
     ServiceName,
     StoreEra,
     TargetId,
+    TargetVersion,
 )
 
 MAX_FRAME_BYTES = 72 * 1024 * 1024
@@ -273,6 +274,86 @@
     services: tuple[ServiceDigest, ...]
 
 
+class RouteCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Answered and failed calls of one route since the order of a rollout.
+
+    Attributes:
+        route: Name of the route.
+        domain: Failure domain of the targets that got the calls.
+        is_new: Whether these are targets of the new version.
+        calls: Calls that ended, failed ones included.
+        failed: Calls that failed at the target.
+        latencies: Successful calls by latency; see
+            `rattanstile.process.mesh.rollout.version_counts`.
+    """
+
+    route: str
+    domain: FailureDomainId
+    is_new: bool
+    calls: int
+    failed: int
+    latencies: tuple[int, ...]
+
+
+class VersionTargets(msgspec.Struct, frozen=True, array_like=True):
+    """Targets of the old and the new version, summed over the nodes.
+
+    Attributes:
+        new_targets: Targets of the new version that accept calls.
+        new_cold: Those of them that are not warm yet.
+        new_deci_per_s: Rate that the warm ones can serve, in tenths of a call
+            per second.
+        old_targets: Targets of other versions that accept calls, or whose
+            node has not confirmed that they are closed.
+        old_in_flight: Calls waiting or running at targets of other versions.
+        offered_deci_per_s: Arrival rate at all targets, in tenths of a call
+            per second.
+    """
+
+    new_targets: int = 0
+    new_cold: int = 0
+    new_deci_per_s: int = 0
+    old_targets: int = 0
+    old_in_flight: int = 0
+    offered_deci_per_s: int = 0
+
+
+class RolloutReport(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender, or its failure domain, knows of a rollout.
+
+    Attributes:
+        version: Target version of the order.
+        verdict: Value of the latest `Verdict` that the sender has heard of.
+        requests: Requests to the service that were answered since the order.
+        counts: Since the order.
+    """
+
+    service: ServiceName
+    version: TargetVersion
+    verdict: int
+    requests: int
+    counts: tuple[RouteCounts, ...]
+    targets: VersionTargets
+
+
+class RolloutDirective(msgspec.Struct, frozen=True, array_like=True):
+    """Decision on a rollout, from the node that decides.
+
+    Attributes:
+        version: Target version of the order.
+        verdict: Value of a `Verdict`.
+        spend_ppm: Probability, in millionths, with which a request is sent to
+            the new version if the sender's credit allows it.
+        age_ms: Time since the order.
+    """
+
+    service: ServiceName
+    version: TargetVersion
+    verdict: int
+    spend_ppm: int
+    age_ms: int
+
+
 class DemandReport(msgspec.Struct, frozen=True, array_like=True, tag=9):
     """Demand of each organisation at the sender, in requests per second.
 
@@ -283,12 +364,14 @@
         calls_per_s: Calls to each service that the root requests at the
             sender would make if all were admitted.
         load: Load of the sender's target.
+        rollouts: Of the orders in force.
     """
 
     sequence: int
     demand_per_s: dict[OrganisationId, float]
     calls_per_s: dict[ServiceName, float]
     load: TargetLoad | None = None
+    rollouts: tuple[RolloutReport, ...] = ()
 
 
 class DomainReport(msgspec.Struct, frozen=True, array_like=True, tag=21):
@@ -301,6 +384,7 @@
         reporting: Nodes whose recent reports are included.
         demand_per_s: See `DemandReport`.
         calls_per_s: See `DemandReport`.
+        rollouts: Of the orders in force.
     """
 
     sequence: int
@@ -308,6 +392,7 @@
     demand_per_s: dict[OrganisationId, float]
     calls_per_s: dict[ServiceName, float]
     digest: DomainDigest
+    rollouts: tuple[RolloutReport, ...] = ()
 
 
 class RateSharesResponse(msgspec.Struct, frozen=True, array_like=True, tag=10):
@@ -323,6 +408,7 @@
         lease_ms: How long the shares stay valid without an update.
         digests: Load of the other failure domains.
         is_for_domain: Whether it responds to a `DomainReport`.
+        rollouts: Of the orders in force.
     """
 
     sequence: int
@@ -332,6 +418,7 @@
     lease_ms: int
     digests: tuple[DomainDigest, ...] = ()
     is_for_domain: bool = False
+    rollouts: tuple[RolloutDirective, ...] = ()
 
 
 class FleetLoad(msgspec.Struct, frozen=True, array_like=True, tag=22):
