--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -86,6 +86,7 @@
         version: See `ConfigNotice`.
         kept: See `ConfigNotice`.
         confirmed_ms: See `ConfigNotice`.
+        target_version: Version of the target; empty if unknown.
     """
 
     node_id: NodeId
@@ -101,13 +102,20 @@
     version: int = 0
     kept: tuple[FailureDomainId, ...] = ()
     confirmed_ms: int | None = None
+    target_version: TargetVersion = TargetVersion('')
 
 
 class CallRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """One attempt; `sequence` is its number among those of the sender."""
+    """One attempt; `sequence` is its number among those of the sender.
+
+    Attributes:
+        is_exposed: Whether the sender has paid for it with its credit for the
+            target version of a rollout.
+    """
 
     sequence: int
     call: ServedCall
+    is_exposed: bool = False
 
 
 class CallCancellation(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -160,10 +168,11 @@
 
 
 class StatusReport(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Current service and load of the sender's target."""
+    """Current service, load and version of the sender's target."""
 
     service: ServiceName
     load: TargetLoad
+    target_version: TargetVersion = TargetVersion('')
 
 
 class ConfigNotice(msgspec.Struct, frozen=True, array_like=True, tag=6):
@@ -215,6 +224,19 @@
     left_ms: int
 
 
+class PeerOrder(msgspec.Struct, frozen=True, array_like=True):
+    """An order to move a service to another version.
+
+    Attributes:
+        age_ms: Time since the order.
+    """
+
+    service: ServiceName
+    version: TargetVersion
+    duration_ms: int
+    age_ms: int
+
+
 class ConfigResponse(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """State that the operators have set, as of an offset of their log.
 
@@ -225,6 +247,8 @@
         kept: Of which failure domains the log says the opposite.
         settled: Failure domains that were decided since the store was restored.
         confirmed_ms: See `ConfigNotice`.
+        orders: Rollouts that operators have ordered; None if the sender
+            doesn't know of rollouts.
     """
 
     offset: int
@@ -234,6 +258,7 @@
     kept: tuple[KeptEvacuation, ...] = ()
     settled: tuple[FailureDomainId, ...] = ()
     confirmed_ms: int | None = None
+    orders: tuple[PeerOrder, ...] | None = None
 
 
 class ServiceDigest(msgspec.Struct, frozen=True, array_like=True):
@@ -424,13 +449,15 @@
 class FleetLoad(msgspec.Struct, frozen=True, array_like=True, tag=22):
     """Demand and load of the fleet, from a delegate to the nodes of its domain.
 
-    Sent while the demand for a service is near its capacity, so that nodes
-    don't wait for the response to their next report. See `RateSharesResponse`.
+    Sent while the demand for a service is near its capacity, and with a new
+    verdict on a rollout, so that nodes don't wait for the response to their
+    next report. See `RateSharesResponse`.
     """
 
     calls_per_s: dict[ServiceName, float]
     nodes: int
     digests: tuple[DomainDigest, ...]
+    rollouts: tuple[RolloutDirective, ...] = ()
 
 
 class ShutdownNotice(msgspec.Struct, frozen=True, array_like=True, tag=11):
--- a/src/rattanstile/platform/announcements.py
+++ b/src/rattanstile/platform/announcements.py
@@ -18,7 +18,12 @@
     TargetState,
 )
 from rattanstile.process.mesh.settings import duration_s
-from rattanstile.request.ids import ServiceName, TargetId
+from rattanstile.request.ids import (
+    NO_VERSION,
+    ServiceName,
+    TargetId,
+    TargetVersion,
+)
 
 MAX_CLOCK_LEAD_S = 86_400
 """The clock of the VM may have been set back since the target started."""
@@ -40,6 +45,7 @@
 
     service: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    version: str = NO_VERSION
 
 
 class _Status(msgspec.Struct, rename='camel'):
@@ -143,6 +149,7 @@
             sequence=status.sequence,
             cold_s=cold_s,
             born_ms=heartbeat.born,
+            version=TargetVersion(heartbeat.info.version or NO_VERSION),
             is_born_ahead=heartbeat.born > self._now_s() * _MS_PER_S,
         )
 
--- a/src/rattanstile/platform/operators.py
+++ b/src/rattanstile/platform/operators.py
@@ -1,15 +1,22 @@
 """Decoder of the configurations that operators publish."""
 
 import msgspec
+from result import Err
 
+from rattanstile.decoding import decode_untrusted
+from rattanstile.process.mesh.rollout.rollout_verdict import (
+    RolloutState,
+    RolloutStatus,
+)
 from rattanstile.process.mesh.settings import duration_s
-from rattanstile.request.ids import OrganisationId, ServiceName
+from rattanstile.request.ids import OrganisationId, ServiceName, TargetVersion
 from rattanstile.version.fleet_config import (
     CallerLimits,
     FleetConfig,
     FleetRoute,
     FleetService,
     Organisation,
+    RolloutOrder,
     Share,
 )
 
@@ -88,9 +95,26 @@
     tenants: list[_Tenant] = []
 
 
+class _Rollout(_WireStruct):
+    """An order to move a service to another version."""
+
+    service: str
+    target_version: str
+    duration: str
+
+
+class _RolloutStatus(_WireStruct):
+    """Status of the latest order of a service."""
+
+    target_version: str
+    state: RolloutState
+
+
 _IDEMPOTENT_ROUTE_TYPES = frozenset(('safe', 'download'))
 """Downloads differ from safe requests only in the size of their answers."""
 _decoder = msgspec.json.Decoder(_Config)
+_rollout_decoder = msgspec.json.Decoder(_Rollout)
+_status_decoder = msgspec.json.Decoder(_RolloutStatus)
 
 
 def decode_fleet_config(document: bytes) -> FleetConfig:
@@ -124,6 +148,41 @@
     )
 
 
+def decode_rollout_order(document: bytes) -> RolloutOrder:
+    """Decode an order to move a service to another version.
+
+    Raises:
+        msgspec.MsgspecError: The document is not a valid order.
+        ValueError: The duration is invalid or there is no version.
+    """
+    rollout = _rollout_decoder.decode(document)
+    if not rollout.target_version:
+        raise ValueError('no target version')
+    return RolloutOrder(
+        ServiceName(rollout.service),
+        TargetVersion(rollout.target_version),
+        _parse_duration_s(rollout.duration),
+    )
+
+
+def encode_rollout_status(status: RolloutStatus) -> bytes:
+    """Encode the status of the latest order of a service."""
+    return msgspec.json.encode(_RolloutStatus(status.version, status.state))
+
+
+def decode_rollout_status(
+    service: ServiceName, document: bytes
+) -> RolloutStatus | None:
+    """Decode a status; None if another writer wrote something else."""
+    decoded = decode_untrusted(_status_decoder.decode, document)
+    if isinstance(decoded, Err):
+        return None
+    status = decoded.ok_value
+    return RolloutStatus(
+        service, TargetVersion(status.target_version), status.state
+    )
+
+
 def _route(route: _Route) -> FleetRoute:
     if route.traffic_split:
         shares = tuple(
--- a/src/rattanstile/platform/store.py
+++ b/src/rattanstile/platform/store.py
@@ -16,21 +16,37 @@
 from rattanstile.connection.peer_messages import PeerMember
 from rattanstile.decoding import decode_untrusted
 from rattanstile.platform.headers import STORE_ERA
-from rattanstile.platform.operators import decode_fleet_config
+from rattanstile.platform.operators import (
+    decode_fleet_config,
+    decode_rollout_order,
+    decode_rollout_status,
+    encode_rollout_status,
+)
 from rattanstile.process.mesh.ports import (
     ConfigPublished,
     ConfigUnreadableError,
     DomainEvacuated,
+    EndMovedError,
     FleetMembers,
     HistoryGoneError,
     OperatorChange,
     OperatorRecord,
     OperatorRecords,
     OtherRecord,
+    RolloutOrdered,
+    RolloutStatuses,
+    RolloutWithdrawn,
     StoreError,
     StoreUnavailableError,
 )
-from rattanstile.request.ids import NO_ERA, FailureDomainId, NodeId, StoreEra
+from rattanstile.process.mesh.rollout.rollout_verdict import RolloutStatus
+from rattanstile.request.ids import (
+    NO_ERA,
+    FailureDomainId,
+    NodeId,
+    ServiceName,
+    StoreEra,
+)
 from rattanstile.version.fleet_config import FleetConfig
 
 CALL_TIMEOUT_S = 1.5
@@ -40,10 +56,13 @@
 
 _OPERATOR_TOPIC = 'keyed.op'
 _MEMBER_TOPIC = 'keyed.members'
+_STATUS_TOPIC = 'keyed.status'
+_ROLLOUT_PREFIX = 'rollout/'
 _CONFIG_KEY = 'config'
 _EVACUATE_PREFIX = 'evacuate/'
 _OK = 200
 _GONE = 410
+_END_MOVED = 412
 _RECORD_LENGTH = Struct('>I')
 _READ_HEADER = Struct('>QQ')
 _MS_PER_S = 1000
@@ -204,8 +223,40 @@
         self, member: PeerMember
     ) -> Result[StoreEra, StoreError]:
         """Store an entry by which other nodes find this one."""
-        return await self._append_member(
-            member.node_id, msgspec.msgpack.encode(member)
+        return await self._append(
+            f'{_MEMBER_TOPIC}&part=0',
+            member.node_id,
+            msgspec.msgpack.encode(member),
+        )
+
+    async def rollout_statuses(
+        self,
+    ) -> Result[RolloutStatuses, StoreError]:
+        """Return the newest status of each service.
+
+        Records of others, which can't be decoded, are no status.
+        """
+        newest = await self._read_newest(_STATUS_TOPIC)
+        if isinstance(newest, Err):
+            return newest
+        by_service: dict[ServiceName, RolloutStatus] = {}
+        for item in newest.ok_value.items:
+            if item.key.startswith(_ROLLOUT_PREFIX):
+                service = ServiceName(item.key[len(_ROLLOUT_PREFIX) :])
+                status = decode_rollout_status(service, item.value)
+                if status is not None:
+                    by_service[service] = status
+        read = newest.ok_value
+        return Ok(RolloutStatuses(by_service, read.end, read.era))
+
+    async def append_rollout_status(
+        self, status: RolloutStatus, end: int
+    ) -> Result[StoreEra, StoreError]:
+        """Append a status if the log of statuses still ends at an offset."""
+        return await self._append(
+            f'{_STATUS_TOPIC}&part=0&at={end}',
+            f'{_ROLLOUT_PREFIX}{status.service}',
+            encode_rollout_status(status),
         )
 
     def decode_config(
@@ -216,14 +267,14 @@
             lambda error: ConfigUnreadableError(error.message)
         )
 
-    async def _append_member(
-        self, key: str, content: bytes
+    async def _append(
+        self, topic_query: str, key: str, content: bytes
     ) -> Result[StoreEra, StoreError]:
         encoded_key = key.encode()
         record = bytes((len(encoded_key),)) + encoded_key + content
         answer = await self._call(
             'POST',
-            f'/v1/log-append?topic={_MEMBER_TOPIC}&part=0',
+            f'/v1/log-append?topic={topic_query}',
             _RECORD_LENGTH.pack(len(record)) + record,
         )
         return answer.map(lambda acknowledged: acknowledged.era)
@@ -283,6 +334,8 @@
             return Err(StoreUnavailableError(f'{path}: invalid era'))
         if result.status == _GONE:
             return Err(HistoryGoneError(path, era))
+        if result.status == _END_MOVED:
+            return Err(EndMovedError(path))
         if result.status != _OK:
             return Err(StoreUnavailableError(f'{path}: status {result.status}'))
         return Ok(_Answer(result.body, era))
@@ -361,9 +414,20 @@
     if key.startswith(_EVACUATE_PREFIX):
         domain = FailureDomainId(key[len(_EVACUATE_PREFIX) :])
         return DomainEvacuated(domain, bool(content))
+    if key.startswith(_ROLLOUT_PREFIX):
+        return _decode_rollout(key[len(_ROLLOUT_PREFIX) :], content)
     return OtherRecord()
 
 
+def _decode_rollout(service: str, content: bytes) -> OperatorChange:
+    if not content:
+        return RolloutWithdrawn(ServiceName(service))
+    decoded = decode_untrusted(decode_rollout_order, content)
+    if isinstance(decoded, Err) or decoded.ok_value.service != service:
+        return OtherRecord()
+    return RolloutOrdered(decoded.ok_value)
+
+
 def _decode_member(content: bytes) -> PeerMember | None:
     """Return the node that an entry names; None if it names none.
 
--- a/src/rattanstile/process/mesh/context.py
+++ b/src/rattanstile/process/mesh/context.py
@@ -6,6 +6,7 @@
 
 from rattanstile.process.decision_log import DecisionLog
 from rattanstile.process.mesh.counters import Counters
+from rattanstile.process.mesh.rollout.node_rollouts import NodeRollouts
 from rattanstile.process.mesh.store.freshness import Freshness
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import FailureDomainId, NodeId
@@ -25,6 +26,7 @@
         counters: Counts of events since the node started.
         rng: Source of all randomness.
         freshness: Tells whether the operator state is the newest.
+        rollouts: Tells which version calls may be sent to.
     """
 
     node_id: NodeId
@@ -35,6 +37,7 @@
     counters: Counters
     rng: Random
     freshness: Freshness = field(default_factory=Freshness)
+    rollouts: NodeRollouts = field(default_factory=NodeRollouts)
 
     @property
     def version(self) -> int:
--- a/src/rattanstile/process/mesh/entry/entry_call.py
+++ b/src/rattanstile/process/mesh/entry/entry_call.py
@@ -5,6 +5,7 @@
 
 from rattanstile.connection.peer_link import PeerLink
 from rattanstile.process.mesh.admission.service_needs import RunKind
+from rattanstile.process.mesh.rollout.call_sample import CallSample
 from rattanstile.request.exchange import (
     AnswerSink,
     EndingHandler,
@@ -69,6 +70,7 @@
             has reached a target, or a repeated run has made it.
         sink: Receives a large answer in parts; None keeps any answer until it
             is complete.
+        sample: The current attempt, if it is compared by version.
     """
 
     caller_request: IncomingRequest
@@ -92,6 +94,12 @@
     held_until_s: float = 0.0
     is_repeat: bool = False
     sink: AnswerSink | None = None
+    sample: CallSample | None = None
+
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether no attempt has ended yet."""
+        return not (self.attempts or self.moves)
 
     @property
     def priority(self) -> int:
--- a/src/rattanstile/process/mesh/fleet/peer_handler.py
+++ b/src/rattanstile/process/mesh/fleet/peer_handler.py
@@ -128,6 +128,7 @@
             version=notice.version,
             kept=notice.kept,
             confirmed_ms=notice.confirmed_ms,
+            target_version=self._serving.watch.version,
         )
 
     def member(self) -> PeerMember:
@@ -145,7 +146,11 @@
     def status_changed(self) -> None:
         """Report the service and the load of the target."""
         self._peers.broadcast(
-            StatusReport(self._serving.watch.service, self._serving.load()),
+            StatusReport(
+                self._serving.watch.service,
+                self._serving.load(),
+                self._serving.watch.version,
+            ),
             near_only=False,
         )
         self._entry.peers_changed()
@@ -173,6 +178,7 @@
         candidate = Candidate(
             hello.node_id, hello.service, hello.domain, TargetLoad()
         )
+        candidate.version = hello.target_version
         candidate.update_load(hello.load, self._context.timers.now_s())
         self._candidates.add(candidate)
         self._context.log.write(
@@ -279,6 +285,7 @@
         candidate = self._candidates.by_id.get(link.node_id)
         if candidate is not None:
             self._candidates.set_service(candidate, message.service)
+            candidate.version = message.target_version
             self._load_received(link, message.load)
             self._entry.peers_changed()
 
@@ -299,7 +306,11 @@
         if hello is not None and hello.takes_parts:
             sink = _PeerAnswerSink(link, message.sequence)
         self._serving.begin(
-            (link, message.sequence), message.call, send_ending, sink
+            (link, message.sequence),
+            message.call,
+            send_ending,
+            sink,
+            is_exposed=message.is_exposed,
         )
 
     def _usage_to_send(
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -37,6 +37,11 @@
 from rattanstile.process.mesh.placement.rerun_budget import RerunBudget
 from rattanstile.process.mesh.ports import NodeAdapters
 from rattanstile.process.mesh.rates.rate_service import RateService
+from rattanstile.process.mesh.rollout.node_rollouts import (
+    LocalTarget,
+    NodeRollouts,
+)
+from rattanstile.process.mesh.rollout.status_writer import StatusWriter
 from rattanstile.process.mesh.serving.serving_handler import ServingHandler
 from rattanstile.process.mesh.serving.target_watch import TargetWatch
 from rattanstile.process.mesh.settings import MeshSettings
@@ -93,6 +98,7 @@
             log=log,
             counters=Counters(),
             rng=rng,
+            rollouts=NodeRollouts(settings.rollout_bounds, rng),
         )
         self._reactor = reactor
         self._drain: Drain | None = None
@@ -154,6 +160,7 @@
             adapters.targets,
             self.peer_service.status_changed,
         )
+        context.rollouts.target = self._local_target
         self.admission = RootAdmission(context.rng)
         self.links = FleetLinks(
             context,
@@ -164,6 +171,9 @@
         self.rates = RateService(
             context, self.peers, self.links, self.admission
         )
+        self._statuses = StatusWriter(
+            adapters.store, self.rates.rollouts.decider, context.log
+        )
         self._reruns = RerunBudget(
             settings.rerun_ratio, settings.rerun_slack, context.rng.random
         )
@@ -324,6 +334,15 @@
             self._reruns.set_node_count(self.rates.fleet_size)
             self._log_tight_services()
         self.rates.report_domain(now_s)
+        if self.rates.delegates.is_allocator:
+            if self.context.knows_newest(now_s):
+                self._statuses.check(now_s, self._state().era)
+        else:
+            self._statuses.forget()
+
+    def _local_target(self) -> LocalTarget:
+        watch = self.serving.watch
+        return LocalTarget(watch.service, watch.version, self.serving.load())
 
     def _advance_drain(self, now_s: float, drain: Drain) -> None:
         self.entry.end_s = drain.end_s(now_s)
@@ -357,6 +376,10 @@
         return self._operator_state.state
 
     def _config_changed(self, previous: FleetState) -> None:
+        rollouts = self.context.rollouts
+        rollouts.set_orders(self._state().orders)
+        if previous.era != self._state().era:
+            rollouts.store_restored(self.timers.now_s())
         self.serving.config_changed()
         self.rates.config_changed()
         self.entry.config_changed()
--- a/src/rattanstile/process/mesh/placement/attempts.py
+++ b/src/rattanstile/process/mesh/placement/attempts.py
@@ -23,6 +23,7 @@
     Candidate,
     choose,
 )
+from rattanstile.process.mesh.rollout.call_sample import sample_end
 from rattanstile.process.mesh.serving.serving_handler import ServingHandler
 from rattanstile.request.exchange import (
     AnswerHead,
@@ -106,6 +107,8 @@
         """Cancel an attempt whose result is no longer awaited."""
         if self._sent.pop(call.sequence, None) is None:
             return
+        if self._context.timers.now_s() >= call.deadline_s:
+            self._compare(call, Unknown(UnknownReason.DEADLINE))
         if call.link is None:
             self._serving.cancel(call.sequence)
             return
@@ -128,7 +131,7 @@
         if message.usage:
             now_s = self._context.timers.now_s()
             self.usage.record(now_s, call.run_kind, message.usage)
-        self._on_attempt_end(call, decode_ending(message))
+        self._end(call, decode_ending(message))
 
     def answer_began(self, sequence: int, head: AnswerHead) -> None:
         """Pass on the start of an answer; the attempt is the last one."""
@@ -157,7 +160,7 @@
         for call in tuple(self._sent.values()):
             if call.link is link:
                 self._sent.pop(call.sequence, None)
-                self._on_attempt_end(call, Unknown(UnknownReason.PEER_LOST))
+                self._end(call, Unknown(UnknownReason.PEER_LOST))
 
     def update_unresponsive(self, now_s: float, silent_s: float) -> None:
         """Update which peers are unresponsive.
@@ -175,13 +178,15 @@
 
     def _choose(self, call: EntryCall) -> Candidate | None:
         return choose(
-            self._usable_candidates(call),
+            self._usable_candidates(call, may_expose=call.is_unsent),
             self._context.domain,
             _max_local_wait_s(call),
             self._context.rng,
         )
 
-    def _usable_candidates(self, call: EntryCall) -> list[Candidate]:
+    def _usable_candidates(
+        self, call: EntryCall, *, may_expose: bool = False
+    ) -> list[Candidate]:
         evacuated = self._context.state().evacuated
         found = [
             each
@@ -192,13 +197,19 @@
         ]
         local = self._local
         local.service = self._serving.watch.service
+        local.version = self._serving.watch.version
         if local.service == call.service and local.node_id not in call.tried:
             if self._serving.is_usable:
                 local.update_load(
                     self._serving.load(), self._context.timers.now_s()
                 )
                 found.append(local)
-        return found
+        return self._context.rollouts.candidates(
+            self._context.timers.now_s(),
+            call.service,
+            found,
+            may_expose=may_expose,
+        )
 
     def _is_connected(self, chosen: Candidate) -> bool:
         if chosen is self._local:
@@ -211,6 +222,10 @@
         served = call.served_call(now_s, self._serving.watch.service)
         sequence = call.sequence
         chosen.count_sent()
+        call.sample = self._context.rollouts.sent(
+            now_s, call.service, chosen, call.route.name
+        )
+        is_exposed = call.sample is not None and call.sample.is_paid
         call.link = None
         if chosen is not self._local:
             call.link = self._peers.link_to(chosen.node_id)
@@ -220,10 +235,11 @@
                 served,
                 lambda ending: self._local_call_ended(sequence, ending),
                 None if call.sink is None else _LocalAnswerSink(self, sequence),
+                is_exposed=is_exposed,
             )
             return
         call.link.expect_response()
-        call.link.send(CallRequest(sequence, served))
+        call.link.send(CallRequest(sequence, served, is_exposed))
 
     def _local_call_ended(self, sequence: int, ending: Ending) -> None:
         call = self._sent.pop(sequence, None)
@@ -232,8 +248,20 @@
         now_s = self._context.timers.now_s()
         usage = self._serving.usage(call.route.name, self.usage)
         self.usage.record(now_s, call.run_kind, usage)
+        self._end(call, ending)
+
+    def _end(self, call: EntryCall, ending: Ending) -> None:
+        self._compare(call, ending)
         self._on_attempt_end(call, ending)
 
+    def _compare(self, call: EntryCall, ending: Ending) -> None:
+        """Count the end of an attempt for the rollout of its service."""
+        if call.sample is not None:
+            self._context.rollouts.ended(
+                self._context.timers.now_s(), call.sample, sample_end(ending)
+            )
+            call.sample = None
+
     def _log_placed(self, call: EntryCall, chosen: Candidate) -> None:
         kind = LineKind.PLACED
         if call.attempts or call.moves:
@@ -247,6 +275,7 @@
             route=call.route.name,
             service=call.service,
             receiver=chosen.node_id,
+            target_version=chosen.version or '-',
             attempt=call.attempts + call.moves + 1,
             held=chosen.load.pending_calls,
             limit=chosen.load.limit,
--- a/src/rattanstile/process/mesh/placement/placement.py
+++ b/src/rattanstile/process/mesh/placement/placement.py
@@ -15,7 +15,12 @@
 from random import Random
 
 from rattanstile.connection.peer_messages import TargetLoad
-from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
+from rattanstile.request.ids import (
+    FailureDomainId,
+    NodeId,
+    ServiceName,
+    TargetVersion,
+)
 
 MAX_INNER_LOCAL_WAIT_SHARE = 0.1
 MAX_ROOT_LOCAL_WAIT_SHARE = 0.3
@@ -47,6 +52,7 @@
         load_received_s: Monotonic time at which the load was received.
         sent_since_update: Attempts sent to it since then and not ended.
         is_unresponsive: Whether it has not answered for too long.
+        version: Version of its target; empty if unknown.
     """
 
     node_id: NodeId
@@ -56,6 +62,7 @@
     load_received_s: float = 0.0
     sent_since_update: int = 0
     is_unresponsive: bool = False
+    version: TargetVersion = TargetVersion('')
 
     def update_load(self, load: TargetLoad, now_s: float) -> None:
         """Record a load report of the node's target."""
--- a/src/rattanstile/process/mesh/ports.py
+++ b/src/rattanstile/process/mesh/ports.py
@@ -14,6 +14,7 @@
 from rattanstile.connection.http_server import BadRequest
 from rattanstile.connection.peer_messages import PeerMember
 from rattanstile.errors import RattanstileError, UnavailableError
+from rattanstile.process.mesh.rollout.rollout_verdict import RolloutStatus
 from rattanstile.process.mesh.serving.past_incarnations import TargetDeparture
 from rattanstile.process.mesh.serving.target_watch import (
     Announcement,
@@ -32,10 +33,11 @@
     NO_ERA,
     FailureDomainId,
     NodeId,
+    ServiceName,
     StoreEra,
     TargetId,
 )
-from rattanstile.version.fleet_config import FleetConfig
+from rattanstile.version.fleet_config import FleetConfig, RolloutOrder
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,12 +177,32 @@
     is_evacuated: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutOrdered:
+    """Operators ordered a service to move to another version."""
+
+    order: RolloutOrder
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutWithdrawn:
+    """Operators withdrew the order for a service."""
+
+    service: ServiceName
+
+
 @dataclass(frozen=True, slots=True)
 class OtherRecord:
     """A record that does not concern this node."""
 
 
-OperatorChange = ConfigPublished | DomainEvacuated | OtherRecord
+OperatorChange = (
+    ConfigPublished
+    | DomainEvacuated
+    | RolloutOrdered
+    | RolloutWithdrawn
+    | OtherRecord
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -230,11 +252,15 @@
         self.era = era
 
 
+class EndMovedError(RattanstileError):
+    """Another record was appended first."""
+
+
 class ConfigUnreadableError(RattanstileError):
     """A published configuration can't be decoded."""
 
 
-StoreError = StoreUnavailableError | HistoryGoneError
+StoreError = StoreUnavailableError | HistoryGoneError | EndMovedError
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,6 +281,20 @@
 NO_MEMBERS = FleetMembers({}, 0)
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutStatuses:
+    """The newest status of each service.
+
+    Attributes:
+        end: Offset of the next record of their log.
+        era: Era of the store that answered.
+    """
+
+    by_service: Mapping[ServiceName, RolloutStatus]
+    end: int
+    era: StoreEra = NO_ERA
+
+
 class FleetStore(Protocol):
     """Persistent storage that all nodes share."""
 
@@ -285,6 +325,16 @@
             The era of the store that acknowledged it.
         """
 
+    def rollout_statuses(
+        self,
+    ) -> Awaitable[Result[RolloutStatuses, StoreError]]:
+        """Return the newest status of each service."""
+
+    def append_rollout_status(
+        self, status: RolloutStatus, end: int
+    ) -> Awaitable[Result[StoreEra, StoreError]]:
+        """Append a status if the log of statuses still ends at an offset."""
+
     def decode_config(
         self, document: bytes
     ) -> Result[FleetConfig, ConfigUnreadableError]:
--- a/src/rattanstile/process/mesh/rates/rate_service.py
+++ b/src/rattanstile/process/mesh/rates/rate_service.py
@@ -33,6 +33,7 @@
     RatePool,
 )
 from rattanstile.process.mesh.rates.token_requests import TokenRequests
+from rattanstile.process.mesh.rollout.fleet_rollouts import FleetRollouts
 from rattanstile.request.ids import (
     FailureDomainId,
     NodeId,
@@ -54,6 +55,7 @@
         tokens: Requests tokens of the pool for requests beyond them.
         fleet_size: Number of nodes, as far as known.
         delegates: Whom this node reports to.
+        rollouts: Reports on rollouts, which go the way of the demand.
 
     Args:
         context: Shared components of the node.
@@ -87,6 +89,7 @@
         self._allocator = RateAllocator()
         self._pool = RatePool()
         self._calls_per_s: dict[ServiceName, float] = {}
+        self.rollouts = FleetRollouts(context.rollouts, context.log)
         self._sequence = 0
         self.tokens = TokenRequests(context, peers, self.limiter, self)
 
@@ -104,9 +107,11 @@
         demand = Demand(
             self.limiter.demand(now_s), self._admission.own_demand(), 1
         )
+        rollouts = self.rollouts.reports(now_s)
         self.choose(now_s)
         if self.delegates.is_delegate:
             self._ledger.record_report(now_s, self._node_id, demand)
+            self.rollouts.record_node(now_s, self._node_id, rollouts)
             return
         self._pool.stop()
         link = self._peers.link_to(self.delegates.delegate_id)
@@ -118,6 +123,7 @@
                     dict(demand.requests_per_s),
                     dict(demand.calls_per_s),
                     self._links.own_load(),
+                    rollouts,
                 )
             )
 
@@ -143,6 +149,7 @@
                     dict(demand.requests_per_s),
                     dict(demand.calls_per_s),
                     digest,
+                    self.rollouts.domain_reports(now_s),
                 )
             )
 
@@ -225,9 +232,15 @@
         self._allocator.allocate(now_s, node_count, organisations)
         self._fill_pool(now_s, node_count)
         self._calls_per_s = self._allocator.calls_per_s()
+        reachable_share = self._allocator.reachable_share(now_s, node_count)
+        is_verdict_new = self.rollouts.decide(
+            now_s, self._domain, is_whole=reachable_share >= 1
+        )
         self._set_domain_shares(
             now_s, self._allocator.shares_of(self._node_id), SHARE_LEASE_S
         )
+        if is_verdict_new:
+            self._send_fleet_load(now_s)
 
     def _fill_pool(self, now_s: float, node_count: int) -> None:
         self._pool.refill(
@@ -257,7 +270,12 @@
         services = self._calls_per_s.keys()
         digests = self._digests_for_node(now_s, services)
         self._peers.broadcast(
-            FleetLoad(self._calls_per_s, self.fleet_size, digests),
+            FleetLoad(
+                self._calls_per_s,
+                self.fleet_size,
+                digests,
+                self.rollouts.open_directives(now_s),
+            ),
             near_only=True,
         )
 
@@ -266,6 +284,7 @@
             return
         for digest in message.digests:
             self._links.digests.record(now_s, digest)
+        self.rollouts.directives_received(now_s, message.rollouts)
         self._calls_per_s = message.calls_per_s
         self.fleet_size = message.nodes
         self._admission.set_fleet_demand(self._calls_per_s, self.fleet_size)
@@ -278,11 +297,16 @@
             return
         for digest in message.digests:
             self._links.digests.record(now_s, digest)
+        is_verdict_new = self.rollouts.directives_received(
+            now_s, message.rollouts
+        )
         self._calls_per_s = message.calls_per_s
         self.fleet_size = message.nodes
         lease_s = message.lease_ms / MS_PER_S
         if message.is_for_domain:
             self._set_domain_shares(now_s, message.organisation_shares, lease_s)
+            if is_verdict_new:
+                self._send_fleet_load(now_s)
             return
         self.limiter.set_shares(now_s, message.organisation_shares, lease_s)
         self._admission.set_fleet_demand(self._calls_per_s, self.fleet_size)
@@ -293,6 +317,7 @@
         """Answer the report of a node of this failure domain."""
         demand = Demand(message.demand_per_s, message.calls_per_s, 1)
         self._ledger.record_report(now_s, link.node_id, demand)
+        self.rollouts.record_node(now_s, link.node_id, message.rollouts)
         if message.load is not None:
             self._links.load_received(now_s, link.node_id, message.load)
         link.send(
@@ -303,6 +328,7 @@
                 self.fleet_size,
                 int(self._ledger.lease_s(now_s) * MS_PER_S),
                 self._digests_for_node(now_s, message.calls_per_s),
+                rollouts=self.rollouts.directives(now_s, message.rollouts),
             )
         )
 
@@ -322,6 +348,9 @@
     ) -> None:
         """Answer the report of the delegate of another failure domain."""
         self._links.digests.record(now_s, message.digest)
+        self.rollouts.record_domain(
+            now_s, message.digest.domain, message.rollouts
+        )
         self._allocator.record_report(
             now_s,
             link.node_id,
@@ -342,5 +371,6 @@
                     now_s, without=message.digest.domain
                 ),
                 is_for_domain=True,
+                rollouts=self.rollouts.directives(now_s, message.rollouts),
             )
         )
--- a/src/rattanstile/process/mesh/rollout/rollout_progress.py
+++ b/src/rattanstile/process/mesh/rollout/rollout_progress.py
@@ -10,8 +10,7 @@
 from enum import Enum, unique
 
 from rattanstile.connection.peer_messages import RouteCounts, VersionTargets
-from rattanstile.process.mesh.rollout.rollout_order import (
-    RolloutOrder,
+from rattanstile.process.mesh.rollout.rollout_verdict import (
     RolloutState,
     Verdict,
 )
@@ -19,6 +18,7 @@
     Evidence,
     VersionComparison,
 )
+from rattanstile.version.fleet_config import RolloutOrder
 
 EARLIEST_ACCEPT_SHARE = 0.3
 """Share of the duration for which a version is observed in any case: a fault
@@ -26,10 +26,11 @@
 LATEST_DECISION_SHARE = 0.75
 LATEST_COMPLETION_SHARE = 0.9
 """Shares of the duration that leave time for the steps that follow."""
-FIRST_EXPOSED_PER_S = 25.0
-MAX_EXPOSED_PER_S = 30.0
-"""Calls per second of the fleet to the new version. A report and a directive
-take up to 1.5 s: so many bad answers come in before a verdict takes effect."""
+FIRST_EXPOSED_SHARE = 0.5
+MAX_EXPOSED_SHARE = 0.6
+"""Calls per second of the fleet to the new version, by the slack. A report and
+a directive take up to 1.5 s: so many bad answers come in before a verdict takes
+effect."""
 CALLS_TO_MAX = 60
 """Compared calls after which the full rate is used."""
 PPM = 1_000_000
@@ -64,11 +65,13 @@
     Attributes:
         requests_per_s: Requests to the service.
         verdict: Highest verdict that any node has heard of.
+        is_whole: Whether no known node is missing.
     """
 
     requests_per_s: float
     targets: VersionTargets
     verdict: Verdict
+    is_whole: bool = True
 
 
 class RolloutProgress:
@@ -83,15 +86,19 @@
     Args:
         order: The order.
         began_s: Monotonic time of the order.
+        slack_calls: Bad answers that are allowed in any case.
     """
 
-    def __init__(self, order: RolloutOrder, began_s: float) -> None:
+    def __init__(
+        self, order: RolloutOrder, began_s: float, slack_calls: float = 50
+    ) -> None:
         """Start undecided."""
         self.order = order
         self.verdict = Verdict.NONE
         self.reason = RolloutReason.NONE
         self.comparison = VersionComparison()
         self._began_s = began_s
+        self._slack_calls = slack_calls
         self._requests_per_s = 0.0
         self._has_appeared = False
         self._had_old = False
@@ -121,12 +128,16 @@
         self._requests_per_s = fleet.requests_per_s
         self._has_appeared |= fleet.targets.new_targets > 0
         self._had_old |= fleet.targets.old_targets > 0
-        if fleet.verdict > self.verdict:
-            self._set_verdict(fleet.verdict, RolloutReason.HEARD)
+        self.heard(fleet.verdict)
         if self.verdict is Verdict.NONE:
             self._decide(now_s, fleet.targets)
         elif self.verdict is Verdict.ACCEPTED:
-            self._check_accepted(now_s, fleet.targets)
+            self._check_accepted(now_s, fleet)
+
+    def heard(self, verdict: Verdict) -> None:
+        """Adopt a later decision that a node has heard of."""
+        if verdict > self.verdict:
+            self._set_verdict(verdict, RolloutReason.HEARD)
 
     def withdraw(self) -> None:
         """Reject an order that was withdrawn before its status was final."""
@@ -154,16 +165,18 @@
         if self.verdict is not Verdict.NONE:
             return 0
         progress = min(1.0, self.comparison.new_calls / CALLS_TO_MAX)
-        exposed_per_s = FIRST_EXPOSED_PER_S + progress * (
-            MAX_EXPOSED_PER_S - FIRST_EXPOSED_PER_S
+        share = FIRST_EXPOSED_SHARE + progress * (
+            MAX_EXPOSED_SHARE - FIRST_EXPOSED_SHARE
         )
+        exposed_per_s = share * self._slack_calls
         return int(PPM * min(1.0, exposed_per_s / max(self._requests_per_s, 1)))
 
     def _set_verdict(self, verdict: Verdict, reason: RolloutReason) -> None:
         self.verdict = verdict
         self.reason = reason
 
-    def _elapsed_share(self, now_s: float) -> float:
+    def elapsed_share(self, now_s: float) -> float:
+        """Return the share of the duration that has passed."""
         return (now_s - self._began_s) / max(self.order.duration_s, 0.001)
 
     def _decide(self, now_s: float, targets: VersionTargets) -> None:
@@ -173,7 +186,7 @@
         if self._is_alone(now_s, targets):
             self._set_verdict(Verdict.ACCEPTED, RolloutReason.ALONE)
             return
-        elapsed_share = self._elapsed_share(now_s)
+        elapsed_share = self.elapsed_share(now_s)
         is_alike = evidence is Evidence.ALIKE
         if elapsed_share >= LATEST_DECISION_SHARE:
             is_alike = self.comparison.is_plausible()
@@ -195,15 +208,15 @@
             return RolloutReason.NO_CAPACITY
         return RolloutReason.NOT_PROVEN
 
-    def _check_accepted(self, now_s: float, targets: VersionTargets) -> None:
+    def _check_accepted(self, now_s: float, fleet: FleetRollout) -> None:
         """Complete the order once the old targets are closed and empty."""
-        if targets.new_targets and not (
-            targets.old_targets or targets.old_in_flight
-        ):
+        targets = fleet.targets
+        is_moved = not (targets.old_targets or targets.old_in_flight)
+        if is_moved and targets.new_targets and fleet.is_whole:
             self._is_ready = True
         elif (
             not self._is_ready
-            and self._elapsed_share(now_s) >= LATEST_COMPLETION_SHARE
+            and self.elapsed_share(now_s) >= LATEST_COMPLETION_SHARE
         ):
             self._set_verdict(Verdict.REJECTED, RolloutReason.NO_CAPACITY)
 
--- a/src/rattanstile/process/mesh/rollout/rollout_order.py
+++ b/src/rattanstile/process/mesh/rollout/rollout_verdict.py
@@ -1,4 +1,4 @@
-"""Orders of operators to move a service to another version."""
+"""Decisions on the order to move a service, and their stored status."""
 
 from dataclasses import dataclass
 from enum import Enum, IntEnum, unique
@@ -6,20 +6,6 @@
 from rattanstile.request.ids import ServiceName, TargetVersion
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutOrder:
-    """An order for one service.
-
-    Attributes:
-        version: Version that the service is to move to.
-        duration_s: Time within which it is to be decided.
-    """
-
-    service: ServiceName
-    version: TargetVersion
-    duration_s: float
-
-
 @unique
 class Verdict(IntEnum):
     """Decision on an order; a node takes the highest that it hears.
--- a/src/rattanstile/process/mesh/serving/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving/serving_handler.py
@@ -151,6 +151,9 @@
             self.watch.is_usable
             and not self._is_stopping
             and self._context.domain not in self._state().evacuated
+            and not self._context.rollouts.is_closed(
+                self._timers.now_s(), self.watch.service, self.watch.version
+            )
         )
 
     @property
@@ -171,6 +174,8 @@
         call: ServedCall,
         on_end: EndingHandler,
         sink: AnswerSink | None = None,
+        *,
+        is_exposed: bool = False,
     ) -> None:
         """Queue a call, or refuse it.
 
@@ -180,12 +185,14 @@
             on_end: Called once with the ending, but not after `cancel`.
             sink: Receives a large answer in parts, before `on_end`; None
                 keeps any answer until it is complete.
+            is_exposed: Whether the sender has paid for running it on the
+                target version of a rollout.
         """
         now_s = self._timers.now_s()
         waiting = WaitingCall(
             key, call, now_s, now_s + call.remaining_ms / MS_PER_S
         )
-        reason = self._refusal_reason(waiting)
+        reason = self._refusal_reason(waiting, is_exposed=is_exposed)
         if reason is None:
             reason = self.queue.offer(
                 now_s, waiting, is_cold=self.watch.is_cold(now_s)
@@ -276,11 +283,14 @@
     def announced(self, announcement: Announcement) -> TargetChange:
         """Handle an announcement of the target."""
         service = self.watch.service
+        version = self.watch.version
         change = self.watch.announced(self._timers.now_s(), announcement)
         if self.watch.service != service:
             # The calls that wait are for the service of before.
             self._refuse_waiting()
         self._target_changed(change, 'announcement')
+        if self.watch.version != version:
+            self._status_changed()
         return change
 
     def settings_named(self, service: ServiceName) -> None:
@@ -467,14 +477,20 @@
 
     # Refusals
 
-    def _refusal_reason(self, waiting: WaitingCall) -> NotRunReason | None:
+    def _refusal_reason(
+        self, waiting: WaitingCall, *, is_exposed: bool
+    ) -> NotRunReason | None:
         if waiting.call.service != self.watch.service:
             return NotRunReason.NO_TARGET
         if self.watch.is_leaving or self._is_stopping:
             return NotRunReason.TARGET_LEAVING
         if waiting.deadline_s > self._end_s:
             return NotRunReason.TARGET_LEAVING
-        if not self.is_usable:
+        watch = self.watch
+        is_unpaid = not is_exposed and self._context.rollouts.needs_payment(
+            watch.service, watch.version
+        )
+        if is_unpaid or not self.is_usable:
             return NotRunReason.NO_TARGET
         return None
 
--- a/src/rattanstile/process/mesh/serving/target_watch.py
+++ b/src/rattanstile/process/mesh/serving/target_watch.py
@@ -17,7 +17,12 @@
     PastKind,
     TargetDeparture,
 )
-from rattanstile.request.ids import ServiceName, TargetId
+from rattanstile.request.ids import (
+    NO_VERSION,
+    ServiceName,
+    TargetId,
+    TargetVersion,
+)
 
 INITIAL_PROBE_PERIOD_S = 0.25
 """Period of the first probes, so that a restarted target is used within a
@@ -47,6 +52,7 @@
         born_ms: Start of the incarnation by the target's clock.
         is_born_ahead: Whether the start lies ahead of the VM's clock, which
             has been set back since.
+        version: Version of its program.
     """
 
     target_id: TargetId
@@ -58,6 +64,7 @@
     cold_s: float
     born_ms: int
     is_born_ahead: bool = False
+    version: TargetVersion = NO_VERSION
 
     @property
     def incarnation(self) -> Incarnation:
@@ -100,6 +107,7 @@
 
     Attributes:
         service: Service that the target serves.
+        version: Version that it announces; empty while it is unknown.
         slots: Concurrent calls that it accepts.
         cold_until_s: Monotonic time until which it is cold.
         is_leaving: Whether the current incarnation deregistered or drains.
@@ -113,6 +121,7 @@
     ) -> None:
         """Initialize without a target."""
         self.service = service
+        self.version = TargetVersion('')
         self.slots = 0
         self.cold_until_s = 0.0
         self.is_leaving = False
@@ -168,6 +177,7 @@
         self._may_have_restarted = False
         self._is_service_known = True
         self.service = announcement.service
+        self.version = announcement.version
         self.slots = announcement.slots
         self.cold_until_s = now_s + announcement.cold_s
         if announcement.state is TargetState.DRAINING:
@@ -327,6 +337,7 @@
             self.is_verified = False
         self._past.add_replaced(now_s, self._current, is_doubtful=False)
         self._past.forget_replaced(target_id)
+        self.version = TargetVersion('')
         self._current = Incarnation(target_id, 0)
         self._sequence = -1
         self.is_leaving = False
--- a/src/rattanstile/process/mesh/settings.py
+++ b/src/rattanstile/process/mesh/settings.py
@@ -2,12 +2,14 @@
 
 import re
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 from result import Err
 
 from rattanstile.decoding import decode_untrusted
 from rattanstile.errors import SettingsError
+from rattanstile.process.mesh.rollout.rollout_bounds import RolloutBounds
 from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
 
 MAX_NODE_ID_BYTES = 255
@@ -38,6 +40,11 @@
         peer_listen_address: Listen address for other nodes, if it differs
             from the address that they connect to; empty for `peer_address`.
         new_fleet: Whether the whole fleet starts for the first time.
+        expose_share: Share of a service's requests that a version under test
+            may get.
+        expose_slack: Requests of the fleet that it may get in addition.
+        rollback: Time after which a bad version gets no more requests, such as
+            ``5s``.
     """
 
     node_id: NodeId
@@ -55,12 +62,22 @@
     rerun_slack: float
     peer_listen_address: str = ''
     new_fleet: bool = False
+    expose_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    expose_slack: Annotated[float, msgspec.Meta(ge=0)] = 50
+    rollback: str = '5s'
 
     @property
     def grace_s(self) -> float:
         """Return the longest time from SIGTERM to the exit, in seconds."""
         return duration_s(self.grace) or 0
 
+    @property
+    def rollout_bounds(self) -> RolloutBounds:
+        """Return the bounds of what a version under test may get."""
+        return RolloutBounds(
+            self.expose_share, self.expose_slack, duration_s(self.rollback) or 0
+        )
+
 
 _settings_decoder = msgspec.json.Decoder(MeshSettings)
 
@@ -109,8 +126,14 @@
         raise SettingsError(
             file_name, '$.node_id', f'must have 1 to {MAX_NODE_ID_BYTES} bytes'
         )
-    if duration_s(settings.grace) is None:
-        raise SettingsError(
-            file_name, '$.grace', 'must be a duration such as 6s or 500ms'
-        )
+    for field, duration in (
+        ('grace', settings.grace),
+        ('rollback', settings.rollback),
+    ):
+        if duration_s(duration) is None:
+            raise SettingsError(
+                file_name,
+                f'$.{field}',
+                'must be a duration such as 6s or 500ms',
+            )
     return settings
--- a/src/rattanstile/process/mesh/store/config_relay.py
+++ b/src/rattanstile/process/mesh/store/config_relay.py
@@ -20,6 +20,7 @@
     ConfigRequest,
     ConfigResponse,
     KeptEvacuation,
+    PeerOrder,
 )
 from rattanstile.connection.peer_pool import PeerPool
 from rattanstile.process.mesh.placement.evacuations import Evacuations
@@ -31,7 +32,11 @@
 from rattanstile.process.mesh.store.store_readers import StoreReaders
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import NodeId
-from rattanstile.version.fleet_config import FleetState, LogPosition
+from rattanstile.version.fleet_config import (
+    FleetState,
+    LogPosition,
+    RolloutOrder,
+)
 
 MAX_STORE_READ_LAG_S = 0.4
 """Longest time by which a reader of the store lags behind a change."""
@@ -276,7 +281,12 @@
             evacuations = self._decode_evacuations(message)
             self._unanswered_id = None
             self._operator_state.apply_copy(
-                StateCopy(position, document, evacuations),
+                StateCopy(
+                    position,
+                    document,
+                    evacuations,
+                    self._decode_orders(message),
+                ),
                 f'peer:{link.node_id}',
             )
             if position == self._operator_state.state.position:
@@ -291,6 +301,22 @@
         in_log = frozenset(message.evacuated) ^ frozenset(kept_until_s)
         return Evacuations(in_log, kept_until_s, frozenset(message.settled))
 
+    def _decode_orders(
+        self, message: ConfigResponse
+    ) -> tuple[RolloutOrder, ...] | None:
+        if message.orders is None:
+            return None
+        now_s = self._timers.now_s()
+        return tuple(
+            RolloutOrder(
+                each.service,
+                each.version,
+                each.duration_ms / _MS_PER_S,
+                now_s - each.age_ms / _MS_PER_S,
+            )
+            for each in message.orders
+        )
+
     def _send_copy(self, link: PeerLink, request: ConfigRequest) -> None:
         state = self._operator_state.state
         position = LogPosition(request.era, request.offset)
@@ -316,6 +342,7 @@
                 kept,
                 tuple(evacuations.settled),
                 self._confirmed_ms(),
+                tuple(_peer_order(now_s, order) for order in state.orders),
             )
         )
 
@@ -329,6 +356,15 @@
         return position == state.position and not known.issuperset(notice.kept)
 
 
+def _peer_order(now_s: float, order: RolloutOrder) -> PeerOrder:
+    return PeerOrder(
+        order.service,
+        order.version,
+        int(order.duration_s * _MS_PER_S),
+        max(0, int((now_s - order.began_s) * _MS_PER_S)),
+    )
+
+
 def _lacks_what_was_lost(notice: ConfigNotice, state: FleetState) -> bool:
     """Return whether a node that isn't behind in the log lacks what it lost.
 
--- a/src/rattanstile/process/mesh/store/operator_state.py
+++ b/src/rattanstile/process/mesh/store/operator_state.py
@@ -18,13 +18,17 @@
     DomainEvacuated,
     OperatorRecord,
     OperatorRecords,
+    RolloutOrdered,
+    RolloutWithdrawn,
 )
+from rattanstile.process.mesh.rollout.order_book import OrderBook
 from rattanstile.request.ids import FailureDomainId
 from rattanstile.version.fleet_config import (
     ConfigOrigin,
     FleetConfig,
     FleetState,
     LogPosition,
+    RolloutOrder,
 )
 
 ConfigDecoder = Callable[[bytes], Result[FleetConfig, ConfigUnreadableError]]
@@ -36,11 +40,14 @@
 
     Attributes:
         document: The configuration as published.
+        orders: Rollouts that operators have ordered; None if the other node
+            doesn't know of rollouts.
     """
 
     position: LogPosition
     document: bytes
     evacuations: Evacuations
+    orders: tuple[RolloutOrder, ...] | None = None
 
 
 class OperatorState:
@@ -90,6 +97,7 @@
             return False
         documents: list[bytes] = []
         evacuations = self.evacuations
+        book = OrderBook(self.state.orders)
         for record in sorted(records.records, key=lambda item: item.offset):
             if record.offset < self.state.offset:
                 continue
@@ -100,9 +108,13 @@
                     evacuations = evacuations.after_record(
                         domain, is_evacuated=is_evacuated
                     )
+                case RolloutOrdered(order):
+                    book = book.ordered(self._begun(order))
+                case RolloutWithdrawn(service):
+                    book = book.withdrawn(service)
         end = max(self.state.offset, records.end)
         position = LogPosition(records.era, end)
-        self._advance(position, documents, evacuations, source)
+        self._advance(position, documents, evacuations, source, book)
         return True
 
     def apply_snapshot(self, records: OperatorRecords, source: str) -> bool:
@@ -131,14 +143,16 @@
                 case ConfigPublished(published):
                     documents.append(published)
         evacuations = self._evacuations_of_snapshot(records)
-        self._advance(position, documents, evacuations, source)
+        book = self._orders_of_snapshot(records)
+        self._advance(position, documents, evacuations, source, book)
         return True
 
     def apply_copy(self, copy: StateCopy, source: str) -> None:
         """Apply what another node knows and this one doesn't."""
         position = max(copy.position, self.state.position)
         evacuations = self._evacuations_of_copy(copy)
-        self._advance(position, [copy.document], evacuations, source)
+        book = self._orders_of_copy(copy)
+        self._advance(position, [copy.document], evacuations, source, book)
 
     def check(self, now_s: float) -> None:
         """End what was kept against the log for long enough."""
@@ -159,6 +173,39 @@
         )
         return self.evacuations.restored(self._now_s(), evacuated, news)
 
+    def _orders_of_snapshot(self, records: OperatorRecords) -> OrderBook:
+        own = OrderBook(self.state.orders)
+        if records.era == self.state.era or not self.state.is_known:
+            return own.later(self._orders_in(records.records))
+        news = (
+            record
+            for record in records.records
+            if record.offset >= self.state.offset
+        )
+        return own.restored(
+            self._orders_in(records.records), self._orders_in(news)
+        )
+
+    def _orders_of_copy(self, copy: StateCopy) -> OrderBook:
+        own = OrderBook(self.state.orders)
+        if copy.orders is None or copy.position < self.state.position:
+            return own
+        if copy.position.era > self.state.era and self.state.is_known:
+            return own.with_all(copy.orders)
+        return own.later(copy.orders)
+
+    def _orders_in(
+        self, records: Iterable[OperatorRecord]
+    ) -> list[RolloutOrder]:
+        return [
+            self._begun(record.change.order)
+            for record in records
+            if isinstance(record.change, RolloutOrdered)
+        ]
+
+    def _begun(self, order: RolloutOrder) -> RolloutOrder:
+        return replace(order, began_s=self._now_s())
+
     def _evacuations_of_copy(self, copy: StateCopy) -> Evacuations:
         own = self.evacuations
         theirs = copy.evacuations
@@ -178,6 +225,7 @@
         documents: Iterable[bytes],
         evacuations: Evacuations,
         source: str,
+        book: OrderBook | None = None,
     ) -> None:
         previous = self.state
         self.evacuations = evacuations
@@ -187,6 +235,7 @@
             evacuated=evacuations.in_force,
             era=position.era,
             kept=evacuations.kept,
+            orders=previous.orders if book is None else book.orders,
         )
         for document in documents:
             self._apply_document(document, source)
@@ -197,6 +246,7 @@
         is_change = (
             previous.config is not self.state.config
             or previous.evacuated != self.state.evacuated
+            or previous.orders != self.state.orders
         )
         if is_change:
             self._log_in_force(previous, source)
@@ -275,6 +325,10 @@
             era=state.era,
             offset=state.offset,
             evacuated=_joined(state.evacuated),
+            rollouts=','.join(
+                f'{order.service}:{order.version}' for order in state.orders
+            )
+            or '-',
             source=source,
             routes=config.route_count if config else 0,
             keys=len(config.organisations) if config else 0,
--- a/src/rattanstile/request/ids.py
+++ b/src/rattanstile/request/ids.py
@@ -7,6 +7,9 @@
 ServiceName = NewType('ServiceName', str)
 TargetId = NewType('TargetId', str)
 TargetVersion = NewType('TargetVersion', str)
+NO_VERSION = TargetVersion('-')
+"""Of a target that announces none. The version of a target that has not been
+heard of yet is empty."""
 FailureDomainId = NewType('FailureDomainId', str)
 RegionId = NewType('RegionId', str)
 NodeId = NewType('NodeId', str)
--- a/src/rattanstile/standin/platform_fleet.py
+++ b/src/rattanstile/standin/platform_fleet.py
@@ -96,6 +96,8 @@
                 }
             case 'members':
                 return self._store.keys('keyed.members')
+            case 'statuses':
+                return self._store.contents('keyed.status', '/'.join(arguments))
             case 'calls':
                 return self._store.calls
         return {name: target.runs for name, target in self._targets.items()}
--- a/src/rattanstile/standin/platform_store.py
+++ b/src/rattanstile/standin/platform_store.py
@@ -141,6 +141,16 @@
             {record[1 : 1 + record[0]].decode() for record in records}
         )
 
+    def contents(self, topic: str, key: str) -> list[str]:
+        """Return the contents of all records of a key, oldest first."""
+        encoded_key = key.encode()
+        prefix = bytes((len(encoded_key),)) + encoded_key
+        return [
+            record[len(prefix) :].decode()
+            for record in self._topics.get(topic, _Topic()).records
+            if record.startswith(prefix)
+        ]
+
     def request_received(
         self, connection: HttpServerConnection, request: ReceivedRequest
     ) -> None:
--- a/src/rattanstile/standin/platform_target.py
+++ b/src/rattanstile/standin/platform_target.py
@@ -43,6 +43,8 @@
         calls_to: Address at which its node accepts calls.
         child_host: Host of the child calls that ``child=PATH`` requests.
         announced_address: Address that it announces; empty for `address`.
+        version: Version that it announces.
+        failing_percent: Share of its runs that it fails.
     """
 
     target_id: str
@@ -54,6 +56,8 @@
     slots: int = 10
     cold_ms: int = 0
     announced_address: str = ''
+    version: str = 'v1'
+    failing_percent: int = 0
 
 
 class TargetStandIn:
@@ -107,7 +111,7 @@
             'born': INCARNATION_START_MS,
             'info': {
                 'service': plan.service,
-                'version': 'v1',
+                'version': plan.version,
                 'zone': 'east',
                 'slots': plan.slots,
             },
@@ -169,6 +173,9 @@
     ) -> None:
         if connection.handler_context is not request:
             return
+        if self._is_failing():
+            self._respond(connection, 500, _request_id_header(request), b'')
+            return
         match query.get('fault'):
             case 'reset':
                 connection.abort()
@@ -183,6 +190,12 @@
             case _:
                 self._complete_run(connection, request, query)
 
+    def _is_failing(self) -> bool:
+        """Return whether a run fails: evenly spread by the percentage."""
+        percent = self._plan.failing_percent
+        count = self.runs.total()
+        return count * percent // 100 > (count - 1) * percent // 100
+
     def _complete_run(
         self,
         connection: HttpServerConnection,
--- a/src/rattanstile/version/fleet_config.py
+++ b/src/rattanstile/version/fleet_config.py
@@ -9,6 +9,7 @@
     OrganisationId,
     ServiceName,
     StoreEra,
+    TargetVersion,
 )
 
 
@@ -128,6 +129,22 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """An order to move a service to another version.
+
+    Attributes:
+        version: Version that the service is to move to.
+        duration_s: Time within which it is to be decided.
+        began_s: Monotonic time of the order, as far as this node knows.
+    """
+
+    service: ServiceName
+    version: TargetVersion
+    duration_s: float
+    began_s: float = field(default=0.0, compare=False)
+
+
 @dataclass(frozen=True, order=True, slots=True)
 class LogPosition:
     """Position in the operators' log.
@@ -168,6 +185,7 @@
         era: Era of the store that the offset belongs to.
         kept: Failure domains of which the log says the opposite since the
             store was restored from a copy.
+        orders: Rollouts that operators have ordered, by service.
     """
 
     offset: int = 0
@@ -177,6 +195,7 @@
     origin: ConfigOrigin = field(default_factory=ConfigOrigin, compare=False)
     era: StoreEra = NO_ERA
     kept: frozenset[FailureDomainId] = field(default_factory=frozenset)
+    orders: tuple[RolloutOrder, ...] = ()
 
     @property
     def position(self) -> LogPosition:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -115,7 +115,14 @@
 class PlatformFleet:
     """The stand-ins and `node_count` nodes, each as a process."""
 
-    def __init__(self, node_count=2, proxies=None, domains=('east',), slots=10):
+    def __init__(
+        self,
+        node_count=2,
+        proxies=None,
+        domains=('east',),
+        slots=10,
+        targets=None,
+    ):
         """Set up a fleet; `start` assigns addresses and starts processes.
 
         Args:
@@ -125,7 +132,9 @@
                 `peer-N`.
             domains: Failure domains that the nodes are spread over.
             slots: Calls that each target runs at the same time.
+            targets: Further settings of each target, by index of its node.
         """
+        self.target_changes = targets or {}
         self.slots = slots
         self.proxies = proxies
         self.domains = domains
@@ -203,6 +212,7 @@
                     'calls_to': node['caller_address'],
                     'child_host': HOST,
                     'slots': self.slots,
+                    **self.target_changes.get(node_index, {}),
                 }
                 for node_index, node in enumerate(self.node_settings)
             ],
--- a/tests/rollout_worlds.py
+++ b/tests/rollout_worlds.py
@@ -14,21 +14,21 @@
 from rattanstile.connection.peer_messages import RouteCounts, VersionTargets
 from rattanstile.process.mesh.rollout.count_increments import CountIncrements
 from rattanstile.process.mesh.rollout.exposure_credit import ExposureCredit
-from rattanstile.process.mesh.rollout.rollout_order import (
-    RolloutOrder,
-    Verdict,
-)
 from rattanstile.process.mesh.rollout.rollout_progress import (
     PPM,
     FleetRollout,
     RolloutProgress,
 )
+from rattanstile.process.mesh.rollout.rollout_verdict import (
+    Verdict,
+)
 from rattanstile.process.mesh.rollout.version_counts import (
     LATENCY_BOUNDS_S,
     LATENCY_BUCKETS,
     CountKey,
     VersionCounts,
 )
+from rattanstile.version.fleet_config import RolloutOrder
 
 STEP_S = 0.25
 LAG_STEPS = 3
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 
 from mesh_samples import RecordingLog, config, route
+from msgspec.structs import replace
 from result import Err, Ok
 from twisted.internet.task import Clock
 
@@ -272,7 +273,8 @@
         self.relay.message(self.local_link, copy)
         self.assertEqual(self.operator_state.state.config.number, 6)
         self.relay.message(self.local_link, ConfigRequest(0))
-        self.assertEqual(self.sent, [copy])
+        # The copy of a node that doesn't know of rollouts has no orders.
+        self.assertEqual(self.sent, [replace(copy, orders=())])
         self.relay.message(self.local_link, ConfigRequest(4, version=6))
         self.assertEqual(len(self.sent), 1)
 
--- a/tests/test_rollout_decision.py
+++ b/tests/test_rollout_decision.py
@@ -12,16 +12,16 @@
     MAX_KEPT_CALLS,
     ExposureCredit,
 )
-from rattanstile.process.mesh.rollout.rollout_order import (
-    RolloutOrder,
-    RolloutState,
-    Verdict,
-)
 from rattanstile.process.mesh.rollout.rollout_progress import (
     FleetRollout,
     RolloutProgress,
     RolloutReason,
 )
+from rattanstile.process.mesh.rollout.rollout_verdict import (
+    RolloutState,
+    Verdict,
+)
+from rattanstile.version.fleet_config import RolloutOrder
 
 SEEDS = 1000
 MIN_RIGHT_SHARE = 0.99
