--- a/src/rattanstile/explain_cli.py
+++ b/src/rattanstile/explain_cli.py
@@ -22,6 +22,8 @@
         'node_started',
         'peer_lost',
         'peer_silent',
+        'rollout_status',
+        'rollout_verdict',
         'service_tight',
         'store_lost',
         'target_leaving',
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from rattanstile.process.mesh.counters import LATENCY_BOUNDS_S, LatencyHistogram
+from rattanstile.process.mesh.rollout.node_rollouts import PPM
 
 if TYPE_CHECKING:
     from rattanstile.process.mesh.node import MeshNode
@@ -54,6 +55,7 @@
     yield _line('gateway', int(node.links.is_gateway))
     yield _line('delegate', int(node.rates.delegates.is_delegate))
     yield _line('allocator', int(node.rates.delegates.is_allocator))
+    yield from _rollout_gauges(node)
     for domain, age_s in sorted(node.links.digests.ages_s(now_s).items()):
         yield _line('domain_digest_age_seconds', age_s, domain=domain)
     for tight_service in node.admission.services_near_capacity():
@@ -62,6 +64,28 @@
         )
 
 
+def _rollout_gauges(node: 'MeshNode') -> Iterator[str]:
+    for view in node.context.rollouts.views:
+        labels = {
+            'service': view.order.service,
+            'target_version': view.order.version,
+        }
+        yield _line('rollout_verdict', view.verdict, **labels)
+        yield _line('rollout_requests', view.credit.requests, **labels)
+        yield _line('rollout_exposed', view.credit.spent_calls, **labels)
+        yield _line('rollout_spend_share', view.spend_ppm / PPM, **labels)
+    for decided in node.rates.rollouts.decider.orders:
+        progress = decided.progress
+        labels = {
+            'service': progress.order.service,
+            'target_version': progress.order.version,
+        }
+        comparison = progress.comparison
+        yield _line('rollout_compared', comparison.new_calls, **labels)
+        yield _line('rollout_excess', comparison.excess, **labels)
+        yield _line('rollout_evidence', comparison.total, **labels)
+
+
 def _operator_gauges(node: 'MeshNode', now_s: float) -> Iterator[str]:
     state = node.context.state()
     yield _line('version_in_force', node.context.version)
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -98,7 +98,9 @@
             log=log,
             counters=Counters(),
             rng=rng,
-            rollouts=NodeRollouts(settings.rollout_bounds, rng),
+            rollouts=NodeRollouts(
+                settings.rollout_bounds, rng, domain=settings.failure_domain
+            ),
         )
         self._reactor = reactor
         self._drain: Drain | None = None
--- a/src/rattanstile/process/mesh/placement/attempts.py
+++ b/src/rattanstile/process/mesh/placement/attempts.py
@@ -99,6 +99,9 @@
         call.sent_s = now_s
         call.receiver = chosen.node_id
         self._sent[call.sequence] = call
+        call.sample = self._context.rollouts.sent(
+            now_s, call.service, chosen, call.route.name
+        )
         self._log_placed(call, chosen)
         self._dispatch(now_s, call, chosen)
         return True
@@ -222,9 +225,6 @@
         served = call.served_call(now_s, self._serving.watch.service)
         sequence = call.sequence
         chosen.count_sent()
-        call.sample = self._context.rollouts.sent(
-            now_s, call.service, chosen, call.route.name
-        )
         is_exposed = call.sample is not None and call.sample.is_paid
         call.link = None
         if chosen is not self._local:
@@ -276,6 +276,7 @@
             service=call.service,
             receiver=chosen.node_id,
             target_version=chosen.version or '-',
+            rollout=call.sample.label if call.sample else '-',
             attempt=call.attempts + call.moves + 1,
             held=chosen.load.pending_calls,
             limit=chosen.load.limit,
--- a/src/rattanstile/process/mesh/rollout/call_sample.py
+++ b/src/rattanstile/process/mesh/rollout/call_sample.py
@@ -32,6 +32,8 @@
         version: Target version of the order.
         domain: Failure domain of the target.
         sent_s: Monotonic time.
+        rtt_s: Round-trip time to another failure domain, which the latencies
+            of the versions must not differ by.
         is_new: Whether the target is of the order's version.
         is_paid: Whether it may run on a target of that version.
     """
@@ -41,9 +43,17 @@
     route: str
     domain: FailureDomainId
     sent_s: float
+    rtt_s: float
     is_new: bool
     is_paid: bool
 
+    @property
+    def label(self) -> str:
+        """Return why the call goes to the version, for the log."""
+        if not self.is_new:
+            return 'old'
+        return 'paid' if self.is_paid else 'unpaid'
+
     @property
     def key(self) -> CountKey:
         """Return the calls that it is counted with."""
--- a/src/rattanstile/process/mesh/rollout/domain_rollouts.py
+++ b/src/rattanstile/process/mesh/rollout/domain_rollouts.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from msgspec.structs import replace
+
 from rattanstile.connection.peer_messages import RolloutReport, VersionTargets
-from rattanstile.process.mesh.rollout.version_counts import VersionCounts
+from rattanstile.process.mesh.rollout.version_counts import Cell, VersionCounts
 from rattanstile.request.ids import NodeId, ServiceName, TargetVersion
 
 REPORT_VALID_S = 3.0
@@ -38,6 +40,7 @@
 class _OrderReports:
     by_node: dict[NodeId, ReceivedReport] = field(default_factory=dict)
     last_s: float = 0.0
+    cells: set[Cell] = field(default_factory=set)
 
 
 class DomainRollouts:
@@ -55,6 +58,9 @@
             order = self._orders.setdefault(
                 OrderKey(report.service, report.version), _OrderReports()
             )
+            before = order.by_node.get(node_id)
+            if before is not None:
+                report = _with_earlier(report, before.report)
             order.by_node[node_id] = ReceivedReport(report, now_s)
             order.last_s = now_s
 
@@ -73,8 +79,19 @@
         )
 
 
+def _with_earlier(
+    report: RolloutReport, before: RolloutReport
+) -> RolloutReport:
+    """Return a report with the counts that it left out as unchanged."""
+    counts = {
+        (each.route, each.domain, each.is_new): each
+        for each in (*before.counts, *report.counts)
+    }
+    return replace(report, counts=tuple(counts.values()))
+
+
 def _total(now_s: float, key: OrderKey, order: _OrderReports) -> RolloutReport:
-    counts = VersionCounts()
+    counts = VersionCounts(order.cells)
     for received in order.by_node.values():
         counts.add(received.report.counts)
     received_reports = order.by_node.values()
--- a/src/rattanstile/process/mesh/rollout/node_rollouts.py
+++ b/src/rattanstile/process/mesh/rollout/node_rollouts.py
@@ -15,7 +15,10 @@
     TargetLoad,
     VersionTargets,
 )
-from rattanstile.process.mesh.placement.placement import Candidate
+from rattanstile.process.mesh.placement.placement import (
+    CROSS_DOMAIN_RTT_S,
+    Candidate,
+)
 from rattanstile.process.mesh.rollout.call_sample import CallSample, SampleEnd
 from rattanstile.process.mesh.rollout.exposure_credit import ExposureCredit
 from rattanstile.process.mesh.rollout.rollout_bounds import RolloutBounds
@@ -24,10 +27,19 @@
     verdict_of,
 )
 from rattanstile.process.mesh.rollout.version_counts import VersionCounts
-from rattanstile.request.ids import ServiceName, TargetVersion
+from rattanstile.request.ids import (
+    FailureDomainId,
+    ServiceName,
+    TargetVersion,
+)
 from rattanstile.version.fleet_config import RolloutOrder
 
 PPM = 1_000_000
+MAX_COUNTS = 20
+"""Counts in one report over all orders: 800 bytes, twice a second."""
+LEAD_SHARE = 0.7
+"""Share of the paid calls that all nodes send to the same new target. Spread
+over all of them, each would get too few to show a fault under load."""
 MS_PER_S = 1000
 CLOSE_DELAY_S = 0.4
 """Time from the acceptance of a version until the old targets close. The
@@ -102,6 +114,7 @@
         bounds: Bounds of exposure.
         rng: Decides which requests are spent on.
         target: Returns the target beside the node.
+        domain: Failure domain of the node.
     """
 
     def __init__(
@@ -109,10 +122,12 @@
         bounds: RolloutBounds | None = None,
         rng: Random | None = None,
         target: TargetSource | None = None,
+        domain: FailureDomainId | None = None,
     ) -> None:
         """Initialize without orders."""
         self.bounds = bounds or RolloutBounds()
         self.target = target or _no_target
+        self._domain = domain
         self._echoes_until_s = float('-inf')
         self._rng = rng or Random()
         self._views: dict[ServiceName, OrderView] = {}
@@ -201,9 +216,14 @@
                 and not each.is_unresponsive
             ]
             if warm:
-                return warm
+                return self._lead_or_all(warm)
         return [each for each in found if each.version != version]
 
+    def _lead_or_all(self, warm: list[Candidate]) -> list[Candidate]:
+        if self._rng.random() < LEAD_SHARE:
+            return [min(warm, key=lambda each: each.node_id)]
+        return warm
+
     def _spends(self, now_s: float, view: OrderView) -> bool:
         return (
             view.verdict is Verdict.NONE
@@ -238,6 +258,7 @@
             route,
             chosen.domain,
             sent_s=now_s,
+            rtt_s=self._rtt_s(chosen),
             is_new=is_new,
             is_paid=is_paid,
         )
@@ -251,9 +272,11 @@
             if now_s <= view.deadline_s:
                 view.credit.earn()
         if end.is_compared:
-            view.counts.record(
-                sample.key, now_s - sample.sent_s, is_failed=end.is_failed
-            )
+            took_s = max(0.0, now_s - sample.sent_s - sample.rtt_s)
+            view.counts.record(sample.key, took_s, is_failed=end.is_failed)
+
+    def _rtt_s(self, chosen: Candidate) -> float:
+        return 0.0 if chosen.domain == self._domain else CROSS_DOMAIN_RTT_S
 
     # The target beside this node
 
@@ -291,17 +314,22 @@
 
     def reports(self, now_s: float) -> tuple[RolloutReport, ...]:
         """Return what this node knows of the orders without a final status."""
+        reported = [
+            view
+            for view in self._views.values()
+            if not view.verdict.is_final or now_s < self._echoes_until_s
+        ]
+        max_counts = max(1, MAX_COUNTS // max(1, len(reported)))
         return tuple(
             RolloutReport(
                 view.order.service,
                 view.order.version,
                 view.verdict,
                 view.credit.requests,
-                view.counts.as_reported(),
+                view.counts.take_changed(max_counts),
                 self._targets(now_s, view),
             )
-            for view in self._views.values()
-            if not view.verdict.is_final or now_s < self._echoes_until_s
+            for view in reported
         )
 
     def directives_received(
--- a/src/rattanstile/process/mesh/rollout/rollout_progress.py
+++ b/src/rattanstile/process/mesh/rollout/rollout_progress.py
@@ -34,6 +34,9 @@
 CALLS_TO_MAX = 60
 """Compared calls after which the full rate is used."""
 PPM = 1_000_000
+SPARE_FACTOR = 1.5
+"""Factor on the load that the warm targets must be able to take while others
+are cold: one that restarts again and again must not hold up the order."""
 ALONE_S = 1.5
 """Time without any target of another version after which there is nothing to
 compare with, and the order is carried out already."""
@@ -242,8 +245,11 @@
 
 def _can_take_over(targets: VersionTargets) -> bool:
     """Return whether the new targets are warm and can take the load."""
+    warm = targets.new_targets - targets.new_cold
+    needed = targets.offered_deci_per_s
+    if targets.new_cold:
+        needed = int(needed * SPARE_FACTOR)
     return (
-        not targets.new_cold
-        and targets.new_targets >= MIN_NEW_TARGETS_SHARE * targets.old_targets
-        and targets.new_deci_per_s >= targets.offered_deci_per_s
+        warm >= MIN_NEW_TARGETS_SHARE * targets.old_targets
+        and targets.new_deci_per_s >= needed
     )
--- a/src/rattanstile/process/mesh/rollout/version_counts.py
+++ b/src/rattanstile/process/mesh/rollout/version_counts.py
@@ -16,13 +16,21 @@
 """Upper bounds of the latency buckets, to 1.4 s; the last bucket has none. A
 version that is several times slower is off by two buckets or more."""
 LATENCY_BUCKETS = len(LATENCY_BOUNDS_S) + 1
-MAX_CELLS = 24
-"""Pairs of route and failure domain per order; further ones aren't counted.
-Two versions of each fit a report of 1 KB."""
+MAX_CELLS = 8
+"""Pairs of route and failure domain per order; further routes are counted
+together. Two versions of each take 700 bytes of a report."""
+OTHER_ROUTES = 'other'
+
+
+class Cell(NamedTuple):
+    """Calls of both versions that are compared with one another."""
+
+    route: str
+    domain: FailureDomainId
 
 
 class CountKey(NamedTuple):
-    """Calls that are compared with one another, at one version."""
+    """Calls of one version in a cell."""
 
     route: str
     domain: FailureDomainId
@@ -57,39 +65,64 @@
 
 
 class VersionCounts:
-    """Counts of one order at a node, or of several nodes together."""
+    """Counts of one order at a node, or of several nodes together.
+
+    Args:
+        cells: Cells that are counted by themselves, shared with earlier sums
+            so that calls stay in theirs; None to begin without.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, cells: set[Cell] | None = None) -> None:
         """Start without calls."""
         self._by_key: dict[CountKey, CallCounts] = {}
+        self._cells = set() if cells is None else cells
+        self._unsent: dict[CountKey, None] = {}
 
     def record(self, key: CountKey, took_s: float, *, is_failed: bool) -> None:
         """Count one call."""
-        counts = self._counts_of(key)
-        if counts is not None:
-            counts.add(took_s, is_failed=is_failed)
+        key = self._counted_key(key)
+        self._counts_of(key).add(took_s, is_failed=is_failed)
+        self._unsent[key] = None
 
     def add(self, reported: Iterable[RouteCounts]) -> None:
         """Add the counts of a report."""
         for each in reported:
-            counts = self._counts_of(
-                CountKey(each.route, each.domain, each.is_new)
-            )
-            if counts is not None:
-                counts.add_counts(each)
+            key = CountKey(each.route, each.domain, each.is_new)
+            self._counts_of(self._counted_key(key)).add_counts(each)
 
     def as_reported(self) -> tuple[RouteCounts, ...]:
-        """Return the counts for a report."""
-        return tuple(
-            RouteCounts(
-                *key, counts.calls, counts.failed, tuple(counts.latencies)
-            )
-            for key, counts in self._by_key.items()
+        """Return all counts for a report."""
+        return tuple(self._reported(key) for key in self._by_key)
+
+    def take_changed(self, max_count: int) -> tuple[RouteCounts, ...]:
+        """Return counts that changed since they were last taken.
+
+        Args:
+            max_count: Most of them; the others are returned next time.
+        """
+        taken = tuple(self._unsent)[:max_count]
+        for key in taken:
+            self._unsent.pop(key)
+        return tuple(self._reported(key) for key in taken)
+
+    def _reported(self, key: CountKey) -> RouteCounts:
+        counts = self._by_key[key]
+        return RouteCounts(
+            *key, counts.calls, counts.failed, tuple(counts.latencies)
         )
 
-    def _counts_of(self, key: CountKey) -> CallCounts | None:
+    def _counted_key(self, key: CountKey) -> CountKey:
+        """Return the key that calls are counted under; bounded in number."""
+        cell = Cell(key.route, key.domain)
+        if cell not in self._cells:
+            if len(self._cells) >= MAX_CELLS:
+                return key._replace(route=OTHER_ROUTES)
+            self._cells.add(cell)
+        return key
+
+    def _counts_of(self, key: CountKey) -> CallCounts:
         counts = self._by_key.get(key)
-        if counts is None and len(self._by_key) < 2 * MAX_CELLS:
+        if counts is None:
             counts = CallCounts()
             self._by_key[key] = counts
         return counts
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -41,6 +41,11 @@
     Verdict,
 )
 from rattanstile.process.mesh.rollout.status_writer import StatusWriter
+from rattanstile.process.mesh.rollout.version_counts import (
+    MAX_CELLS,
+    CountKey,
+    VersionCounts,
+)
 from rattanstile.process.mesh.store.operator_state import (
     OperatorState,
     StateCopy,
@@ -436,6 +441,43 @@
             self.assertEqual(rollouts.reports(0.0)[0].targets, expected)
 
 
+class VersionCountsTest(unittest.TestCase):
+    """Counts in reports of bounded size."""
+
+    def test_further_routes_are_counted_together(self):
+        """A service with hundreds of routes; no call goes uncounted."""
+        counts = VersionCounts()
+        for number in range(100):
+            for is_new in (False, True):
+                key = CountKey(f'r{number}', 'east', is_new)
+                counts.record(key, 0.01, is_failed=False)
+        reported = counts.as_reported()
+        self.assertEqual(len(reported), 2 * (MAX_CELLS + 1))
+        self.assertEqual(sum(each.calls for each in reported), 200)
+
+    def test_report_without_unchanged_counts(self):
+        """The delegate adds what it has been sent before."""
+        counts = VersionCounts()
+        domain = DomainRollouts()
+        for route in ('list', 'read', 'list'):
+            counts.record(CountKey(route, 'east', True), 0.01, is_failed=True)
+            sent = counts.take_changed(1)
+            self.assertEqual([each.route for each in sent], [route])
+            domain.record(0.0, 'n1', [replace(report(BOTH), counts=sent)])
+        total = domain.totals(0.0)[0].counts
+        failed = {each.route: each.failed for each in total}
+        self.assertEqual(failed, {'list': 2, 'read': 1})
+
+    def test_counts_that_did_not_fit_come_next(self):
+        """Those of a busy route would keep the others out."""
+        counts = VersionCounts()
+        for route in ('list', 'read'):
+            counts.record(CountKey(route, 'east', True), 0.01, is_failed=True)
+        counts.take_changed(1)
+        counts.record(CountKey('list', 'east', True), 0.01, is_failed=True)
+        self.assertEqual(counts.take_changed(1)[0].route, 'read')
+
+
 def records(end, *changes, era=1):
     return OperatorRecords(
         tuple(OperatorRecord(offset, change) for offset, change in changes),
