Rollouts: restarted nodes hear the verdict; completed orders close no later version

Cause: the order stays in the log after its end. A node that restarted then held back its calls until its first report was answered, and targets of a version that starts later without an order were closed for good. A node that was the allocator, and then neither that nor a delegate, kept what it had decided on.

Change: copies of the orders carry the verdict; old targets are closed until 5 s after the deadline of a completed order; a node that reports to a delegate no longer decides.

--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -229,12 +229,14 @@
 
     Attributes:
         age_ms: Time since the order.
+        verdict: Value of the latest `Verdict` that the sender has heard of.
     """
 
     service: ServiceName
     version: TargetVersion
     duration_ms: int
     age_ms: int
+    verdict: int = 0
 
 
 class ConfigResponse(msgspec.Struct, frozen=True, array_like=True, tag=8):
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -163,6 +163,7 @@
             self.peer_service.status_changed,
         )
         context.rollouts.target = self._local_target
+        self._operator_state.verdict_on = context.rollouts.verdict_on
         self.admission = RootAdmission(context.rng)
         self.links = FleetLinks(
             context,
--- a/src/rattanstile/process/mesh/rates/rate_service.py
+++ b/src/rattanstile/process/mesh/rates/rate_service.py
@@ -113,6 +113,7 @@
             self._ledger.record_report(now_s, self._node_id, demand)
             self.rollouts.record_node(now_s, self._node_id, rollouts)
             return
+        self.rollouts.decider.resign()
         self._pool.stop()
         link = self._peers.link_to(self.delegates.delegate_id)
         if link is not None:
--- a/src/rattanstile/process/mesh/rollout/node_rollouts.py
+++ b/src/rattanstile/process/mesh/rollout/node_rollouts.py
@@ -45,6 +45,10 @@
 """Time from the acceptance of a version until the old targets close. The
 delegates hear of it within 0.25 s of each other, and their nodes at once; a
 node that has not heard of it would find no target that it may use."""
+CLOSED_AFTER_S = 5.0
+"""Time after the deadline of a completed order for which targets of other
+versions stay closed. The order stays in the log for good, but later ones that
+start without an order are used."""
 ECHO_S = 10.0
 """Time after a restore of the store in which the next decider may take over."""
 
@@ -142,6 +146,13 @@
         """Return the order in force for a service."""
         return self._views.get(service)
 
+    def verdict_on(self, order: RolloutOrder) -> int:
+        """Return the value of the verdict that this node has heard of."""
+        view = self._views.get(order.service)
+        if view is None or view.order.version != order.version:
+            return Verdict.NONE
+        return view.verdict
+
     def set_orders(self, orders: Iterable[RolloutOrder]) -> None:
         """Apply the orders in force."""
         before = self._views
@@ -165,7 +176,8 @@
     def _new_view(self, order: RolloutOrder) -> OrderView:
         self._held_back.get(order.service, {}).pop(order.version, None)
         credit = ExposureCredit(self.bounds.expose_share)
-        return OrderView(order, order.began_s, credit)
+        verdict = verdict_of(order.verdict)
+        return OrderView(order, order.began_s, credit, verdict)
 
     def _hold_back(self, view: OrderView | None) -> None:
         """Hold back the version of an order that is no longer in force."""
@@ -268,6 +280,8 @@
         view = self._views.get(sample.service)
         if view is None or view.order.version != sample.version:
             return
+        if view.verdict.is_final:
+            return
         if end.is_answered and view.began_s <= sample.sent_s:
             if now_s <= view.deadline_s:
                 view.credit.earn()
@@ -291,12 +305,15 @@
             return False
         if not version:
             # The target may be of the new version.
-            return True
+            return not view.verdict.is_for_new
         is_new = version == view.order.version
         if is_new:
             return view.verdict.is_against_new
+        if view.verdict is Verdict.COMPLETED:
+            return now_s < view.deadline_s + CLOSED_AFTER_S
         return (
-            view.verdict.is_for_new and now_s - view.accepted_s >= CLOSE_DELAY_S
+            view.verdict is Verdict.ACCEPTED
+            and now_s - view.accepted_s >= CLOSE_DELAY_S
         )
 
     def needs_payment(
--- a/src/rattanstile/process/mesh/store/config_relay.py
+++ b/src/rattanstile/process/mesh/store/config_relay.py
@@ -313,6 +313,7 @@
                 each.version,
                 each.duration_ms / _MS_PER_S,
                 now_s - each.age_ms / _MS_PER_S,
+                each.verdict,
             )
             for each in message.orders
         )
@@ -342,7 +343,12 @@
                 kept,
                 tuple(evacuations.settled),
                 self._confirmed_ms(),
-                tuple(_peer_order(now_s, order) for order in state.orders),
+                tuple(
+                    _peer_order(
+                        now_s, order, self._operator_state.verdict_on(order)
+                    )
+                    for order in state.orders
+                ),
             )
         )
 
@@ -356,12 +362,13 @@
         return position == state.position and not known.issuperset(notice.kept)
 
 
-def _peer_order(now_s: float, order: RolloutOrder) -> PeerOrder:
+def _peer_order(now_s: float, order: RolloutOrder, verdict: int) -> PeerOrder:
     return PeerOrder(
         order.service,
         order.version,
         int(order.duration_s * _MS_PER_S),
         max(0, int((now_s - order.began_s) * _MS_PER_S)),
+        verdict,
     )
 
 
--- a/src/rattanstile/process/mesh/store/operator_state.py
+++ b/src/rattanstile/process/mesh/store/operator_state.py
@@ -55,6 +55,7 @@
 
     Attributes:
         evacuations: What the node knows of evacuations.
+        verdict_on: Returns the value of the verdict on an order, for copies.
 
     Args:
         decode: Decodes a published configuration.
@@ -74,6 +75,7 @@
         """Initialize with nothing in force."""
         self.state = FleetState()
         self.evacuations = Evacuations()
+        self.verdict_on: Callable[[RolloutOrder], int] = _no_verdict
         self._decode = decode
         self._on_change = on_change
         self._log = log
@@ -337,6 +339,10 @@
         )
 
 
+def _no_verdict(order: RolloutOrder) -> int:
+    return 0
+
+
 def _evacuated_in(
     records: Iterable[OperatorRecord],
 ) -> frozenset[FailureDomainId]:
--- a/src/rattanstile/version/fleet_config.py
+++ b/src/rattanstile/version/fleet_config.py
@@ -137,12 +137,14 @@
         version: Version that the service is to move to.
         duration_s: Time within which it is to be decided.
         began_s: Monotonic time of the order, as far as this node knows.
+        verdict: Value of the `Verdict` that came with a copy of the order.
     """
 
     service: ServiceName
     version: TargetVersion
     duration_s: float
     began_s: float = field(default=0.0, compare=False)
+    verdict: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, order=True, slots=True)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -183,6 +183,22 @@
         closed_s = CLOSE_DELAY_S + 0.01
         self.assertTrue(self.rollouts.is_closed(closed_s, 'registry', 'v1'))
 
+    def test_restarted_node_hears_the_verdict_with_the_order(self):
+        """It would find no target: all are of the version by now."""
+        restarted = NodeRollouts()
+        order = RolloutOrder('registry', 'v2', 10.0, 0.0, Verdict.COMPLETED)
+        restarted.set_orders([order])
+        found = restarted.candidates(50.0, 'registry', [NEW], may_expose=True)
+        self.assertEqual(found, [NEW])
+        self.assertEqual(restarted.verdict_on(ORDER), Verdict.COMPLETED)
+        self.assertEqual(restarted.reports(50.0), ())
+
+    def test_completed_order_doesn_t_close_later_versions(self):
+        """Its record stays in the log after the rollout."""
+        self.tell(Verdict.COMPLETED)
+        self.assertTrue(self.rollouts.is_closed(9.0, 'registry', 'v1'))
+        self.assertFalse(self.rollouts.is_closed(60.0, 'registry', 'v3'))
+
     def test_target_of_unknown_version_is_closed(self):
         """After a restart of its node it may be of the new version."""
         self.assertTrue(self.rollouts.is_closed(0.0, 'registry', ''))
