Rollouts: a delegate adds what counts have grown by

Cause: it added up the counts of all of its nodes four times a second, and forgot those of a node that restarted.

--- a/src/rattanstile/process/mesh/rollout/count_increments.py
+++ b/src/rattanstile/process/mesh/rollout/count_increments.py
@@ -31,7 +31,7 @@
                 growths.append(each)
                 continue
             self._highest[key] = _merged(before, each)
-            growths.append(_growth(before, each))
+            growths.append(growth(before, each))
         return tuple(each for each in growths if each.calls)
 
 
@@ -46,7 +46,8 @@
     )
 
 
-def _growth(before: RouteCounts, now: RouteCounts) -> RouteCounts:
+def growth(before: RouteCounts, now: RouteCounts) -> RouteCounts:
+    """Return what counts have grown by; no less than nothing."""
     latencies = tuple(
         max(0, count - earlier)
         for earlier, count in zip(before.latencies, now.latencies, strict=False)
--- a/src/rattanstile/process/mesh/rollout/domain_rollouts.py
+++ b/src/rattanstile/process/mesh/rollout/domain_rollouts.py
@@ -4,10 +4,16 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from msgspec.structs import replace
-
-from rattanstile.connection.peer_messages import RolloutReport, VersionTargets
-from rattanstile.process.mesh.rollout.version_counts import Cell, VersionCounts
+from rattanstile.connection.peer_messages import (
+    RolloutReport,
+    RouteCounts,
+    VersionTargets,
+)
+from rattanstile.process.mesh.rollout.count_increments import growth
+from rattanstile.process.mesh.rollout.version_counts import (
+    CountKey,
+    VersionCounts,
+)
 from rattanstile.request.ids import NodeId, ServiceName, TargetVersion
 
 REPORT_VALID_S = 3.0
@@ -38,9 +44,37 @@
 
 @dataclass(eq=False, slots=True)
 class _OrderReports:
+    """Reports on one order.
+
+    Attributes:
+        by_node: The latest report of each node, with some of its counts.
+        counts: Sum over all nodes, also those that have left.
+        last_s: Monotonic time of the last report.
+    """
+
     by_node: dict[NodeId, ReceivedReport] = field(default_factory=dict)
+    counts: VersionCounts = field(default_factory=VersionCounts)
     last_s: float = 0.0
-    cells: set[Cell] = field(default_factory=set)
+    _latest: dict[tuple[NodeId, CountKey], RouteCounts] = field(
+        default_factory=dict
+    )
+
+    def add_counts(
+        self, node_id: NodeId, reported: Iterable[RouteCounts]
+    ) -> None:
+        """Add what the counts of a node have grown by.
+
+        The sum over a large domain is too slow to be made for each report.
+        """
+        for each in reported:
+            count_key = CountKey(each.route, each.domain, each.is_new)
+            key = (node_id, count_key)
+            before = self._latest.get(key)
+            self._latest[key] = each
+            if before is not None and before.calls <= each.calls:
+                # Fewer calls than before: the node has restarted.
+                each = growth(before, each)
+            self.counts.add((each,))
 
 
 class DomainRollouts:
@@ -58,9 +92,7 @@
             order = self._orders.setdefault(
                 OrderKey(report.service, report.version), _OrderReports()
             )
-            before = order.by_node.get(node_id)
-            if before is not None:
-                report = _with_earlier(report, before.report)
+            order.add_counts(node_id, report.counts)
             order.by_node[node_id] = ReceivedReport(report, now_s)
             order.last_s = now_s
 
@@ -79,28 +111,14 @@
         )
 
 
-def _with_earlier(
-    report: RolloutReport, before: RolloutReport
-) -> RolloutReport:
-    """Return a report with the counts that it left out as unchanged."""
-    counts = {
-        (each.route, each.domain, each.is_new): each
-        for each in (*before.counts, *report.counts)
-    }
-    return replace(report, counts=tuple(counts.values()))
-
-
 def _total(now_s: float, key: OrderKey, order: _OrderReports) -> RolloutReport:
-    counts = VersionCounts(order.cells)
-    for received in order.by_node.values():
-        counts.add(received.report.counts)
     received_reports = order.by_node.values()
     return RolloutReport(
         key.service,
         key.version,
         max(each.report.verdict for each in received_reports),
         sum(each.report.requests for each in received_reports),
-        counts.as_reported(),
+        order.counts.as_reported(),
         sum_targets(
             each.report.targets
             for each in received_reports
--- a/src/rattanstile/process/mesh/rollout/version_counts.py
+++ b/src/rattanstile/process/mesh/rollout/version_counts.py
@@ -65,17 +65,12 @@
 
 
 class VersionCounts:
-    """Counts of one order at a node, or of several nodes together.
+    """Counts of one order at a node, or of several nodes together."""
 
-    Args:
-        cells: Cells that are counted by themselves, shared with earlier sums
-            so that calls stay in theirs; None to begin without.
-    """
-
-    def __init__(self, cells: set[Cell] | None = None) -> None:
+    def __init__(self) -> None:
         """Start without calls."""
         self._by_key: dict[CountKey, CallCounts] = {}
-        self._cells = set() if cells is None else cells
+        self._cells: set[Cell] = set()
         self._unsent: dict[CountKey, None] = {}
 
     def record(self, key: CountKey, took_s: float, *, is_failed: bool) -> None:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -11,6 +11,7 @@
 from rattanstile.connection.peer_messages import (
     RolloutDirective,
     RolloutReport,
+    RouteCounts,
     VersionTargets,
 )
 from rattanstile.platform.store import _decode_change
@@ -42,6 +43,7 @@
 )
 from rattanstile.process.mesh.rollout.status_writer import StatusWriter
 from rattanstile.process.mesh.rollout.version_counts import (
+    LATENCY_BUCKETS,
     MAX_CELLS,
     CountKey,
     VersionCounts,
@@ -436,6 +438,17 @@
             self.assertEqual(targets.old_targets, old_targets)
             self.assertEqual(targets.new_targets, 1)
 
+    def test_counts_of_a_restarted_node_are_added(self):
+        """It counts from zero; its calls of before are not forgotten."""
+        domain = DomainRollouts()
+        latencies = (0,) * LATENCY_BUCKETS
+        for calls in (5, 7, 2):
+            counts = (
+                RouteCounts('list', 'east', True, calls, calls, latencies),
+            )
+            domain.record(0.0, 'n1', [replace(report(BOTH), counts=counts)])
+        self.assertEqual(domain.totals(0.0)[0].counts[0].failed, 9)
+
     def test_verdict_of_any_node_is_passed_on(self):
         """The node that decided may be the only one that has heard of it."""
         domain = DomainRollouts()
