Rollouts: version of the local target is read only if it may be called

Cause: ten tests of test_entry_desk, whose target is not usable and has no version, ended with an error in the run of all tests (1,017 run, 10 errors, no other failure). A target's first announcement was reported to the peers twice.

Change: the version is read with the load, and reported by itself only if the target's usability didn't change with it.

--- a/src/rattanstile/process/mesh/placement/attempts.py
+++ b/src/rattanstile/process/mesh/placement/attempts.py
@@ -200,9 +200,9 @@
         ]
         local = self._local
         local.service = self._serving.watch.service
-        local.version = self._serving.watch.version
         if local.service == call.service and local.node_id not in call.tried:
             if self._serving.is_usable:
+                local.version = self._serving.watch.version
                 local.update_load(
                     self._serving.load(), self._context.timers.now_s()
                 )
--- a/src/rattanstile/process/mesh/serving/serving_handler.py
+++ b/src/rattanstile/process/mesh/serving/serving_handler.py
@@ -288,8 +288,10 @@
         if self.watch.service != service:
             # The calls that wait are for the service of before.
             self._refuse_waiting()
+        was_usable = self._was_usable
         self._target_changed(change, 'announcement')
-        if self.watch.version != version:
+        is_reported = self._was_usable != was_usable
+        if self.watch.version != version and not is_reported:
             self._status_changed()
         return change
 
