--- a/tests/test_mesh_settings.py
+++ b/tests/test_mesh_settings.py
@@ -1,6 +1,7 @@
 """Settings of a node of the platform, as they may be found on the VM."""
 
 import json
+import re
 import tempfile
 import unittest
 from pathlib import Path
@@ -8,6 +9,7 @@
 from test_decoders import NODE
 
 from rattanstile.errors import SettingsError
+from rattanstile.process.mesh.rollout.rollout_bounds import RolloutBounds
 from rattanstile.process.mesh.settings import (
     parse_mesh_settings,
     read_mesh_settings,
@@ -37,3 +39,50 @@
         self.assertEqual(
             parse_mesh_settings('node.json', text).node_id, 'n' * 255
         )
+
+
+class RolloutSettingsTest(unittest.TestCase):
+    """Bounds of rollouts, which older deployments don't have."""
+
+    def rendered(self, *, has_rollouts):
+        """Return the template of the deployment with sample values."""
+        text = (
+            Path(__file__)
+            .parents[1]
+            .joinpath('deploy/node.json')
+            .read_text(encoding='utf-8')
+        )
+        values = {'exposeShare': '0.2', 'exposeSlack': '30', 'rollback': '4s'}
+        for name, value in values.items():
+            section = re.compile(
+                rf'{{{{#bounds\.{name}}}}}(.*){{{{/bounds\.{name}}}}}'
+            )
+            text, count = section.subn(r'\1' if has_rollouts else '', text)
+            self.assertEqual(count, 1)
+            text = text.replace(f'{{{{bounds.{name}}}}}', value)
+        for number in ('retryBudgetRatio', 'retrySlack'):
+            text = text.replace(f'{{{{bounds.{number}}}}}', '1')
+        text = text.replace('{{bounds.grace}}', '6s')
+        text = text.replace('{{bootstrap|json}}', 'false')
+        return re.sub(r'{{[\w.]+}}', 'x', text)
+
+    def test_template_with_and_without_bounds(self):
+        """A missing value left a hole in the JSON."""
+        with_bounds = parse_mesh_settings('n', self.rendered(has_rollouts=True))
+        self.assertEqual(
+            with_bounds.rollout_bounds, RolloutBounds(0.2, 30, 4.0)
+        )
+        without = parse_mesh_settings('n', self.rendered(has_rollouts=False))
+        self.assertEqual(without.rollout_bounds, RolloutBounds())
+
+    def test_bounds_that_mean_nothing(self):
+        """The process would expose all calls, or never stop to."""
+        for field, value in (
+            ('expose_share', 1.5),
+            ('expose_share', -0.1),
+            ('expose_slack', -1),
+            ('rollback', '5'),
+        ):
+            text = json.dumps({**NODE, field: value})
+            with self.assertRaises(SettingsError):
+                parse_mesh_settings('node.json', text)
--- a/tests/test_serving_desk.py
+++ b/tests/test_serving_desk.py
@@ -12,6 +12,7 @@
 )
 from rattanstile.connection.http_messages import HttpResponse
 from rattanstile.process.mesh.ports import RunAnswered, RunRefused
+from rattanstile.process.mesh.rollout.rollout_verdict import Verdict
 from rattanstile.process.mesh.serving.past_incarnations import (
     NO_DEPARTURE,
     TargetDeparture,
@@ -28,7 +29,7 @@
     Unknown,
     UnknownReason,
 )
-from rattanstile.version.fleet_config import FleetState
+from rattanstile.version.fleet_config import FleetState, RolloutOrder
 
 RESPONSE = HttpResponse(200, b'OK', (), b'')
 
@@ -104,6 +105,39 @@
     def begin(self, name='a', **changes):
         self.desk.begin(name, served_call(name, **changes), self.ends.append)
 
+    def order_rollout(self, version, verdict=Verdict.NONE):
+        order = RolloutOrder('registry', version, 10.0, 0.0, verdict)
+        self.context.rollouts.set_orders([order])
+
+    def test_version_under_test_runs_only_paid_calls(self):
+        """Nodes that don't know of the order, or its version, send others."""
+        self.desk.announced(announcement(slots=2, sequence=9, version='v2'))
+        self.order_rollout('v2')
+        self.begin('unpaid')
+        self.assertEqual(self.ends, [NotRun(NotRunReason.NO_TARGET)])
+        self.desk.begin(
+            'paid', served_call('paid'), self.ends.append, is_exposed=True
+        )
+        self.assertEqual(len(self.pool.sent), 1)
+
+    def test_old_target_closes_when_the_new_version_is_in_use(self):
+        """What runs is finished; what comes goes elsewhere, unrun."""
+        self.desk.announced(announcement(slots=2, sequence=9, version='v1'))
+        self.begin('running')
+        self.order_rollout('v2', Verdict.COMPLETED)
+        self.desk.check(0.1)
+        self.begin('late')
+        self.assertEqual(self.ends, [NotRun(NotRunReason.NO_TARGET)])
+        self.assertFalse(self.usable_reports[-1])
+        self.pool.sent[0].ended(RESPONSE)
+        self.assertEqual(self.ends[-1], Answered(ANSWER))
+
+    def test_new_version_of_the_target_is_reported(self):
+        """Other nodes would take it for an old target."""
+        reports = len(self.usable_reports)
+        self.desk.announced(announcement(slots=2, sequence=9, version='v2'))
+        self.assertEqual(len(self.usable_reports), reports + 1)
+
     def test_an_answer_ends_the_call(self):
         """Its slot is free again."""
         self.begin()
