Rollouts: any node rolls back a withdrawn order

Cause: only the node that decided on an order knew of its withdrawal; if it was lost before `rolled_back` was acknowledged, the status stayed `running`.

Change: each node remembers the orders that were withdrawn without a final status until the next order of the service.

--- a/src/rattanstile/process/mesh/rollout/fleet_rollouts.py
+++ b/src/rattanstile/process/mesh/rollout/fleet_rollouts.py
@@ -68,6 +68,7 @@
             is_whole: Whether all known nodes report.
         """
         self.decider.set_views(now_s, self._node.views)
+        self.decider.set_withdrawn(self._node.withdrawn)
         self.decider.record_report(now_s, domain, self._domain.totals(now_s))
         self.decider.step(now_s, is_whole=is_whole)
         return self._node.directives_received(
--- a/src/rattanstile/process/mesh/rollout/node_rollouts.py
+++ b/src/rattanstile/process/mesh/rollout/node_rollouts.py
@@ -136,12 +136,18 @@
         self._rng = rng or Random()
         self._views: dict[ServiceName, OrderView] = {}
         self._held_back: dict[ServiceName, dict[TargetVersion, _HeldBack]] = {}
+        self._withdrawn: dict[ServiceName, RolloutOrder] = {}
 
     @property
     def views(self) -> tuple[OrderView, ...]:
         """Return the orders in force."""
         return tuple(self._views.values())
 
+    @property
+    def withdrawn(self) -> tuple[RolloutOrder, ...]:
+        """Return the orders that were withdrawn without a final status."""
+        return tuple(self._withdrawn.values())
+
     def view_of(self, service: ServiceName) -> OrderView | None:
         """Return the order in force for a service."""
         return self._views.get(service)
@@ -158,6 +164,7 @@
         before = self._views
         self._views = {}
         for order in orders:
+            self._withdrawn.pop(order.service, None)
             view = before.pop(order.service, None)
             if view is not None and view.order.version == order.version:
                 view.order = order
@@ -168,6 +175,9 @@
             self._views[order.service] = view
         for withdrawn in before.values():
             self._hold_back(withdrawn)
+            if not withdrawn.verdict.is_final:
+                order = withdrawn.order
+                self._withdrawn[order.service] = order
 
     def store_restored(self, now_s: float) -> None:
         """Report final verdicts for a while: the store may have lost them."""
--- a/src/rattanstile/process/mesh/rollout/rollout_decider.py
+++ b/src/rattanstile/process/mesh/rollout/rollout_decider.py
@@ -22,11 +22,11 @@
     RolloutProgress,
 )
 from rattanstile.process.mesh.rollout.rollout_verdict import (
-    RolloutState,
     RolloutStatus,
     verdict_of,
 )
 from rattanstile.request.ids import FailureDomainId
+from rattanstile.version.fleet_config import RolloutOrder
 
 SETTLE_S = 1.5
 """Time after taking over in which all domains report."""
@@ -95,8 +95,24 @@
             decided.progress.began_earlier(view.began_s)
             decided.progress.heard(view.verdict)
             self._orders[key] = decided
-        for key, ended in before.items():
-            self._end(key, ended)
+
+    def set_withdrawn(self, orders: Iterable[RolloutOrder]) -> None:
+        """Roll back the orders that were withdrawn.
+
+        One that was replaced gets no status: that of the next order is the
+        newest of its service.
+        """
+        before = self._withdrawn
+        self._withdrawn = {}
+        for order in orders:
+            key = OrderKey(order.service, order.version)
+            ended = before.get(key)
+            if ended is None:
+                progress = RolloutProgress(order, order.began_s)
+                progress.withdraw()
+                self._log_verdict(progress)
+                ended = DecidedOrder(progress)
+            self._withdrawn[key] = ended
 
     def record_report(
         self,
@@ -160,11 +176,10 @@
 
     def due_statuses(self) -> tuple[RolloutStatus, ...]:
         """Return the statuses that the store is to hold."""
-        in_force = {key.service for key in self._orders}
         withdrawn = [
             each
-            for key, each in self._withdrawn.items()
-            if key.service not in in_force
+            for each in self._withdrawn.values()
+            if not each.progress.verdict.is_final
         ]
         return tuple(
             RolloutStatus(
@@ -183,25 +198,10 @@
             return
         decided.is_status_known = True
         before = decided.progress.verdict
-        if status.state is not RolloutState.RUNNING:
-            self._withdrawn.pop(key, None)
         decided.progress.status_acknowledged(status.state)
         if decided.progress.verdict is not before:
             self._log_verdict(decided.progress)
 
-    def _end(self, key: OrderKey, ended: DecidedOrder) -> None:
-        """Roll back an order that was withdrawn.
-
-        One that was replaced gets no status: that of the next order is the
-        newest of its service.
-        """
-        if key.service in {each.service for each in self._orders}:
-            return
-        if not ended.progress.verdict.is_final:
-            ended.progress.withdraw()
-            self._log_verdict(ended.progress)
-            self._withdrawn[key] = ended
-
     def _log_verdict(self, progress: RolloutProgress) -> None:
         comparison = progress.comparison
         self._log.write(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -415,6 +415,23 @@
         node.run_until(2.25, 4)
         self.assertEqual(self.store.records, [RUNNING, ROLLED_BACK])
 
+    def test_decider_killed_after_a_withdrawal(self):
+        """The status would stay running, and the targets would not drain."""
+        first = DecidingNode(self.store)
+        first.run_until(0, 2, report(BOTH))
+        second = DecidingNode(self.store)
+        second.rollouts.set_orders([])
+        second.run_until(3, 5)
+        self.assertEqual(self.store.records, [RUNNING, ROLLED_BACK])
+
+    def test_withdrawal_after_a_final_status_that_was_not_heard_of(self):
+        """It must not be contradicted."""
+        self.store.records = [RUNNING, COMPLETED]
+        node = DecidingNode(self.store)
+        node.rollouts.set_orders([])
+        node.run_until(0, 3)
+        self.assertEqual(self.store.records, [RUNNING, COMPLETED])
+
     def test_completion_waits_for_nodes_that_don_t_report(self):
         """Calls may run on their old targets; later they may be gone."""
         node = DecidingNode(self.store)
