--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -28,6 +28,7 @@
     ServiceName,
     StoreEra,
     TargetId,
+    TargetVersion,
 )
 
 MAX_FRAME_BYTES = 72 * 1024 * 1024
@@ -93,6 +94,7 @@
         version: See `ConfigNotice`.
         kept: See `ConfigNotice`.
         confirmed_ms: See `ConfigNotice`.
+        target_version: Version of the target; empty if unknown.
     """
 
     node_id: NodeId
@@ -108,13 +110,20 @@
     version: int = 0
     kept: tuple[FailureDomainId, ...] = ()
     confirmed_ms: int | None = None
+    target_version: TargetVersion = TargetVersion('')
 
 
 class CallRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """One attempt; `sequence` is its number among those of the sender."""
+    """One attempt; `sequence` is its number among those of the sender.
+
+    Attributes:
+        is_exposed: Whether the sender has paid for it with its credit for the
+            target version of a rollout.
+    """
 
     sequence: int
     call: ServedCall
+    is_exposed: bool = False
 
 
 class CallCancellation(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -170,10 +179,11 @@
 
 
 class StatusReport(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Current service and load of the sender's target."""
+    """Current service, load and version of the sender's target."""
 
     service: ServiceName
     load: TargetLoad
+    target_version: TargetVersion = TargetVersion('')
 
 
 class ConfigNotice(msgspec.Struct, frozen=True, array_like=True, tag=6):
@@ -225,6 +235,21 @@
     left_ms: int
 
 
+class PeerOrder(msgspec.Struct, frozen=True, array_like=True):
+    """An order to move a service to another version.
+
+    Attributes:
+        age_ms: Time since the order.
+        verdict: Value of the latest `Verdict` that the sender has heard of.
+    """
+
+    service: ServiceName
+    version: TargetVersion
+    duration_ms: int
+    age_ms: int
+    verdict: int = 0
+
+
 class ConfigResponse(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """State that the operators have set, as of an offset of their log.
 
@@ -235,6 +260,8 @@
         kept: Of which failure domains the log says the opposite.
         settled: Failure domains that were decided since the store was restored.
         confirmed_ms: See `ConfigNotice`.
+        orders: Rollouts that operators have ordered; None if the sender
+            doesn't know of rollouts.
     """
 
     offset: int
@@ -244,6 +271,7 @@
     kept: tuple[KeptEvacuation, ...] = ()
     settled: tuple[FailureDomainId, ...] = ()
     confirmed_ms: int | None = None
+    orders: tuple[PeerOrder, ...] | None = None
 
 
 class ServiceDigest(msgspec.Struct, frozen=True, array_like=True):
@@ -284,6 +312,86 @@
     services: tuple[ServiceDigest, ...]
 
 
+class RouteCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Answered and failed calls of one route since the order of a rollout.
+
+    Attributes:
+        route: Name of the route.
+        domain: Failure domain of the targets that got the calls.
+        is_new: Whether these are targets of the new version.
+        calls: Calls that ended, failed ones included.
+        failed: Calls that failed at the target.
+        latencies: Successful calls by latency; see
+            `rattanstile.process.mesh.rollout.version_counts`.
+    """
+
+    route: str
+    domain: FailureDomainId
+    is_new: bool
+    calls: int
+    failed: int
+    latencies: tuple[int, ...]
+
+
+class VersionTargets(msgspec.Struct, frozen=True, array_like=True):
+    """Targets of the old and the new version, summed over the nodes.
+
+    Attributes:
+        new_targets: Targets of the new version that accept calls.
+        new_cold: Those of them that are not warm yet.
+        new_deci_per_s: Rate that the warm ones can serve, in tenths of a call
+            per second.
+        old_targets: Targets of other versions that accept calls, or whose
+            node has not confirmed that they are closed.
+        old_in_flight: Calls waiting or running at targets of other versions.
+        offered_deci_per_s: Arrival rate at all targets, in tenths of a call
+            per second.
+    """
+
+    new_targets: int = 0
+    new_cold: int = 0
+    new_deci_per_s: int = 0
+    old_targets: int = 0
+    old_in_flight: int = 0
+    offered_deci_per_s: int = 0
+
+
+class RolloutReport(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender, or its failure domain, knows of a rollout.
+
+    Attributes:
+        version: Target version of the order.
+        verdict: Value of the latest `Verdict` that the sender has heard of.
+        requests: Requests to the service that were answered since the order.
+        counts: Since the order.
+    """
+
+    service: ServiceName
+    version: TargetVersion
+    verdict: int
+    requests: int
+    counts: tuple[RouteCounts, ...]
+    targets: VersionTargets
+
+
+class RolloutDirective(msgspec.Struct, frozen=True, array_like=True):
+    """Decision on a rollout, from the node that decides.
+
+    Attributes:
+        version: Target version of the order.
+        verdict: Value of a `Verdict`.
+        spend_ppm: Probability, in millionths, with which a request is sent to
+            the new version if the sender's credit allows it.
+        age_ms: Time since the order.
+    """
+
+    service: ServiceName
+    version: TargetVersion
+    verdict: int
+    spend_ppm: int
+    age_ms: int
+
+
 class DemandReport(msgspec.Struct, frozen=True, array_like=True, tag=9):
     """Demand of each organisation at the sender, in requests per second.
 
@@ -294,12 +402,14 @@
         calls_per_s: Calls to each service that the root requests at the
             sender would make if all were admitted.
         load: Load of the sender's target.
+        rollouts: Of the orders in force.
     """
 
     sequence: int
     demand_per_s: dict[OrganisationId, float]
     calls_per_s: dict[ServiceName, float]
     load: TargetLoad | None = None
+    rollouts: tuple[RolloutReport, ...] = ()
 
 
 class DomainReport(msgspec.Struct, frozen=True, array_like=True, tag=21):
@@ -312,6 +422,7 @@
         reporting: Nodes whose recent reports are included.
         demand_per_s: See `DemandReport`.
         calls_per_s: See `DemandReport`.
+        rollouts: Of the orders in force.
     """
 
     sequence: int
@@ -319,6 +430,7 @@
     demand_per_s: dict[OrganisationId, float]
     calls_per_s: dict[ServiceName, float]
     digest: DomainDigest
+    rollouts: tuple[RolloutReport, ...] = ()
 
 
 class RateSharesResponse(msgspec.Struct, frozen=True, array_like=True, tag=10):
@@ -334,6 +446,7 @@
         lease_ms: How long the shares stay valid without an update.
         digests: Load of the other failure domains.
         is_for_domain: Whether it responds to a `DomainReport`.
+        rollouts: Of the orders in force.
     """
 
     sequence: int
@@ -343,18 +456,21 @@
     lease_ms: int
     digests: tuple[DomainDigest, ...] = ()
     is_for_domain: bool = False
+    rollouts: tuple[RolloutDirective, ...] = ()
 
 
 class FleetLoad(msgspec.Struct, frozen=True, array_like=True, tag=22):
     """Demand and load of the fleet, from a delegate to the nodes of its domain.
 
-    Sent while the demand for a service is near its capacity, so that nodes
-    don't wait for the response to their next report. See `RateSharesResponse`.
+    Sent while the demand for a service is near its capacity, and with a new
+    verdict on a rollout, so that nodes don't wait for the response to their
+    next report. See `RateSharesResponse`.
     """
 
     calls_per_s: dict[ServiceName, float]
     nodes: int
     digests: tuple[DomainDigest, ...]
+    rollouts: tuple[RolloutDirective, ...] = ()
 
 
 class ShutdownNotice(msgspec.Struct, frozen=True, array_like=True, tag=11):
--- a/src/rattanstile/process/mesh/entry/entry_call.py
+++ b/src/rattanstile/process/mesh/entry/entry_call.py
@@ -10,6 +10,7 @@
 )
 from rattanstile.process.mesh.admission.service_needs import RunKind
 from rattanstile.process.mesh.placement.run_positions import CallChain
+from rattanstile.process.mesh.rollout.call_sample import CallSample
 from rattanstile.request.exchange import (
     AnswerSink,
     EndingHandler,
@@ -84,6 +85,7 @@
             is complete.
         is_beyond_rate: Whether only tokens that refused requests gave back
             cover it.
+        sample: The current attempt, if it is compared by version.
     """
 
     caller_request: IncomingRequest
@@ -111,12 +113,18 @@
     origin: CallChain | None = None
     sink: AnswerSink | None = None
     is_beyond_rate: bool = False
+    sample: CallSample | None = None
 
     @property
     def urgency(self) -> int:
         """Return the priority of the root request, as far as it is known."""
         return self.priority if self.origin is None else self.origin.run.urgency
 
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether no attempt has ended yet."""
+        return not (self.attempts or self.moves)
+
     @property
     def priority(self) -> int:
         """Return the priority; 0 is the most urgent.
--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -9,6 +9,7 @@
     busiest_to_mean,
     mean_share,
 )
+from rattanstile.process.mesh.rollout.node_rollouts import PPM
 from rattanstile.process.mesh.serving.target_gate import TargetQueue
 
 if TYPE_CHECKING:
@@ -60,14 +61,8 @@
     yield from _queue_gauges(serving.queue)
     yield _line('target_usable', int(serving.is_usable))
     yield _line('target_cold', int(serving.watch.is_cold(now_s)))
-    yield _line('members_known', len(node.peers.known_members()))
-    yield _line('members_connected', len(node.peers.connected()))
-    yield _line('peer_connections', len(node.peers.links))
-    yield _line('gateway', int(node.links.is_gateway))
-    yield _line('delegate', int(node.rates.delegates.is_delegate))
-    yield _line('allocator', int(node.rates.delegates.is_allocator))
-    for domain, age_s in sorted(node.links.digests.ages_s(now_s).items()):
-        yield _line('domain_digest_age_seconds', age_s, domain=domain)
+    yield from _fleet_gauges(node, now_s)
+    yield from _rollout_gauges(node)
     for service, left in sorted(node.reruns.left_by_service(now_s).items()):
         yield _line('retry_budget_left', left, service=service)
     candidates = node.links.candidates
@@ -83,6 +78,17 @@
         )
 
 
+def _fleet_gauges(node: 'MeshNode', now_s: float) -> Iterator[str]:
+    yield _line('members_known', len(node.peers.known_members()))
+    yield _line('members_connected', len(node.peers.connected()))
+    yield _line('peer_connections', len(node.peers.links))
+    yield _line('gateway', int(node.links.is_gateway))
+    yield _line('delegate', int(node.rates.delegates.is_delegate))
+    yield _line('allocator', int(node.rates.delegates.is_allocator))
+    for domain, age_s in sorted(node.links.digests.ages_s(now_s).items()):
+        yield _line('domain_digest_age_seconds', age_s, domain=domain)
+
+
 def _queue_gauges(queue: TargetQueue) -> Iterator[str]:
     yield _line('calls_waiting', queue.waiting)
     yield _line('calls_in_flight', queue.in_flight)
@@ -93,6 +99,28 @@
         yield _line('route_service_seconds', route_time.mean_s, route=route)
 
 
+def _rollout_gauges(node: 'MeshNode') -> Iterator[str]:
+    for view in node.context.rollouts.views:
+        labels = {
+            'service': view.order.service,
+            'target_version': view.order.version,
+        }
+        yield _line('rollout_verdict', view.verdict, **labels)
+        yield _line('rollout_requests', view.credit.requests, **labels)
+        yield _line('rollout_exposed', view.credit.spent_calls, **labels)
+        yield _line('rollout_spend_share', view.spend_ppm / PPM, **labels)
+    for decided in node.rates.rollouts.decider.orders:
+        progress = decided.progress
+        labels = {
+            'service': progress.order.service,
+            'target_version': progress.order.version,
+        }
+        comparison = progress.comparison
+        yield _line('rollout_compared', comparison.new_calls, **labels)
+        yield _line('rollout_excess', comparison.excess, **labels)
+        yield _line('rollout_evidence', comparison.total, **labels)
+
+
 def _operator_gauges(node: 'MeshNode', now_s: float) -> Iterator[str]:
     state = node.context.state()
     yield _line('version_in_force', node.context.version)
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -44,6 +44,11 @@
 from rattanstile.process.mesh.placement.rerun_budget import RerunBudget
 from rattanstile.process.mesh.ports import NodeAdapters
 from rattanstile.process.mesh.rates.rate_service import RateService
+from rattanstile.process.mesh.rollout.node_rollouts import (
+    LocalTarget,
+    NodeRollouts,
+)
+from rattanstile.process.mesh.rollout.status_writer import StatusWriter
 from rattanstile.process.mesh.serving.serving_handler import ServingHandler
 from rattanstile.process.mesh.serving.target_watch import TargetWatch
 from rattanstile.process.mesh.settings import MeshSettings
@@ -101,6 +106,9 @@
             log=log,
             counters=Counters(),
             rng=rng,
+            rollouts=NodeRollouts(
+                settings.rollout_bounds, rng, domain=settings.failure_domain
+            ),
         )
         self._reactor = reactor
         self._heap = HeapTrimmer()
@@ -167,6 +175,8 @@
             self.peer_service.status_changed,
             self.reruns,
         )
+        context.rollouts.target = self._local_target
+        self._operator_state.verdict_on = context.rollouts.verdict_on
         self.admission = RootAdmission(context.rng)
         self.links = FleetLinks(
             context,
@@ -180,6 +190,9 @@
         self.rates = RateService(
             context, self.peers, self.links, self.admission
         )
+        self._statuses = StatusWriter(
+            adapters.store, self.rates.rollouts.decider, context.log
+        )
         self.entry = EntryHandler(
             context,
             self.serving,
@@ -324,10 +337,7 @@
     def _slow_tick(self, now_s: float) -> None:
         self.peers.check(now_s)
         self.entry.attempts.update_unresponsive(now_s, UNRESPONSIVE_AFTER_S)
-        for state in self._servers.values():
-            state.check(now_s)
-        self._log_closed_clients()
-        self._heap.check(self.memory.held_bytes)
+        self._check_clients(now_s)
         self._target_pool.check(now_s)
         self.context.log.flush()
         self._operator_state.check(now_s)
@@ -345,6 +355,25 @@
             self.reruns.set_node_count(self.rates.fleet_size)
             self._log_tight_services()
         self.rates.report_domain(now_s)
+        self._check_statuses(now_s)
+
+    def _check_clients(self, now_s: float) -> None:
+        """Apply timeouts and limits of the connections that others opened."""
+        for state in self._servers.values():
+            state.check(now_s)
+        self._log_closed_clients()
+        self._heap.check(self.memory.held_bytes)
+
+    def _check_statuses(self, now_s: float) -> None:
+        """Store the statuses of rollouts, if this node decides them."""
+        if not self.rates.delegates.is_allocator:
+            self._statuses.forget()
+        elif self.context.knows_newest(now_s):
+            self._statuses.check(now_s, self._state().era)
+
+    def _local_target(self) -> LocalTarget:
+        watch = self.serving.watch
+        return LocalTarget(watch.service, watch.version, self.serving.load())
 
     def _log_closed_clients(self) -> None:
         for listener, state in self.listeners.items():
@@ -394,6 +423,10 @@
         return self._operator_state.state
 
     def _config_changed(self, previous: FleetState) -> None:
+        rollouts = self.context.rollouts
+        rollouts.set_orders(self._state().orders)
+        if previous.era != self._state().era:
+            rollouts.store_restored(self.timers.now_s())
         self.serving.config_changed()
         self.rates.config_changed()
         self.entry.config_changed()
--- a/src/rattanstile/process/mesh/placement/placement.py
+++ b/src/rattanstile/process/mesh/placement/placement.py
@@ -30,7 +30,12 @@
     ServiceSpeed,
     Slowness,
 )
-from rattanstile.request.ids import FailureDomainId, NodeId, ServiceName
+from rattanstile.request.ids import (
+    FailureDomainId,
+    NodeId,
+    ServiceName,
+    TargetVersion,
+)
 
 MAX_INNER_LOCAL_WAIT_SHARE = 0.1
 MAX_ROOT_LOCAL_WAIT_SHARE = 0.3
@@ -80,6 +85,7 @@
         is_unresponsive: Whether it has not answered for too long.
         slowness: Usual time of its target over the mean of the service.
         service_speed: Mean of the service; None if it isn't known.
+        version: Version of its target; empty if unknown.
     """
 
     node_id: NodeId
@@ -91,6 +97,7 @@
     is_unresponsive: bool = False
     slowness: Slowness = field(default_factory=Slowness)
     service_speed: ServiceSpeed | None = None
+    version: TargetVersion = TargetVersion('')
 
     def update_load(self, load: TargetLoad, now_s: float) -> None:
         """Record a load report of the node's target."""
--- a/src/rattanstile/version/fleet_config.py
+++ b/src/rattanstile/version/fleet_config.py
@@ -9,6 +9,7 @@
     OrganisationId,
     ServiceName,
     StoreEra,
+    TargetVersion,
 )
 
 
@@ -163,6 +164,24 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """An order to move a service to another version.
+
+    Attributes:
+        version: Version that the service is to move to.
+        duration_s: Time within which it is to be decided.
+        began_s: Monotonic time of the order, as far as this node knows.
+        verdict: Value of the `Verdict` that came with a copy of the order.
+    """
+
+    service: ServiceName
+    version: TargetVersion
+    duration_s: float
+    began_s: float = field(default=0.0, compare=False)
+    verdict: int = field(default=0, compare=False)
+
+
 @dataclass(frozen=True, order=True, slots=True)
 class LogPosition:
     """Position in the operators' log.
@@ -203,6 +222,7 @@
         era: Era of the store that the offset belongs to.
         kept: Failure domains of which the log says the opposite since the
             store was restored from a copy.
+        orders: Rollouts that operators have ordered, by service.
     """
 
     offset: int = 0
@@ -212,6 +232,7 @@
     origin: ConfigOrigin = field(default_factory=ConfigOrigin, compare=False)
     era: StoreEra = NO_ERA
     kept: frozenset[FailureDomainId] = field(default_factory=frozenset)
+    orders: tuple[RolloutOrder, ...] = ()
 
     @property
     def position(self) -> LogPosition:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -125,6 +125,7 @@
         domains=('east',),
         slots=10,
         max_descriptors=None,
+        targets=None,
     ):
         """Set up a fleet; `start` assigns addresses and starts processes.
 
@@ -137,7 +138,9 @@
             slots: Calls that each target runs at the same time.
             max_descriptors: Limit of open descriptors of each node; None for
                 that of this process.
+            targets: Further settings of each target, by index of its node.
         """
+        self.target_changes = targets or {}
         self.slots = slots
         self.max_descriptors = max_descriptors
         self.proxies = proxies
@@ -216,6 +219,7 @@
                     'calls_to': node['caller_address'],
                     'child_host': HOST,
                     'slots': self.slots,
+                    **self.target_changes.get(node_index, {}),
                 }
                 for node_index, node in enumerate(self.node_settings)
             ],
