--- a/src/rattanstile/connection/client_eviction.py
+++ b/src/rattanstile/connection/client_eviction.py
@@ -17,7 +17,7 @@
 """Progress below which an unfinished request is stalled. Only near a limit:
 otherwise a body may take all of its timeout."""
 STALLED_AFTER_S = 1.0
-UNREAD_AFTER_S = 1.0
+UNREAD_AFTER_S = 0.5
 """Time without progress after which the rest of an answer is given up, near a
 limit only: otherwise callers may read late."""
 
@@ -105,6 +105,15 @@
     return [*stalled, *_unread(every, now_s)]
 
 
+def evict_unread(views: Iterable[ClientView], now_s: float) -> list[ClientView]:
+    """Return the connections whose answers are not read.
+
+    Answers in parts keep their calls at the target, whose slots then lack for
+    callers that read.
+    """
+    return _unread(tuple(views), now_s)
+
+
 def is_stalled(view: ClientView, now_s: float, rules: EvictionRules) -> bool:
     """Return whether an unfinished request makes too little progress."""
     age_s = now_s - view.since_s
--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -26,6 +26,7 @@
     EvictionRules,
     evict_for_descriptor,
     evict_for_memory,
+    evict_unread,
 )
 from rattanstile.connection.direct_write import unsent_bytes, write_now
 from rattanstile.connection.http_messages import HttpRequest
@@ -150,15 +151,21 @@
             connection.check(now_s)
         if self.memory.is_exceeded:
             self.free_memory()
+        if self._is_full:
+            for view in evict_unread(self._views(), now_s):
+                self._evict(view)
+
+    @property
+    def _is_full(self) -> bool:
+        """Return whether a further connection needs another to give way."""
+        open_connections = len(self.connections) - len(self.leaving)
+        return open_connections >= self.max_connections
 
     def admit(self, connection: 'HttpServerConnection') -> bool:
         """Add a connection; return False if there is no room for it."""
-        if len(self.connections) - len(self.leaving) >= self.max_connections:
+        if self._is_full:
             self._free_descriptors()
-            if (
-                len(self.connections) - len(self.leaving)
-                >= self.max_connections
-            ):
+            if self._is_full:
                 self.evictions[ClientState.REFUSED] += 1
                 return False
         self.connections.add(connection)
--- a/src/rattanstile/trial/trial_cli.py
+++ b/src/rattanstile/trial/trial_cli.py
@@ -8,6 +8,11 @@
 
 from rattanstile.errors import ExitCode
 from rattanstile.process.reactor import installed_reactor
+from rattanstile.trial.crowd_cli import (
+    CROWD,
+    add_crowd_options,
+    run_crowd_command,
+)
 from rattanstile.trial.demo import print_progress
 from rattanstile.trial.deployments import DEPLOYMENTS, VEDLOTT
 from rattanstile.trial.fleet import running_fleet
@@ -37,7 +42,9 @@
         ' on the pass-through baseline. Exits with 1 if an invariant was'
         ' violated.',
     )
-    parser.add_argument('name', choices=(ALL_SCENARIOS, *SCENARIOS_BY_NAME))
+    parser.add_argument(
+        'name', choices=(ALL_SCENARIOS, CROWD, *SCENARIOS_BY_NAME)
+    )
     parser.add_argument(
         '--deployment', choices=sorted(DEPLOYMENTS), default=VEDLOTT.name
     )
@@ -47,6 +54,7 @@
         default='',
         help='folder for settings and logs; a temporary one by default',
     )
+    add_crowd_options(parser)
     parser.set_defaults(run=run_trial_command)
 
 
@@ -56,6 +64,8 @@
     Returns:
         `ExitCode.FAILURE` if an invariant was violated on nodes.
     """
+    if arguments.name == CROWD:
+        return run_crowd_command(arguments)
     deployment = DEPLOYMENTS[arguments.deployment]
     reactor = installed_reactor()
     selected: tuple[Scenario, ...] = SCENARIOS
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,16 +2,24 @@
 
 import signal
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, unique
 from random import Random
 
-from platform_fleet import config_document
+from platform_fleet import HOST, config_document
 
+from rattanstile.trial.crowd import Crowd
+from rattanstile.trial.crowd_shapes import (
+    CROWD_SHAPES,
+    CrowdIdentity,
+    CrowdListener,
+)
 from soak.wire import ProxyFault
 
 MAX_STEP_PAUSE_S = 0.6
 FAULT_DURATION_RANGE_S = (0.2, 2.0)
+SOAK_CONNECTIONS = 40
+"""Enough to hold a share of the memory, few enough for a small machine."""
 STORE_FAULTS = ('down', 'slow', 'silent', 'answers-lost')
 
 
@@ -28,6 +36,7 @@
     FORGET = 'forget'
     KEYS = 'keys'
     SERIES = 'series'
+    CROWD = 'crowd'
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +163,26 @@
             self._kill(node_index)
             time.sleep(self._random.uniform(0, MAX_STEP_PAUSE_S))
 
+    def _crowd(self, node_index):
+        """Have clients hold memory and connections for a short time."""
+        shape = self._random.choice(CROWD_SHAPES)
+        shape = replace(shape, connections=SOAK_CONNECTIONS)
+        node = self._fleet.node_settings[node_index]
+        address = {
+            CrowdListener.CALLERS: node['caller_address'],
+            CrowdListener.NODES: node['peer_address'],
+            CrowdListener.ANNOUNCEMENTS: node['announcement_address'],
+        }[shape.listener]
+        crowd = Crowd(
+            address, shape, CrowdIdentity(HOST), self._random.randrange(1000)
+        )
+        try:
+            crowd.connect()
+            crowd.run(self._random.uniform(*FAULT_DURATION_RANGE_S))
+        finally:
+            crowd.close()
+        return shape.name
+
     def _proxy_name(self, node_index):
         kind = self._random.choice(('store', 'target', 'peer'))
         return f'{kind}-{node_index}'
