Callers of the product's interface: one buffer, bounded trailers, idle give way

Cause: bodies were lists of chunks, the parser held a trailer without end, and connections that never end a request kept all others out at max_connections.

Change: bodies in a bytearray; overhead is metered throughout a request; at the limit the longest idle connection gives way, then the unfinished request that has been waited for the longest. test_connections_beyond_the_limit: its connections have requests in hand now, since idle ones give way.

Measured: test_caller_http, 28 tests, pass. No crowd was run against it.

--- a/src/rattanstile/connection/caller_http.py
+++ b/src/rattanstile/connection/caller_http.py
@@ -103,6 +103,26 @@
         if self._pending_reply is not None:
             self._pending_reply.cancel()
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether it waits for the rest of a request."""
+        return self._parser.is_mid_request and self.is_waiting
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether no request of it was read completely."""
+        return self._is_idle() and not self._is_closing
+
+    @property
+    def elapsed_checks(self) -> int:
+        """Return for how many checks it has been waiting."""
+        return self._elapsed_checks
+
+    def give_way(self) -> None:
+        """Close the connection, on which no whole request waits."""
+        self._is_closing = True
+        self._abort()
+
     def check(self) -> None:
         """Apply the timeouts; called every `CHECK_PERIOD_S`."""
         self._elapsed_checks += 1
@@ -275,7 +295,7 @@
         handler: Handles a request; its Deferred is cancelled when the
             caller disconnects.
         max_connections: Maximum number of open connections; further ones are
-            closed at once.
+            closed at once unless others give way.
     """
 
     noisy = False
@@ -294,8 +314,11 @@
     def buildProtocol(  # noqa: N802
         self, addr: Any
     ) -> CallerHttpConnection | None:
-        """Return a new connection, or None when the limit is reached."""
-        if len(self.connections) >= self._max_connections:
+        """Return a new connection, or None if there is no room for it."""
+        if (
+            len(self.connections) >= self._max_connections
+            and not self._make_room()
+        ):
             _log.warning(
                 key_values(
                     'connection_refused', connections=len(self.connections)
@@ -304,6 +327,31 @@
             return None
         return CallerHttpConnection(self)
 
+    def _make_room(self) -> bool:
+        """Close a connection; return whether one could give way.
+
+        The longest idle one goes first, then the unfinished request that has
+        been waited for the longest. Requests that were read completely stay.
+        """
+        waiting = [
+            connection
+            for connection in self.connections
+            if connection.is_waiting
+        ]
+        if not waiting:
+            return False
+        given_up = min(
+            waiting,
+            key=lambda connection: (
+                connection.is_unfinished,
+                -connection.elapsed_checks,
+            ),
+        )
+        self.connections.discard(given_up)
+        given_up.give_way()
+        _log.info(key_values('clients_closed', count=1))
+        return True
+
     def check(self, now_s: float) -> None:
         """Apply the timeouts of all connections."""
         for connection in tuple(self.connections):
--- a/src/rattanstile/connection/http_request.py
+++ b/src/rattanstile/connection/http_request.py
@@ -9,6 +9,7 @@
     headers_for_target,
     normalize_path,
 )
+from rattanstile.connection.overhead import OverheadMeter
 from rattanstile.request.envelope import Header
 from rattanstile.request.ids import ServiceName
 from rattanstile.request.outcome import Reason
@@ -126,20 +127,20 @@
         self._parsed: list[ParseResult] = []
         self._refusal = _MALFORMED
         self._is_in_head = True
-        self._received_bytes = 0
+        self._overhead = OverheadMeter()
         self._body_bytes = 0
         self._reset_request()
 
     def feed(self, received: bytes) -> list[ParseResult]:
         """Return the requests completed by the bytes; a refusal comes last."""
         self.is_mid_request = True
-        self._received_bytes += len(received)
+        self._overhead.add_received(len(received))
         try:
             self._parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._parsed.append(self._refusal)
         else:
-            self._check_head_size()
+            self._check_overhead()
         parsed = self._parsed
         self._parsed = []
         return parsed
@@ -191,7 +192,8 @@
         if not self._body_budget.reserve(len(body)):
             self._refuse(_BUDGET_EXHAUSTED)
         self._body_bytes = size_bytes
-        self._body.append(body)
+        self._overhead.add_body(len(body))
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Validate the complete request and prepare for the next one."""
@@ -204,13 +206,13 @@
         self.is_mid_request = False
         self.expects_continue = False
         self._is_in_head = True
-        self._received_bytes = 0
+        self._overhead.reset()
 
     def _reset_request(self) -> None:
         self._url = b''
         self._headers: list[Header] = []
         self._head_bytes = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
 
     def _refuse(self, refusal: RequestRefusal) -> None:
@@ -222,9 +224,14 @@
         if self._head_bytes > MAX_HEAD_BYTES:
             self._refuse(_HEAD_TOO_LARGE)
 
-    def _check_head_size(self) -> None:
-        # The parser calls no callback for a header name or URL that never ends.
-        if self._is_in_head and self._received_bytes > MAX_HEAD_BYTES * 2:
+    def _check_overhead(self) -> None:
+        # The parser calls no callback for a header name, URL or trailer that
+        # never ends, and holds it.
+        max_bytes = MAX_HEAD_BYTES * 2
+        is_long_head = (
+            self._is_in_head and self._overhead.received_bytes > max_bytes
+        )
+        if is_long_head or self._overhead.is_exceeded(max_bytes):
             self._parsed.append(_HEAD_TOO_LARGE)
 
     def _request(self) -> Result[CallerHttpRequest, RequestRefusal]:
@@ -249,7 +256,7 @@
                 method=self._parser.get_method().decode('ascii'),
                 path=path,
                 headers=headers_for_target(self._headers, key),
-                body=b''.join(self._body),
+                body=bytes(self._body),
                 idempotency_key=values.get('idempotency-key', ''),
                 deadline_ms=int(deadline),
                 parent=values.get('rattanstile-call', ''),
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -283,13 +283,39 @@
         self.assertTrue(self.transport.aborted)
 
     def test_connections_beyond_the_limit_are_refused(self):
+        """Requests that were read completely don't give way."""
         others = [self.factory.buildProtocol(None) for _ in range(2)]
         for other in others:
             connect(other)
+        for connection in (self.connection, *others):
+            connection.dataReceived(GET + b'\r\n')
         self.assertIsNone(self.factory.buildProtocol(None))
         lose_connection(others[0])
         self.assertIsNotNone(self.factory.buildProtocol(None))
 
+    def test_idle_and_then_unfinished_connections_give_way(self):
+        """Connections that never end a request kept all others out."""
+        others = [self.factory.buildProtocol(None) for _ in range(2)]
+        transports = [connect(other) for other in others]
+        self.send(GET + b'\r\n')
+        others[0].dataReceived(GET)
+        self.assertIsNotNone(self.factory.buildProtocol(None))
+        self.assertTrue(transports[1].aborted)
+        self.assertFalse(transports[0].aborted)
+        connect(self.factory.buildProtocol(None))
+        self.assertFalse(self.transport.aborted)
+
+    def test_trailer_without_end_is_refused(self):
+        """The parser held all of it until the timeout."""
+        self.send(
+            GET.replace(b'GET', b'POST')
+            + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx: '
+        )
+        written = b''
+        for _ in range(10):
+            written += self.send(b'x' * 8192)
+        self.assertIn(b' 431 ', written)
+
     def test_expectation_is_met_before_the_body_comes(self):
         written = self.send(
             GET + b'Expect: 100-continue\r\nContent-Length: 2\r\n\r\n',
