Frames and calls of other nodes count against the share of nodes

Cause: a frame may have 72 MB, and bodies of calls in progress were counted nowhere at the serving node.

Change: an unfinished frame counts by its buffer; while the share is exceeded, large frames wait in the system but for the largest. A call's body counts twice until the call ends, and is refused as QUEUE_FULL, unsent, if there is no room. Shares are now 5:4:1, so that a call with a body of 8 MB fits.

--- a/src/rattanstile/connection/peer_link.py
+++ b/src/rattanstile/connection/peer_link.py
@@ -21,6 +21,11 @@
     encode_peer_frame,
 )
 from rattanstile.connection.peer_traffic import PeerTraffic
+from rattanstile.connection.request_memory import (
+    CONNECTION_BYTES,
+    MemoryShare,
+    buffer_bytes,
+)
 from rattanstile.process.decision_log import DecisionLog, LineKind
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import FailureDomainId, NodeId
@@ -49,6 +54,7 @@
     timers: TimerService
     log: DecisionLog
     links: set['PeerLink']
+    memory: MemoryShare
     traffic: PeerTraffic
     place: NodePlace
 
@@ -64,6 +70,9 @@
     def hello(self) -> PeerHello:
         """Return the first message of this node."""
 
+    def limit_frames(self, link: 'PeerLink') -> None:
+        """Have large frames wait if the memory doesn't suffice for all."""
+
 
 class PeerLink(Protocol):
     """One connection between two nodes.
@@ -99,6 +108,13 @@
         self._reader.max_frame_bytes = MAX_HELLO_BYTES
         self._is_open = False
         self._is_ping_sent = False
+        self._held_bytes = 0
+        self._is_reading_paused = False
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the unfinished frame."""
+        return self._reader.buffered_bytes
 
     @property
     def node_id(self) -> NodeId:
@@ -143,8 +159,23 @@
         if self._is_open:
             self.transport.abortConnection()  # type: ignore[union-attr]
 
+    def pause_reading(self) -> None:
+        """Leave the rest of a frame in the system."""
+        if not self._is_reading_paused and self._is_open:
+            self._is_reading_paused = True
+            self.transport.pauseProducing()  # type: ignore[union-attr]
+
+    def resume_reading(self) -> None:
+        """Read on."""
+        if self._is_reading_paused and self._is_open:
+            self._is_reading_paused = False
+            self.transport.resumeProducing()  # type: ignore[union-attr]
+
     def check(self, now_s: float) -> None:
         """Ping a silent peer, and close the connection to a dead one."""
+        if self._is_reading_paused:
+            # The other end is not silent: this one doesn't listen.
+            self.last_received_s = now_s
         quiet_s = self.quiet_s(now_s)
         if self.hello is None:
             # The other end may be paused, while its kernel accepts, or no
@@ -187,10 +218,27 @@
                 why=error.message,
             )
             self.abort()
+        self._count_memory()
+        self._owner.limit_frames(self)
+
+    def frame_taken(self) -> None:
+        """Count the frame being handled no longer: its receiver does."""
+        if self._is_open:
+            self._owner.memory.change(CONNECTION_BYTES - self._held_bytes)
+            self._held_bytes = CONNECTION_BYTES
+
+    def _count_memory(self) -> None:
+        """Count what the connection holds now."""
+        held_bytes = CONNECTION_BYTES + buffer_bytes(self.buffered_bytes)
+        if held_bytes != self._held_bytes and self._is_open:
+            self._owner.memory.change(held_bytes - self._held_bytes)
+            self._held_bytes = held_bytes
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Report the loss of the connection."""
         self._is_open = False
+        self._owner.memory.change(-self._held_bytes)
+        self._held_bytes = 0
         self._owner.links.discard(self)
         self._owner.link_lost(self)
 
--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -479,6 +479,11 @@
         self.max_frame_bytes = MAX_FRAME_BYTES
         self._buffer = bytearray()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the unfinished message."""
+        return len(self._buffer)
+
     def feed(self, received: bytes) -> Iterator[PeerMessage]:
         """Yield each message that the received bytes complete.
 
--- a/src/rattanstile/connection/peer_pool.py
+++ b/src/rattanstile/connection/peer_pool.py
@@ -25,6 +25,7 @@
     encode_peer_frame,
 )
 from rattanstile.connection.peer_traffic import PeerTraffic
+from rattanstile.connection.request_memory import MemoryShare
 from rattanstile.process.decision_log import DecisionLog, LineKind
 from rattanstile.process.timers import TimerService
 from rattanstile.request.ids import NodeId
@@ -44,6 +45,8 @@
 UNREACHABLE_MEMBER_TIMEOUT_S = 90.0
 """A node that can't be connected to for this long is removed."""
 BACKLOG = 512
+LARGE_FRAME_BYTES = 64 * 1024
+"""Frames above this wait while the memory doesn't suffice for all."""
 MAX_UNNAMED_LINKS = 96
 """Nodes name themselves at once; whoever doesn't keeps others out."""
 
@@ -195,6 +198,7 @@
         self.rng = rng
         self.links: set[PeerLink] = set()
         self.max_unnamed_links = MAX_UNNAMED_LINKS
+        self.memory = MemoryShare()
         self.unnamed_dropped = 0
         self.traffic = PeerTraffic()
         self.members_version = 0
@@ -327,9 +331,26 @@
         """Check all connections for silent peers; called periodically."""
         for link in tuple(self.links):
             link.check(now_s)
+            self.limit_frames(link)
             if link.is_outbound and link.hello is not None:
                 self._close_if_unneeded(now_s, link)
 
+    def limit_frames(self, link: PeerLink) -> None:
+        """Have a large frame wait while memory lacks, but for the largest.
+
+        That one goes on, so that its memory is free again when it is whole.
+        """
+        if not self.memory.is_exceeded:
+            link.resume_reading()
+            return
+        if link.buffered_bytes < LARGE_FRAME_BYTES:
+            return
+        most_bytes = max(each.buffered_bytes for each in self.links)
+        if link.buffered_bytes < most_bytes:
+            link.pause_reading()
+        else:
+            link.resume_reading()
+
     def accept(self) -> PeerLink:
         """Return a connection that another node opens.
 
--- a/src/rattanstile/connection/request_memory.py
+++ b/src/rattanstile/connection/request_memory.py
@@ -10,14 +10,16 @@
 """A process at rest takes 38 MB; what is left of 128 MB is for copies within
 one step, and for what the allocator keeps."""
 CALLERS_PART = 0.5
-NODES_PART = 0.3
-TARGETS_PART = 0.2
+NODES_PART = 0.4
+TARGETS_PART = 0.1
 CONNECTION_BYTES = 4 * 1024
 """Measured: 2.9 KB for parser, protocol and transport, 0.4 KB for a head."""
 HEADER_OBJECT_BYTES = 200
 """Memory of a header beside its characters."""
 TRANSIT_COPIES = 2
 """Of a complete body, beside itself: encoded for the next hop, and unsent."""
+SERVED_COPIES = 1
+"""Of the body of another node's call, beside itself: unsent to the target."""
 
 
 def buffer_bytes(size_bytes: int) -> int:
--- a/src/rattanstile/process/mesh/fleet/peer_handler.py
+++ b/src/rattanstile/process/mesh/fleet/peer_handler.py
@@ -29,6 +29,7 @@
     TokenResponse,
 )
 from rattanstile.connection.peer_pool import PeerPool
+from rattanstile.connection.request_memory import SERVED_COPIES
 from rattanstile.process.decision_log import LineKind
 from rattanstile.process.mesh.context import NodeContext
 from rattanstile.process.mesh.entry.entry_handler import EntryHandler
@@ -39,7 +40,13 @@
 from rattanstile.process.mesh.rates.rate_service import RateService
 from rattanstile.process.mesh.serving.serving_handler import ServingHandler
 from rattanstile.process.mesh.store.config_relay import ConfigRelay
-from rattanstile.request.exchange import AnswerHead, Ending, ServiceUsage
+from rattanstile.request.exchange import (
+    AnswerHead,
+    Ending,
+    NotRun,
+    NotRunReason,
+    ServiceUsage,
+)
 from rattanstile.request.ids import NodeId
 
 USAGE_REPORT_PERIOD_S = 0.2
@@ -86,6 +93,7 @@
         self._context = context
         self._address = address
         self._incarnation = context.rng.getrandbits(INCARNATION_BITS)
+        self._held_bytes: dict[tuple[PeerLink, int], int] = {}
         self._usage_sent_s: dict[NodeId, dict[str, float]] = {}
         self._reports = LoadReports()
         self._are_members_read = False
@@ -217,6 +225,9 @@
         self._entry.attempts.link_lost(link)
         for key in self._serving.keys_of(link):
             self._serving.cancel(key)
+        for call_key in tuple(self._held_bytes):
+            if call_key[0] is link:
+                self._release_call(call_key)
 
     # Messages
 
@@ -235,7 +246,7 @@
             case AnswerCredit(sequence, size_bytes):
                 self._serving.answer_taken((link, sequence), size_bytes)
             case CallCancellation(sequence):
-                self._serving.cancel((link, sequence))
+                self._cancel(link, sequence)
             case StatusReport():
                 self._status_received(link, message)
             case ConfigNotice() | ConfigRequest() | ConfigResponse():
@@ -288,19 +299,33 @@
 
     def _serve(self, link: PeerLink, message: CallRequest) -> None:
         route = message.call.route
+        key = (link, message.sequence)
 
         def send_ending(ending: Ending) -> None:
+            self._release_call(key)
             load = self._serving.load()
             usage = self._usage_to_send(link.node_id, route)
             link.send(encode_ending(message.sequence, ending, load, usage))
 
+        link.frame_taken()
+        held_bytes = (1 + SERVED_COPIES) * len(message.call.body)
+        if not self._peers.memory.hold(held_bytes):
+            send_ending(NotRun(NotRunReason.QUEUE_FULL))
+            return
+        self._held_bytes[key] = held_bytes
         hello = link.hello
         sink = None
         if hello is not None and hello.takes_parts:
             sink = _PeerAnswerSink(link, message.sequence)
-        self._serving.begin(
-            (link, message.sequence), message.call, send_ending, sink
-        )
+        self._serving.begin(key, message.call, send_ending, sink)
+
+    def _cancel(self, link: PeerLink, sequence: int) -> None:
+        self._serving.cancel((link, sequence))
+        self._release_call((link, sequence))
+
+    def _release_call(self, key: tuple[PeerLink, int]) -> None:
+        """Free the memory counted for a call from another node."""
+        self._peers.memory.change(-self._held_bytes.pop(key, 0))
 
     def _usage_to_send(
         self, node_id: NodeId, route: str
--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -210,6 +210,7 @@
         self._descriptors = descriptor_budget(
             descriptor_limit(), settings.reserved_descriptors
         )
+        self.peers.memory = self.memory.nodes
         self.peers.max_unnamed_links = self._descriptors.unknown_nodes
         callers = CallerService(adapters.callers, self.entry, self.context)
         announcements = AnnouncementService(adapters.announcements, self)
--- a/tests/test_peer_pool.py
+++ b/tests/test_peer_pool.py
@@ -13,6 +13,7 @@
     PeerHello,
     PeerMember,
     TargetLoad,
+    encode_peer_frame,
 )
 from rattanstile.connection.peer_pool import (
     FAILURE_MEMORY_S,
@@ -22,8 +23,15 @@
     PeerPool,
 )
 from rattanstile.connection.peer_traffic import TrafficKind
+from rattanstile.connection.request_memory import MemoryShare
 from rattanstile.process.timers import TimerService
-from tests.transports import FakeReactor, InMemoryLink, connect, lose_connection
+from tests.transports import (
+    FakeReactor,
+    FakeTcpTransport,
+    InMemoryLink,
+    connect,
+    lose_connection,
+)
 
 
 class Node:
@@ -323,3 +331,54 @@
         count = counts[TrafficKind('ConfigNotice', is_near=False)]
         self.assertEqual(count.frames, 1)
         self.assertGreater(count.size_bytes, 4)
+
+
+class FrameMemoryTest(unittest.TestCase):
+    """Frames on connections that other nodes opened."""
+
+    def setUp(self):
+        self.server = Node('n9')
+        self.server.pool.memory = MemoryShare(1_000_000)
+        self.server.pool.max_unnamed_links = 2
+
+    def open(self, is_named=True):
+        link = self.server.pool.accept()
+        transport = FakeTcpTransport()
+        link.makeConnection(transport)
+        if is_named:
+            link.dataReceived(encode_peer_frame(Node('n1').hello()))
+        return link, transport
+
+    def test_large_frames_wait_for_the_largest(self):
+        """Together they took the memory of the process."""
+        links = [self.open() for _ in range(3)]
+        begun = (5_000_000).to_bytes(4, 'big') + b'x' * 400_000
+        for link, _ in links:
+            link.dataReceived(begun)
+        links[0][0].dataReceived(b'x' * 100_000)
+        links[1][0].dataReceived(b'x' * 1_000)
+        is_reading = [transport.is_reading for _, transport in links]
+        self.assertEqual(is_reading[:2], [True, False])
+        links[0][0].connectionLost()
+        links[2][0].connectionLost()
+        self.server.advance(0.25)
+        self.assertTrue(links[1][1].is_reading)
+        links[1][0].connectionLost()
+        self.assertEqual(self.server.pool.memory.held_bytes, 0)
+
+    def test_oldest_unnamed_connection_gives_way(self):
+        """Connections without a first message stayed for good."""
+        _, first = self.open(False)
+        self.server.advance(0.25)
+        _, second = self.open(False)
+        self.open(False)
+        self.assertTrue(first.aborted)
+        self.assertFalse(second.aborted)
+
+    def test_bytes_now_and_then_are_no_first_message(self):
+        """They kept a connection open without an end."""
+        link, transport = self.open(False)
+        for _ in range(5):
+            self.server.advance(1)
+            link.dataReceived(b'\0')
+        self.assertTrue(transport.aborted)
