--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -151,6 +151,16 @@
     def tearDownClass(cls):
         cls.fleet.stop()
 
+    def refusals(self):
+        """Return what the nodes' logs say of refusals and of the target."""
+        events = ('call_not_taken', 'target_suspected', 'target_new')
+        return [
+            line
+            for number in range(self.fleet.node_count)
+            for line in self.fleet.read_log(number).splitlines()
+            if any(f'event={event} ' in line for event in events)
+        ][-20:]
+
     def result_of(self, path):
         """Return the status of a whole response; None for a cut one."""
         try:
@@ -164,7 +174,8 @@
             for end in range(0, 90, 3):
                 path = f'/claims/a?framing={framing}&cut={end}'
                 with self.subTest(framing=framing, end=end):
-                    self.assertEqual(self.result_of(path), 502)
+                    result = self.result_of(path)
+                    self.assertEqual(result, 502, self.refusals())
 
     def test_caller_sees_that_a_large_response_is_cut(self):
         """Its first parts have been passed on."""
@@ -172,6 +183,7 @@
             for end in (131_200, 200_000, 299_900):
                 path = f'/claims/a?framing={framing}&cut={end}&bytes=300000'
                 with self.subTest(framing=framing, end=end):
-                    self.assertIsNone(self.result_of(path))
+                    result = self.result_of(path)
+                    self.assertIsNone(result, self.refusals())
             path = f'/claims/a?framing={framing}&cut=900000&bytes=300000'
             self.assertEqual(self.result_of(path), 200)
