Rollouts: read the status of a version that is ordered again

The writer remembered that it had stored the version as running, so it didn't read the store for the new order, which was then never decided.

--- a/src/rattanstile/process/mesh/rollout/rollout_decider.py
+++ b/src/rattanstile/process/mesh/rollout/rollout_decider.py
@@ -190,10 +190,14 @@
             for each in (*self._orders.values(), *withdrawn)
         )
 
+    def is_status_known(self, status: RolloutStatus) -> bool:
+        """Return whether the store was read for the order of a status."""
+        decided = self._decided_of(status)
+        return decided is not None and decided.is_status_known
+
     def status_stored(self, status: RolloutStatus) -> None:
         """Apply a status that the store holds for an order."""
-        key = OrderKey(status.service, status.version)
-        decided = self._orders.get(key) or self._withdrawn.get(key)
+        decided = self._decided_of(status)
         if decided is None:
             return
         decided.is_status_known = True
@@ -202,6 +206,10 @@
         if decided.progress.verdict is not before:
             self._log_verdict(decided.progress)
 
+    def _decided_of(self, status: RolloutStatus) -> DecidedOrder | None:
+        key = OrderKey(status.service, status.version)
+        return self._orders.get(key) or self._withdrawn.get(key)
+
     def _log_verdict(self, progress: RolloutProgress) -> None:
         comparison = progress.comparison
         self._log.write(
--- a/src/rattanstile/process/mesh/rollout/status_writer.py
+++ b/src/rattanstile/process/mesh/rollout/status_writer.py
@@ -59,7 +59,14 @@
         if era > self._stored_era:
             self._stored.clear()
         due = self._decider.due_statuses()
-        missing = [each for each in due if each not in self._stored]
+        # A version that is ordered again has the same statuses as before, but
+        # the newest one in the store may be of another version by now.
+        missing = [
+            each
+            for each in due
+            if each not in self._stored
+            or not self._decider.is_status_known(each)
+        ]
         if not missing or self._is_busy or now_s < self._due_s:
             return
         self._is_busy = True
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -407,6 +407,18 @@
             [RUNNING, RolloutStatus('registry', 'v3', RolloutState.RUNNING)],
         )
 
+    def test_replaced_version_is_ordered_again(self):
+        """Its status counted as stored: the order was never decided."""
+        node = DecidingNode(self.store)
+        node.run_until(0, 2, report(BOTH))
+        node.rollouts.set_orders([RolloutOrder('registry', 'v3', 10.0)])
+        node.run_until(2.25, 4, report(BOTH))
+        again = RolloutOrder('registry', 'v2', 10.0, began_s=4.0)
+        node.rollouts.set_orders([again])
+        node.run_until(4.25, 13, report(BOTH))
+        self.assertEqual(self.store.records[2:], [RUNNING, ROLLED_BACK])
+        self.assertIs(node.verdict, Verdict.ROLLED_BACK)
+
     def test_withdrawn_order(self):
         """Its targets drain."""
         node = DecidingNode(self.store)
