Rollouts: recent calls lose weight with time, not with each report

Each report of each domain reduced the weight of all recent calls, also one without new counts. With ten domains nothing was left to compare with.

--- a/src/rattanstile/process/mesh/rollout/rollout_progress.py
+++ b/src/rattanstile/process/mesh/rollout/rollout_progress.py
@@ -118,7 +118,7 @@
         self._began_s = min(self._began_s, began_s)
 
     def add_counts(self, counts: Iterable[RouteCounts]) -> None:
-        """Add the calls of one report period.
+        """Add the calls of one report.
 
         Once the old targets close there is nothing to compare with: a burst of
         failures would be taken for the version's.
@@ -132,6 +132,7 @@
         self._has_appeared |= fleet.targets.new_targets > 0
         self._had_old |= fleet.targets.old_targets > 0
         self.heard(fleet.verdict)
+        self.comparison.decay(now_s)
         if self.verdict is Verdict.NONE:
             self._decide(now_s, fleet.targets)
         elif self.verdict is Verdict.ACCEPTED:
--- a/src/rattanstile/process/mesh/rollout/version_comparison.py
+++ b/src/rattanstile/process/mesh/rollout/version_comparison.py
@@ -36,9 +36,9 @@
 UNCERTAINTY = 1.0
 """Standard errors by which the expected share is raised. Without it, 12 of
 1,000 good orders were rejected in a burst, and 4 in a failing domain."""
-RECENT_DECAY = 0.6
-"""Factor on earlier counts at each report. Of 1,000 good orders with a burst,
-997 were completed in time with it, 994 with 0.3, which forgets too much."""
+RECENT_HALF_LIFE_S = 0.25
+"""Time in which earlier calls of the old version lose half of their weight. A
+longer one lags behind a burst; a shorter one leaves too few calls."""
 REJECT_EXCESS = 9.0
 """Four to six failures more than expected."""
 SUSPECT_EXCESS = 5.0
@@ -86,9 +86,9 @@
     calls: float = 0.0
     events: float = 0.0
 
-    def decay(self) -> None:
-        self.calls *= RECENT_DECAY
-        self.events *= RECENT_DECAY
+    def decay(self, factor: float) -> None:
+        self.calls *= factor
+        self.events *= factor
 
     def add(self, calls: int, events: int) -> None:
         self.calls += calls
@@ -113,9 +113,9 @@
     failures: _RecentShare = field(default_factory=_RecentShare)
     slow: _RecentShare = field(default_factory=_RecentShare)
 
-    def decay(self) -> None:
-        self.failures.decay()
-        self.slow.decay()
+    def decay(self, factor: float) -> None:
+        self.failures.decay(factor)
+        self.slow.decay(factor)
 
     def add(self, counts: RouteCounts, slow_bucket: int) -> None:
         self.failures.add(counts.calls, counts.failed)
@@ -170,6 +170,7 @@
         self._overall = _RouteEvidence()
         self._routes: dict[str, _RouteEvidence] = {}
         self._recent: dict[_Stratum, _RecentCalls] = {}
+        self._decayed_s: float | None = None
 
     @property
     def new_calls(self) -> int:
@@ -189,11 +190,21 @@
             for each in (self._overall, *self._routes.values())
         )
 
+    def decay(self, now_s: float) -> None:
+        """Reduce the weight of earlier calls by the time that has passed.
+
+        It doesn't depend on how many domains report, or how often.
+        """
+        if self._decayed_s is not None:
+            elapsed_s = max(0.0, now_s - self._decayed_s)
+            factor = 0.5 ** (elapsed_s / RECENT_HALF_LIFE_S)
+            for recent in self._recent.values():
+                recent.decay(factor)
+        self._decayed_s = now_s
+
     def add(self, counts: Iterable[RouteCounts]) -> None:
-        """Add the calls of one report period."""
+        """Add the calls of one report."""
         reported = tuple(counts)
-        for recent in self._recent.values():
-            recent.decay()
         for each in reported:
             if not each.is_new:
                 self._add_old(each)
--- a/tests/test_rollout_decision.py
+++ b/tests/test_rollout_decision.py
@@ -253,6 +253,24 @@
         taken_over.step(4.1, fleet(verdict=Verdict.ACCEPTED))
         self.assertIs(taken_over.status_to_store(), RolloutState.ROLLED_BACK)
 
+    def test_reports_without_calls_forget_nothing(self):
+        """With ten domains the old version's calls were forgotten at once."""
+        moving = progress()
+        moving.add_counts((counts(40, 0, is_new=False),))
+        for _ in range(10):
+            moving.add_counts(())
+        moving.add_counts((counts(6, 0, is_new=True),))
+        self.assertEqual(moving.comparison.new_calls, 6)
+
+    def test_calls_of_the_old_version_are_forgotten_with_time(self):
+        """Nothing recent is left to compare with once its targets close."""
+        moving = progress()
+        moving.step(0.0, fleet())
+        moving.add_counts((counts(40, 0, is_new=False),))
+        moving.step(2.0, fleet())
+        moving.add_counts((counts(6, 0, is_new=True),))
+        self.assertEqual(moving.comparison.new_calls, 0)
+
     def test_failures_that_the_old_version_shows_too(self):
         """A service further down fails half of all calls for a while."""
         moving = progress()
