--- a/src/rattanstile/process/mesh/rates/rate_service.py
+++ b/src/rattanstile/process/mesh/rates/rate_service.py
@@ -107,15 +107,19 @@
         demand = Demand(
             self.limiter.demand(now_s), self._admission.own_demand(), 1
         )
-        rollouts = self.rollouts.reports(now_s)
         self.choose(now_s)
+        delegate_id = self.delegates.delegate_id
         if self.delegates.is_delegate:
             self._ledger.record_report(now_s, self._node_id, demand)
-            self.rollouts.record_node(now_s, self._node_id, rollouts)
+            self.rollouts.record_node(
+                now_s,
+                self._node_id,
+                self.rollouts.take_reports(now_s, delegate_id),
+            )
             return
         self.rollouts.decider.resign()
         self._pool.stop()
-        link = self._peers.link_to(self.delegates.delegate_id)
+        link = self._peers.link_to(delegate_id)
         if link is not None:
             self._sequence += 1
             link.send(
@@ -124,7 +128,7 @@
                     dict(demand.requests_per_s),
                     dict(demand.calls_per_s),
                     self._links.own_load(),
-                    rollouts,
+                    self.rollouts.take_reports(now_s, delegate_id),
                 )
             )
 
--- a/src/rattanstile/process/mesh/rollout/fleet_rollouts.py
+++ b/src/rattanstile/process/mesh/rollout/fleet_rollouts.py
@@ -41,9 +41,21 @@
         self.decider = RolloutDecider(node_rollouts.bounds, log)
         self._node = node_rollouts
         self._domain = DomainRollouts()
+        self._delegate_id: NodeId | None = None
 
-    def reports(self, now_s: float) -> tuple[RolloutReport, ...]:
-        """Return the reports of this node."""
+    def take_reports(
+        self, now_s: float, delegate_id: NodeId
+    ) -> tuple[RolloutReport, ...]:
+        """Return the reports of this node, which must be sent.
+
+        Args:
+            now_s: Monotonic seconds.
+            delegate_id: Node they are sent to. It adds up counts that changed;
+                another one than before needs all of them.
+        """
+        if delegate_id != self._delegate_id:
+            self._delegate_id = delegate_id
+            self._node.report_all_counts()
         return self._node.reports(now_s)
 
     def record_node(
--- a/src/rattanstile/process/mesh/rollout/node_rollouts.py
+++ b/src/rattanstile/process/mesh/rollout/node_rollouts.py
@@ -339,8 +339,16 @@
 
     # Reports and directives
 
+    def report_all_counts(self) -> None:
+        """Report all counts again: another node receives the reports."""
+        for view in self._views.values():
+            view.counts.mark_all_changed()
+
     def reports(self, now_s: float) -> tuple[RolloutReport, ...]:
-        """Return what this node knows of the orders without a final status."""
+        """Return what this node knows of the orders without a final status.
+
+        They must be sent: their counts aren't returned again until they change.
+        """
         reported = [
             view
             for view in self._views.values()
--- a/src/rattanstile/process/mesh/rollout/version_counts.py
+++ b/src/rattanstile/process/mesh/rollout/version_counts.py
@@ -100,6 +100,10 @@
             self._unsent.pop(key)
         return tuple(self._reported(key) for key in taken)
 
+    def mark_all_changed(self) -> None:
+        """Have all counts taken again, after those that wait already."""
+        self._unsent.update(dict.fromkeys(self._by_key))
+
     def _reported(self, key: CountKey) -> RouteCounts:
         counts = self._by_key[key]
         return RouteCounts(
--- a/tests/test_rate_asks.py
+++ b/tests/test_rate_asks.py
@@ -21,7 +21,8 @@
     RELAYED_TOKEN_TIMEOUT_S,
     TOKEN_TIMEOUT_S,
 )
-from rattanstile.version.fleet_config import FleetState
+from rattanstile.process.mesh.rollout.version_counts import CountKey
+from rattanstile.version.fleet_config import FleetState, RolloutOrder
 
 NORTH = organisation()
 
@@ -295,6 +296,44 @@
         self.assertLessEqual(pool.share, 3 / 5)
 
 
+class RolloutReportTest(unittest.TestCase):
+    """Counts of calls by version at node n3, whose delegate is n1."""
+
+    def setUp(self):
+        near = dict.fromkeys(('n1', 'n2', 'n4'), 'east')
+        self.rates, self.peers, _ = rate_service('n3', near)
+        node_rollouts = self.rates.rollouts._node
+        node_rollouts.set_orders([RolloutOrder('registry', 'v2', 10.0)])
+        view = node_rollouts.view_of('registry')
+        key = CountKey('list', 'east', is_new=True)
+        view.counts.record(key, 0.01, is_failed=False)
+
+    def calls_sent(self, name):
+        return [
+            sum(counts.calls for counts in message.rollouts[0].counts)
+            for message in self.peers.links[name].sent
+            if isinstance(message, DemandReport)
+        ]
+
+    def test_counts_are_sent_once_there_is_a_link(self):
+        """They counted as sent although there was none, and were lost."""
+        links = dict(self.peers.links)
+        self.peers.link_to = {}.get
+        self.rates.report(0.0)
+        self.peers.link_to = links.get
+        self.rates.report(0.5)
+        self.rates.report(1.0)
+        self.assertEqual(self.calls_sent('n1'), [1, 0])
+
+    def test_next_delegate_gets_all_counts(self):
+        """Counts that didn't change again were missing from its sum."""
+        self.rates.report(0.0)
+        self.peers.links.pop('n1')
+        self.rates.report(0.5)
+        self.rates.report(1.0)
+        self.assertEqual(self.calls_sent('n2'), [1, 0])
+
+
 def shares(organisation_shares):
     """Return a response of the allocator to a delegate."""
     return RateSharesResponse(
