--- a/src/rattanstile/process/mesh/node.py
+++ b/src/rattanstile/process/mesh/node.py
@@ -352,6 +352,7 @@
                 FAST_RATES_PERIOD_S if is_near_capacity else RATES_PERIOD_S
             )
             self._rates_due_s = now_s + period_s - TICK_S / 2
+            self.context.rollouts.release_expired(now_s)
             self.rates.report(now_s)
             self.reruns.set_node_count(self.rates.fleet_size)
             self._log_tight_services()
--- a/src/rattanstile/process/mesh/rollout/node_rollouts.py
+++ b/src/rattanstile/process/mesh/rollout/node_rollouts.py
@@ -200,6 +200,15 @@
         by_version = self._held_back.setdefault(view.order.service, {})
         by_version[version] = _HeldBack(version, until_s)
 
+    def release_expired(self, now_s: float) -> None:
+        """Forget the versions that are no longer held back."""
+        for service, by_version in tuple(self._held_back.items()):
+            for held in tuple(by_version.values()):
+                if held.until_s <= now_s:
+                    by_version.pop(held.version)
+            if not by_version:
+                self._held_back.pop(service)
+
     # Calls of this node
 
     def candidates(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -214,10 +214,28 @@
         self.assertTrue(self.rollouts.is_closed(0.1, 'registry', 'v2'))
         self.assertEqual(self.chosen(now_s=10.1), ['v1', 'v2'])
 
+    def test_versions_are_forgotten_when_they_are_no_longer_held_back(self):
+        """Each order that was replaced or withdrawn left one for good."""
+        for number in range(3):
+            self.rollouts.set_orders(
+                [RolloutOrder('registry', f'w{number}', 9)]
+            )
+        self.rollouts.set_orders([])
+        self.rollouts.release_expired(9.5)
+        self.assertEqual(self.chosen(now_s=9.5), ['v1'])
+        self.rollouts.release_expired(10.0)
+        self.assertEqual(self.rollouts._held_back, {})
+        found = [OLD, NEW]
+        kept = self.rollouts.candidates(
+            10.0, 'registry', found, may_expose=True
+        )
+        self.assertIs(kept, found)
+
     def test_withdrawn_version_that_was_rejected_stays_held_back(self):
         """It is known to be bad."""
         self.tell(Verdict.REJECTED)
         self.rollouts.set_orders([])
+        self.rollouts.release_expired(1000.0)
         self.assertEqual(self.chosen(now_s=1000.0), ['v1'])
 
     def test_repeated_order_continues(self):
