--- a/src/rattanstile/process/mesh/rates/rate_service.py
+++ b/src/rattanstile/process/mesh/rates/rate_service.py
@@ -143,6 +143,7 @@
             self._allocator.record_report(now_s, self._node_id, demand)
             self._allocate(now_s)
             return
+        self.rollouts.decider.resign()
         self._pool.stop()
         link = self._peers.link_to(self.delegates.upstream_id)
         if link is not None:
--- a/src/rattanstile/process/mesh/rollout/fleet_rollouts.py
+++ b/src/rattanstile/process/mesh/rollout/fleet_rollouts.py
@@ -65,8 +65,7 @@
         self._domain.record(now_s, node_id, reports)
 
     def domain_reports(self, now_s: float) -> tuple[RolloutReport, ...]:
-        """Return the reports of this failure domain; others decide."""
-        self.decider.resign()
+        """Return the reports of this failure domain."""
         return self._domain.totals(now_s)
 
     def decide(
--- a/tests/test_rate_asks.py
+++ b/tests/test_rate_asks.py
@@ -282,6 +282,32 @@
         told = FleetLoad({'registry': 900.0}, 5, ())
         self.assertEqual(self.peers.broadcasts, [told])
 
+    def test_decider_resigns_without_a_link_to_the_next_allocator(self):
+        """It resigned only when it sent a report, and went on to decide."""
+        orders = [RolloutOrder('registry', 'v2', 10.0)]
+        self.rates.rollouts._node.set_orders(orders)
+        allocator = self.peers.links.pop('a1')
+        self.rates.report(2.5)
+        self.rates.report_domain(2.5)
+        decider = self.rates.rollouts.decider
+        self.assertEqual(len(decider.orders), 1)
+        self.peers.links['a1'] = allocator
+        self.peers.link_to = {}.get
+        self.rates.report(3.0)
+        self.rates.report_domain(3.0)
+        self.assertFalse(self.rates.delegates.is_allocator)
+        self.assertEqual(decider.orders, ())
+
+    def test_reports_of_the_domain_are_read_without_resigning(self):
+        """Reading them made the node give up what it had decided."""
+        orders = [RolloutOrder('registry', 'v2', 10.0)]
+        self.rates.rollouts._node.set_orders(orders)
+        self.peers.links.pop('a1')
+        self.rates.report(2.5)
+        self.rates.report_domain(2.5)
+        self.rates.rollouts.domain_reports(2.5)
+        self.assertEqual(len(self.rates.rollouts.decider.orders), 1)
+
     def test_domain_that_is_cut_off_allocates_for_itself(self):
         """Its pool grows only with the nodes that it reaches."""
         for name in ('a1', 'z1'):
