--- a/src/rattanstile/process/mesh/rollout/version_comparison.py
+++ b/src/rattanstile/process/mesh/rollout/version_comparison.py
@@ -34,8 +34,9 @@
 DOMAIN_PRIOR_CALLS = 2
 """Weight of the fleet's share in that of one domain, in calls."""
 UNCERTAINTY = 1.0
-"""Standard errors by which the expected share is raised. Without it, 12 of
-1,000 good orders were rejected in a burst, and 4 in a failing domain."""
+"""Standard errors by which the expected share is raised. It is estimated from
+few calls: in a burst or a failing domain, an estimate that is too low by chance
+would count as failures of the new version."""
 RECENT_HALF_LIFE_S = 0.25
 """Time in which earlier calls of the old version lose half of their weight. A
 longer one lags behind a burst; a shorter one leaves too few calls."""
@@ -49,8 +50,8 @@
 sums that restart at zero find most of them earlier."""
 MANY_CALLS = 45
 """Compared calls after which no evidence of more failures suffices. In a domain
-where half of all calls fail, the ratio falls slowly: without this, and with an
-`ACCEPT_TOTAL` of -4.6, 909 of 1,000 good orders were completed in time."""
+where half of all calls fail, the ratio falls slowly, and `ACCEPT_TOTAL` would
+be reached too late for a good version."""
 MIN_ROUTE_CALLS = 6
 """Calls of a route without which it isn't accepted, if the old version got
 enough of them."""
