--- a/tests/test_rate_asks.py
+++ b/tests/test_rate_asks.py
@@ -21,7 +21,8 @@
     RELAYED_TOKEN_TIMEOUT_S,
     TOKEN_TIMEOUT_S,
 )
-from rattanstile.version.fleet_config import FleetState
+from rattanstile.process.mesh.rollout.version_counts import CountKey
+from rattanstile.version.fleet_config import FleetState, RolloutOrder
 
 NORTH = organisation()
 
@@ -281,6 +282,32 @@
         told = FleetLoad({'registry': 900.0}, 5, ())
         self.assertEqual(self.peers.broadcasts, [told])
 
+    def test_decider_resigns_without_a_link_to_the_next_allocator(self):
+        """It resigned only when it sent a report, and went on to decide."""
+        orders = [RolloutOrder('registry', 'v2', 10.0)]
+        self.rates.rollouts._node.set_orders(orders)
+        allocator = self.peers.links.pop('a1')
+        self.rates.report(2.5)
+        self.rates.report_domain(2.5)
+        decider = self.rates.rollouts.decider
+        self.assertEqual(len(decider.orders), 1)
+        self.peers.links['a1'] = allocator
+        self.peers.link_to = {}.get
+        self.rates.report(3.0)
+        self.rates.report_domain(3.0)
+        self.assertFalse(self.rates.delegates.is_allocator)
+        self.assertEqual(decider.orders, ())
+
+    def test_reports_of_the_domain_are_read_without_resigning(self):
+        """Reading them made the node give up what it had decided."""
+        orders = [RolloutOrder('registry', 'v2', 10.0)]
+        self.rates.rollouts._node.set_orders(orders)
+        self.peers.links.pop('a1')
+        self.rates.report(2.5)
+        self.rates.report_domain(2.5)
+        self.rates.rollouts.domain_reports(2.5)
+        self.assertEqual(len(self.rates.rollouts.decider.orders), 1)
+
     def test_domain_that_is_cut_off_allocates_for_itself(self):
         """Its pool grows only with the nodes that it reaches."""
         for name in ('a1', 'z1'):
@@ -295,6 +322,44 @@
         self.assertLessEqual(pool.share, 3 / 5)
 
 
+class RolloutReportTest(unittest.TestCase):
+    """Counts of calls by version at node n3, whose delegate is n1."""
+
+    def setUp(self):
+        near = dict.fromkeys(('n1', 'n2', 'n4'), 'east')
+        self.rates, self.peers, _ = rate_service('n3', near)
+        node_rollouts = self.rates.rollouts._node
+        node_rollouts.set_orders([RolloutOrder('registry', 'v2', 10.0)])
+        view = node_rollouts.view_of('registry')
+        key = CountKey('list', 'east', is_new=True)
+        view.counts.record(key, 0.01, is_failed=False)
+
+    def calls_sent(self, name):
+        return [
+            sum(counts.calls for counts in message.rollouts[0].counts)
+            for message in self.peers.links[name].sent
+            if isinstance(message, DemandReport)
+        ]
+
+    def test_counts_are_sent_once_there_is_a_link(self):
+        """They counted as sent although there was none, and were lost."""
+        links = dict(self.peers.links)
+        self.peers.link_to = {}.get
+        self.rates.report(0.0)
+        self.peers.link_to = links.get
+        self.rates.report(0.5)
+        self.rates.report(1.0)
+        self.assertEqual(self.calls_sent('n1'), [1, 0])
+
+    def test_next_delegate_gets_all_counts(self):
+        """Counts that didn't change again were missing from its sum."""
+        self.rates.report(0.0)
+        self.peers.links.pop('n1')
+        self.rates.report(0.5)
+        self.rates.report(1.0)
+        self.assertEqual(self.calls_sent('n2'), [1, 0])
+
+
 def shares(organisation_shares):
     """Return a response of the allocator to a delegate."""
     return RateSharesResponse(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -214,10 +214,28 @@
         self.assertTrue(self.rollouts.is_closed(0.1, 'registry', 'v2'))
         self.assertEqual(self.chosen(now_s=10.1), ['v1', 'v2'])
 
+    def test_versions_are_forgotten_when_they_are_no_longer_held_back(self):
+        """Each order that was replaced or withdrawn left one for good."""
+        for number in range(3):
+            self.rollouts.set_orders(
+                [RolloutOrder('registry', f'w{number}', 9)]
+            )
+        self.rollouts.set_orders([])
+        self.rollouts.release_expired(9.5)
+        self.assertEqual(self.chosen(now_s=9.5), ['v1'])
+        self.rollouts.release_expired(10.0)
+        self.assertEqual(self.rollouts._held_back, {})
+        found = [OLD, NEW]
+        kept = self.rollouts.candidates(
+            10.0, 'registry', found, may_expose=True
+        )
+        self.assertIs(kept, found)
+
     def test_withdrawn_version_that_was_rejected_stays_held_back(self):
         """It is known to be bad."""
         self.tell(Verdict.REJECTED)
         self.rollouts.set_orders([])
+        self.rollouts.release_expired(1000.0)
         self.assertEqual(self.chosen(now_s=1000.0), ['v1'])
 
     def test_repeated_order_continues(self):
@@ -407,6 +425,18 @@
             [RUNNING, RolloutStatus('registry', 'v3', RolloutState.RUNNING)],
         )
 
+    def test_replaced_version_is_ordered_again(self):
+        """Its status counted as stored: the order was never decided."""
+        node = DecidingNode(self.store)
+        node.run_until(0, 2, report(BOTH))
+        node.rollouts.set_orders([RolloutOrder('registry', 'v3', 10.0)])
+        node.run_until(2.25, 4, report(BOTH))
+        again = RolloutOrder('registry', 'v2', 10.0, began_s=4.0)
+        node.rollouts.set_orders([again])
+        node.run_until(4.25, 13, report(BOTH))
+        self.assertEqual(self.store.records[2:], [RUNNING, ROLLED_BACK])
+        self.assertIs(node.verdict, Verdict.ROLLED_BACK)
+
     def test_withdrawn_order(self):
         """Its targets drain."""
         node = DecidingNode(self.store)
