Memory of evicted connections counts as freed at once

Cause: aborted connections kept their memory counted until the reactor's next step, so a search for memory closed every unread connection. Change: `abort` releases the count. Result: a search closes only as many as needed.

--- a/src/rattanstile/connection/http_server.py
+++ b/src/rattanstile/connection/http_server.py
@@ -233,6 +233,7 @@
         self._in_hand: ReceivedRequest | None = None
         self._is_busy = False
         self._is_closing = False
+        self._is_aborted = False
         self._is_writing_paused = False
         self._unsent_bytes = 0
         self._held_bytes = 0
@@ -297,8 +298,7 @@
         if self._is_busy:
             self._state.handler.connection_lost(self)
         self._reset_request()
-        self._state.memory.change(-self._held_bytes)
-        self._held_bytes = 0
+        self._release_memory()
         # The parser, the answer and this object refer to each other.
         self._parser = None
         self._in_hand = None
@@ -370,7 +370,13 @@
         transport.loseConnection()
 
     def abort(self) -> None:
-        """Close the connection at once, without sending buffered data."""
+        """Close the connection at once, without sending buffered data.
+
+        What it holds is no longer counted, though the reactor frees it only in
+        its next step: a search for memory must see that it was found.
+        """
+        self._is_aborted = True
+        self._release_memory()
         self.transport.abortConnection()  # type: ignore[union-attr]
 
     def evict(self) -> None:
@@ -457,7 +463,7 @@
 
     def _count_memory(self) -> None:
         """Count what the connection holds now."""
-        if self._parser is None:
+        if self._parser is None or self._is_aborted:
             return
         held_bytes = (
             CONNECTION_BYTES
@@ -471,6 +477,10 @@
         self._state.memory.change(held_bytes - self._held_bytes)
         self._held_bytes = held_bytes
 
+    def _release_memory(self) -> None:
+        self._state.memory.change(-self._held_bytes)
+        self._held_bytes = 0
+
     def check(self, now_s: float) -> None:
         """Apply the timeouts."""
         self._record_progress(now_s)
--- a/tests/test_client_eviction.py
+++ b/tests/test_client_eviction.py
@@ -178,6 +178,30 @@
         first.connectionLost()
         self.assertEqual(state.memory.held_bytes, 0)
 
+    def test_only_as_many_unread_answers_are_given_up_as_needed(self):
+        """Memory of aborted connections counted until the next step."""
+        now = [0.0]
+        state = ServerState(
+            Handler(), CallerLimits, lambda: now[0], memory=MemoryShare(200_000)
+        )
+        connections = [HttpServerConnection(state) for _ in range(4)]
+        for connection in connections:
+            connection.makeConnection(FakeTcpTransport())
+            if connection is connections[-1]:
+                now[0] = 1.0
+            else:
+                connection.pauseProducing()
+            connection.dataReceived(
+                b'POST /a HTTP/1.1\r\ncontent-length: 20000\r\n\r\n'
+            )
+            connection.dataReceived(b'x' * 20_000)
+        self.assertEqual(state.evictions, {ClientState.UNREAD: 1})
+        state.check(now[0])
+        self.assertFalse(state.memory.is_exceeded)
+        for connection in connections:
+            connection.connectionLost()
+        self.assertEqual(state.memory.held_bytes, 0)
+
     def test_share_of_one_kind_is_not_used_by_another(self):
         """Callers took the memory of calls from other nodes."""
         account = MemoryAccount()
