Descriptor limits: infinity, and reserves that can't be met

Cause: RLIM_INFINITY is -1, so that a process without limit gave callers 4 connections; so did a reserve at or above the limit, without a word. Change: infinity counts as 1,048,576 descriptors; a reserve that leaves callers fewer than 4 is refused when the settings are read.

--- a/src/rattanstile/connection/descriptor_budget.py
+++ b/src/rattanstile/connection/descriptor_budget.py
@@ -17,6 +17,8 @@
 UNKNOWN_NODES_PART = 1 / 8
 """Of the reserve, for connections that haven't named their node."""
 MIN_CONNECTIONS = 4
+UNLIMITED_DESCRIPTORS = 1 << 20
+"""Stands for no limit, which the system reports as -1."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +38,13 @@
 
 def descriptor_limit() -> int:
     """Return the limit of open descriptors of this process."""
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return UNLIMITED_DESCRIPTORS if limit == resource.RLIM_INFINITY else limit
+
+
+def max_reserve(limit: int) -> int:
+    """Return the largest reserve that leaves callers some connections."""
+    return limit - MIN_CONNECTIONS
 
 
 def default_reserve(limit: int) -> int:
@@ -49,7 +57,8 @@
 
     Args:
         limit: Limit of the process.
-        reserve: Descriptors that callers don't get; 0 for the default.
+        reserve: Descriptors that callers don't get, up to `max_reserve`; 0
+            for the default.
     """
     reserved = reserve or default_reserve(limit)
     return DescriptorBudget(
--- a/src/rattanstile/process/mesh/settings.py
+++ b/src/rattanstile/process/mesh/settings.py
@@ -7,6 +7,10 @@
 import msgspec
 from result import Err
 
+from rattanstile.connection.descriptor_budget import (
+    descriptor_limit,
+    max_reserve,
+)
 from rattanstile.decoding import decode_untrusted
 from rattanstile.errors import SettingsError
 from rattanstile.process.mesh.rollout.rollout_bounds import RolloutBounds
@@ -159,11 +163,23 @@
             '$.request_memory_mb',
             f'must be at least {MIN_REQUEST_MEMORY_MB}',
         )
-    if settings.reserved_descriptors < 0:
+    _check_reserve(file_name, settings.reserved_descriptors)
+    if settings.min_progress_bytes_per_s <= 0:
+        raise SettingsError(
+            file_name, '$.min_progress_bytes_per_s', 'must be above 0'
+        )
+
+
+def _check_reserve(file_name: str, reserve: int) -> None:
+    if reserve < 0:
         raise SettingsError(
             file_name, '$.reserved_descriptors', 'must be 0 or above'
         )
-    if settings.min_progress_bytes_per_s <= 0:
+    limit = descriptor_limit()
+    if reserve > max_reserve(limit):
         raise SettingsError(
-            file_name, '$.min_progress_bytes_per_s', 'must be above 0'
+            file_name,
+            '$.reserved_descriptors',
+            f'must be at most {max_reserve(limit)}: the process may open'
+            f' {limit} descriptors',
         )
--- a/tests/test_client_eviction.py
+++ b/tests/test_client_eviction.py
@@ -1,7 +1,9 @@
 """Which clients give way near a limit, and what limits are made of."""
 
 import json
+import resource
 import unittest
+from unittest import mock
 
 from test_decoders import NODE
 from transports import FakeTcpTransport
@@ -13,7 +15,10 @@
     evict_for_descriptor,
     evict_for_memory,
 )
-from rattanstile.connection.descriptor_budget import descriptor_budget
+from rattanstile.connection.descriptor_budget import (
+    descriptor_budget,
+    descriptor_limit,
+)
 from rattanstile.connection.http_server import (
     BadRequest,
     HttpServerConnection,
@@ -209,6 +214,27 @@
         total = sum(share.limit_bytes for share in shares)
         self.assertLessEqual(total, account.limit_bytes)
 
+    def test_system_without_limit_of_descriptors(self):
+        """Its limit of -1 gave callers 4 connections."""
+        unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+        with mock.patch('resource.getrlimit', return_value=unlimited):
+            budget = descriptor_budget(descriptor_limit(), 0)
+        self.assertGreater(budget.callers, 100_000)
+
+    def test_reserve_that_leaves_callers_nothing(self):
+        """It was accepted, and gave callers 4 connections beyond the limit."""
+        limits = (256, 256)
+        with mock.patch('resource.getrlimit', return_value=limits):
+            for reserve in (253, 256, 1000):
+                settings = {**NODE, 'reserved_descriptors': reserve}
+                with self.assertRaises(SettingsError) as caught:
+                    parse_mesh_settings('n', json.dumps(settings))
+                self.assertEqual(
+                    caught.exception.field, '$.reserved_descriptors'
+                )
+            settings = {**NODE, 'reserved_descriptors': 252}
+            parse_mesh_settings('n', json.dumps(settings))
+
     def test_wrong_settings_are_named(self):
         """A node with too little memory would refuse bodies in its limits."""
         for name, wrong in (
