Connections of callers give way in batches

Cause: each connection at the limit cost a search through all others. Change: one search makes room for a 64th of the connections, as in `http_server`.

--- a/src/rattanstile/connection/caller_http.py
+++ b/src/rattanstile/connection/caller_http.py
@@ -38,6 +38,8 @@
 
 MAX_CONNECTIONS = 2048
 MAX_PIPELINED = 16
+EVICTION_BATCH = 64
+"""A search through all connections makes room for this part of them."""
 CHECK_PERIOD_S = 1.0
 # Timeouts, in checks: one check runs every CHECK_PERIOD_S.
 REQUEST_TIMEOUT_CHECKS = 10
@@ -328,9 +330,9 @@
         return CallerHttpConnection(self)
 
     def _make_room(self) -> bool:
-        """Close a connection; return whether one could give way.
+        """Close some connections; return whether any could give way.
 
-        The longest idle one goes first, then the unfinished request that has
+        The longest idle ones go first, then the unfinished requests that have
         been waited for the longest. Requests that were read completely stay.
         """
         waiting = [
@@ -338,19 +340,20 @@
             for connection in self.connections
             if connection.is_waiting
         ]
-        if not waiting:
-            return False
-        given_up = min(
-            waiting,
+        waiting.sort(
             key=lambda connection: (
                 connection.is_unfinished,
                 -connection.elapsed_checks,
-            ),
+            )
         )
-        self.connections.discard(given_up)
-        given_up.give_way()
-        _log.info(key_values('clients_closed', count=1))
-        return True
+        batch = max(1, self._max_connections // EVICTION_BATCH)
+        given_up = waiting[:batch]
+        for connection in given_up:
+            self.connections.discard(connection)
+            connection.give_way()
+        if given_up:
+            _log.info(key_values('clients_closed', count=len(given_up)))
+        return bool(given_up)
 
     def check(self, now_s: float) -> None:
         """Apply the timeouts of all connections."""
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -305,6 +305,16 @@
         connect(self.factory.buildProtocol(None))
         self.assertFalse(self.transport.aborted)
 
+    def test_search_for_room_serves_several_connections(self):
+        """Each connection at the limit cost a search through all others."""
+        factory = CallerHttpFactory(self.handle, max_connections=256)
+        transports = [connect(factory.buildProtocol(None)) for _ in range(256)]
+        for _ in range(4):
+            connect(factory.buildProtocol(None))
+            closed = sum(transport.aborted for transport in transports)
+            self.assertEqual(closed, 4)
+        self.assertEqual(len(factory.connections), 256)
+
     def test_trailer_without_end_is_refused(self):
         """The parser held all of it until the timeout."""
         self.send(
