Nodes that stop in the middle of a frame are given up

Cause: while memory lacks, only the largest frame is read on; a sender that stopped in it, with no response awaited, left all others paused.

--- a/src/rattanstile/connection/peer_link.py
+++ b/src/rattanstile/connection/peer_link.py
@@ -172,7 +172,10 @@
             self.transport.resumeProducing()  # type: ignore[union-attr]
 
     def check(self, now_s: float) -> None:
-        """Ping a silent peer, and close the connection to a dead one."""
+        """Ping a silent peer, and close the connection to a dead one.
+
+        Silence counts while a response or the rest of a frame is awaited.
+        """
         if self._is_reading_paused:
             # The other end is not silent: this one doesn't listen.
             self.last_received_s = now_s
@@ -181,6 +184,9 @@
             # The other end may be paused, while its kernel accepts, or no
             # node at all that sends a byte from time to time.
             quiet_s = now_s - self.opened_s
+        elif self.buffered_bytes > 0:
+            # Other large frames may wait for the rest of this one.
+            quiet_s = max(quiet_s, now_s - self.last_received_s)
         if quiet_s > DROP_AFTER_S:
             self._owner.log.write(
                 LineKind.PEER,
--- a/tests/test_peer_pool.py
+++ b/tests/test_peer_pool.py
@@ -198,6 +198,46 @@
         self.assertFalse(self.first.pool.is_failing('n2', 0))
 
 
+class UnfinishedFrameTest(unittest.TestCase):
+    """Large frames of two nodes, more than the memory allows."""
+
+    def setUp(self):
+        self.node = Node('n1')
+        self.node.pool.memory = MemoryShare(400_000)
+        self.largest, self.other = self.link('n2'), self.link('n3')
+        call = CallRequest(1, served_call(body=b'x' * 400_000))
+        self.frame = encode_peer_frame(call)
+        self.largest.dataReceived(self.frame[:250_000])
+        self.other.dataReceived(self.frame[:150_000])
+
+    def link(self, node_id):
+        link = PeerLink(self.node.pool, None)
+        connect(link)
+        link.dataReceived(encode_peer_frame(Node(node_id).hello()))
+        return link
+
+    def test_sender_that_stalls_is_given_up(self):
+        """Nothing was awaited of it, so that all others waited for good."""
+        self.assertFalse(self.other.transport.is_reading)
+        self.node.advance(DROP_AFTER_S + 0.5)
+        self.assertTrue(self.largest.transport.aborted)
+        self.assertFalse(self.other.transport.aborted)
+        lose_connection(self.largest)
+        self.node.advance(0.25)
+        self.assertTrue(self.other.transport.is_reading)
+        self.node.advance(DROP_AFTER_S / 2)
+        self.other.dataReceived(self.frame[150_000:])
+        self.assertEqual(len(self.node.messages), 1)
+
+    def test_sender_that_is_slow_goes_on(self):
+        """A slow network is no reason to end its calls."""
+        for start in range(250_000, 300_000, 10_000):
+            self.node.advance(DROP_AFTER_S / 2)
+            self.largest.dataReceived(self.frame[start : start + 10_000])
+        self.assertFalse(self.largest.transport.aborted)
+        self.assertFalse(self.other.transport.aborted)
+
+
 class StaleEntryTest(unittest.TestCase):
     """Entries that were true once, or that somebody else has written."""
 
