--- a/src/rattanstile/connection/peer_messages.py
+++ b/src/rattanstile/connection/peer_messages.py
@@ -32,9 +32,9 @@
 )
 
 MAX_FRAME_BYTES = 72 * 1024 * 1024
+"""Room for the largest body that operators can allow, and its headers."""
 MAX_HELLO_BYTES = 16 * 1024
 """Whoever connects is unknown until its first message has been read."""
-"""Room for the largest body that operators can allow, and its headers."""
 
 MAX_PORT = 65535
 MAX_PORT_DIGITS = 5
--- a/src/rattanstile/process/heap.py
+++ b/src/rattanstile/process/heap.py
@@ -1,8 +1,8 @@
 """Returns freed memory of the C library's heap to the system.
 
 glibc keeps what lies below a block that is still in use, and serves large
-blocks from there once one of that size was freed. A node kept 130 MB after
-bodies of 8 MB in a trial.
+blocks from there once one of that size was freed, so that memory held by a few
+large bodies stays with the process after they are gone.
 """
 
 import ctypes
