Crowds show connections that failed, and close their sockets

Cause: failed connections were counted but not shown, and kept their sockets until they were collected.

--- a/src/rattanstile/trial/crowd.py
+++ b/src/rattanstile/trial/crowd.py
@@ -15,6 +15,7 @@
 
 CONNECT_TIMEOUT_S = 5.0
 READ_BYTES = 64 * 1024
+STEP_S = 0.02
 UNREAD_BUFFER_BYTES = 4096
 """Receive buffer of clients that don't read: answers stay at the node."""
 
@@ -25,11 +26,13 @@
 
     Attributes:
         connected: Connections that were opened.
+        refused: Connections that could not be opened.
         closed: Connections that the node has closed.
         sent_bytes: Bytes that the node's system took.
     """
 
     connected: int
+    refused: int
     closed: int
     sent_bytes: int
 
@@ -50,7 +53,11 @@
                 socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES
             )
         self.socket.settimeout(CONNECT_TIMEOUT_S)
-        self.socket.connect(address)
+        try:
+            self.socket.connect(address)
+        except OSError:
+            self.socket.close()
+            raise
         self.socket.setblocking(False)
         self.sent_bytes = 0
         self.is_closed = False
@@ -129,6 +136,7 @@
         """Return how the clients have fared so far."""
         return CrowdCounts(
             connected=len(self._clients),
+            refused=self._refused,
             closed=sum(client.is_closed for client in self._clients),
             sent_bytes=sum(client.sent_bytes for client in self._clients),
         )
@@ -139,7 +147,7 @@
         return not any(client.has_parts for client in self._clients)
 
     def connect(self) -> None:
-        """Open all connections; those that fail are left out."""
+        """Open all connections; those that fail are counted as refused."""
         now_s = time.monotonic()
         for number in range(self._shape.connections):
             parts = deque(
@@ -183,15 +191,11 @@
                     selector.register(
                         client.socket, selectors.EVENT_READ, client
                     )
-            if not selector.get_map():
-                time.sleep(0.02)
+            if not self._shape.reads or not selector.get_map():
+                time.sleep(STEP_S)
                 return
-            is_waiting = not self._shape.reads
-            for key, _ in selector.select(0 if is_waiting else 0.02):
-                if self._shape.reads:
-                    key.data.read()
-            if is_waiting:
-                time.sleep(0.02)
+            for key, _ in selector.select(STEP_S):
+                key.data.read()
 
     def close(self) -> None:
         """Close all connections."""
--- a/src/rattanstile/trial/crowd_cli.py
+++ b/src/rattanstile/trial/crowd_cli.py
@@ -59,6 +59,7 @@
         crowd.close()
     print(
         f'{arguments.shape}: connected {counts.connected},'
+        f' refused {counts.refused},'
         f' closed by the node {counts.closed}, sent {counts.sent_bytes} bytes'
     )
     return ExitCode.OK
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -151,7 +151,8 @@
         peak_bytes = self.node_bytes('VmHWM')
         after_bytes = self.memory_back(before_bytes)
         print(
-            f'{name}: {counts.connected} connected, {counts.closed} closed,'
+            f'{name}: {counts.connected} connected, {counts.refused} refused,'
+            f' {counts.closed} closed,'
             f' {counts.sent_bytes / MB:.1f} MB sent; memory'
             f' {before_bytes / MB:.1f} MB, peak {peak_bytes / MB:.1f} of'
             f' {max_bytes / MB:.1f} MB, after {after_bytes / MB:.1f} MB;'
