Placement: unusable targets don't count in busiest to mean

Cause: a target that accepts no calls looks idle, so that the others seemed uneven.

Change: metric and log field count usable targets; the mean times of the local service are looked up with the first choice.

--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -63,7 +63,7 @@
         yield _line('domain_digest_age_seconds', age_s, domain=domain)
     candidates = node.links.candidates
     for service in sorted(candidates.services()):
-        pool = candidates.of_service(service)
+        pool = candidates.usable(service)
         if mean_share(pool) >= BUSY_SHARE:
             yield _line(
                 'busiest_to_mean', busiest_to_mean(pool), service=service
--- a/src/rattanstile/process/mesh/placement/attempts.py
+++ b/src/rattanstile/process/mesh/placement/attempts.py
@@ -75,7 +75,6 @@
             serving.watch.service,
             context.domain,
             TargetLoad(),
-            service_speed=self._candidates.speed_of(serving.watch.service),
         )
 
     def __len__(self) -> int:
@@ -210,7 +209,7 @@
     def _update_local_service(self) -> None:
         local = self._local
         service = self._serving.watch.service
-        if local.service != service:
+        if local.service_speed is None or local.service != service:
             self._candidates.speed_of(local.service).forget(local.slowness)
             local.service = service
             local.service_speed = self._candidates.speed_of(service)
@@ -270,7 +269,7 @@
             slowness=round(chosen.slowness.ratio, 2),
             pace=chosen.load.pace_percent,
             busiest_to_mean=round(
-                busiest_to_mean(self._candidates.of_service(call.service)), 2
+                busiest_to_mean(self._candidates.usable(call.service)), 2
             ),
             left_ms=int((call.deadline_s - call.sent_s) * MS_PER_S),
         )
--- a/src/rattanstile/process/mesh/placement/candidates.py
+++ b/src/rattanstile/process/mesh/placement/candidates.py
@@ -28,6 +28,12 @@
         """Return the services of the nodes."""
         return [name for name, nodes in self._by_service.items() if nodes]
 
+    def usable(self, service: ServiceName) -> list[Candidate]:
+        """Return those nodes of a service whose targets accept calls."""
+        return [
+            each for each in self.of_service(service) if each.load.is_usable
+        ]
+
     def speed_of(self, service: ServiceName) -> ServiceSpeed:
         """Return the mean times of the targets of a service."""
         return self._speeds.setdefault(service, ServiceSpeed())
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -297,6 +297,14 @@
         ]
         self.assertAlmostEqual(busiest_to_mean(pool), 1.5)
 
+    def test_targets_that_accept_no_calls_do_not_count(self):
+        """They are idle, so that the others would look uneven."""
+        table = CandidateTable()
+        table.add(candidate('used', pending_calls=6))
+        table.add(candidate('gone', is_usable=False))
+        pool = table.usable('registry')
+        self.assertEqual(busiest_to_mean(pool), 1.0)
+
     def test_small_differences_between_domains_are_ignored(self):
         """They are within the error of old reports."""
         self.assertEqual(spill_share(0.95, 0.9), 0.0)
