--- a/src/rattanstile/process/mesh/metrics.py
+++ b/src/rattanstile/process/mesh/metrics.py
@@ -67,7 +67,7 @@
         yield _line('retry_budget_left', left, service=service)
     candidates = node.links.candidates
     for service in sorted(candidates.services()):
-        pool = candidates.of_service(service)
+        pool = candidates.usable(service)
         if mean_share(pool) >= BUSY_SHARE:
             yield _line(
                 'busiest_to_mean', busiest_to_mean(pool), service=service
