Crowd shapes stand with the stand-ins, where names of the wire may be used

Cause: the shapes of untrusted clients name headers of the users' platform outside the adapter and the stand-ins. Change: trial/crowd_shapes.py moves to standin/.

--- a/src/rattanstile/trial/crowd.py
+++ b/src/rattanstile/trial/crowd.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from rattanstile.trial.crowd_shapes import (
+from rattanstile.standin.crowd_shapes import (
     CrowdIdentity,
     CrowdShape,
     crowd_parts,
--- a/src/rattanstile/trial/crowd_cli.py
+++ b/src/rattanstile/trial/crowd_cli.py
@@ -3,11 +3,11 @@
 import argparse
 
 from rattanstile.errors import ExitCode
-from rattanstile.trial.crowd import Crowd
-from rattanstile.trial.crowd_shapes import (
+from rattanstile.standin.crowd_shapes import (
     CROWD_SHAPES_BY_NAME,
     CrowdIdentity,
 )
+from rattanstile.trial.crowd import Crowd
 
 CROWD = 'crowd'
 MAX_SEND_S = 30.0
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,12 +8,12 @@
 
 from platform_fleet import HOST, config_document
 
-from rattanstile.trial.crowd import Crowd
-from rattanstile.trial.crowd_shapes import (
+from rattanstile.standin.crowd_shapes import (
     CROWD_SHAPES,
     CrowdIdentity,
     CrowdListener,
 )
+from rattanstile.trial.crowd import Crowd
 from soak.wire import ProxyFault
 
 MAX_STEP_PAUSE_S = 0.6
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -8,9 +8,9 @@
 from argparse import Namespace
 from contextlib import redirect_stdout
 
+from rattanstile.standin.crowd_shapes import CrowdIdentity, CrowdShape
 from rattanstile.trial.crowd import Crowd
 from rattanstile.trial.crowd_cli import run_crowd_command
-from rattanstile.trial.crowd_shapes import CrowdIdentity, CrowdShape
 
 HOST = '127.0.0.1'
 IDENTITY = CrowdIdentity('forest.example', 'key')
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -2,7 +2,7 @@
 
 A crowd whose bytes were within the limits ended a node for want of memory, or
 took all descriptors so that nobody else was answered. Each test runs one shape
-of `rattanstile.trial.crowd_shapes` and checks what doesn't depend on the speed
+of `rattanstile.standin.crowd_shapes` and checks what doesn't depend on the speed
 of the machine: lives, peak memory, descriptors, one answer, memory afterwards.
 """
 
@@ -13,12 +13,12 @@
 
 from platform_fleet import API_KEY, HOST, PlatformFleet, config_document
 
-from rattanstile.trial.crowd import Crowd
-from rattanstile.trial.crowd_shapes import (
+from rattanstile.standin.crowd_shapes import (
     CROWD_SHAPES_BY_NAME,
     CrowdIdentity,
     CrowdListener,
 )
+from rattanstile.trial.crowd import Crowd
 
 SEED = 1
 KB = 1024
