--- a/tests/test_scarce_serving.py
+++ b/tests/test_scarce_serving.py
@@ -45,6 +45,7 @@
         self.pool = StuckPool()
         watch = SimpleNamespace(
             service='registry',
+            version='v1',
             target_id='i-1',
             is_usable=True,
             is_leaving=False,
