--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,5 @@
-"""The settings change just after nodes were restarted, three times."""
+"""A worker's heartbeat comes when its address has gone to another service."""
 
-import signal
 import time
 
 from deployment import (
@@ -14,84 +13,74 @@
     tenant,
 )
 
-SERVICES = ('huvo11a', 'wuno96b', 'huvo11a', 'wuno96b', 'huvo11a', 'wuno96b')
-RESTARTED = (0, 1)
-ROUNDS = 3
-RESTART_DELAY_S = 1.0
-HUP_AFTER_S = 0.1
-"""Time from the start of a process to the signal."""
-GRACE_S = 6.0
-ENDS_ALLOWED = 2
+OLD_SERVICE = 'huvo11a'
+NEW_SERVICE = 'wuno96b'
+SERVICES = (OLD_SERVICE, NEW_SERVICE) * 3
+REPLACED = 0
+REUSE_DELAY_S = 2.0
+LATE_S = 0.5
+"""Time from the start of the new node to the late heartbeat."""
+WATCH_S = 6.0
+PERIOD_S = 0.02
 
 
 def run(record, has_trouble):
     config = config_document(
         routes=[
-            route('lookup', 'huvo11a', 'safe'),
-            route('claims', 'wuno96b', 'unsafe'),
+            route('lookup', OLD_SERVICE, 'safe'),
+            route('claims', NEW_SERVICE, 'unsafe'),
         ],
         tenants=[tenant('pulo780', 'key-pulo')],
     )
-    own_ends = dict.fromkeys(RESTARTED, 0)
-    with Deployment(record, config, SERVICES) as deployment:
-        clients = [
-            Client(
-                record,
-                f'lookup-{index}',
-                deployment.address(index),
-                'key-pulo',
-                0.2,
+    workers = {index: {'work_s': 0.02} for index in range(len(SERVICES))}
+    with Deployment(record, config, SERVICES, workers) as deployment:
+        held_beat = deployment.workers[REPLACED].order('heartbeat')
+        start = deployment.replace_machine(REPLACED, NEW_SERVICE)
+        record.write('machine_lost', node=REPLACED, service=OLD_SERVICE)
+        time.sleep(REUSE_DELAY_S)
+        start()
+        started_s = time.monotonic()
+        record.write('machine_added', node=REPLACED, service=NEW_SERVICE)
+        deployment.wait_until(lambda: deployment.ready(REPLACED))
+        record.write('ready')
+        time.sleep(max(0, started_s + LATE_S - time.monotonic()))
+        if has_trouble:
+            status = deployment.post_heartbeat(
+                REPLACED, held_beat['id'], held_beat['body']
             )
-            for index in range(len(SERVICES))
-        ]
-        for client in clients:
-            client.start()
-        for _ in range(ROUNDS):
-            _restart(record, deployment)
-            if has_trouble:
-                time.sleep(HUP_AFTER_S)
-                record.write('settings_changed')
-                for index in range(len(SERVICES)):
-                    deployment.signal(index, signal.SIGHUP)
-            time.sleep(0.5)
-            for index in RESTARTED:
-                if not deployment.is_running(index):
-                    own_ends[index] += 1
-                    record.write(
-                        'node_ended',
-                        node=index,
-                        exit=deployment.exit_code(index),
-                    )
-                    time.sleep(RESTART_DELAY_S)
-                    deployment.start_node(index)
-            for index in RESTARTED:
-                deployment.wait_until(lambda index=index: deployment.ready(index))
-            time.sleep(1)
-        stop_clients(clients)
-        runs = deployment.order('runs')
-    record.write(
-        'run_by_targets',
-        **{name: sum(counts.values()) for name, counts in runs.items()},
-    )
-    for index, count in own_ends.items():
-        record.write('ends_of_node', node=index, count=count)
-    print({'ends': own_ends})
-    return all(count > ENDS_ALLOWED for count in own_ends.values())
+            record.write('late_heartbeat', status=status)
+        client = Client(
+            record,
+            'lookup',
+            deployment.address(REPLACED),
+            'key-pulo',
+            PERIOD_S,
+        )
+        client.start()
+        time.sleep(WATCH_S)
+        stop_clients([client])
+        return _is_broken(record, deployment)
 
 
-def _restart(record, deployment):
-    """Stop the nodes with SIGTERM and start them again."""
-    for index in RESTARTED:
-        deployment.signal(index, signal.SIGTERM)
-        record.write('node_stopped', node=index)
-    end_s = time.monotonic() + GRACE_S
-    while any(map(deployment.is_running, RESTARTED)):
-        if time.monotonic() > end_s:
-            raise CannotRunError('a node did not end after SIGTERM')
-        time.sleep(0.05)
-    time.sleep(RESTART_DELAY_S)
-    for index in RESTARTED:
-        deployment.start_node(index)
+def _is_broken(record, deployment):
+    """Apply the rule UNASKED on the service of the caller's machine."""
+    counts = {}
+    for index, worker in deployment.workers.items():
+        for request_id, _, caller in worker.order('report')['runs']:
+            counts[caller] = counts.get(caller, 0) + 1
+            if caller != NEW_SERVICE:
+                record.write(
+                    'run',
+                    id=request_id,
+                    worker=index,
+                    caller_service=caller,
+                    service_of_machine=NEW_SERVICE,
+                )
+    record.write('runs_by_caller_service', **counts)
+    print(counts)
+    if not counts:
+        raise CannotRunError('no request was run')
+    return any(caller != NEW_SERVICE for caller in counts)
 
 
 if __name__ == '__main__':
