--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,5 +1,6 @@
-"""A worker's heartbeat comes when its address has gone to another service."""
+"""A node is killed after it has acknowledged that its worker leaves."""
 
+import signal
 import time
 
 from deployment import (
@@ -13,74 +14,116 @@
     tenant,
 )
 
-OLD_SERVICE = 'huvo11a'
-NEW_SERVICE = 'wuno96b'
-SERVICES = (OLD_SERVICE, NEW_SERVICE) * 3
-REPLACED = 0
-REUSE_DELAY_S = 2.0
-LATE_S = 0.5
-"""Time from the start of the new node to the late heartbeat."""
-WATCH_S = 6.0
-PERIOD_S = 0.02
+SERVICES = ('huvo11a', 'wuno96b', 'huvo11a', 'wuno96b', 'huvo11a', 'wuno96b')
+LEAVING = 1
+CALLERS = (4, 0)
+STORE_DOWN_S = 4.5
+DRAIN_S = 2.0
+STABLE_WINDOW_S = 3.0
+SERVES_ON_S = 15.0
+"""As long as `scale_in` with `stay` has a worker serve on."""
 
 
 def run(record, has_trouble):
     config = config_document(
         routes=[
-            route('lookup', OLD_SERVICE, 'safe'),
-            route('claims', NEW_SERVICE, 'unsafe'),
+            route('lookup', 'huvo11a', 'safe'),
+            route('claims', 'wuno96b', 'unsafe'),
         ],
         tenants=[tenant('pulo780', 'key-pulo')],
     )
-    workers = {index: {'work_s': 0.02} for index in range(len(SERVICES))}
-    with Deployment(record, config, SERVICES, workers) as deployment:
-        held_beat = deployment.workers[REPLACED].order('heartbeat')
-        start = deployment.replace_machine(REPLACED, NEW_SERVICE)
-        record.write('machine_lost', node=REPLACED, service=OLD_SERVICE)
-        time.sleep(REUSE_DELAY_S)
-        start()
-        started_s = time.monotonic()
-        record.write('machine_added', node=REPLACED, service=NEW_SERVICE)
-        deployment.wait_until(lambda: deployment.ready(REPLACED))
-        record.write('ready')
-        time.sleep(max(0, started_s + LATE_S - time.monotonic()))
-        if has_trouble:
-            status = deployment.post_heartbeat(
-                REPLACED, held_beat['id'], held_beat['body']
+    with Deployment(record, config, SERVICES, {LEAVING: {}}) as deployment:
+        worker = deployment.workers[LEAVING]
+        clients = [
+            Client(
+                record,
+                f'claim-{index}-{number}',
+                deployment.address(index),
+                'key-pulo',
+                0.4,
+                method='POST',
+                path='/claims/1?ms=300',
+                body=b'claim',
             )
-            record.write('late_heartbeat', status=status)
-        client = Client(
-            record,
-            'lookup',
-            deployment.address(REPLACED),
-            'key-pulo',
-            PERIOD_S,
+            for index in CALLERS
+            for number in range(10)
+        ]
+        for client in clients:
+            client.start()
+        time.sleep(3)
+        if not worker.order('report')['runs']:
+            raise CannotRunError('the worker gets no requests')
+        in_touch_s, acknowledged_s = _leave(
+            record, deployment, worker, has_trouble
         )
-        client.start()
-        time.sleep(WATCH_S)
-        stop_clients([client])
-        return _is_broken(record, deployment)
+        end_s = acknowledged_s + SERVES_ON_S
+        time.sleep(max(0, end_s - time.monotonic()))
+        runs = worker.order('report')['runs']
+        worker.process.kill()
+        record.write('worker_exits')
+        time.sleep(1)
+        stop_clients(clients)
+        _record_lost(record, clients, runs)
+        return _is_broken(record, runs, acknowledged_s, in_touch_s)
+
+
+def _record_lost(record, clients, runs):
+    """Record the claims at which the worker was at work when it exited."""
+    run_ids = {request_id for request_id, _, _ in runs}
+    for client in clients:
+        for request_id, (_, _, status) in client.by_id().items():
+            if request_id in run_ids and status != 200:
+                record.write('claim_lost', id=request_id, status=status)
+
+
+def _leave(record, deployment, worker, has_trouble):
+    """Have the worker leave; return when all are in touch and the ack."""
+    store_back_s = time.monotonic()
+    if has_trouble:
+        deployment.order('trouble/down')
+        record.write('store_down')
+        store_back_s += STORE_DOWN_S
+    time.sleep(0.3)
+    answer = worker.order('deregister')
+    record.write('deregistered', status=answer['status'])
+    if answer['status'] != 200:
+        raise CannotRunError('the departure was not acknowledged')
+    acknowledged_s = answer['at_s']
+    started_s = acknowledged_s
+    if has_trouble:
+        deployment.signal(LEAVING, signal.SIGKILL)
+        record.write('node_killed', node=LEAVING)
+        time.sleep(1)
+        deployment.start_node(LEAVING)
+        started_s = time.monotonic()
+        time.sleep(max(0, store_back_s - time.monotonic()))
+        deployment.order('trouble/none')
+        record.write('store_back')
+    time.sleep(max(0, acknowledged_s + STORE_DOWN_S - time.monotonic()))
+    late = worker.order('late')
+    record.write('late_heartbeat', status=late['status'])
+    return max(store_back_s, started_s) + STABLE_WINDOW_S, acknowledged_s
 
 
-def _is_broken(record, deployment):
-    """Apply the rule UNASKED on the service of the caller's machine."""
-    counts = {}
-    for index, worker in deployment.workers.items():
-        for request_id, _, caller in worker.order('report')['runs']:
-            counts[caller] = counts.get(caller, 0) + 1
-            if caller != NEW_SERVICE:
-                record.write(
-                    'run',
-                    id=request_id,
-                    worker=index,
-                    caller_service=caller,
-                    service_of_machine=NEW_SERVICE,
-                )
-    record.write('runs_by_caller_service', **counts)
-    print(counts)
-    if not counts:
-        raise CannotRunError('no request was run')
-    return any(caller != NEW_SERVICE for caller in counts)
+def _is_broken(record, runs, acknowledged_s, in_touch_s):
+    """Apply the rule DRAIN, for what was sent on by machines in touch."""
+    after_s = max(acknowledged_s + DRAIN_S, in_touch_s)
+    for request_id, at_s, _ in runs:
+        if at_s > acknowledged_s:
+            record.write(
+                'run_by_leaving_worker',
+                id=request_id,
+                after_ack_s=round(at_s - acknowledged_s, 3),
+            )
+    late = [request_id for request_id, at_s, _ in runs if at_s > after_s]
+    record.write(
+        'counts',
+        runs=len(runs),
+        in_touch_after_ack_s=round(in_touch_s - acknowledged_s, 3),
+        late=len(late),
+    )
+    print({'runs': len(runs), 'late': len(late)})
+    return bool(late)
 
 
 if __name__ == '__main__':
