--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,98 +1,27 @@
-"""One tenant sends eight times its rate, with short deadlines."""
+"""A node is killed after it has acknowledged that its worker leaves."""
 
-import asyncio
-import bisect
+import signal
 import time
 
 from deployment import (
-    HOST,
     CannotRunError,
+    Client,
     Deployment,
     config_document,
     main,
     route,
+    stop_clients,
     tenant,
 )
 
 SERVICES = ('huvo11a', 'wuno96b', 'huvo11a', 'wuno96b', 'huvo11a', 'wuno96b')
-RATE_PER_S = 171
-BURST = 171
-TIMES_THE_RATE = 8
-CONNECTIONS = 4
-"""Kept connections of the tenant at each node."""
-DEADLINE_MS = 20
-USUAL_DEADLINE_MS = 5000
-RUN_S = 20.0
-QUOTA_WINDOW_S = 5.0
-QUOTA_OVER = 0.1
-QUOTA_SLACK = 20
-
-
-class Tenant:
-    """The tenant's clients.
-
-    Attributes:
-        served: When each request that was served was sent and answered.
-        statuses: Number of answers by status.
-    """
-
-    def __init__(self, record, deadline_ms):
-        self.served = []
-        self.statuses = {}
-        self._record = record
-        self._deadline_ms = deadline_ms
-
-    async def press(self, deployment):
-        end_s = time.monotonic() + RUN_S
-        await asyncio.gather(
-            *(
-                self._keep_sending(deployment.address(index), name, end_s)
-                for index in range(len(SERVICES))
-                for name in (f'{index}-{n}' for n in range(CONNECTIONS))
-            )
-        )
-
-    async def _keep_sending(self, address, name, end_s):
-        period_s = CONNECTIONS * len(SERVICES) / (RATE_PER_S * TIMES_THE_RATE)
-        due_s = time.monotonic()
-        writer = None
-        count = 0
-        while due_s < end_s:
-            await asyncio.sleep(max(0, due_s - time.monotonic()))
-            due_s = max(due_s + period_s, time.monotonic() - 0.2)
-            count += 1
-            try:
-                if writer is None:
-                    reader, writer = await asyncio.open_connection(*address)
-                status = await self._exchange(
-                    f'{name}-{count}', reader, writer
-                )
-            except (OSError, asyncio.TimeoutError, EOFError) as error:
-                status = type(error).__name__
-                writer = None
-            self.statuses[status] = self.statuses.get(status, 0) + 1
-
-    async def _exchange(self, request_id, reader, writer):
-        sent_s = time.monotonic()
-        lines = (
-            'GET /lookup/1 HTTP/1.1',
-            f'Host: {HOST}',
-            f'Request-Id: {request_id}',
-            f'Request-Deadline-Ms: {self._deadline_ms}',
-            'Authorization: Token key-pulo',
-            '\r\n',
-        )
-        writer.write('\r\n'.join(lines).encode())
-        head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 3)
-        for line in head.lower().split(b'\r\n'):
-            if line.startswith(b'content-length: '):
-                await reader.readexactly(int(line[16:]))
-        answered_s = time.monotonic()
-        status = int(head.split()[1])
-        self._record.write('request', id=request_id, status=status)
-        if status == 200:
-            self.served.append((sent_s, answered_s))
-        return status
+LEAVING = 1
+CALLERS = (4, 0)
+STORE_DOWN_S = 4.5
+DRAIN_S = 2.0
+STABLE_WINDOW_S = 3.0
+SERVES_ON_S = 15.0
+"""As long as `scale_in` with `stay` has a worker serve on."""
 
 
 def run(record, has_trouble):
@@ -101,48 +30,100 @@
             route('lookup', 'huvo11a', 'safe'),
             route('claims', 'wuno96b', 'unsafe'),
         ],
-        tenants=[tenant('pulo780', 'key-pulo', RATE_PER_S)],
+        tenants=[tenant('pulo780', 'key-pulo')],
     )
-    deadline_ms = DEADLINE_MS if has_trouble else USUAL_DEADLINE_MS
-    with Deployment(record, config, SERVICES) as deployment:
-        clients = Tenant(record, deadline_ms)
-        asyncio.run(clients.press(deployment))
-        if not clients.served:
-            raise CannotRunError('nothing was served')
-        runs = deployment.order('runs')
-        record.write(
-            'run_by_targets',
-            **{name: sum(counts.values()) for name, counts in runs.items()},
+    with Deployment(record, config, SERVICES, {LEAVING: {}}) as deployment:
+        worker = deployment.workers[LEAVING]
+        clients = [
+            Client(
+                record,
+                f'claim-{index}-{number}',
+                deployment.address(index),
+                'key-pulo',
+                0.4,
+                method='POST',
+                path='/claims/1?ms=300',
+                body=b'claim',
+            )
+            for index in CALLERS
+            for number in range(10)
+        ]
+        for client in clients:
+            client.start()
+        time.sleep(3)
+        if not worker.order('report')['runs']:
+            raise CannotRunError('the worker gets no requests')
+        in_touch_s, acknowledged_s = _leave(
+            record, deployment, worker, has_trouble
         )
-    most = _most_in_a_window(clients.served)
-    allowed = (RATE_PER_S * QUOTA_WINDOW_S + BURST) * (1 + QUOTA_OVER)
-    allowed += QUOTA_SLACK
-    counts = {
-        'most_in_a_window': most,
-        'allowed': round(allowed, 1),
-        'served_per_s': round(len(clients.served) / RUN_S, 1),
-        'rate_per_s': RATE_PER_S,
-    }
-    record.write('counts', **counts)
-    print(counts, clients.statuses)
-    return most > allowed
-
-
-def _most_in_a_window(served):
-    """Return the most requests that were sent and answered in one window.
-
-    What was answered has arrived and run before; others, which ran and were
-    answered too late, aren't counted.
-    """
-    served.sort()
-    sent_s = [sent for sent, _ in served]
-    most = 0
-    for first, begin_s in enumerate(sent_s):
-        end_s = begin_s + QUOTA_WINDOW_S
-        last = bisect.bisect_right(sent_s, end_s)
-        within = sum(answered <= end_s for _, answered in served[first:last])
-        most = max(most, within)
-    return most
+        end_s = acknowledged_s + SERVES_ON_S
+        time.sleep(max(0, end_s - time.monotonic()))
+        runs = worker.order('report')['runs']
+        worker.process.kill()
+        record.write('worker_exits')
+        time.sleep(1)
+        stop_clients(clients)
+        _record_lost(record, clients, runs)
+        return _is_broken(record, runs, acknowledged_s, in_touch_s)
+
+
+def _record_lost(record, clients, runs):
+    """Record the claims at which the worker was at work when it exited."""
+    run_ids = {request_id for request_id, _, _ in runs}
+    for client in clients:
+        for request_id, (_, _, status) in client.by_id().items():
+            if request_id in run_ids and status != 200:
+                record.write('claim_lost', id=request_id, status=status)
+
+
+def _leave(record, deployment, worker, has_trouble):
+    """Have the worker leave; return when all are in touch and the ack."""
+    store_back_s = time.monotonic()
+    if has_trouble:
+        deployment.order('trouble/down')
+        record.write('store_down')
+        store_back_s += STORE_DOWN_S
+    time.sleep(0.3)
+    answer = worker.order('deregister')
+    record.write('deregistered', status=answer['status'])
+    if answer['status'] != 200:
+        raise CannotRunError('the departure was not acknowledged')
+    acknowledged_s = answer['at_s']
+    started_s = acknowledged_s
+    if has_trouble:
+        deployment.signal(LEAVING, signal.SIGKILL)
+        record.write('node_killed', node=LEAVING)
+        time.sleep(1)
+        deployment.start_node(LEAVING)
+        started_s = time.monotonic()
+        time.sleep(max(0, store_back_s - time.monotonic()))
+        deployment.order('trouble/none')
+        record.write('store_back')
+    time.sleep(max(0, acknowledged_s + STORE_DOWN_S - time.monotonic()))
+    late = worker.order('late')
+    record.write('late_heartbeat', status=late['status'])
+    return max(store_back_s, started_s) + STABLE_WINDOW_S, acknowledged_s
+
+
+def _is_broken(record, runs, acknowledged_s, in_touch_s):
+    """Apply the rule DRAIN, for what was sent on by machines in touch."""
+    after_s = max(acknowledged_s + DRAIN_S, in_touch_s)
+    for request_id, at_s, _ in runs:
+        if at_s > acknowledged_s:
+            record.write(
+                'run_by_leaving_worker',
+                id=request_id,
+                after_ack_s=round(at_s - acknowledged_s, 3),
+            )
+    late = [request_id for request_id, at_s, _ in runs if at_s > after_s]
+    record.write(
+        'counts',
+        runs=len(runs),
+        in_touch_after_ack_s=round(in_touch_s - acknowledged_s, 3),
+        late=len(late),
+    )
+    print({'runs': len(runs), 'late': len(late)})
+    return bool(late)
 
 
 if __name__ == '__main__':
