--- a/review/9/case.py
+++ b/review/9/case.py
@@ -69,7 +69,7 @@
 
 def _record_lost(record, clients, runs):
     """Record the claims at which the worker was at work when it exited."""
-    run_ids = {request_id for request_id, _, _ in runs}
+    run_ids = {request_id for request_id, _ in runs}
     for client in clients:
         for request_id, (_, _, status) in client.by_id().items():
             if request_id in run_ids and status != 200:
@@ -108,14 +108,14 @@
 def _is_broken(record, runs, acknowledged_s, in_touch_s):
     """Apply the rule DRAIN, for what was sent on by machines in touch."""
     after_s = max(acknowledged_s + DRAIN_S, in_touch_s)
-    for request_id, at_s, _ in runs:
+    for request_id, at_s in runs:
         if at_s > acknowledged_s:
             record.write(
                 'run_by_leaving_worker',
                 id=request_id,
                 after_ack_s=round(at_s - acknowledged_s, 3),
             )
-    late = [request_id for request_id, at_s, _ in runs if at_s > after_s]
+    late = [request_id for request_id, at_s in runs if at_s > after_s]
     record.write(
         'counts',
         runs=len(runs),
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -223,43 +223,6 @@
             )
         self.record.write('node_started', node=index)
 
-    def replace_machine(self, index, service):
-        """Lose a machine for good; return a function that starts another.
-
-        The other machine has its address, and a worker of another service.
-        """
-        self._processes[index].kill()
-        self._processes[index].wait()
-        self.workers[index].process.kill()
-        self.workers[index].process.wait()
-
-        def start():
-            fields = self._fields[index]
-            fields['service'] = service
-            fields['nodeName'] = f'{fields["nodeName"]}-2'
-            self.start_node(index)
-            self.workers[index] = Worker(fields, self._own_workers[index])
-
-        return start
-
-    def post_heartbeat(self, index, target_id, heartbeat):
-        """Send a heartbeat to a node; return the status."""
-        connection = http.client.HTTPConnection(
-            '127.0.0.1', self._fields[index]['ports']['control'], timeout=1
-        )
-        try:
-            connection.request(
-                'POST',
-                f'/v1/instances/{target_id}/heartbeat',
-                body=json.dumps(heartbeat),
-                headers={'Content-Type': 'application/json'},
-            )
-            return connection.getresponse().status
-        except OSError:
-            return 0
-        finally:
-            connection.close()
-
     def watch_memory(self, period_s=0.1):
         """Kill and restart nodes above the memory of their machine.
 
--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -3,7 +3,7 @@
 Reads its plan as a line of JSON from standard input, then orders, one a line:
 `deregister` (it deregisters first and goes on serving, and its health check
 fails from then on), `late` (the last heartbeat that it had sent before, which
-was held up, arrives now), `heartbeat` (returns the last one) and `report`. It writes one line of JSON for each
+was held up, arrives now) and `report`. It writes one line of JSON for each
 acknowledgement and each report. Times are monotonic seconds of the machine.
 
 With `answer_bytes` its answers have that many bytes, which repeat the id of the
@@ -55,8 +55,6 @@
         elif order == 'late':
             status = await self._post('heartbeat', self.held_beat)
             write(event='late_heartbeat', status=status, at_s=time.monotonic())
-        elif order == 'heartbeat':
-            write(event='heartbeat', id=self.plan['id'], body=self._heartbeat())
         elif order == 'report':
             write(
                 event='report', runs=self.runs, garbled=self.garbled
@@ -129,8 +127,7 @@
         if headers.get('expect-instance', own) != own:
             self._respond(writer, 421, echoed)
             return
-        caller = headers.get('caller-service', '')
-        self.runs.append([request_id, time.monotonic(), caller])
+        self.runs.append([request_id, time.monotonic()])
         await asyncio.sleep(self.plan.get('work_s', WORK_S))
         signed = echoed + 'Response-Signature: s1\r\n'
         size_bytes = self.plan.get('answer_bytes', 2)
