--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -7,8 +7,8 @@
 acknowledgement and each report. Times are monotonic seconds of the machine.
 
 With `answer_bytes` its answers have that many bytes, which repeat the id of the
-request, in chunks with `is_chunked`. With `extra_every` each answer of that number is followed by a second one
-to the same request (`garble`, `how = "extra"`).
+request, in chunks with `is_chunked`. With `extra_every` each answer of that number
+is followed by a second one to the same request (`garble`, `how = "extra"`).
 """
 
 import asyncio
